--- /dev/null
+++ b/features/steps/answer_steps.py
@@ -0,0 +1,211 @@
+import threading
+import time
+
+import anyio
+import httpx
+from almonddeal_tools.caller import Answer, headers_of, make_client, stream_answer
+from almonddeal_tools.chain import n_attempts
+from almonddeal_tools.fleet import KEY_BY_CUSTOMER
+from behave import then, when
+
+KEY = KEY_BY_CUSTOMER["tujenge"]
+OTHER_KEY = KEY_BY_CUSTOMER["keystone"]
+WAIT_S = 30.0
+
+
+class Reading(threading.Thread):
+    """A caller that reads one answer on a thread of its own."""
+
+    def __init__(self, url, answer, timeout_ms=None):
+        super().__init__(daemon=True)
+        self.answer = answer
+        self._url = url
+        self._timeout_ms = timeout_ms
+        self._leave = False
+
+    def run(self):
+        anyio.run(self._read)
+
+    async def _read(self):
+        async with make_client() as client:
+            if self._timeout_ms is not None:
+                client.headers["x-timeout-ms"] = str(self._timeout_ms)
+            try:
+                async for _ in stream_answer(client, self._url, KEY, self.answer):
+                    if self._leave:
+                        return
+            except httpx.HTTPError as error:
+                self.answer.cut = repr(error)
+
+    def leave(self):
+        self._leave = True
+
+    def wait_token(self, number):
+        deadline = time.monotonic() + WAIT_S
+        while self.answer.n_tokens < number:
+            assert self.is_alive() and time.monotonic() < deadline, self.answer.error
+            time.sleep(0.005)
+
+
+def start_reading(context, url, n_tokens, timeout_ms=None):
+    answer = Answer(f"prompt {len(context.answers)} of {time.time()}", n_tokens)
+    reading = Reading(url, answer, timeout_ms)
+    reading.start()
+    context.answers.append(answer)
+    context.reading = reading
+    return reading
+
+
+def finish_reading(context, reading):
+    """Read on, returning at any entry instance, until the answer has its end."""
+    reading.join(WAIT_S)
+    deadline = time.monotonic() + WAIT_S
+    number = 0
+    while reading.answer.finish_reason is None and time.monotonic() < deadline:
+        again = Reading(context.fleet.caller_urls[number % 3], reading.answer)
+        again.start()
+        again.join(WAIT_S)
+        number += 1
+        time.sleep(0.1)
+
+
+@when("a caller asks for an answer of {n_tokens:d} tokens at entry {number:d}")
+def ask(context, n_tokens, number):
+    start_reading(context, context.fleet.caller_urls[number], n_tokens)
+
+
+@when(
+    "a caller asks for an answer of {n_tokens:d} tokens at entry {number:d}"
+    " within {timeout_ms:d} ms"
+)
+def ask_within(context, n_tokens, number, timeout_ms):
+    url = context.fleet.caller_urls[number]
+    start_reading(context, url, n_tokens, timeout_ms).join(WAIT_S)
+
+
+def engine_of(context, answer):
+    for record in reversed(context.fleet.engine_records()):
+        if record["request"].endswith(answer.request_id):
+            return record["engine"]
+    raise AssertionError("no engine ran the answer")
+
+
+@when("the engine of the answer is killed at token {token:d}")
+def kill_engine(context, token):
+    context.reading.wait_token(token)
+    number = engine_of(context, context.reading.answer)
+    context.fleet.process_by_name[f"engine{number}"].kill()
+
+
+@when("the stream of the answer hangs at token {token:d}")
+def hang_stream(context, token):
+    context.reading.wait_token(token)
+    answer = context.reading.answer
+    number = engine_of(context, answer)
+    context.fleet.fault(number, kind="hang_stream", request=answer.request_id)
+
+
+@when("the agent of the answer is paused at token {token:d}")
+def pause_agent(context, token):
+    context.reading.wait_token(token)
+    number = engine_of(context, context.reading.answer)
+    context.fleet.process_by_name[f"agent{number}"].pause()
+
+
+@when("entry {number:d} is killed at token {token:d}")
+def kill_entry(context, number, token):
+    context.reading.wait_token(token)
+    context.fleet.process_by_name[f"entry{number}"].kill()
+    context.reading.join(WAIT_S)
+
+
+@when("entry {number:d} is paused at token {token:d}")
+def pause_entry_at(context, number, token):
+    context.reading.wait_token(token)
+    context.fleet.process_by_name[f"entry{number}"].pause()
+
+
+@when("the caller returns at entry {number:d}")
+def return_at(context, number):
+    deadline = time.monotonic() + WAIT_S
+    answer = context.reading.answer
+    context.reading.leave()
+    while answer.finish_reason is None and time.monotonic() < deadline:
+        again = Reading(context.fleet.caller_urls[number], answer)
+        again.start()
+        again.join(WAIT_S)
+
+
+@when("the answer is cancelled at entry {number:d} at token {token:d}")
+def cancel(context, number, token):
+    context.reading.wait_token(token)
+    url = context.fleet.caller_urls[number]
+    path = f"{url}/v1/answers/{context.reading.answer.request_id}"
+    response = httpx.delete(path, headers=headers_of(KEY), trust_env=False)
+    assert response.status_code == 200, response.text
+
+
+@when("the caller goes away at token {token:d}")
+def go_away(context, token):
+    context.reading.wait_token(token)
+    context.reading.leave()
+    context.reading.join(WAIT_S)
+
+
+@then("the answer is whole")
+def check_whole(context):
+    finish_reading(context, context.reading)
+    answer = context.reading.answer
+    assert answer.is_whole, (answer.violations(), answer.error, answer.n_tokens)
+
+
+@then("all answers are whole")
+def check_all_whole(context):
+    for reading in context.readings:
+        finish_reading(context, reading)
+    bad = [a for a in context.answers if not a.is_whole]
+    assert not bad, [(a.violations(), a.error, a.n_tokens) for a in bad]
+
+
+@then("its text comes from {number:d} attempts")
+def check_attempts(context, number):
+    made = n_attempts(context.reading.answer.tokens)
+    assert made == number, made
+
+
+@then("no engine works on the answer within 1 second")
+def check_freed(context):
+    request_id = context.reading.answer.request_id
+
+    def n_computed():
+        return sum(
+            r["n_computed"]
+            for r in context.fleet.engine_records()
+            if r["request"].endswith(request_id)
+        )
+
+    time.sleep(1.0)
+    before = n_computed()
+    time.sleep(0.3)
+    assert n_computed() == before > 0
+
+
+@then("the answer ended with the code {name}")
+def check_code(context, name):
+    answer = context.reading.answer
+    if answer.error is None:
+        context.reading.join(WAIT_S)
+    # Another instance cancelled it, so the caller is sent on once.
+    if answer.error is None or answer.error["name"] == "OWNERSHIP_LOST":
+        again = Reading(context.fleet.caller_urls[0], answer)
+        again.start()
+        again.join(WAIT_S)
+    assert answer.error["name"] == name, answer.error
+
+
+@then("another customer that asks for it gets the code {name}")
+def check_other_customer(context, name):
+    for url in context.fleet.caller_urls:
+        path = f"{url}/v1/answers/{context.reading.answer.request_id}"
+        response = httpx.get(path, headers=headers_of(OTHER_KEY), trust_env=False)
+        assert response.json()["error"]["name"] == name, response.text
--- /dev/null
+++ b/features/steps/control_steps.py
@@ -0,0 +1,208 @@
+import copy
+import json
+import threading
+import time
+
+from almonddeal_common.codes import FORBIDDEN, VERSION_CONFLICT
+from almonddeal_tools.fleet import READER_TOKEN, sha256
+from answer_steps import finish_reading, start_reading
+from behave import then, when
+
+
+def changed_document(context, name):
+    document = copy.deepcopy(context.fleet.document)
+    document["customers"][name] = {"key_sha256": [sha256(name)], "models": ["draft"]}
+    return document
+
+
+def write_document(context, name, document):
+    path = context.fleet.folder / f"{name}.document.json"
+    path.write_text(json.dumps(document))
+    return str(path)
+
+
+@when("two operators apply different documents on the same base at once")
+def apply_racing(context):
+    base = str(context.fleet.status(0)["version"])
+    context.results = []
+
+    def apply(number):
+        path = write_document(
+            context, f"race{number}", changed_document(context, f"new{number}")
+        )
+        result = context.fleet.command("apply", path, "--base", base, entry=number)
+        context.results.append(result)
+
+    threads = [threading.Thread(target=apply, args=(n,)) for n in (0, 1)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+@then("one of them is accepted and the other gets a conflict that names who and what")
+def check_race(context):
+    (won, _), (lost, text) = sorted(context.results)
+    assert (won, lost) == (0, VERSION_CONFLICT.exit_status), context.results
+    assert "olu" in text and "/customers/new" in text, text
+
+
+@when('a change with the id "{change_id}" is applied twice at different entries')
+def apply_twice(context, change_id):
+    path = write_document(context, "twice", changed_document(context, "twice"))
+    context.results = [
+        context.fleet.command(
+            "--json", "apply", path, "--change-id", change_id, entry=n
+        )
+        for n in (0, 1)
+    ]
+
+
+@then("both answers name the same version")
+def check_same_version(context):
+    versions = {json.loads(text)["version"] for _, text in context.results}
+    assert len(versions) == 1, context.results
+
+
+@when("a document with 3 errors is applied")
+def apply_wrong(context):
+    context.version_before = context.fleet.status(0)["version"]
+    document = changed_document(context, "wrong")
+    document["customers"]["wrong"]["weight"] = -1
+    document["customers"]["wrong"]["colour"] = "red"
+    document["models"]["draft"]["version"] = 7
+    path = write_document(context, "wrong", document)
+    context.result = context.fleet.command("apply", path)
+
+
+@then("all 3 errors are reported with their paths")
+def check_errors(context):
+    status, text = context.result
+    assert status != 0
+    for path in ("$.customers.wrong:", "$.customers.wrong.weight", "$.models.draft"):
+        assert path in text, text
+
+
+@then("the version in force is the same as before")
+def check_version(context):
+    assert context.fleet.status(0)["version"] == context.version_before
+
+
+@then("the audit trail has the refusal")
+def check_audit(context):
+    status, text = context.fleet.command("--json", "audit")
+    result = json.loads(text)
+    assert result["chain_broken"] is None
+    assert result["records"][-1]["kind"] == "refused", result["records"][-1]
+
+
+def leader_number(context):
+    for number in range(3):
+        status = context.fleet.status(number)
+        if status and status["leader"]:
+            return int(status["leader"].removeprefix("entry"))
+    raise AssertionError("no leader")
+
+
+@when("the leader is killed")
+def kill_leader(context):
+    context.killed = leader_number(context)
+    context.fleet.process_by_name[f"entry{context.killed}"].kill()
+
+
+@then("a change is accepted within {timeout_s:d} seconds")
+def check_accepted(context, timeout_s):
+    path = write_document(context, "after", changed_document(context, "after"))
+    other = (context.killed + 1) % 3
+    started = time.monotonic()
+    status, text = context.fleet.command("--json", "apply", path, entry=other)
+    assert status == 0, text
+    assert time.monotonic() - started < timeout_s
+    context.version = json.loads(text)["version"]
+
+
+@then("the killed instance has the newest version after it is started again")
+def check_caught_up(context):
+    context.fleet.process_by_name[f"entry{context.killed}"].start()
+    context.fleet.wait_until(
+        lambda: (
+            (context.fleet.status(context.killed) or {}).get("version")
+            == context.version
+        ),
+        "newest version",
+    )
+
+
+@when("engine {engine:d} is drained at entry {number:d}")
+def drain(context, engine, number):
+    status, text = context.fleet.command("drain", f"engine{engine}", entry=number)
+    assert status == 0, text
+
+
+@then("callers at all entries get answers and engine {engine:d} gets nothing new")
+def check_nothing_new(context, engine):
+    time.sleep(1.0)
+    before = [r for r in context.fleet.engine_records() if r["engine"] == engine]
+    readings = [
+        start_reading(context, context.fleet.caller_urls[n % 3], 20) for n in range(12)
+    ]
+    for reading in readings:
+        finish_reading(context, reading)
+    after = [r for r in context.fleet.engine_records() if r["engine"] == engine]
+    assert len(after) == len(before)
+    assert all(answer.is_whole for answer in context.answers)
+
+
+def start_many(context, n_answers, n_tokens, number=None):
+    urls = context.fleet.caller_urls
+    context.readings = [
+        start_reading(context, urls[n % 3 if number is None else number], n_tokens)
+        for n in range(n_answers)
+    ]
+    for reading in context.readings:
+        reading.wait_token(5)
+
+
+@when(
+    "{n_answers:d} answers of {n_tokens:d} tokens are asked for"
+    " and engine {engine:d} is drained meanwhile"
+)
+def drain_meanwhile(context, n_answers, n_tokens, engine):
+    start_many(context, n_answers, n_tokens)
+    drain(context, engine, 0)
+
+
+@when(
+    "{n_answers:d} answers of {n_tokens:d} tokens are asked for"
+    " and agent {number:d} is told to stop"
+)
+def stop_agent(context, n_answers, n_tokens, number):
+    start_many(context, n_answers, n_tokens)
+    agent = context.fleet.process_by_name[f"agent{number}"]
+    agent.terminate()
+    assert agent.wait(15) == 0
+
+
+@when(
+    "{n_answers:d} answers of {n_tokens:d} tokens are asked for"
+    " at entry {number:d} which is told to stop"
+)
+def stop_entry(context, n_answers, n_tokens, number):
+    start_many(context, n_answers, n_tokens, number)
+    entry = context.fleet.process_by_name[f"entry{number}"]
+    entry.terminate()
+    assert entry.wait(15) == 0
+    for reading in context.readings:
+        reading.join(5)
+        assert reading.answer.finish_reason is not None
+
+
+@when("an operator who may only read applies a document")
+def apply_reading(context):
+    path = write_document(context, "reader", context.fleet.document)
+    context.result = context.fleet.command("apply", path, token=READER_TOKEN)
+
+
+@then("the command ends with the status of FORBIDDEN")
+def check_forbidden(context):
+    assert context.result[0] == FORBIDDEN.exit_status, context.result
--- /dev/null
+++ b/features/steps/order_steps.py
@@ -0,0 +1,116 @@
+import threading
+import time
+
+import httpx
+from almonddeal_tools.caller import headers_of
+from almonddeal_tools.fleet import KEY_BY_CUSTOMER
+from behave import then, when
+
+KEY = KEY_BY_CUSTOMER["tujenge"]
+
+
+def send(context, number, key, body="40 badges"):
+    headers = headers_of(KEY)
+    if key:
+        headers["idempotency-key"] = key
+    url = f"{context.fleet.caller_urls[number]}/services/badges/orders"
+    try:
+        response = httpx.post(
+            url, content=body, headers=headers, timeout=20, trust_env=False
+        )
+    except httpx.HTTPError:
+        return
+    context.replies.append((response.status_code, response.text, response))
+
+
+def wait_executed(context, key):
+    deadline = time.monotonic() + 5
+    while time.monotonic() < deadline:
+        if any(r["key"] == key for r in context.fleet.executions()):
+            return
+        time.sleep(0.002)
+
+
+@when('the order "{key}" is sent at entries 0 and 1 at once')
+def send_at_once(context, key):
+    threads = [
+        threading.Thread(target=send, args=(context, number, key)) for number in (0, 1)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+@when('the order "{key}" is sent at entry {number:d}')
+def send_one(context, key, number):
+    send(context, number, key)
+
+
+@when('the order "{key}" is sent at entry {number:d} with another body')
+def send_other(context, key, number):
+    send(context, number, key, "41 badges")
+
+
+@when("an order without a key is sent at entry {number:d}")
+def send_without_key(context, number):
+    send(context, number, None)
+
+
+@when('the order "{key}" is sent at entry {number:d} which is killed meanwhile')
+def send_and_kill_entry(context, key, number):
+    thread = threading.Thread(target=send, args=(context, number, key))
+    thread.start()
+    wait_executed(context, key)
+    context.fleet.process_by_name[f"entry{number}"].kill()
+    thread.join()
+
+
+@when('the order "{key}" is sent at entry {number:d} and its agent is killed meanwhile')
+def send_and_kill_agent(context, key, number):
+    thread = threading.Thread(target=send, args=(context, number, key))
+    thread.start()
+    wait_executed(context, key)
+    agent = context.fleet.process_by_name["agent-badges0"]
+    agent.kill()
+    thread.join()
+    agent.start()
+
+
+@when("a lookup is sent at entry {number:d}")
+def look_up(context, number):
+    url = f"{context.fleet.caller_urls[number]}/services/badges/status/7"
+    response = httpx.get(url, headers=headers_of(KEY), timeout=20, trust_env=False)
+    context.replies.append((response.status_code, response.text, response))
+
+
+@then('the service ran the order "{key}" {count}')
+def check_count(context, key, count):
+    expected = {"never": 0, "once": 1}[count]
+    executed = [r for r in context.fleet.executions() if r["key"] == key]
+    assert len(executed) == expected, (executed, context.replies)
+
+
+@then("all callers got the same reply")
+def check_same(context):
+    replies = {(status, text) for status, text, _ in context.replies}
+    assert len(context.replies) >= 2 and len(replies) == 1, context.replies
+    assert context.replies[0][0] == 200
+
+
+@then("the last reply has the code {name} and was_run {was_run}")
+def check_code(context, name, was_run):
+    error = context.replies[-1][2].json()["error"]
+    assert (error["name"], error["was_run"]) == (name, was_run), error
+
+
+@then("the last reply tells the order's reply or that its outcome is unknown")
+def check_told(context):
+    status, _, response = context.replies[-1]
+    if status != 200:
+        assert response.json()["error"]["name"] == "ORDER_OUTCOME_UNKNOWN"
+
+
+@then("the last reply has the status {status:d}")
+def check_status(context, status):
+    assert context.replies[-1][0] == status, context.replies[-1]
--- /dev/null
+++ b/packages/agent/src/almonddeal_agent/__init__.py
@@ -0,0 +1,1 @@
+"""The process of almonddeal that runs beside each target."""
--- /dev/null
+++ b/packages/agent/src/almonddeal_agent/attempts.py
@@ -0,0 +1,180 @@
+"""Attempts: one numbered engine stream each, relayed to the owner of the answer."""
+
+import anyio
+from almonddeal_common.clock import monotonic_ms
+from almonddeal_common.codes import (
+    ATTEMPT_LOST,
+    TARGET_HANDOVER,
+    TARGET_REFUSED,
+    TARGET_STALLED,
+    AlmonddealError,
+)
+from almonddeal_common.logs import get_logger
+from almonddeal_common.wire.gen.ttypes import AttemptChunk, AttemptEnd
+
+from almonddeal_agent.stall import StallLimit
+
+log = get_logger("attempts")
+
+
+class AttemptRunner:
+    """Runs attempts on the engine beside this agent.
+
+    Parameters
+    ----------
+    engine : EngineInterface
+    watch : EngineWatch
+        Says whether the engine answers, and its load.
+    admission : Admission
+    """
+
+    def __init__(self, engine, watch, admission):
+        self._engine = engine
+        self._watch = watch
+        self._admission = admission
+        self._handover = anyio.Event()
+        self.n_stalled = 0
+        self.n_started = 0
+
+    def hand_over(self):
+        """Give all running attempts back to their owners, which go on elsewhere."""
+        self._handover.set()
+
+    async def handle_start(self, link, start, emit):
+        """Run one attempt and send its tokens; the link handler of `StartAttempt`."""
+        with self._admission.admitted():
+            self._watch.check_serves(start.spec.model, start.spec.version)
+            self.n_started += 1
+            return await self._relay(start, emit)
+
+    async def _relay(self, start, emit):
+        outcome = AlmonddealError(ATTEMPT_LOST, "ended without a reason")
+        reply = None
+
+        async def pump(scope):
+            nonlocal outcome, reply
+            try:
+                reply = await self._pump(start, emit)
+            except AlmonddealError as error:
+                outcome = error
+            scope.cancel()
+
+        async def give_back(scope):
+            nonlocal outcome
+            await self._handover.wait()
+            outcome = AlmonddealError(TARGET_HANDOVER, "the agent is stopping")
+            scope.cancel()
+
+        async def watch_engine(scope):
+            nonlocal outcome
+            await self._watch.lost.wait()
+            outcome = AlmonddealError(ATTEMPT_LOST, "the engine does not answer")
+            scope.cancel()
+
+        async with anyio.create_task_group() as group:
+            for task in (pump, give_back, watch_engine):
+                group.start_soon(task, group.cancel_scope)
+        if reply is None:
+            raise outcome
+        return reply
+
+    async def _pump(self, start, emit):
+        limit = StallLimit(lambda: self._watch.load)
+        next_index = len(start.prefix)
+        stream = self._engine.generate(start)
+        try:
+            while True:
+                started_ms = monotonic_ms()
+                tokens = await self._next_tokens(stream, limit)
+                limit.note_tokens(len(tokens), monotonic_ms() - started_ms)
+                chunk = self._make_chunk(start.attempt, next_index, tokens)
+                next_index += len(chunk.tokens)
+                if chunk.tokens:
+                    emit(chunk)
+                if tokens[-1].finish_reason:
+                    return AttemptEnd(start.attempt, tokens[-1].finish_reason)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await stream.aclose()
+
+    async def _next_tokens(self, stream, limit):
+        while True:
+            limit_ms = limit.limit_ms
+            with anyio.move_on_after(limit_ms / 1000):
+                return await anext(stream)
+            self.n_stalled += 1
+            raise AlmonddealError(TARGET_STALLED, f"silent for {limit_ms:.0f} ms")
+
+    @staticmethod
+    def _make_chunk(attempt, next_index, tokens):
+        content = [t for t in tokens if not t.finish_reason]
+        for offset, token in enumerate(content):
+            if token.index != next_index + offset:
+                detail = f"token {token.index} where {next_index + offset} belongs"
+                raise AlmonddealError(ATTEMPT_LOST, detail)
+        return AttemptChunk(
+            attempt, next_index, [t.token for t in content], [t.text for t in content]
+        )
+
+
+class EngineWatch:
+    """Asks the engine for its report at intervals and notices when it is gone.
+
+    Attributes
+    ----------
+    lost : anyio.Event
+        Set while the engine does not answer; replaced once it does again.
+    load : Load
+    models : list of ModelState
+        Empty while the engine does not answer.
+    """
+
+    INTERVAL_S = 0.2
+    MAX_FAILURES = 3
+
+    def __init__(self, engine, empty_load):
+        self._engine = engine
+        self._empty_load = empty_load
+        self._heard_ms = monotonic_ms()
+        self.lost = anyio.Event()
+        self.load = empty_load
+        self.models = []
+
+    def check_serves(self, model, version):
+        """Refuse an attempt for a version that the engine has not loaded."""
+        loaded = any(m.model == model and m.version == version for m in self.models)
+        if not loaded:
+            raise AlmonddealError(TARGET_REFUSED, f"{model} {version} is not loaded")
+
+    async def run(self):
+        """Watch until cancelled."""
+        n_failures = 0
+        while True:
+            try:
+                report = await self._engine.report()
+            except Exception as error:
+                n_failures += 1
+                self._note_failure(n_failures, error)
+            else:
+                n_failures = 0
+                self._note_report(report)
+            await anyio.sleep(self.INTERVAL_S)
+
+    def _note_report(self, report):
+        if self.lost.is_set():
+            self.lost = anyio.Event()
+        if not self.models and report.models:
+            log.info("engine answers with %d versions", len(report.models))
+        self._heard_ms = monotonic_ms()
+        report.load.age_ms = report.load.age_ms or 0
+        self.load = report.load
+        self.models = report.models
+
+    def _note_failure(self, n_failures, error):
+        is_refused = "ConnectError" in type(error).__name__
+        if is_refused or n_failures >= self.MAX_FAILURES:
+            if not self.lost.is_set():
+                log.warning("engine does not answer, %r", error)
+                self.lost.set()
+            self.models = []
+            self.load = self._empty_load
--- /dev/null
+++ b/packages/agent/src/almonddeal_agent/main.py
@@ -0,0 +1,37 @@
+"""Command line of the agent."""
+
+import sys
+
+import anyio
+import click
+from almonddeal_common import __version__
+from almonddeal_common.checks import load_schema
+from almonddeal_common.failures import exit_with_errors
+from almonddeal_common.logs import set_up_logging
+from almonddeal_common.settings import read_settings
+
+from almonddeal_agent.run import Agent
+
+SETTINGS = load_schema("almonddeal_agent", "settings.schema.json")
+
+
+@click.command()
+@click.version_option(__version__)
+@click.option("--check", is_flag=True, help="Check the settings and exit.")
+@click.argument("settings_file", type=click.Path())
+def main(settings_file, check):
+    """Run the almonddeal process beside one target."""
+    with exit_with_errors():
+        settings = read_settings(settings_file, SETTINGS)
+        if check:
+            click.echo("settings are valid")
+            return
+        log_settings = settings.get("log", {})
+        set_up_logging(
+            log_settings.get("level", "INFO"), log_settings.get("json", False)
+        )
+        anyio.run(Agent(settings).run)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/agent/src/almonddeal_agent/run.py
@@ -0,0 +1,156 @@
+"""The agent as a whole: builds its parts from the settings and runs them."""
+
+import time
+
+import anyio
+from almonddeal_common.clock import monotonic_ms
+from almonddeal_common.held.handlers import held_answer_handlers
+from almonddeal_common.held.store import AnswerStore
+from almonddeal_common.http import serve_http, wait_for_stop
+from almonddeal_common.logs import get_logger
+from almonddeal_common.metrics import metrics_app
+from almonddeal_common.settings import Address
+from almonddeal_common.wire.connect import Peer, listen, serve_links
+from almonddeal_common.wire.gen.constants import PROTOCOL_VERSION
+from almonddeal_common.wire.gen.ttypes import (
+    Hello,
+    Load,
+    OrderQuery,
+    ServiceCall,
+    StartAttempt,
+    TargetState,
+)
+from almonddeal_common.wire.link import LOWEST_PROTOCOL_VERSION
+
+from almonddeal_agent.admission import Admission
+from almonddeal_agent.announce import announce_for_ever
+from almonddeal_agent.attempts import AttemptRunner, EngineWatch
+from almonddeal_agent.calls import CallRunner
+from almonddeal_agent.engine import http_engine, make_client
+
+STOP_TIMEOUT_S = 30.0
+HANDOVER_TIMEOUT_S = 3.0
+STOP_NEWS_S = 1.0
+EXPIRE_INTERVAL_S = 5.0
+SERVICE_CALLS = 64
+
+log = get_logger("agent")
+
+
+class Agent:
+    """The process beside one target.
+
+    Parameters
+    ----------
+    settings : dict
+        Settings that passed their schema.
+    """
+
+    def __init__(self, settings):
+        target = settings["target"]
+        self._settings = settings
+        self._target = target
+        self._incarnation = time.time_ns()
+        self._listen = Address.parse(settings["listen"])
+        self._admission = Admission()
+        self._store = AnswerStore()
+        self._sequence = 0
+        self._client = make_client()
+        self._watch = None
+        self._attempts = None
+        self._empty_load = Load(0, 0, 0, 0, 0.0, 0)
+
+    async def run(self):
+        """Run until told to stop, then hand over what is left."""
+        listener = await listen(self._listen)
+        stop = anyio.Event()
+        async with self._client, anyio.create_task_group() as group:
+            handlers = self._make_handlers(group)
+            hello = self._make_hello()
+            group.start_soon(serve_links, listener, hello, handlers)
+            group.start_soon(self._expire_answers)
+            for text in self._settings["entries"]:
+                peer = Peer(text, Address.parse(text), hello, {})
+                group.start_soon(peer.run)
+                group.start_soon(
+                    announce_for_ever, peer, self._make_state, self._admission
+                )
+            if "metrics" in self._settings:
+                address = Address.parse(self._settings["metrics"])
+                group.start_soon(serve_http, metrics_app, address, anyio.Event())
+            log.info("serves target %s", self._target["name"])
+            await wait_for_stop(stop)
+            await self._drain()
+            group.cancel_scope.cancel()
+
+    def _make_hello(self):
+        return Hello(
+            PROTOCOL_VERSION,
+            LOWEST_PROTOCOL_VERSION,
+            "agent",
+            self._settings["instance"],
+            self._incarnation,
+            self._settings["failure_domain"],
+        )
+
+    def _make_handlers(self, group):
+        handlers = held_answer_handlers(self._store)
+        address = Address.parse(self._target["address"])
+        if self._target["kind"] == "engine":
+            engine = http_engine(self._client, address)
+            self._watch = EngineWatch(engine, self._empty_load)
+            self._attempts = AttemptRunner(engine, self._watch, self._admission)
+            handlers[StartAttempt] = self._attempts.handle_start
+            group.start_soon(self._watch.run)
+        else:
+            calls = CallRunner(self._client, address, self._admission, group)
+            handlers[ServiceCall] = calls.handle_call
+            handlers[OrderQuery] = calls.handle_query
+        return handlers
+
+    def _make_state(self):
+        self._sequence += 1
+        return TargetState(
+            target=self._target["name"],
+            instance=self._settings["instance"],
+            incarnation=self._incarnation,
+            failure_domain=self._settings["failure_domain"],
+            host=self._listen.host,
+            port=self._listen.port,
+            kind=self._target["kind"],
+            service_name=self._target.get("service", ""),
+            labels=self._target.get("labels", {}),
+            models=self._watch.models if self._watch else [],
+            load=self._watch.load if self._watch else self._service_load(),
+            stopping=self._admission.is_stopping,
+            sequence=self._sequence,
+            document_version=self._admission.document_version,
+            n_in_flight=self._admission.n_in_flight,
+        )
+
+    def _service_load(self):
+        n_slots = self._target.get("max_calls", SERVICE_CALLS)
+        return Load(self._admission.n_in_flight, 0, n_slots, 0, 0.0, 0)
+
+    async def _expire_answers(self):
+        while True:
+            await anyio.sleep(EXPIRE_INTERVAL_S)
+            self._store.expire()
+
+    async def _drain(self):
+        """Finish what runs; hand the rest back when the time is over."""
+        log.info("stops with %d in flight", self._admission.n_in_flight)
+        self._admission.is_stopping = True
+        timeout_s = self._settings.get("stop_timeout_s", STOP_TIMEOUT_S)
+        # Entry instances hear of the stop before the listener closes.
+        await anyio.sleep(STOP_NEWS_S)
+        await self._wait_idle(timeout_s)
+        if self._attempts is not None:
+            self._attempts.hand_over()
+        await self._wait_idle(HANDOVER_TIMEOUT_S)
+        log.info("stopped with %d in flight", self._admission.n_in_flight)
+
+    async def _wait_idle(self, timeout_s):
+        deadline_ms = monotonic_ms() + timeout_s * 1000
+        while self._admission.n_in_flight and monotonic_ms() < deadline_ms:
+            await anyio.sleep(0.02)
--- /dev/null
+++ b/packages/agent/src/almonddeal_agent/stall.py
@@ -0,0 +1,49 @@
+"""How long an engine may stay silent before its stream counts as stalled.
+
+The limit follows the load that the engine reports: the gap between tokens grows with
+the batch, and a first token waits for the queue in front of it.
+"""
+
+DECODE_GAPS = 15.0
+DECODE_MIN_MS = 700.0
+DECODE_MAX_MS = 2000.0
+FIRST_TOKEN_MIN_MS = 2000.0
+FIRST_TOKEN_MAX_MS = 20_000.0
+QUEUE_FACTOR = 4.0
+GAP_WEIGHT = 0.2
+
+
+class StallLimit:
+    """The limit of silence for one stream.
+
+    Parameters
+    ----------
+    load_of : callable
+        Returns the newest `Load` of the engine.
+    """
+
+    __slots__ = ("_gap_ms", "_load_of", "_n_tokens")
+
+    def __init__(self, load_of):
+        self._load_of = load_of
+        self._gap_ms = 0.0
+        self._n_tokens = 0
+
+    def note_tokens(self, n_tokens, silence_ms):
+        """Take note of tokens that came after a silence in ms."""
+        if self._n_tokens:
+            gap_ms = silence_ms / n_tokens
+            self._gap_ms += GAP_WEIGHT * (gap_ms - self._gap_ms)
+        self._n_tokens += n_tokens
+
+    @property
+    def limit_ms(self):
+        """Silence in ms after which the stream counts as stalled."""
+        load = self._load_of()
+        if self._n_tokens == 0:
+            waiting_ms = load.token_ms * (1 + load.n_waiting) * QUEUE_FACTOR
+            limit_ms = FIRST_TOKEN_MIN_MS + waiting_ms
+            return min(limit_ms, FIRST_TOKEN_MAX_MS)
+        expected_ms = max(load.token_ms, self._gap_ms)
+        limit_ms = max(DECODE_GAPS * expected_ms, DECODE_MIN_MS)
+        return min(limit_ms, DECODE_MAX_MS)
--- /dev/null
+++ b/packages/common/src/almonddeal_common/tests/test_codes.py
@@ -0,0 +1,48 @@
+"""Tests of the result codes."""
+
+from pathlib import Path
+
+from almonddeal_common.codes import CODE_BY_NUMBER, OK, AlmonddealError, error_from_wire
+
+TABLE = Path(__file__).resolve().parents[5] / "docs" / "RESULT_CODES.md"
+
+
+def _rows():
+    rows = []
+    for line in TABLE.read_text().splitlines():
+        cells = [cell.strip() for cell in line.strip("|").split("|")]
+        if len(cells) == 7 and cells[0].isdigit():
+            rows.append(cells)
+    return rows
+
+
+class TestResultCodes:
+    def test_page_and_table_are_equal(self):
+        expected = [
+            [
+                str(code.number),
+                code.name,
+                str(code.http_status),
+                str(code.exit_status),
+                code.was_run,
+                code.retry,
+                code.meaning,
+            ]
+            for code in CODE_BY_NUMBER.values()
+        ]
+        assert _rows() == expected
+
+    def test_exit_statuses_fit_a_process(self):
+        statuses = [code.exit_status for code in CODE_BY_NUMBER.values()]
+        assert len(set(statuses)) == len(statuses)
+        assert max(statuses) < 126
+
+    def test_json_has_what_callers_need(self):
+        code = CODE_BY_NUMBER[200]
+        error = AlmonddealError(code, "too fast", after_ms=120.0).as_json()["error"]
+        assert error["was_run"] == "no"
+        assert error["retry"] == {"after_ms": 120.0}
+
+    def test_unknown_number_is_internal(self):
+        assert error_from_wire(99999, "x").code.name == "INTERNAL"
+        assert error_from_wire(OK.number, None).detail == ""
--- /dev/null
+++ b/packages/common/src/almonddeal_common/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Framed thrift messages between the processes of almonddeal."""
--- /dev/null
+++ b/packages/common/src/almonddeal_common/wire/codec.py
@@ -0,0 +1,106 @@
+"""Bytes of a message: a length, then a thrift frame that holds a typed body."""
+
+import struct
+
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAcceleratedFactory
+from thrift.TSerialization import deserialize, serialize
+
+from almonddeal_common.codes import PROTOCOL_MISMATCH, AlmonddealError
+from almonddeal_common.wire.gen import ttypes as messages
+
+MAX_FRAME_BYTES = 64 * 1024 * 1024
+LENGTH = struct.Struct(">I")
+
+_FACTORY = TBinaryProtocolAcceleratedFactory()
+
+# Numbers are part of the protocol: add at the end, never renumber.
+TYPE_BY_KIND = {
+    1: messages.Hello,
+    2: messages.Ping,
+    3: messages.Ok,
+    4: messages.Fault,
+    10: messages.Announce,
+    11: messages.AnnounceReply,
+    12: messages.PeerDigest,
+    20: messages.StartAttempt,
+    21: messages.AttemptChunk,
+    22: messages.AttemptEnd,
+    23: messages.ProbeTarget,
+    24: messages.AppendBatch,
+    25: messages.AppendBatchReply,
+    26: messages.Fence,
+    27: messages.FenceReply,
+    28: messages.CancelAnswer,
+    30: messages.ServiceCall,
+    31: messages.ServiceReply,
+    32: messages.OrderQuery,
+    33: messages.OrderAlive,
+    34: messages.OrderAliveReply,
+    40: messages.Vote,
+    41: messages.VoteReply,
+    42: messages.AppendLog,
+    43: messages.AppendLogReply,
+    44: messages.InstallSnapshot,
+    45: messages.Propose,
+    46: messages.ProposeReply,
+    47: messages.ReadFresh,
+    48: messages.ReadFreshReply,
+    49: messages.FetchDocument,
+    50: messages.FetchDocumentReply,
+    51: messages.ReadOrder,
+    52: messages.ClaimResult,
+}
+KIND_BY_TYPE = {type_: kind for kind, type_ in TYPE_BY_KIND.items()}
+
+
+def encode(message):
+    """Return the bytes of a thrift message."""
+    return serialize(message, _FACTORY)
+
+
+def decode(type_, data):
+    """Return the message of a thrift type that stands in `data`."""
+    return deserialize(type_(), data, _FACTORY)
+
+
+def encode_frame(phase, call_id, message):
+    """Return a whole frame with its length in front."""
+    kind = KIND_BY_TYPE[type(message)]
+    body = encode(messages.Frame(phase, call_id, kind, encode(message)))
+    return LENGTH.pack(len(body)) + body
+
+
+def frame_message(frame):
+    """Return the typed message inside a frame."""
+    type_ = TYPE_BY_KIND.get(frame.kind)
+    if type_ is None:
+        raise AlmonddealError(PROTOCOL_MISMATCH, f"unknown message kind {frame.kind}")
+    return decode(type_, frame.body)
+
+
+class FrameReader:
+    """Cuts a byte stream into frames."""
+
+    __slots__ = ("_buffer",)
+
+    def __init__(self):
+        self._buffer = bytearray()
+
+    def feed(self, data):
+        """Return the frames that `data` completes, as a list of Frame."""
+        buffer = self._buffer
+        buffer += data
+        frames = []
+        start = 0
+        while len(buffer) - start >= LENGTH.size:
+            (length,) = LENGTH.unpack_from(buffer, start)
+            if length > MAX_FRAME_BYTES:
+                raise AlmonddealError(PROTOCOL_MISMATCH, f"frame of {length} bytes")
+            end = start + LENGTH.size + length
+            if len(buffer) < end:
+                break
+            body = bytes(buffer[start + LENGTH.size : end])
+            frames.append(decode(messages.Frame, body))
+            start = end
+        del buffer[:start]
+        return frames
--- /dev/null
+++ b/packages/common/src/almonddeal_common/wire/gen/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/packages/common/src/almonddeal_common/wire/link.py
@@ -0,0 +1,349 @@
+"""One connection between two processes: calls, streams and keep-alive.
+
+Each side may call the other. A link that stays silent is closed, so that a call never
+waits for a process that is paused or cut off longer than `SILENCE_LIMIT_MS`.
+"""
+
+from collections import deque
+
+import anyio
+from anyio import create_task_group, fail_after
+
+from almonddeal_common.clock import monotonic_ms
+from almonddeal_common.codes import (
+    DEADLINE,
+    INTERNAL,
+    LINK_LOST,
+    PROTOCOL_MISMATCH,
+    AlmonddealError,
+    error_from_wire,
+)
+from almonddeal_common.logs import get_logger
+from almonddeal_common.wire.codec import FrameReader, encode_frame, frame_message
+from almonddeal_common.wire.gen.constants import PROTOCOL_VERSION
+from almonddeal_common.wire.gen.ttypes import Fault, Hello, Ok, Phase, Ping
+
+PING_INTERVAL_MS = 250
+SILENCE_LIMIT_MS = 1500
+OWN_STALL_MS = 250
+HANDSHAKE_TIMEOUT_S = 2.0
+RECEIVE_BYTES = 65536
+MAX_OUTGOING_BYTES = 32 * 1024 * 1024
+LOWEST_PROTOCOL_VERSION = 1
+
+_CONNECTION_ERRORS = (
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.EndOfStream,
+    OSError,
+)
+
+log = get_logger("wire")
+
+
+class _Call:
+    """State of one outgoing call or stream."""
+
+    __slots__ = ("ended", "error", "event", "items", "reply")
+
+    def __init__(self):
+        self.items = deque()
+        self.reply = None
+        self.error = None
+        self.ended = False
+        self.event = anyio.Event()
+
+    def end(self, reply=None, error=None):
+        if self.ended:
+            return
+        self.reply = reply
+        self.error = error
+        self.ended = True
+        self.event.set()
+
+
+class IncomingStream:
+    """Items that the other side sends for one streaming call.
+
+    Leaving the context before the end cancels the work on the other side.
+    """
+
+    __slots__ = ("_call", "_call_id", "_link", "reply")
+
+    def __init__(self, link, call_id, call):
+        self._link = link
+        self._call_id = call_id
+        self._call = call
+        self.reply = None
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self._link.forget(self._call_id, cancel=not self._call.ended)
+
+    def __aiter__(self):
+        return self
+
+    async def __anext__(self):
+        call = self._call
+        while not call.items:
+            if call.error is not None:
+                raise call.error
+            if call.ended:
+                self.reply = call.reply
+                raise StopAsyncIteration
+            call.event = anyio.Event()
+            await call.event.wait()
+        return call.items.popleft()
+
+
+class Link:
+    """A connection on which both sides call each other.
+
+    Parameters
+    ----------
+    stream : anyio.abc.SocketStream
+        The connection.
+    hello : Hello
+        What this process says of itself.
+    handler_by_type : dict
+        Maps a message type to ``async handler(link, message, emit)`` that returns the
+        reply; ``emit(item)`` sends an item of a stream.
+
+    Attributes
+    ----------
+    peer : Hello or None
+        What the other side said of itself, once the handshake is done.
+    """
+
+    def __init__(self, stream, hello, handler_by_type):
+        self._stream = stream
+        self._hello = hello
+        self._handler_by_type = handler_by_type
+        self._call_by_id = {}
+        self._scope_by_id = {}
+        self._next_id = 0
+        self._outgoing = []
+        self._outgoing_bytes = 0
+        self._outgoing_ready = anyio.Event()
+        self._last_received_ms = monotonic_ms()
+        self._group = None
+        self._closed_reason = None
+        self.n_sent_bytes = 0
+        self.n_received_bytes = 0
+        self.peer = None
+        self.ready = anyio.Event()
+        self.closed = anyio.Event()
+
+    @property
+    def is_open(self):
+        """Whether calls can be made."""
+        return self.ready.is_set() and not self.closed.is_set()
+
+    async def run(self):
+        """Serve the connection until it closes; returns the reason as text."""
+        try:
+            await self._serve_connection(FrameReader())
+        except* _CONNECTION_ERRORS:
+            self._closed_reason = "connection broken"
+        except* AlmonddealError as group:
+            self._closed_reason = str(group.exceptions[0])
+        finally:
+            self._end_calls()
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(self._stream)
+        return self._closed_reason
+
+    async def _serve_connection(self, reader):
+        first = await self._shake_hands(reader)
+        async with create_task_group() as group:
+            self._group = group
+            self.ready.set()
+            group.start_soon(self._write_frames)
+            group.start_soon(self._keep_alive)
+            for frame in first:
+                self._receive(frame)
+            await self._read_frames(reader)
+            group.cancel_scope.cancel()
+
+    async def _shake_hands(self, reader):
+        with fail_after(HANDSHAKE_TIMEOUT_S):
+            await self._stream.send(encode_frame(Phase.NOTICE, 0, self._hello))
+            frames = []
+            while not frames:
+                frames = reader.feed(await self._stream.receive(RECEIVE_BYTES))
+        hello = frame_message(frames[0])
+        if not isinstance(hello, Hello):
+            raise AlmonddealError(PROTOCOL_MISMATCH, "no hello")
+        if hello.protocol_version < LOWEST_PROTOCOL_VERSION:
+            raise AlmonddealError(PROTOCOL_MISMATCH, f"peer {hello.instance} too old")
+        if hello.lowest_version > PROTOCOL_VERSION:
+            raise AlmonddealError(PROTOCOL_MISMATCH, f"peer {hello.instance} too new")
+        self.peer = hello
+        self._last_received_ms = monotonic_ms()
+        return frames[1:]
+
+    async def _read_frames(self, reader):
+        while True:
+            try:
+                data = await self._stream.receive(RECEIVE_BYTES)
+            except anyio.EndOfStream:
+                self._closed_reason = "closed by peer"
+                return
+            self._last_received_ms = monotonic_ms()
+            self.n_received_bytes += len(data)
+            for frame in reader.feed(data):
+                self._receive(frame)
+
+    def _receive(self, frame):
+        if frame.phase == Phase.CALL:
+            self._group.start_soon(self._handle, frame)
+        elif frame.phase == Phase.NOTICE:
+            if frame.kind != 2:
+                self._group.start_soon(self._handle_notice, frame)
+        elif frame.phase == Phase.CANCEL:
+            scope = self._scope_by_id.get(frame.call_id)
+            if scope is not None:
+                scope.cancel()
+        else:
+            self._receive_result(frame)
+
+    def _receive_result(self, frame):
+        call = self._call_by_id.get(frame.call_id)
+        if call is None:
+            return
+        message = frame_message(frame)
+        if frame.phase == Phase.ITEM:
+            call.items.append(message)
+            call.event.set()
+        elif frame.phase == Phase.REPLY:
+            call.end(reply=message)
+        else:
+            call.end(error=error_from_wire(message.code, message.detail))
+
+    async def _handle(self, frame):
+        call_id = frame.call_id
+
+        def emit(item):
+            self._send(Phase.ITEM, call_id, item)
+
+        with anyio.CancelScope() as scope:
+            self._scope_by_id[call_id] = scope
+            try:
+                reply = await self._run_handler(frame, emit)
+                self._send(Phase.REPLY, call_id, reply or Ok())
+            except AlmonddealError as error:
+                fault = Fault(error.code.number, error.detail)
+                self._send(Phase.FAULT, call_id, fault)
+            except Exception:
+                log.exception("handler of kind %s failed", frame.kind)
+                self._send(
+                    Phase.FAULT, call_id, Fault(INTERNAL.number, "handler failed")
+                )
+            finally:
+                self._scope_by_id.pop(call_id, None)
+
+    async def _handle_notice(self, frame):
+        try:
+            await self._run_handler(frame, None)
+        except Exception:
+            log.exception("handler of notice %s failed", frame.kind)
+
+    async def _run_handler(self, frame, emit):
+        message = frame_message(frame)
+        handler = self._handler_by_type.get(type(message))
+        if handler is None:
+            raise AlmonddealError(PROTOCOL_MISMATCH, f"kind {frame.kind} not served")
+        return await handler(self, message, emit)
+
+    async def _write_frames(self):
+        while True:
+            await self._outgoing_ready.wait()
+            self._outgoing_ready = anyio.Event()
+            data = b"".join(self._outgoing)
+            self._outgoing.clear()
+            self._outgoing_bytes = 0
+            self.n_sent_bytes += len(data)
+            await self._stream.send(data)
+
+    async def _keep_alive(self):
+        last_ms = monotonic_ms()
+        while True:
+            await anyio.sleep(PING_INTERVAL_MS / 1000)
+            now_ms = monotonic_ms()
+            # After a stall of this process, silence says nothing about the peer.
+            if now_ms - last_ms > PING_INTERVAL_MS + OWN_STALL_MS:
+                self._last_received_ms = max(
+                    self._last_received_ms, now_ms - SILENCE_LIMIT_MS / 2
+                )
+            last_ms = now_ms
+            if now_ms - self._last_received_ms > SILENCE_LIMIT_MS:
+                raise AlmonddealError(LINK_LOST, "peer silent")
+            self._send(Phase.NOTICE, 0, Ping(int(now_ms * 1000)))
+
+    def _send(self, phase, call_id, message):
+        if self.closed.is_set():
+            return
+        data = encode_frame(phase, call_id, message)
+        self._outgoing.append(data)
+        self._outgoing_bytes += len(data)
+        if self._outgoing_bytes > MAX_OUTGOING_BYTES:
+            self.close()
+        self._outgoing_ready.set()
+
+    def _start_call(self, message):
+        if not self.is_open:
+            raise AlmonddealError(LINK_LOST, "link is not open")
+        self._next_id += 1
+        call = _Call()
+        self._call_by_id[self._next_id] = call
+        self._send(Phase.CALL, self._next_id, message)
+        return self._next_id, call
+
+    def forget(self, call_id, cancel):
+        """Drop an outgoing call, and cancel it on the other side if asked."""
+        self._call_by_id.pop(call_id, None)
+        if cancel and self.is_open:
+            self._send(Phase.CANCEL, call_id, Ok())
+
+    def _end_calls(self):
+        self.closed.set()
+        for call in self._call_by_id.values():
+            call.end(error=AlmonddealError(LINK_LOST, self._closed_reason or "closed"))
+        self._call_by_id.clear()
+
+    async def call(self, message, timeout_ms):
+        """Send a message and return the reply.
+
+        Raises
+        ------
+        AlmonddealError
+            `LINK_LOST`, `DEADLINE`, or the code that the other side gave.
+        """
+        call_id, call = self._start_call(message)
+        try:
+            with anyio.move_on_after(timeout_ms / 1000):
+                await call.event.wait()
+        finally:
+            self.forget(call_id, cancel=not call.ended)
+        if call.error is not None:
+            raise call.error
+        if not call.ended:
+            raise AlmonddealError(DEADLINE, f"no reply within {timeout_ms:.0f} ms")
+        return call.reply
+
+    def open_stream(self, message):
+        """Send a message whose answer is a stream; returns an `IncomingStream`."""
+        call_id, call = self._start_call(message)
+        return IncomingStream(self, call_id, call)
+
+    def notify(self, message):
+        """Send a message that has no reply."""
+        if self.is_open:
+            self._send(Phase.NOTICE, 0, message)
+
+    def close(self):
+        """Close the connection from this side."""
+        if self._group is not None:
+            self._group.cancel_scope.cancel()
--- /dev/null
+++ b/packages/entry/src/almonddeal/__init__.py
@@ -0,0 +1,1 @@
+"""The entry instance of almonddeal and the command line for its operators."""
--- /dev/null
+++ b/packages/entry/src/almonddeal/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface for callers."""
--- /dev/null
+++ b/packages/entry/src/almonddeal/callers/app.py
@@ -0,0 +1,250 @@
+"""The HTTP interface for callers.
+
+``POST /v1/completions`` and ``/v1/chat/completions`` begin an answer, ``GET
+/v1/answers/{id}`` goes on with one, ``DELETE`` cancels it, and ``/services/{name}/...``
+reaches plain services.
+"""
+
+import anyio
+from almonddeal_common.clock import monotonic_ms
+from almonddeal_common.codes import (
+    BAD_REQUEST,
+    FORBIDDEN,
+    KEY_MISSING,
+    LEASE_EXPIRED,
+    NOT_FOUND,
+    STOPPING,
+    AlmonddealError,
+)
+from almonddeal_common.wire.gen.ttypes import ServiceCall
+from starlette.applications import Starlette
+from starlette.requests import ClientDisconnect
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from almonddeal.callers.errors import answers_errors
+from almonddeal.callers.requests import (
+    check_request_id,
+    find_customer,
+    parse_completion,
+    parse_last_event_id,
+    read_body,
+)
+from almonddeal.callers.streams import stream_response, whole_response
+from almonddeal.orders.lookups import run_lookup
+from almonddeal.orders.run import order_id
+
+MAX_KEY_CHARS = 256
+METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
+DROPPED_HEADERS = frozenset(
+    ("authorization", "connection", "content-length", "host", "transfer-encoding")
+)
+
+
+class CallerInterface:
+    """Endpoints for callers of one entry instance.
+
+    Parameters
+    ----------
+    entry : EntryInstance
+        Gives the services that the endpoints use.
+    """
+
+    def __init__(self, entry):
+        self._entry = entry
+
+    def make_app(self):
+        """Return the ASGI application."""
+        return Starlette(
+            routes=[
+                self._route("/v1/completions", self._complete, "POST"),
+                self._route("/v1/chat/completions", self._chat, "POST"),
+                self._route("/v1/models", self._models, "GET"),
+                self._route("/v1/answers/{request_id}", self._resume, "GET"),
+                self._route("/v1/answers/{request_id}", self._cancel, "DELETE"),
+                self._route("/services/{service}/{path:path}", self._call, *METHODS),
+                self._route("/healthz", self._health, "GET"),
+            ]
+        )
+
+    @staticmethod
+    def _route(path, endpoint, *methods):
+        return Route(path, answers_errors(endpoint), methods=list(methods))
+
+    # ---- answers ---------------------------------------------------------------
+
+    async def _complete(self, request):
+        return await self._begin(request, is_chat=False)
+
+    async def _chat(self, request):
+        return await self._begin(request, is_chat=True)
+
+    async def _begin(self, request, is_chat):
+        entry = self._entry
+        customer = find_customer(request, entry.document)
+        request_id = request.headers.get("x-request-id", "")
+        if request_id:
+            check_request_id(request_id)
+        if "last-event-id" in request.headers:
+            return await self._go_on(request, customer, is_chat)
+        data = await read_body(request)
+        body = parse_completion(data, is_chat, request_id, customer, entry.document)
+        self._check_fresh()
+        entry.limits.check_rate(customer)
+        answer = await entry.answers.begin(customer, body.answer)
+        request_id = answer.spec.request.partition(":")[2]
+        return await self._respond(request, answer, request_id, is_chat, body.stream, 0)
+
+    async def _respond(self, request, answer, request_id, is_chat, stream, n_seen):
+        service = self._entry.answers
+        deadline_ms = _deadline_ms(request)
+        if stream:
+            work = stream_response(
+                service, answer, request_id, is_chat, n_seen, deadline_ms
+            )
+        else:
+            work = whole_response(service, answer, request_id, is_chat, deadline_ms)
+        return await _while_connected(request, work)
+
+    async def _resume(self, request):
+        customer = find_customer(request, self._entry.document)
+        is_chat = request.query_params.get("form") == "chat"
+        return await self._go_on(request, customer, is_chat)
+
+    async def _go_on(self, request, customer, is_chat):
+        request_id = request.path_params.get("request_id", "")
+        n_seen = 0
+        if "last-event-id" in request.headers:
+            event_id = request.headers["last-event-id"]
+            named_id, index = parse_last_event_id(event_id)
+            if request_id and named_id != request_id:
+                raise AlmonddealError(BAD_REQUEST, "Last-Event-ID is of another answer")
+            request_id = named_id
+            n_seen = index + 1
+        check_request_id(request_id)
+        stream = request.query_params.get("stream", "true") != "false"
+        answer = await self._entry.answers.attach(customer, request_id)
+        return await self._respond(request, answer, request_id, is_chat, stream, n_seen)
+
+    async def _cancel(self, request):
+        customer = find_customer(request, self._entry.document)
+        request_id = request.path_params["request_id"]
+        check_request_id(request_id)
+        await self._entry.answers.cancel_anywhere(customer, request_id)
+        return JSONResponse({"id": request_id, "cancelled": True})
+
+    async def _models(self, request):
+        customer = find_customer(request, self._entry.document)
+        models = [
+            {"id": name, "object": "model", "owned_by": "almonddeal"}
+            for name in sorted(customer.models)
+        ]
+        return JSONResponse({"object": "list", "data": models})
+
+    # ---- plain services --------------------------------------------------------
+
+    async def _call(self, request):
+        entry = self._entry
+        customer = find_customer(request, entry.document)
+        service = self._find_service(request, customer)
+        path = "/" + request.path_params["path"]
+        query = request.url.query
+        call = ServiceCall(
+            method=request.method,
+            path=f"{path}?{query}" if query else path,
+            headers=_forwarded_headers(request, customer),
+            body=await read_body(request),
+            timeout_ms=service.timeout_ms,
+        )
+        self._check_fresh()
+        if service.is_lookup(request.method, path):
+            entry.limits.check_rate(customer)
+            work = run_lookup(service, call, entry.order_ports, entry.retry_budget)
+            reply = await _while_connected(request, work)
+        else:
+            reply = await self._order(request, customer, service, call)
+        return Response(reply.body, reply.status, reply.headers)
+
+    async def _order(self, request, customer, service, call):
+        key = request.headers.get("idempotency-key", "")
+        if not key:
+            raise AlmonddealError(
+                KEY_MISSING, "what is not declared a lookup is an order"
+            )
+        if len(key) > MAX_KEY_CHARS:
+            raise AlmonddealError(BAD_REQUEST, f"key longer than {MAX_KEY_CHARS}")
+        if self._entry.answers.is_stopping:
+            raise AlmonddealError(STOPPING, "use another entry instance")
+        self._entry.limits.check_rate(customer)
+        order = order_id(customer, service, key)
+        return await self._entry.orders.run(service, order, call)
+
+    def _find_service(self, request, customer):
+        name = request.path_params["service"]
+        service = self._entry.document.service_by_name.get(name)
+        if service is None:
+            raise AlmonddealError(NOT_FOUND, f"service {name!r}")
+        if name not in customer.services:
+            raise AlmonddealError(FORBIDDEN, f"service {name!r}")
+        return service
+
+    # ---- state -----------------------------------------------------------------
+
+    def _check_fresh(self):
+        """Refuse new work while this instance may have missed a change."""
+        if not self._entry.is_fresh:
+            raise AlmonddealError(LEASE_EXPIRED, "cut off from control", after_ms=1000)
+
+    async def _health(self, request):
+        entry = self._entry
+        ready = entry.is_fresh and not entry.answers.is_stopping
+        return JSONResponse({"ready": ready}, 200 if ready else 503)
+
+
+def _deadline_ms(request):
+    text = request.headers.get("x-timeout-ms")
+    if text is None:
+        return None
+    if not text.isdigit() or int(text) == 0:
+        raise AlmonddealError(BAD_REQUEST, "x-timeout-ms: allowed are whole numbers")
+    return monotonic_ms() + int(text)
+
+
+def _forwarded_headers(request, customer):
+    headers = {
+        name: value
+        for name, value in request.headers.items()
+        if name not in DROPPED_HEADERS
+    }
+    headers["x-customer"] = customer.name
+    return headers
+
+
+async def _while_connected(request, work):
+    """Run `work` until it is done or the caller is gone."""
+    result = None
+    error = None
+
+    async def run(scope):
+        nonlocal result, error
+        try:
+            result = await work
+        except AlmonddealError as failure:
+            error = failure
+        scope.cancel()
+
+    async def watch(scope):
+        while True:
+            message = await request.receive()
+            if message["type"] == "http.disconnect":
+                scope.cancel()
+                return
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(run, group.cancel_scope)
+        group.start_soon(watch, group.cancel_scope)
+    if error is not None:
+        raise error
+    if result is None:
+        raise ClientDisconnect
+    return result
--- /dev/null
+++ b/packages/entry/src/almonddeal/callers/streams.py
@@ -0,0 +1,138 @@
+"""Delivering an answer to a caller, whole or as it grows."""
+
+import anyio
+from almonddeal_common.clock import monotonic_ms
+from almonddeal_common.codes import CODE_BY_NUMBER, DEADLINE, AlmonddealError
+from starlette.responses import JSONResponse, StreamingResponse
+
+from almonddeal.callers.errors import error_event
+from almonddeal.callers.events import CompletionForm
+
+COMMENT_INTERVAL_S = 10.0
+KEEP_ALIVE_COMMENT = ": waiting\n\n"
+STREAM_HEADERS = {"cache-control": "no-cache", "x-accel-buffering": "no"}
+
+
+def end_error(answer):
+    """Return the error that an ended answer carries, or None."""
+    if not answer.end_code:
+        return None
+    return AlmonddealError(CODE_BY_NUMBER[answer.end_code], "")
+
+
+class Waiting:
+    """A caller's wait for an answer: until progress, its deadline or its leaving.
+
+    Parameters
+    ----------
+    service : AnswerService
+    answer : OwnedAnswer
+    deadline_ms : float or None
+        On the monotonic clock.
+    """
+
+    __slots__ = ("_answer", "_deadline_ms", "_service")
+
+    def __init__(self, service, answer, deadline_ms):
+        self._service = service
+        self._answer = answer
+        self._deadline_ms = deadline_ms
+
+    async def progress(self, most_s=COMMENT_INTERVAL_S):
+        """Wait for progress, at most `most_s`; returns whether there was any.
+
+        Raises
+        ------
+        AlmonddealError
+            `DEADLINE`; the answer is cancelled then.
+        """
+        left_s = most_s
+        if self._deadline_ms is not None:
+            left_s = min(most_s, (self._deadline_ms - monotonic_ms()) / 1000)
+        with anyio.move_on_after(max(0.0, left_s)):
+            await self._answer.wait_changed()
+            return True
+        if self._deadline_ms is not None and monotonic_ms() >= self._deadline_ms:
+            self._service.cancel_answer(self._answer)
+            raise AlmonddealError(DEADLINE, "the caller's deadline passed")
+        return False
+
+    async def until_ended(self):
+        """Wait for the end of the answer, or raise its error."""
+        answer = self._answer
+        while not answer.is_ended:
+            if answer.error is not None:
+                raise answer.error
+            await self.progress()
+
+    async def until_beyond(self, n_seen):
+        """Wait until something is new after position `n_seen`, or raise its error."""
+        answer = self._answer
+        while answer.n_deliverable <= n_seen and not answer.is_ended:
+            if answer.error is not None:
+                raise answer.error
+            await self.progress()
+
+
+async def whole_response(service, answer, request_id, is_chat, deadline_ms):
+    """Return the response that holds the whole answer."""
+    with service.subscribe(answer):
+        await Waiting(service, answer, deadline_ms).until_ended()
+    error = end_error(answer)
+    if error is not None:
+        raise error
+    form = CompletionForm(request_id, answer.spec, is_chat)
+    body = form.whole("".join(answer.texts), len(answer.tokens), answer.finish_reason)
+    return JSONResponse(body, headers={"x-request-id": request_id})
+
+
+async def stream_response(service, answer, request_id, is_chat, n_seen, deadline_ms):
+    """Return a stream of events from position `n_seen` on.
+
+    Errors that come before the first event become an HTTP status.
+    """
+    waiting = Waiting(service, answer, deadline_ms)
+    with service.subscribe(answer):
+        await waiting.until_beyond(n_seen)
+    form = CompletionForm(request_id, answer.spec, is_chat)
+    events = _events(service, answer, form, n_seen, waiting)
+    headers = {"x-request-id": request_id, **STREAM_HEADERS}
+    return StreamingResponse(events, media_type="text/event-stream", headers=headers)
+
+
+async def _events(service, answer, form, n_seen, waiting):
+    with service.subscribe(answer):
+        while True:
+            n_ready = answer.n_deliverable
+            if n_ready > n_seen:
+                yield _token_events(answer, form, n_seen, n_ready)
+                n_seen = n_ready
+            elif answer.is_ended:
+                yield _last_event(answer, form)
+                return
+            elif answer.error is not None:
+                yield error_event(answer.error)
+                return
+            else:
+                try:
+                    moved = await waiting.progress()
+                except AlmonddealError as error:
+                    yield error_event(error)
+                    return
+                if not moved:
+                    yield KEEP_ALIVE_COMMENT
+
+
+def _token_events(answer, form, n_seen, n_ready):
+    texts = answer.texts[n_seen:n_ready]
+    assert len(texts) == n_ready - n_seen, "a committed token is missing"
+    return "".join(
+        form.token_event(n_seen + offset, text) for offset, text in enumerate(texts)
+    )
+
+
+def _last_event(answer, form):
+    error = end_error(answer)
+    if error is not None:
+        return error_event(error)
+    return form.end_event(len(answer.tokens), answer.finish_reason)
--- /dev/null
+++ b/packages/entry/src/almonddeal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of almonddeal."""
--- /dev/null
+++ b/packages/entry/src/almonddeal/control/consensus.py
@@ -0,0 +1,573 @@
+"""Agreement on one log among the members of the control group.
+
+Elections with pre-vote, durable terms and votes, commit by a majority, snapshots. One
+task serves each peer. The leader writes many proposals with one sync.
+
+References
+----------
+D. Ongaro and J. Ousterhout, "In Search of an Understandable Consensus Algorithm", 2014.
+"""
+
+import random
+
+import anyio
+from almonddeal_common.clock import monotonic_ms
+from almonddeal_common.codes import (
+    CHANGE_OUTCOME_UNKNOWN,
+    NO_QUORUM,
+    NOT_LEADER,
+    AlmonddealError,
+)
+from almonddeal_common.logs import get_logger
+from almonddeal_common.wire.codec import decode, encode
+from almonddeal_common.wire.gen.ttypes import (
+    AppendLog,
+    AppendLogReply,
+    Command,
+    InstallSnapshot,
+    LogEntry,
+    Snapshot,
+    Vote,
+    VoteReply,
+)
+from anyio import create_task_group, to_thread
+
+HEARTBEAT_MS = 100
+ELECTION_MIN_MS = 600
+ELECTION_MAX_MS = 1200
+TICK_MS = 40
+OWN_STALL_MS = 200
+CALL_TIMEOUT_MS = 500
+SNAPSHOT_TIMEOUT_MS = 10_000
+SNAPSHOT_EVERY_ENTRIES = 4096
+STORAGE_FULL_PAUSE_MS = 5000
+MAX_ENTRIES_A_CALL = 512
+
+FOLLOWER = "follower"
+CANDIDATE = "candidate"
+LEADER = "leader"
+
+KIND_COMMAND = 1
+KIND_BARRIER = 2
+
+log = get_logger("control")
+
+
+class _Waiter:
+    __slots__ = ("event", "result", "term")
+
+    def __init__(self, term):
+        self.term = term
+        self.event = anyio.Event()
+        self.result = None
+
+
+class Consensus:
+    """One member of the control group.
+
+    Parameters
+    ----------
+    name : str
+        Instance name of this member.
+    peer_by_name : dict of str to Peer
+        The other members.
+    store : LogStore
+        Open store of this member.
+    machine : object
+        State machine with ``apply(index, command)``, ``dump()`` and ``restore(state)``.
+    on_applied : callable, optional
+        Called without arguments after entries were applied.
+    """
+
+    def __init__(self, name, peer_by_name, store, machine, on_applied=None):
+        self.name = name
+        self.term = store.meta.term
+        self.role = FOLLOWER
+        self.leader = None
+        self.commit_index = store.snapshot.index
+        self.applied_index = store.snapshot.index
+        self._peer_by_name = peer_by_name
+        self._store = store
+        self._machine = machine
+        self._on_applied = on_applied
+        self._voted_for = store.meta.voted_for
+        self._snapshot = store.snapshot
+        self._entries = list(store.entries)
+        self._durable_index = self.last_index
+        self._match_by_name = {}
+        self._next_by_name = {}
+        self._confirmed_ms_by_name = {}
+        self._waiter_by_index = {}
+        self._wake_by_name = {}
+        self._write_wake = anyio.Event()
+        self._changed = anyio.Event()
+        self._disk = anyio.Lock()
+        self._last_heard_ms = monotonic_ms()
+        self._election_ms = self._random_election_ms()
+        self._first_index_of_term = 0
+        if self._snapshot.state:
+            machine.restore(self._snapshot.state)
+
+    # ---- facts -----------------------------------------------------------------
+
+    @property
+    def last_index(self):
+        """Index of the last entry, whether committed or not."""
+        return self._snapshot.index + len(self._entries)
+
+    @property
+    def quorum(self):
+        """Number of members that make a majority."""
+        return (len(self._peer_by_name) + 1) // 2 + 1
+
+    @property
+    def is_leader(self):
+        """Whether this member leads its current term."""
+        return self.role == LEADER
+
+    def _entry(self, index):
+        return self._entries[index - self._snapshot.index - 1]
+
+    def _term_at(self, index):
+        if index == self._snapshot.index:
+            return self._snapshot.term
+        if index < self._snapshot.index or index > self.last_index:
+            return None
+        return self._entry(index).term
+
+    def _random_election_ms(self):
+        return random.uniform(ELECTION_MIN_MS, ELECTION_MAX_MS)
+
+    # ---- running ---------------------------------------------------------------
+
+    async def run(self):
+        """Take part in the group until cancelled."""
+        async with create_task_group() as group:
+            group.start_soon(self._watch_election)
+            group.start_soon(self._write_proposals)
+            for name in self._peer_by_name:
+                self._wake_by_name[name] = anyio.Event()
+                group.start_soon(self._serve_peer, name)
+
+    async def _on_disk(self, function, *args):
+        return await to_thread.run_sync(function, *args)
+
+    async def _watch_election(self):
+        last_ms = monotonic_ms()
+        while True:
+            await anyio.sleep(TICK_MS / 1000)
+            now_ms = monotonic_ms()
+            if now_ms - last_ms > TICK_MS + OWN_STALL_MS:
+                self._last_heard_ms = now_ms
+            last_ms = now_ms
+            if self.role == LEADER:
+                self._check_quorum(now_ms)
+            elif now_ms - self._last_heard_ms > self._election_ms:
+                self._last_heard_ms = now_ms
+                self._election_ms = self._random_election_ms()
+                await self._campaign()
+
+    def _check_quorum(self, now_ms):
+        if now_ms - self._confirmed_ms() > ELECTION_MAX_MS:
+            log.warning("leader of term %d lost its quorum", self.term)
+            self._follow(None)
+
+    def _confirmed_ms(self):
+        """Latest time at which a majority is known to have followed this leader."""
+        times = sorted(self._confirmed_ms_by_name.values(), reverse=True)
+        needed = self.quorum - 1
+        if needed == 0:
+            return monotonic_ms()
+        return times[needed - 1] if len(times) >= needed else 0.0
+
+    def _follow(self, leader):
+        self.role = FOLLOWER
+        self.leader = leader
+        self._notify_changed()
+
+    def _notify_changed(self):
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    async def _adopt_term(self, term):
+        """Enter a higher term as a follower, durably."""
+        if term <= self.term:
+            return
+        self.term = term
+        self._voted_for = ""
+        self._follow(None)
+        await self._on_disk(self._store.save_meta, term, "")
+
+    # ---- elections -------------------------------------------------------------
+
+    async def _campaign(self):
+        if not await self._collect_votes(self.term + 1, pre=True):
+            return
+        async with self._disk:
+            self.term += 1
+            self._voted_for = self.name
+            self.role = CANDIDATE
+            self.leader = None
+            await self._on_disk(self._store.save_meta, self.term, self.name)
+        term = self.term
+        won = await self._collect_votes(term, pre=False)
+        if won and self.term == term and self.role == CANDIDATE:
+            self._lead()
+
+    async def _collect_votes(self, term, pre):
+        request = Vote(
+            term, self.name, self.last_index, self._term_at(self.last_index), pre
+        )
+        n_granted = 1
+        enough = anyio.Event()
+        if n_granted >= self.quorum:
+            return True
+
+        async def ask(peer):
+            nonlocal n_granted
+            try:
+                reply = await peer.call(request, CALL_TIMEOUT_MS)
+            except AlmonddealError:
+                return
+            if reply.term > self.term and not reply.granted:
+                async with self._disk:
+                    await self._adopt_term(reply.term)
+            if reply.granted:
+                n_granted += 1
+                if n_granted >= self.quorum:
+                    enough.set()
+
+        async def ask_all():
+            async with create_task_group() as askers:
+                for peer in self._peer_by_name.values():
+                    askers.start_soon(ask, peer)
+            enough.set()
+
+        async with create_task_group() as group:
+            group.start_soon(ask_all)
+            await enough.wait()
+            group.cancel_scope.cancel()
+        return n_granted >= self.quorum
+
+    async def handle_vote(self, link, message, emit):
+        """Answer a candidate."""
+        up_to_date = (message.last_term, message.last_index) >= (
+            self._term_at(self.last_index),
+            self.last_index,
+        )
+        silence_ms = monotonic_ms() - self._last_heard_ms
+        hears_leader = self.role == LEADER or silence_ms < ELECTION_MIN_MS
+        if message.pre:
+            granted = up_to_date and not hears_leader and message.term > self.term
+            return VoteReply(self.term, granted)
+        async with self._disk:
+            await self._adopt_term(message.term)
+            free = self._voted_for in ("", message.candidate)
+            granted = message.term == self.term and up_to_date and free
+            if granted:
+                self._voted_for = message.candidate
+                self._last_heard_ms = monotonic_ms()
+                await self._on_disk(self._store.save_meta, self.term, message.candidate)
+        return VoteReply(self.term, granted)
+
+    def _lead(self):
+        log.info("leads term %d", self.term)
+        self.role = LEADER
+        self.leader = self.name
+        now_ms = monotonic_ms()
+        self._confirmed_ms_by_name = dict.fromkeys(self._peer_by_name, now_ms)
+        self._match_by_name = dict.fromkeys(self._peer_by_name, 0)
+        self._next_by_name = dict.fromkeys(self._peer_by_name, self.last_index + 1)
+        self._first_index_of_term = self.last_index + 1
+        self._append_as_leader(KIND_BARRIER, b"")
+        self._notify_changed()
+
+    # ---- leader ----------------------------------------------------------------
+
+    def _append_as_leader(self, kind, command):
+        entry = LogEntry(self.term, self.last_index + 1, kind, command)
+        self._entries.append(entry)
+        self._write_wake.set()
+        self._wake_peers()
+        return entry.index
+
+    def _wake_peers(self):
+        for event in self._wake_by_name.values():
+            event.set()
+
+    async def propose(self, command, timeout_ms):
+        """Put a command into the log and return its result once it is committed.
+
+        Raises
+        ------
+        AlmonddealError
+            `NOT_LEADER` (nothing was proposed) or `CHANGE_OUTCOME_UNKNOWN`.
+        """
+        if self.role != LEADER:
+            raise AlmonddealError(NOT_LEADER, f"leader is {self.leader or 'unknown'}")
+        index = self._append_as_leader(KIND_COMMAND, encode(command))
+        waiter = _Waiter(self.term)
+        self._waiter_by_index[index] = waiter
+        with anyio.move_on_after(timeout_ms / 1000):
+            await waiter.event.wait()
+        self._waiter_by_index.pop(index, None)
+        if waiter.result is None:
+            raise AlmonddealError(CHANGE_OUTCOME_UNKNOWN, "not committed in time")
+        return waiter.result
+
+    async def _write_proposals(self):
+        while True:
+            await self._write_wake.wait()
+            self._write_wake = anyio.Event()
+            async with self._disk:
+                if self.role != LEADER:
+                    continue
+                first = self._durable_index + 1
+                entries = self._entries[first - self._snapshot.index - 1 :]
+                if not entries:
+                    continue
+                try:
+                    await self._on_disk(self._store.append, entries)
+                except AlmonddealError as error:
+                    log.error("refuses to lead, %s", error)
+                    self._drop_unwritten(first)
+                    continue
+                self._durable_index = entries[-1].index
+            self._advance_commit()
+
+    def _drop_unwritten(self, first):
+        # A follower may hold these entries and commit them under the next leader, so
+        # their outcome is unknown to the proposer.
+        self._fail_waiters(first)
+        del self._entries[first - self._snapshot.index - 1 :]
+        self._last_heard_ms = monotonic_ms() + STORAGE_FULL_PAUSE_MS
+        self._follow(None)
+
+    async def _serve_peer(self, name):
+        while True:
+            if self.role != LEADER:
+                await self._changed.wait()
+                continue
+            peer = self._peer_by_name[name]
+            if not peer.is_up:
+                await anyio.sleep(TICK_MS / 1000)
+                continue
+            event = self._wake_by_name[name] = anyio.Event()
+            try:
+                await self._send_to_peer(name, peer)
+            except AlmonddealError:
+                await anyio.sleep(TICK_MS / 1000)
+            if self.role == LEADER and not self._peer_lags(name):
+                with anyio.move_on_after(HEARTBEAT_MS / 1000):
+                    await event.wait()
+
+    def _peer_lags(self, name):
+        return self._next_by_name[name] <= self.last_index
+
+    async def _send_to_peer(self, name, peer):
+        term = self.term
+        started_ms = monotonic_ms()
+        next_index = self._next_by_name[name]
+        if next_index <= self._snapshot.index:
+            message = InstallSnapshot(term, self.name, self._snapshot)
+            reply = await peer.call(message, SNAPSHOT_TIMEOUT_MS)
+        else:
+            reply = await peer.call(self._append_message(next_index), CALL_TIMEOUT_MS)
+        if reply.term > self.term:
+            async with self._disk:
+                await self._adopt_term(reply.term)
+            return
+        if self.role != LEADER or self.term != term:
+            return
+        self._confirmed_ms_by_name[name] = started_ms
+        self._note_reply(name, reply)
+
+    def _append_message(self, next_index):
+        start = next_index - self._snapshot.index - 1
+        entries = self._entries[start : start + MAX_ENTRIES_A_CALL]
+        prev_index = next_index - 1
+        return AppendLog(
+            self.term,
+            self.name,
+            prev_index,
+            self._term_at(prev_index),
+            entries,
+            self.commit_index,
+        )
+
+    def _note_reply(self, name, reply):
+        if reply.ok:
+            self._match_by_name[name] = max(
+                self._match_by_name[name], reply.match_index
+            )
+            self._next_by_name[name] = reply.match_index + 1
+            self._advance_commit()
+        else:
+            self._next_by_name[name] = max(1, reply.match_index + 1)
+        self._notify_changed()
+
+    def _advance_commit(self):
+        if self.role != LEADER:
+            return
+        matched = [*self._match_by_name.values(), self._durable_index]
+        # The leader applies only what its own disk holds, so that it can drop entries
+        # that it failed to write.
+        index = min(sorted(matched, reverse=True)[self.quorum - 1], self._durable_index)
+        if index > self.commit_index and self._term_at(index) == self.term:
+            self.commit_index = index
+            self._apply_committed()
+            self._wake_peers()
+
+    # ---- follower --------------------------------------------------------------
+
+    async def handle_append(self, link, message, emit):
+        """Take entries from the leader; replies once they are synced."""
+        async with self._disk:
+            if message.term < self.term:
+                return AppendLogReply(self.term, False, 0)
+            await self._hear_leader(message.term, message.leader)
+            self._forget_unwritten()
+            if self._term_at(message.prev_index) != message.prev_term:
+                return self._mismatch(message.prev_index)
+            await self._take_entries(message.entries)
+            match = message.prev_index + len(message.entries)
+            self.commit_index = max(self.commit_index, min(message.commit_index, match))
+        self._apply_committed()
+        return AppendLogReply(self.term, True, match)
+
+    async def _hear_leader(self, term, leader):
+        await self._adopt_term(term)
+        assert self.role != LEADER, f"two leaders in term {term}"
+        self._last_heard_ms = monotonic_ms()
+        if self.leader != leader:
+            log.info("follows %s in term %d", leader, term)
+            self._follow(leader)
+
+    def _forget_unwritten(self):
+        """Drop entries that this member proposed as leader and never wrote."""
+        first = self._durable_index + 1
+        if first <= self.last_index:
+            self._fail_waiters(first)
+            del self._entries[first - self._snapshot.index - 1 :]
+
+    def _mismatch(self, prev_index):
+        if prev_index <= self.commit_index:
+            hint = self.commit_index
+        elif prev_index > self.last_index:
+            hint = self.last_index
+        else:
+            hint = max(self.commit_index, prev_index - MAX_ENTRIES_A_CALL)
+        return AppendLogReply(self.term, False, hint)
+
+    async def _take_entries(self, entries):
+        new = [e for e in entries if e.index > self._snapshot.index]
+        while new and self._term_at(new[0].index) == new[0].term:
+            new.pop(0)
+        if not new:
+            return
+        first = new[0].index
+        if first <= self.last_index:
+            assert first > self.commit_index, "a committed entry would be changed"
+            self._fail_waiters(first)
+            del self._entries[first - self._snapshot.index - 1 :]
+            await self._on_disk(self._store.truncate_from, first)
+        await self._on_disk(self._store.append, new)
+        self._entries.extend(new)
+        self._durable_index = self.last_index
+
+    def _fail_waiters(self, first):
+        for index in [i for i in self._waiter_by_index if i >= first]:
+            self._waiter_by_index.pop(index).event.set()
+
+    async def handle_snapshot(self, link, message, emit):
+        """Take the leader's snapshot in place of a log that is too far behind."""
+        async with self._disk:
+            if message.term < self.term:
+                return AppendLogReply(self.term, False, 0)
+            await self._hear_leader(message.term, message.leader)
+            snapshot = message.snapshot
+            if snapshot.index > self.commit_index:
+                await self._on_disk(self._store.save_snapshot, snapshot, [])
+                self._snapshot = snapshot
+                self._entries = []
+                self._durable_index = snapshot.index
+                self.commit_index = self.applied_index = snapshot.index
+                self._machine.restore(snapshot.state)
+                self._after_apply()
+        return AppendLogReply(self.term, True, max(snapshot.index, self.commit_index))
+
+    # ---- applying --------------------------------------------------------------
+
+    def _apply_committed(self):
+        if self.applied_index >= self.commit_index:
+            return
+        while self.applied_index < self.commit_index:
+            index = self.applied_index + 1
+            entry = self._entry(index)
+            assert entry.index == index, "entries are applied in order"
+            result = None
+            if entry.kind == KIND_COMMAND:
+                result = self._machine.apply(index, decode(Command, entry.command))
+            self.applied_index = index
+            self._resolve_waiter(entry, result)
+        self._after_apply()
+
+    def _resolve_waiter(self, entry, result):
+        waiter = self._waiter_by_index.pop(entry.index, None)
+        if waiter is None:
+            return
+        if waiter.term == entry.term:
+            waiter.result = result
+        waiter.event.set()
+
+    def _after_apply(self):
+        if self._on_applied is not None:
+            self._on_applied()
+        self._notify_changed()
+
+    async def compact(self):
+        """Write a snapshot when enough entries came since the last one."""
+        if self.applied_index - self._snapshot.index < SNAPSHOT_EVERY_ENTRIES:
+            return
+        async with self._disk:
+            index = self.applied_index
+            state = self._machine.dump()
+            snapshot = Snapshot(
+                self._snapshot.format, index, self._term_at(index), state
+            )
+            after = self._entries[index - self._snapshot.index :]
+            durable = [e for e in after if e.index <= self._durable_index]
+            await self._on_disk(self._store.save_snapshot, snapshot, durable)
+            self._entries = self._entries[index - self._snapshot.index :]
+            self._snapshot = snapshot
+            log.info("kept a snapshot at entry %d", index)
+
+    # ---- reading ---------------------------------------------------------------
+
+    async def read_index(self, timeout_ms):
+        """Return an index that covers all that was committed before this call.
+
+        Raises
+        ------
+        AlmonddealError
+            `NOT_LEADER` or `NO_QUORUM`.
+        """
+        started_ms = monotonic_ms()
+        if self.role != LEADER:
+            raise AlmonddealError(NOT_LEADER, f"leader is {self.leader or 'unknown'}")
+        term = self.term
+        self._wake_peers()
+        with anyio.move_on_after(timeout_ms / 1000):
+            while self.role == LEADER and self.term == term:
+                confirmed = self._confirmed_ms() >= started_ms
+                if confirmed and self.commit_index >= self._first_index_of_term:
+                    return self.commit_index
+                await self._changed.wait()
+        raise AlmonddealError(NO_QUORUM, "leadership was not confirmed in time")
+
+    async def wait_applied(self, index, timeout_ms):
+        """Wait until this member applied entry `index`; returns whether it did."""
+        with anyio.move_on_after(timeout_ms / 1000):
+            while self.applied_index < index:
+                await self._changed.wait()
+        return self.applied_index >= index
--- /dev/null
+++ b/packages/entry/src/almonddeal/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of customers and the fair queue of what waits."""
--- /dev/null
+++ b/packages/entry/src/almonddeal/membership/__init__.py
@@ -0,0 +1,1 @@
+"""The other entry instances: links, digests and who is alive."""
--- /dev/null
+++ b/packages/entry/src/almonddeal/orders/lookups.py
@@ -0,0 +1,59 @@
+"""Lookups: calls without effects, retried within a budget."""
+
+from almonddeal_common.clock import monotonic_ms
+from almonddeal_common.codes import (
+    DEADLINE,
+    OK,
+    SERVICE_FAILED,
+    AlmonddealError,
+)
+
+from almonddeal.targets.directory import entered
+
+MAX_TRIES = 3
+CALL_MARGIN_MS = 500
+RETRY_STATUSES = frozenset((502, 503, 504))
+
+
+async def run_lookup(service, call, ports, budget):
+    """Run a lookup, on another target if the first one fails.
+
+    Parameters
+    ----------
+    service : Service
+    call : ServiceCall
+    ports : OrderPorts
+    budget : RetryBudget
+
+    Returns
+    -------
+    reply : ServiceReply
+    """
+    call.order = ""
+    call.is_order = False
+    budget.earn()
+    deadline_ms = monotonic_ms() + service.timeout_ms
+    error = AlmonddealError(DEADLINE, "no time for a first try")
+    for n_tries in range(MAX_TRIES):
+        left_ms = deadline_ms - monotonic_ms()
+        if left_ms <= 0 or (n_tries and not budget.spend()):
+            break
+        target = await ports.place(service, left_ms)
+        with entered(target):
+            try:
+                reply = await _try_once(call, target, ports, left_ms)
+                target.note_success()
+                return reply
+            except AlmonddealError as failure:
+                target.note_failure()
+                error = failure
+    raise AlmonddealError(SERVICE_FAILED, str(error))
+
+
+async def _try_once(call, target, ports, left_ms):
+    call.timeout_ms = int(left_ms)
+    link = await ports.open_link(target.state)
+    reply = await link.call(call, left_ms + CALL_MARGIN_MS)
+    if reply.code != OK.number or reply.status in RETRY_STATUSES:
+        raise AlmonddealError(SERVICE_FAILED, reply.detail or f"status {reply.status}")
+    return reply
--- /dev/null
+++ b/packages/entry/src/almonddeal/run.py
@@ -0,0 +1,422 @@
+"""An entry instance as a whole: builds its parts from the settings and runs them."""
+
+import os
+import random
+import time
+from contextlib import ExitStack
+
+import anyio
+from almonddeal_common.clock import monotonic_ms
+from almonddeal_common.codes import (
+    DATA_DAMAGED,
+    NOT_LEADER,
+    AlmonddealError,
+)
+from almonddeal_common.held.handlers import held_answer_handlers
+from almonddeal_common.held.store import AnswerStore
+from almonddeal_common.http import serve_http, wait_for_stop
+from almonddeal_common.logs import get_logger
+from almonddeal_common.wire.connect import Peer, listen, serve_links
+from almonddeal_common.wire.gen.constants import PROTOCOL_VERSION
+from almonddeal_common.wire.gen.ttypes import (
+    Announce,
+    AppendLog,
+    FetchDocument,
+    Hello,
+    InstallSnapshot,
+    OrderAlive,
+    PeerDigest,
+    Propose,
+    ReadFresh,
+    Vote,
+)
+from almonddeal_common.wire.link import LOWEST_PROTOCOL_VERSION
+
+from almonddeal.answers.generate import Generator
+from almonddeal.answers.ownership import Ownership
+from almonddeal.answers.replicate import Replicator
+from almonddeal.answers.service import AnswerService
+from almonddeal.callers.app import CallerInterface
+from almonddeal.control.client import ControlClient
+from almonddeal.control.consensus import Consensus
+from almonddeal.control.replica import DocumentReplica
+from almonddeal.control.state import ControlState
+from almonddeal.control.storage import LogStore
+from almonddeal.limits.buckets import CustomerLimits
+from almonddeal.limits.budget import RetryBudget
+from almonddeal.limits.dispatch import Dispatcher
+from almonddeal.membership.digest import DigestExchange
+from almonddeal.membership.view import FleetView
+from almonddeal.metrics import EntryMetrics
+from almonddeal.operators.app import OperatorInterface
+from almonddeal.operators.changes import Changes
+from almonddeal.operators.confirmations import Confirmations
+from almonddeal.orders.run import OrderPorts, OrderRunner
+from almonddeal.targets.choose import two_choices, with_affinity
+from almonddeal.targets.directory import TargetDirectory
+from almonddeal.targets.links import AgentLinks
+
+COMPACT_INTERVAL_S = 1.0
+STOP_POLL_S = 0.05
+HANDOVER_S = 1.0
+MEGABYTE = 1024 * 1024
+
+log = get_logger("entry")
+
+
+def end_process(reason):
+    """End the process at once, when the disk can no longer be trusted."""
+    log.critical("%s", reason)
+    os._exit(DATA_DAMAGED.exit_status)
+
+
+class EntryInstance:
+    """One entry instance.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.replica = None
+        self.answers = None
+        self.orders = None
+        self.order_ports = None
+        self.changes = None
+        self.limits = None
+        self.retry_budget = RetryBudget()
+        self._incarnation = time.time_ns()
+        self._state = None
+        self._consensus = None
+        self._control = None
+        self._directory = None
+        self._links = None
+        self._digests = None
+        self._peer_by_name = {}
+        self._dispatcher_by_version = {}
+        self._started_ms = monotonic_ms()
+
+    # ---- facts -----------------------------------------------------------------
+
+    @property
+    def document(self):
+        """The `FleetDocument` in force here."""
+        return self.replica.document
+
+    @property
+    def is_fresh(self):
+        """Whether no accepted change can have been missed for longer than the lease."""
+        if self.document.serves_without_control:
+            return True
+        age_ms = self._control.fresh_age_ms
+        return 0 <= age_ms < self.document.lease_ms
+
+    @property
+    def generation_stats(self):
+        """Counts of this instance's attempts."""
+        return self._generator.stats
+
+    def audit_trail(self):
+        """Return the audit trail; only instances with a disk have it."""
+        if self._state is None:
+            raise AlmonddealError(NOT_LEADER, "ask an instance with a disk")
+        return self._state.audit
+
+    def status(self):
+        """Return the state of the fleet as this instance sees it, for JSON."""
+        return {
+            "instance": self.settings.instance,
+            "version": self.document.version,
+            "leader": self._control.leader,
+            "fresh_age_ms": round(self._control.fresh_age_ms),
+            "is_fresh": self.is_fresh,
+            "entries": self._entry_status(),
+            "targets": [self._target_status(t) for t in self._targets()],
+            "answers": {
+                "working": self.answers.n_working,
+                "held": len(self._store),
+                "held_bytes": self._store.n_bytes,
+                "attempts": self._generator.stats.n_attempts,
+                "resumes": self._generator.stats.n_resumes,
+                "losses": dict(self._generator.stats.n_losses_by_code),
+            },
+            "orders_in_flight": self.orders.n_in_flight,
+        }
+
+    def _targets(self):
+        return sorted(self._directory.target_by_name.values(), key=lambda t: t.name)
+
+    def _entry_status(self):
+        versions = {
+            name: news.digest.document_version
+            for name, news in self._digests.news_by_name.items()
+        }
+        versions[self.settings.instance] = self.document.version
+        live = set(self._view.live_entries())
+        return [
+            {"instance": name, "live": name in live, "version": versions.get(name)}
+            for name in sorted(self.settings.entry_by_name)
+        ]
+
+    def _target_status(self, target):
+        state = target.state
+        return {
+            "target": target.name,
+            "instance": state.instance,
+            "failure_domain": state.failure_domain,
+            "kind": state.kind,
+            "live": target.is_live,
+            "leaving": target.name in self.document.leaving,
+            "stopping": state.stopping,
+            "version": state.document_version,
+            "models": [f"{m.model} {m.version}" for m in state.models],
+            "in_flight": state.n_in_flight,
+            "running": state.load.n_running,
+            "waiting": state.load.n_waiting,
+            "slots": state.load.n_slots,
+        }
+
+    # ---- running ---------------------------------------------------------------
+
+    async def run(self):
+        """Run until told to stop, then finish or hand over what is left."""
+        with ExitStack() as stack:
+            listener = await listen(self.settings.listen)
+            stop = anyio.Event()
+            stop_http = anyio.Event()
+            async with anyio.create_task_group() as group:
+                self._build(stack, group)
+                group.start_soon(serve_links, listener, self._hello, self._handlers())
+                self._start_tasks(group)
+                self._start_http(group, stop_http)
+                log.info("%s serves callers", self.settings.instance)
+                await wait_for_stop(stop)
+                await self._drain()
+                stop_http.set()
+                await anyio.sleep(HANDOVER_S)
+                group.cancel_scope.cancel()
+
+    def _build(self, stack, group):
+        settings = self.settings
+        self._hello = Hello(
+            PROTOCOL_VERSION,
+            LOWEST_PROTOCOL_VERSION,
+            "entry",
+            settings.instance,
+            self._incarnation,
+            settings.me.failure_domain,
+        )
+        self._peer_by_name = {
+            name: Peer(name, entry.address, self._hello, {})
+            for name, entry in settings.entry_by_name.items()
+            if name != settings.instance
+        }
+        self._build_control(stack)
+        self._build_targets(group)
+        self._build_answers(group)
+        self._build_orders(group)
+        confirmations = Confirmations(self.replica, self._digests, self._directory)
+        self.changes = Changes(self._control, self.replica, confirmations)
+
+    def _build_control(self, stack):
+        settings = self.settings
+        members = {
+            name: self._peer_by_name[name]
+            for name in settings.member_names
+            if name != settings.instance
+        }
+        if settings.data_folder is not None:
+            store = stack.enter_context(LogStore(settings.data_folder, end_process))
+            self._state = ControlState()
+            self.replica = DocumentReplica(self._state)
+            self._consensus = Consensus(
+                settings.instance,
+                members,
+                store,
+                self._state,
+                self.replica.notify_changed,
+            )
+        else:
+            self.replica = DocumentReplica(None)
+        self._control = ControlClient(
+            settings.instance, self._consensus, members, self.replica
+        )
+
+    def _build_targets(self, group):
+        self._directory = TargetDirectory(
+            self.replica, self._control, self._give_out_places
+        )
+        self._links = AgentLinks(self._hello, group)
+        self._view = FleetView(
+            self.settings, self._peer_by_name, self._directory, self._links
+        )
+        self._digests = DigestExchange(
+            self.settings.instance,
+            self._peer_by_name,
+            self.replica,
+            self._directory,
+            self._usage,
+        )
+        self.limits = CustomerLimits(
+            lambda: self._digests.n_live, self._digests.n_streams_elsewhere
+        )
+
+    def _build_answers(self, group):
+        name = self.settings.instance
+        self._store = AnswerStore(self.settings.answer_memory_mb * MEGABYTE)
+        replicator = Replicator(name, self._store, self._view.link_to, group)
+        ownership = Ownership(name, self._store, self._view, replicator)
+        self._generator = Generator(
+            self._dispatcher_of, self._links.open, replicator, self._version_exists
+        )
+        self.answers = AnswerService(
+            ownership,
+            self._generator,
+            replicator,
+            self._store,
+            self.replica,
+            self.limits,
+            group,
+        )
+
+    def _build_orders(self, group):
+        self.order_ports = OrderPorts(
+            self._place_call,
+            self._links.open,
+            self._service_states,
+            self._ask_entry,
+        )
+        self.orders = OrderRunner(
+            self.settings.instance,
+            self._incarnation,
+            self._control,
+            self.order_ports,
+            group,
+        )
+
+    def _handlers(self):
+        handlers = held_answer_handlers(self._store)
+        handlers[Announce] = self._directory.handle_announce
+        handlers[PeerDigest] = self._digests.handle_digest
+        handlers[OrderAlive] = self.orders.handle_alive
+        if self._consensus is not None:
+            handlers[Vote] = self._consensus.handle_vote
+            handlers[AppendLog] = self._consensus.handle_append
+            handlers[InstallSnapshot] = self._consensus.handle_snapshot
+            handlers[Propose] = self._control.handle_propose
+            handlers[ReadFresh] = self._control.handle_read_fresh
+            handlers[FetchDocument] = self._handle_fetch
+        return handlers
+
+    def _start_tasks(self, group):
+        for peer in self._peer_by_name.values():
+            group.start_soon(peer.run)
+        if self._consensus is not None:
+            group.start_soon(self._consensus.run)
+            group.start_soon(self._compact_for_ever)
+        group.start_soon(self._control.keep_fresh)
+        group.start_soon(self._digests.run)
+        group.start_soon(self.answers.clean_for_ever)
+        group.start_soon(self.answers.repair_for_ever)
+        group.start_soon(EntryMetrics(self).run)
+
+    def _start_http(self, group, stop_http):
+        callers = CallerInterface(self).make_app()
+        operators = OperatorInterface(self).make_app()
+        settings = self.settings
+        group.start_soon(serve_http, callers, settings.callers, stop_http, settings.tls)
+        group.start_soon(
+            serve_http, operators, settings.operators_listen, stop_http, settings.tls
+        )
+
+    async def _compact_for_ever(self):
+        while True:
+            await anyio.sleep(COMPACT_INTERVAL_S)
+            await self._consensus.compact()
+
+    async def _drain(self):
+        """Take nothing new, and finish what runs within the time of the settings."""
+        log.info("stops with %d answers", self.answers.n_working)
+        self.answers.is_stopping = True
+        deadline_ms = monotonic_ms() + self.settings.stop_timeout_s * 1000
+        # The balancer needs a moment to see that this instance is not ready.
+        await anyio.sleep(HANDOVER_S)
+        while monotonic_ms() < deadline_ms:
+            if not self.answers.n_working and not self.orders.n_in_flight:
+                break
+            await anyio.sleep(STOP_POLL_S)
+        self.answers.hand_over()
+
+    # ---- joining the parts -----------------------------------------------------
+
+    async def _handle_fetch(self, link, message, emit):
+        return self.replica.make_reply(message.have_version, self._control.fresh_age_ms)
+
+    def _usage(self):
+        return self.limits.usage()
+
+    def _give_out_places(self):
+        for dispatcher in self._dispatcher_by_version.values():
+            dispatcher.give_out()
+
+    def _dispatcher_of(self, spec):
+        key = ("engine", spec.model, spec.version)
+        dispatcher = self._dispatcher_by_version.get(key)
+        if dispatcher is None:
+
+            def targets():
+                return self._engine_targets(spec.model, spec.version)
+
+            choose = with_affinity(two_choices(random))
+            dispatcher = self._dispatcher_by_version[key] = Dispatcher(targets, choose)
+        return dispatcher
+
+    def _engine_targets(self, model_name, version):
+        model = self.document.model_by_name.get(model_name)
+        pools = model.pools if model is not None else ()
+        return [
+            target
+            for target in self._directory.candidates()
+            if target.serves(model_name, version)
+            and self.document.in_pools(target.state.labels, pools)
+        ]
+
+    def _version_exists(self, spec):
+        return any(
+            target.is_live and target.serves(spec.model, spec.version)
+            for target in self._directory.target_by_name.values()
+        )
+
+    def _service_targets(self, service):
+        return [
+            target
+            for target in self._directory.candidates()
+            if target.state.kind == "service"
+            and target.state.service_name == service.name
+            and self.document.in_pools(target.state.labels, service.pools)
+        ]
+
+    def _service_states(self, service):
+        return [
+            target.state
+            for target in self._directory.target_by_name.values()
+            if target.state.service_name == service.name
+        ]
+
+    async def _place_call(self, service, wait_ms):
+        key = ("service", service.name, "")
+        dispatcher = self._dispatcher_by_version.get(key)
+        if dispatcher is None:
+
+            def targets():
+                current = self.document.service_by_name.get(service.name, service)
+                return self._service_targets(current)
+
+            choose = two_choices(random)
+            dispatcher = self._dispatcher_by_version[key] = Dispatcher(targets, choose)
+        return await dispatcher.place_call(wait_ms)
+
+    async def _ask_entry(self, name, message, timeout_ms):
+        return await self._peer_by_name[name].call(message, timeout_ms)
--- /dev/null
+++ b/packages/entry/src/almonddeal/targets/directory.py
@@ -0,0 +1,188 @@
+"""The targets that announced themselves, and how loaded each one is."""
+
+from contextlib import contextmanager
+
+from almonddeal_common.clock import monotonic_ms
+from almonddeal_common.wire.gen.ttypes import AnnounceReply
+
+LIVE_MS = 2500
+FORGET_MS = 10 * 60 * 1000
+AVOID_MIN_MS = 300
+AVOID_MAX_MS = 10_000
+NEVER_MS = -1e12
+
+
+class Target:
+    """What an entry instance knows of one target.
+
+    Attributes
+    ----------
+    state : TargetState
+        Newest announcement.
+    heard_ms : float
+        When it came, on the monotonic clock.
+    n_mine : int
+        Work of this instance that runs there now.
+    """
+
+    __slots__ = (
+        "_avoid_ms",
+        "_avoid_until_ms",
+        "heard_ms",
+        "n_mine",
+        "n_sent_since",
+        "state",
+    )
+
+    def __init__(self, state):
+        self.state = state
+        self.heard_ms = monotonic_ms()
+        self.n_mine = 0
+        self.n_sent_since = 0
+        self._avoid_ms = 0
+        self._avoid_until_ms = NEVER_MS
+
+    def __repr__(self):
+        return f"<Target {self.name}>"
+
+    @property
+    def name(self):
+        """Name of the target."""
+        return self.state.target
+
+    @property
+    def is_live(self):
+        """Whether the target was heard of lately and does not stop."""
+        silence_ms = monotonic_ms() - self.heard_ms
+        return silence_ms < LIVE_MS and not self.state.stopping
+
+    @property
+    def is_avoided(self):
+        """Whether it failed lately and is left alone for now."""
+        return monotonic_ms() < self._avoid_until_ms
+
+    @property
+    def n_predicted(self):
+        """Work that is there now: what was reported and what was sent since."""
+        load = self.state.load
+        reported = load.n_running + load.n_waiting + self.n_sent_since
+        return max(reported, self.n_mine)
+
+    @property
+    def occupancy(self):
+        """Predicted work for each slot."""
+        return self.n_predicted / max(1, self.state.load.n_slots)
+
+    def serves(self, model, version):
+        """Tell whether the target has a version of a model loaded."""
+        return any(m.model == model and m.version == version for m in self.state.models)
+
+    def take(self, state):
+        """Take a newer announcement; returns whether it was newer."""
+        mine = (self.state.incarnation, self.state.sequence)
+        if (state.incarnation, state.sequence) <= mine:
+            return False
+        self.state = state
+        self.heard_ms = monotonic_ms()
+        self.n_sent_since = 0
+        return True
+
+    def note_failure(self):
+        """Leave the target alone for a time that doubles with each failure."""
+        doubled = self._avoid_ms * 2
+        self._avoid_ms = min(max(doubled, AVOID_MIN_MS), AVOID_MAX_MS)
+        self._avoid_until_ms = monotonic_ms() + self._avoid_ms
+
+    def note_success(self):
+        """Forget earlier failures."""
+        self._avoid_ms = 0
+        self._avoid_until_ms = NEVER_MS
+
+    def __enter__(self):
+        self.n_mine += 1
+        self.n_sent_since += 1
+        return self
+
+    def __exit__(self, *exc_info):
+        self.n_mine -= 1
+        assert self.n_mine >= 0
+
+
+@contextmanager
+def entered(target):
+    """Leave the context of a target that a dispatcher entered already."""
+    try:
+        yield target
+    finally:
+        target.__exit__(None, None, None)
+
+
+class TargetDirectory:
+    """Targets by name, as announced here or told by other entry instances.
+
+    Parameters
+    ----------
+    replica : DocumentReplica
+        The document, which says who is leaving.
+    control : ControlClient
+        Says how fresh the document is.
+    on_news : callable
+        Called when an announcement may have freed capacity.
+    """
+
+    def __init__(self, replica, control, on_news):
+        self.target_by_name = {}
+        self._heard_here_ms_by_name = {}
+        self._replica = replica
+        self._control = control
+        self._on_news = on_news
+
+    def candidates(self):
+        """Return the live targets that are not leaving, as a list."""
+        leaving = self._replica.document.leaving
+        return [
+            target
+            for target in self.target_by_name.values()
+            if target.is_live and target.name not in leaving
+        ]
+
+    def take(self, state):
+        """Take an announcement, from wherever it came."""
+        target = self.target_by_name.get(state.target)
+        if target is None:
+            self.target_by_name[state.target] = Target(state)
+        elif not target.take(state):
+            return
+        self._on_news()
+
+    def heard_here(self):
+        """Return the states that agents announced to this very instance."""
+        now_ms = monotonic_ms()
+        return [
+            self.target_by_name[name].state
+            for name, heard_ms in self._heard_here_ms_by_name.items()
+            if now_ms - heard_ms < LIVE_MS
+        ]
+
+    async def handle_announce(self, link, message, emit):
+        """Take an agent's announcement and give it the lease."""
+        state = message.state
+        self.take(state)
+        self._heard_here_ms_by_name[state.target] = monotonic_ms()
+        document = self._replica.document
+        lease_ms = 0 if document.serves_without_control else document.lease_ms
+        return AnnounceReply(
+            document.version,
+            int(self._control.fresh_age_ms) + (self._control.fresh_age_ms > 0),
+            state.target in document.leaving,
+            lease_ms,
+            document.version > 0,
+        )
+
+    def forget_old(self):
+        """Drop targets that were not heard of for long and run nothing of ours."""
+        now_ms = monotonic_ms()
+        for name, target in list(self.target_by_name.items()):
+            if now_ms - target.heard_ms > FORGET_MS and target.n_mine == 0:
+                del self.target_by_name[name]
+                self._heard_here_ms_by_name.pop(name, None)
--- /dev/null
+++ b/packages/entry/src/almonddeal/targets/links.py
@@ -0,0 +1,69 @@
+"""Links to agents, opened when first needed and kept while they are in use."""
+
+import anyio
+from almonddeal_common.codes import NOT_REACHED, AlmonddealError
+from almonddeal_common.settings import Address
+from almonddeal_common.wire.connect import dial
+
+CONNECT_TIMEOUT_S = 1.0
+
+
+class AgentLinks:
+    """One link to each agent that this instance works with.
+
+    Parameters
+    ----------
+    hello : Hello
+    group : anyio.abc.TaskGroup
+        Runs the links.
+    """
+
+    def __init__(self, hello, group):
+        self._hello = hello
+        self._group = group
+        self._link_by_address = {}
+        self._lock_by_address = {}
+
+    async def open(self, state):
+        """Return the open link to the agent of a `TargetState`.
+
+        Raises
+        ------
+        AlmonddealError
+            `NOT_REACHED` if no connection can be made.
+        """
+        key = (state.host, state.port, state.incarnation)
+        link = self._link_by_address.get(key)
+        if link is not None and link.is_open:
+            return link
+        lock = self._lock_by_address.setdefault(key, anyio.Lock())
+        async with lock:
+            link = self._link_by_address.get(key)
+            if link is None or not link.is_open:
+                link = await self._dial(key)
+        return link
+
+    async def _dial(self, key):
+        host, port, incarnation = key
+        link = await dial(Address(host, port), self._hello, {})
+        self._group.start_soon(self._serve, key, link)
+        with anyio.move_on_after(CONNECT_TIMEOUT_S):
+            await link.ready.wait()
+        if not link.is_open:
+            raise AlmonddealError(NOT_REACHED, f"agent at {host}:{port}")
+        if link.peer.incarnation != incarnation:
+            link.close()
+            raise AlmonddealError(NOT_REACHED, f"agent at {host}:{port} restarted")
+        self._link_by_address[key] = link
+        return link
+
+    async def _serve(self, key, link):
+        await link.run()
+        if self._link_by_address.get(key) is link:
+            del self._link_by_address[key]
+            self._lock_by_address.pop(key, None)
+
+    def find(self, state):
+        """Return the open link to an agent if there is one, else None."""
+        link = self._link_by_address.get((state.host, state.port, state.incarnation))
+        return link if link is not None and link.is_open else None
--- /dev/null
+++ b/tools/almonddeal_tools/__init__.py
@@ -0,0 +1,1 @@
+"""Test tools: stand-ins for the platform, and drivers. No part of the product."""
--- /dev/null
+++ b/tools/almonddeal_tools/engine.py
@@ -0,0 +1,288 @@
+"""A stand-in for a model engine: continuous batching, a prefix cache and faults.
+
+Run as ``python -m almonddeal_tools.engine --listen 127.0.0.1:6001``. Faults are ordered
+by ``POST /fault``. ``GET /records`` tells every attempt that ran.
+"""
+
+import json
+import random
+from collections import OrderedDict
+
+import anyio
+import click
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+from starlette.applications import Starlette
+from starlette.responses import JSONResponse, StreamingResponse
+from starlette.routing import Route
+
+from almonddeal_tools.chain import (
+    NONCE_BITS,
+    context_digest,
+    next_token,
+    token_text,
+)
+
+CACHE_BLOCK = 64
+MAX_CACHE_BLOCKS = 4096
+
+
+class Attempt:
+    """One running stream."""
+
+    def __init__(self, body):
+        self.request = body["request"]
+        self.attempt = body["attempt"]
+        self.model = body["model"]
+        self.version = body["version"]
+        self.prompt = body["prompt"]
+        self.prefix = list(body["prefix"])
+        self.max_tokens = body["max_tokens"]
+        self.priority = body["priority"]
+        settings_json = json.dumps(body["settings"], sort_keys=True)
+        self.context = context_digest(
+            self.model, self.version, self.prompt, settings_json
+        )
+        self.nonce = random.getrandbits(NONCE_BITS)
+        self.n_computed = 0
+        self.n_prefill = 0
+        self.is_cancelled = False
+        self.is_hung = False
+
+    def record(self):
+        """Return the attempt as a dict for JSON."""
+        return {
+            "request": self.request,
+            "attempt": self.attempt,
+            "version": self.version,
+            "n_prefix": len(self.prefix),
+            "n_computed": self.n_computed,
+            "n_prefill": self.n_prefill,
+            "cancelled": self.is_cancelled,
+        }
+
+
+class PrefixCache:
+    """Which prompt blocks are cached; the least recently used go first."""
+
+    def __init__(self):
+        self._blocks = OrderedDict()
+
+    def prefill(self, text_tokens):
+        """Cache a sequence; returns the number of tokens that had to be computed."""
+        n_cached = 0
+        hit = True
+        for end in range(CACHE_BLOCK, len(text_tokens) + 1, CACHE_BLOCK):
+            key = hash(tuple(text_tokens[:end]))
+            hit = hit and key in self._blocks
+            if hit:
+                n_cached = end
+            self._blocks[key] = None
+            self._blocks.move_to_end(key)
+        while len(self._blocks) > MAX_CACHE_BLOCKS:
+            self._blocks.popitem(last=False)
+        return len(text_tokens) - n_cached
+
+
+class Engine:
+    """State of the stand-in.
+
+    Parameters
+    ----------
+    options : dict
+        ``slots``, ``token_ms``, ``batch_ms``, ``prefill_us``, ``report_lag_ms``,
+        ``honours_fencing``, ``load_s`` and ``models`` as [name, version] pairs.
+    """
+
+    def __init__(self, options):
+        self.options = options
+        self.models = [list(pair) for pair in options["models"]]
+        self.running = set()
+        self.n_waiting = 0
+        self.records = []
+        self.cache = PrefixCache()
+        self.highest_fence = 0
+        self.is_refusing = False
+        self.is_hung = False
+        self.slots = anyio.CapacityLimiter(options["slots"])
+        self._reports = []
+
+    @property
+    def token_ms(self):
+        """Time for one token at the present batch."""
+        return self.options["token_ms"] + self.options["batch_ms"] * len(self.running)
+
+    def report(self):
+        """Return the load as of the report lag ago."""
+        now = anyio.current_time()
+        self._reports.append((now, self._load()))
+        lag_s = self.options["report_lag_ms"] / 1000
+        while len(self._reports) > 1 and self._reports[1][0] <= now - lag_s:
+            self._reports.pop(0)
+        at, load = self._reports[0]
+        return {**load, "age_ms": int((now - at) * 1000)}
+
+    def _load(self):
+        return {
+            "running": len(self.running),
+            "waiting": self.n_waiting,
+            "slots": self.options["slots"],
+            "free_tokens": 1_000_000,
+            "token_ms": self.token_ms,
+            "models": [{"model": m, "version": v} for m, v in self.models],
+        }
+
+    def serves(self, model, version):
+        """Tell whether a version is loaded."""
+        return [model, version] in self.models
+
+    async def stream(self, attempt):
+        """Yield the lines of one attempt."""
+        record = attempt.record()
+        self.records.append(record)
+        self.n_waiting += 1
+        entered = False
+        try:
+            async with self.slots:
+                self.n_waiting -= 1
+                entered = True
+                self.running.add(attempt)
+                async for line in self._decode(attempt):
+                    record.update(attempt.record())
+                    yield line
+        except BaseException:
+            attempt.is_cancelled = True
+            raise
+        finally:
+            if not entered:
+                self.n_waiting -= 1
+            self.running.discard(attempt)
+            record.update(attempt.record())
+
+    async def _decode(self, attempt):
+        sequence = [*attempt.prompt.split(), *attempt.prefix]
+        attempt.n_prefill = self.cache.prefill(sequence)
+        await anyio.sleep(attempt.n_prefill * self.options["prefill_us"] / 1e6)
+        previous = attempt.prefix[-1] if attempt.prefix else -1
+        index = len(attempt.prefix)
+        due = anyio.current_time()
+        while index < attempt.max_tokens:
+            while self.is_hung or attempt.is_hung:
+                await anyio.sleep(0.02)
+            # Steps are scheduled from the one before, so that a late timer does not
+            # slow the engine down for good.
+            due = max(due + self.token_ms / 1000, anyio.current_time() - 0.1)
+            await anyio.sleep(max(0.0, due - anyio.current_time()))
+            token = next_token(attempt.context, previous, index, attempt.nonce)
+            attempt.n_computed += 1
+            line = {"index": index, "id": token, "text": token_text(token)}
+            yield (json.dumps(line) + "\n").encode()
+            previous = token
+            index += 1
+        yield b'{"finish": "length"}\n'
+
+
+class EngineApp:
+    """HTTP interface of the stand-in."""
+
+    def __init__(self, engine):
+        self._engine = engine
+
+    def make_app(self):
+        """Return the ASGI application."""
+        return Starlette(
+            routes=[
+                Route("/generate", self._generate, methods=["POST"]),
+                Route("/load", self._load),
+                Route("/records", self._records),
+                Route("/order", self._order, methods=["POST"]),
+                Route("/fault", self._fault, methods=["POST"]),
+            ]
+        )
+
+    async def _generate(self, request):
+        engine = self._engine
+        attempt = Attempt(await request.json())
+        if engine.is_refusing:
+            return JSONResponse({"error": "refusing"}, 503)
+        if not engine.serves(attempt.model, attempt.version):
+            return JSONResponse({"error": "not loaded"}, 409)
+        stream = engine.stream(attempt)
+        return StreamingResponse(stream, media_type="application/x-ndjson")
+
+    async def _load(self, request):
+        if self._engine.is_hung:
+            await anyio.sleep(60)
+        return JSONResponse(self._engine.report())
+
+    async def _records(self, request):
+        return JSONResponse(self._engine.records)
+
+    async def _order(self, request):
+        engine = self._engine
+        order = await request.json()
+        if engine.options["honours_fencing"] and order["fence"] < engine.highest_fence:
+            return JSONResponse({"error": "old fencing number"}, 409)
+        engine.highest_fence = max(engine.highest_fence, order["fence"])
+        pair = [order["model"], order["version"]]
+        if order["kind"] == "load":
+            await anyio.sleep(engine.options["load_s"])
+            if pair not in engine.models:
+                engine.models.append(pair)
+        elif pair in engine.models:
+            engine.models.remove(pair)
+        return JSONResponse({"ok": True})
+
+    async def _fault(self, request):
+        engine = self._engine
+        fault = await request.json()
+        if fault["kind"] == "hang":
+            engine.is_hung = fault.get("on", True)
+        elif fault["kind"] == "hang_stream":
+            for attempt in engine.running:
+                if attempt.request.endswith(fault["request"]):
+                    attempt.is_hung = True
+        elif fault["kind"] == "refuse":
+            engine.is_refusing = fault.get("on", True)
+        return JSONResponse({"ok": True})
+
+
+DEFAULTS = {
+    "slots": 64,
+    "token_ms": 5.0,
+    "batch_ms": 0.05,
+    "prefill_us": 50.0,
+    "report_lag_ms": 200,
+    "honours_fencing": True,
+    "load_s": 1.0,
+}
+
+
+def make_config(listen):
+    """Return the hypercorn configuration of a stand-in."""
+    config = Config()
+    config.bind = [listen]
+    config.accesslog = None
+    config.errorlog = None
+    config.backlog = 2048
+    config.keep_alive_timeout = 3600
+    config.graceful_timeout = 0.2
+    return config
+
+
+@click.command()
+@click.option("--listen", required=True)
+@click.option("--options", default="{}", help="JSON object of options.")
+def main(listen, options):
+    """Run the engine stand-in."""
+    merged = {**DEFAULTS, "models": [["draft", "v1"]], **json.loads(options)}
+
+    async def run():
+        app = EngineApp(Engine(merged)).make_app()
+        await serve(app, make_config(listen))
+
+    anyio.run(run)
+
+
+if __name__ == "__main__":
+    main()
