--- a/packages/agent/src/almonddeal_agent/run.py
+++ b/packages/agent/src/almonddeal_agent/run.py
@@ -52,6 +52,7 @@
         self._target = target
         self._incarnation = time.time_ns()
         self._listen = Address.parse(settings["listen"])
+        self._advertise = Address.parse(settings.get("advertise", settings["listen"]))
         self._admission = Admission()
         self._store = AnswerStore()
         self._sequence = 0
@@ -115,8 +116,8 @@
             instance=self._settings["instance"],
             incarnation=self._incarnation,
             failure_domain=self._settings["failure_domain"],
-            host=self._listen.host,
-            port=self._listen.port,
+            host=self._advertise.host,
+            port=self._advertise.port,
             kind=self._target["kind"],
             service_name=self._target.get("service", ""),
             labels=self._target.get("labels", {}),
--- a/packages/common/src/almonddeal_common/wire/connect.py
+++ b/packages/common/src/almonddeal_common/wire/connect.py
@@ -99,7 +99,9 @@
             await _run_logged(link, "dialled")
             group.cancel_scope.cancel()
         self.link = None
-        self.up = anyio.Event()
+        # Those who wait for the first link wait on the event that is not set yet.
+        if self.up.is_set():
+            self.up = anyio.Event()
 
     async def call(self, message, timeout_ms):
         """Call over the link that is open now; `LINK_LOST` without one."""
--- a/packages/entry/src/almonddeal/callers/app.py
+++ b/packages/entry/src/almonddeal/callers/app.py
@@ -81,7 +81,7 @@
 
     async def _begin(self, request, is_chat):
         entry = self._entry
-        customer = find_customer(request, entry.document)
+        customer = self._find_customer(request)
         request_id = request.headers.get("x-request-id", "")
         if request_id:
             check_request_id(request_id)
@@ -107,7 +107,7 @@
         return await _while_connected(request, work)
 
     async def _resume(self, request):
-        customer = find_customer(request, self._entry.document)
+        customer = self._find_customer(request)
         is_chat = request.query_params.get("form") == "chat"
         return await self._go_on(request, customer, is_chat)
 
@@ -127,14 +127,14 @@
         return await self._respond(request, answer, request_id, is_chat, stream, n_seen)
 
     async def _cancel(self, request):
-        customer = find_customer(request, self._entry.document)
+        customer = self._find_customer(request)
         request_id = request.path_params["request_id"]
         check_request_id(request_id)
         await self._entry.answers.cancel_anywhere(customer, request_id)
         return JSONResponse({"id": request_id, "cancelled": True})
 
     async def _models(self, request):
-        customer = find_customer(request, self._entry.document)
+        customer = self._find_customer(request)
         models = [
             {"id": name, "object": "model", "owned_by": "almonddeal"}
             for name in sorted(customer.models)
@@ -145,7 +145,7 @@
 
     async def _call(self, request):
         entry = self._entry
-        customer = find_customer(request, entry.document)
+        customer = self._find_customer(request)
         service = self._find_service(request, customer)
         path = "/" + request.path_params["path"]
         query = request.url.query
@@ -188,6 +188,18 @@
             raise AlmonddealError(FORBIDDEN, f"service {name!r}")
         return service
 
+    def _find_customer(self, request):
+        """Return the customer of a request.
+
+        A key that is unknown here may be known elsewhere, so an instance that is cut
+        off from control, or was just started, does not call it wrong.
+        """
+        try:
+            return find_customer(request, self._entry.document)
+        except AlmonddealError:
+            self._check_fresh()
+            raise
+
     # ---- state -----------------------------------------------------------------
 
     def _check_fresh(self):
--- a/tools/almonddeal_tools/engine.py
+++ b/tools/almonddeal_tools/engine.py
@@ -242,6 +242,7 @@
             for attempt in engine.running:
                 if attempt.request.endswith(fault["request"]):
                     attempt.is_hung = True
+                    break
         elif fault["kind"] == "refuse":
             engine.is_refusing = fault.get("on", True)
         return JSONResponse({"ok": True})
--- a/tools/almonddeal_tools/fleet.py
+++ b/tools/almonddeal_tools/fleet.py
@@ -3,6 +3,7 @@
 import hashlib
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -16,6 +17,7 @@
 
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 8.0
+PORT_RANGE = (12_000, 32_000)
 OPERATOR_TOKEN = "operator-token"
 READER_TOKEN = "reader-token"
 KEY_BY_CUSTOMER = {"tujenge": "key-tujenge", "keystone": "key-keystone"}
@@ -28,15 +30,17 @@
 
 
 def free_ports(n_ports):
-    """Return ports that nobody listens on now."""
-    sockets = []
-    for _ in range(n_ports):
-        sock = socket.socket()
-        sock.bind(("127.0.0.1", 0))
-        sockets.append(sock)
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
+    """Return ports that nobody listens on now, below those that systems give out."""
+    ports = []
+    while len(ports) < n_ports:
+        port = random.randrange(*PORT_RANGE)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
@@ -77,6 +81,7 @@
         self._command = command
         self._log_path = log_path
         self._popen = None
+        self.is_paused = False
 
     def __repr__(self):
         return f"Process({self.name!r})"
@@ -93,6 +98,7 @@
 
     def start(self):
         """Start the process, or start it again."""
+        self.is_paused = False
         with open(self._log_path, "ab") as log:
             self._popen = subprocess.Popen(
                 self._command, stdout=log, stderr=log, stdin=subprocess.DEVNULL
@@ -114,10 +120,12 @@
 
     def pause(self):
         """Stop the process from running for a while."""
+        self.is_paused = True
         self.signal(signal.SIGSTOP)
 
     def resume(self):
         """Let a paused process run on."""
+        self.is_paused = False
         self.signal(signal.SIGCONT)
 
     def wait(self, timeout_s=STOP_TIMEOUT_S):
@@ -151,6 +159,7 @@
         stop_timeout_s=20.0,
         document=None,
         entry_settings=None,
+        relays=None,
     ):
         self.n_entries = n_entries
         self.n_engines = n_engines
@@ -160,6 +169,8 @@
         self.document = document or base_document()
         self.entry_settings = entry_settings or {}
         self.folder = None
+        self._relays = relays
+        self._keeps_logs = False
         self.process_by_name = {}
         self.caller_urls = []
         self.operator_urls = []
@@ -188,9 +199,20 @@
             if process.is_running:
                 process.resume()
                 process.kill()
-        if exc_info[0] is None or not os.environ.get("KEEP_FLEET"):
+        if not self._keeps_logs:
             shutil.rmtree(self.folder, ignore_errors=True)
 
+    def keep_logs(self):
+        """Keep the folder when the fleet ends, to look into a failure."""
+        self._keeps_logs = True
+        print("logs are kept in", self.folder)
+
+    def _via(self, source, address):
+        """Return where a process dials another, through a relay if there are any."""
+        if self._relays is None:
+            return address
+        return self._relays.route(source, address)
+
     def _add(self, name, command):
         log_path = self.folder / f"{name}.log"
         self.process_by_name[name] = Process(name, command, log_path)
@@ -226,6 +248,12 @@
 
     def _write_entry(self, entry, entries, callers_port, operators_port):
         name = entry["instance"]
+        entries = [
+            {**other, "address": self._via(name, other["address"])}
+            if other is not entry
+            else other
+            for other in entries
+        ]
         settings = {
             "instance": name,
             "listen": entry["address"],
@@ -301,7 +329,8 @@
             "instance": name,
             "failure_domain": f"fd{number % 3 + 1}",
             "listen": f"127.0.0.1:{port}",
-            "entries": self.entry_addresses,
+            "advertise": self._via("entries", f"127.0.0.1:{port}"),
+            "entries": [self._via(name, a) for a in self.entry_addresses],
             "stop_timeout_s": self.stop_timeout_s,
             "target": target,
         }
@@ -363,15 +392,18 @@
 
     def apply(self, document, *options, entry=0):
         """Apply a document through the command line and wait until it is in force."""
-        path = self.folder / "document.json"
-        path.write_text(json.dumps(document))
-        status, output = self.command(
-            "apply", str(path), "--wait", *options, entry=entry
-        )
+        path = self._write("document", document)
+        status, output = self.command("apply", path, "--wait", *options, entry=entry)
         if status != 0:
             raise RuntimeError(f"apply ended with {status}: {output}")
         return output
 
+    def try_apply(self, document, entry=0):
+        """Apply a document; returns its version, or None if it was not accepted."""
+        path = self._write("document", document)
+        status, output = self.command("--json", "apply", path, entry=entry)
+        return json.loads(output)["version"] if status == 0 else None
+
     def status(self, entry=0):
         """Return the status that an entry instance tells, or None."""
         headers = {"authorization": f"Bearer {OPERATOR_TOKEN}"}
