--- a/packages/entry/src/almonddeal/control/consensus.py
+++ b/packages/entry/src/almonddeal/control/consensus.py
@@ -101,7 +101,7 @@
         self._wake_by_name = {}
         self._write_wake = anyio.Event()
         self._changed = anyio.Event()
-        self._disk = anyio.Lock()
+        self.disk = anyio.Lock()
         self._last_heard_ms = monotonic_ms()
         self._election_ms = self._random_election_ms()
         self._first_index_of_term = 0
@@ -203,7 +203,7 @@
     async def _campaign(self):
         if not await self._collect_votes(self.term + 1, pre=True):
             return
-        async with self._disk:
+        async with self.disk:
             self.term += 1
             self._voted_for = self.name
             self.role = CANDIDATE
@@ -230,7 +230,7 @@
             except AlmonddealError:
                 return
             if reply.term > self.term and not reply.granted:
-                async with self._disk:
+                async with self.disk:
                     await self._adopt_term(reply.term)
             if reply.granted:
                 n_granted += 1
@@ -260,7 +260,7 @@
         if message.pre:
             granted = up_to_date and not hears_leader and message.term > self.term
             return VoteReply(self.term, granted)
-        async with self._disk:
+        async with self.disk:
             await self._adopt_term(message.term)
             free = self._voted_for in ("", message.candidate)
             granted = message.term == self.term and up_to_date and free
@@ -319,7 +319,7 @@
         while True:
             await self._write_wake.wait()
             self._write_wake = anyio.Event()
-            async with self._disk:
+            async with self.disk:
                 if self.role != LEADER:
                     continue
                 first = self._durable_index + 1
@@ -374,7 +374,7 @@
         else:
             reply = await peer.call(self._append_message(next_index), CALL_TIMEOUT_MS)
         if reply.term > self.term:
-            async with self._disk:
+            async with self.disk:
                 await self._adopt_term(reply.term)
             return
         if self.role != LEADER or self.term != term:
@@ -422,7 +422,7 @@
 
     async def handle_append(self, link, message, emit):
         """Take entries from the leader; replies once they are synced."""
-        async with self._disk:
+        async with self.disk:
             if message.term < self.term:
                 return AppendLogReply(self.term, False, 0)
             await self._hear_leader(message.term, message.leader)
@@ -481,7 +481,7 @@
 
     async def handle_snapshot(self, link, message, emit):
         """Take the leader's snapshot in place of a log that is too far behind."""
-        async with self._disk:
+        async with self.disk:
             if message.term < self.term:
                 return AppendLogReply(self.term, False, 0)
             await self._hear_leader(message.term, message.leader)
@@ -529,7 +529,7 @@
         """Write a snapshot when enough entries came since the last one."""
         if self.applied_index - self._snapshot.index < SNAPSHOT_EVERY_ENTRIES:
             return
-        async with self._disk:
+        async with self.disk:
             index = self.applied_index
             state = self._machine.dump()
             snapshot = Snapshot(
--- /dev/null
+++ b/packages/entry/src/almonddeal/control/tests/fakes.py
@@ -0,0 +1,179 @@
+"""Members of a control group in one process, on disks that can lose and tear."""
+
+import random
+import shutil
+from pathlib import Path
+
+import anyio
+from almonddeal_common.codes import LINK_LOST, NOT_REACHED, AlmonddealError
+from almonddeal_common.wire.codec import decode, encode
+from almonddeal_common.wire.gen.ttypes import (
+    AppendLog,
+    ChangeDocument,
+    Command,
+    InstallSnapshot,
+    Vote,
+)
+
+from almonddeal.control.consensus import Consensus
+from almonddeal.control.state import ControlState
+from almonddeal.control.storage import LogStore
+
+
+class Crash(Exception):
+    """Ends a member at once."""
+
+
+class FakePeer:
+    """The way from one member to another."""
+
+    def __init__(self, group, source, target):
+        self._group = group
+        self._source = source
+        self._target = target
+
+    @property
+    def is_up(self):
+        return self._group.is_reachable(self._source, self._target)
+
+    async def call(self, message, timeout_ms):
+        reply = None
+        with anyio.move_on_after(timeout_ms / 1000):
+            await self._pass(self._source, self._target)
+            member = self._group.member_by_name.get(self._target)
+            if member is None:
+                raise AlmonddealError(NOT_REACHED, self._target)
+            handler = member.handler_by_type[type(message)]
+            copied = decode(type(message), encode(message))
+            reply = await handler(None, copied, None)
+            if self._group.member_by_name.get(self._target) is not member:
+                raise AlmonddealError(LINK_LOST, "restarted")
+            await self._pass(self._target, self._source)
+        if reply is None:
+            raise AlmonddealError(LINK_LOST, "no reply")
+        return reply
+
+    async def _pass(self, source, target):
+        await anyio.sleep(self._group.random.uniform(0, 0.003))
+        while self._group.is_held(source, target):
+            await anyio.sleep(0.01)
+        if not self._group.is_reachable(source, target):
+            raise AlmonddealError(LINK_LOST, "cut")
+
+
+class Member:
+    """One running member: its store, its state and its tasks."""
+
+    def __init__(self, group, name):
+        self.name = name
+        self.machine = ControlState()
+        self.store = LogStore(group.folder / name, group.end_process)
+        self.store.__enter__()
+        peers = {
+            other: FakePeer(group, name, other)
+            for other in group.names
+            if other != name
+        }
+        self.consensus = Consensus(name, peers, self.store, self.machine)
+        self.handler_by_type = {
+            Vote: self.consensus.handle_vote,
+            AppendLog: self.consensus.handle_append,
+            InstallSnapshot: self.consensus.handle_snapshot,
+        }
+        self.scope = anyio.CancelScope()
+
+    async def run(self):
+        with self.scope:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.consensus.run)
+                group.start_soon(self._compact)
+
+    async def _compact(self):
+        while True:
+            await anyio.sleep(0.2)
+            await self.consensus.compact()
+
+
+class FakeGroup:
+    """A control group whose members can be killed, cut off and held up."""
+
+    def __init__(self, folder, tasks, seed, n_members=3):
+        self.folder = Path(folder)
+        self.names = [f"entry{n}" for n in range(n_members)]
+        self.member_by_name = {}
+        self.random = random.Random(seed)
+        self.cut_pairs = set()
+        self.held_pairs = set()
+        self.leader_by_term = {}
+        self.applied_by_index = {}
+        self._tasks = tasks
+
+    @staticmethod
+    def end_process(reason):
+        raise Crash(reason)
+
+    def is_reachable(self, source, target):
+        return target in self.member_by_name and (source, target) not in self.cut_pairs
+
+    def is_held(self, source, target):
+        return (source, target) in self.held_pairs
+
+    def start(self, name):
+        member = Member(self, name)
+        self.member_by_name[name] = member
+        self._watch_applied(member)
+        self._tasks.start_soon(member.run)
+
+    def start_all(self):
+        for name in self.names:
+            self.start(name)
+
+    def _watch_applied(self, member):
+        """Hold every applied command against what others applied at its index."""
+        apply = member.machine.apply
+
+        def checked(index, command):
+            data = encode(command)
+            known = self.applied_by_index.setdefault(index, data)
+            assert known == data, f"two commands at entry {index}"
+            return apply(index, command)
+
+        member.machine.apply = checked
+
+    async def kill(self, name, tear=True):
+        """End a member; bytes that were not synced may be torn or lost."""
+        member = self.member_by_name.pop(name, None)
+        if member is None:
+            return
+        member.scope.cancel()
+        # A sync that runs in a worker thread ends before its task does.
+        async with member.consensus.disk:
+            member.store.__exit__(None, None, None)
+        if tear:
+            self._tear(member)
+
+    def _tear(self, member):
+        path = self.folder / member.name / "log"
+        with open(path, "ab") as file:
+            n_bytes = self.random.choice((0, 0, 3, 40))
+            file.write(self.random.randbytes(n_bytes))
+
+    def leader(self):
+        """Return the member that leads the highest term, checking all claims."""
+        leaders = [m for m in self.member_by_name.values() if m.consensus.is_leader]
+        for member in leaders:
+            term = member.consensus.term
+            known = self.leader_by_term.setdefault(term, member.name)
+            assert known == member.name, f"two leaders in term {term}"
+        return max(leaders, key=lambda m: m.consensus.term, default=None)
+
+    def remove_files(self):
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+
+def change(change_id, base_version, note=""):
+    """Return a command that changes a field of the document."""
+    patch = f'[{{"op": "add", "path": "/{change_id}", "value": 1}}]'
+    return Command(
+        change=ChangeDocument(change_id, base_version, "olu", "here", patch, 1, note)
+    )
--- /dev/null
+++ b/packages/entry/src/almonddeal/control/tests/test_consensus.py
@@ -0,0 +1,194 @@
+"""Tests of agreement, with kills, cuts and long pauses."""
+
+import anyio
+import pytest
+from almonddeal_common.codes import AlmonddealError, error_from_wire
+
+from almonddeal.control.tests.fakes import FakeGroup, change
+
+N_SEEDS = 3
+N_FAULTS = 12
+
+
+def run(folder, seed, test):
+    async def main():
+        async with anyio.create_task_group() as tasks:
+            group = FakeGroup(folder, tasks, seed)
+            group.start_all()
+            await test(group)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+async def wait_leader(group, other_than=None):
+    with anyio.fail_after(20):
+        while True:
+            leader = group.leader()
+            if leader is not None and leader.name != other_than:
+                return leader
+            await anyio.sleep(0.02)
+
+
+async def submit(group, command):
+    """Have a command committed by whoever leads, sending it again if need be."""
+    with anyio.fail_after(30):
+        while True:
+            leader = await wait_leader(group)
+            try:
+                return await leader.consensus.propose(command, 700)
+            except AlmonddealError:
+                await anyio.sleep(0.05)
+
+
+async def settled_versions(group):
+    """Return the versions of all members once each applied the leader's log."""
+    leader = await wait_leader(group)
+    await submit(group, change("last", -1))
+    with anyio.fail_after(20):
+        while True:
+            leader = await wait_leader(group)
+            index = leader.consensus.commit_index
+            members = list(group.member_by_name.values())
+            if all(m.consensus.applied_index >= index for m in members):
+                return [m.machine.document.version for m in members]
+            await anyio.sleep(0.02)
+
+
+class TestConsensus:
+    def test_change_reaches_every_member(self, tmp_path):
+        async def test(group):
+            result = await submit(group, change("a", 0))
+            assert result.change.version == 1
+            assert await settled_versions(group) == [1, 1, 1]
+
+        run(tmp_path, 1, test)
+
+    def test_resent_change_gets_its_first_answer_under_another_leader(self, tmp_path):
+        async def test(group):
+            first = await submit(group, change("a", 0))
+            for number in range(300):
+                await submit(group, change(f"b{number}", number + 1))
+            leader = await wait_leader(group)
+            await group.kill(leader.name)
+            await wait_leader(group, other_than=leader.name)
+            again = await submit(group, change("a", 0))
+            assert again.change.version == first.change.version == 1
+
+        run(tmp_path, 2, test)
+
+    def test_leader_that_is_cut_off_cannot_confirm_itself(self, tmp_path):
+        async def test(group):
+            leader = await wait_leader(group)
+            for other in group.names:
+                group.cut_pairs |= {(leader.name, other), (other, leader.name)}
+            with pytest.raises(AlmonddealError):
+                await leader.consensus.read_index(500)
+            new = await wait_leader(group, other_than=leader.name)
+            assert new.consensus.term > leader.consensus.term or (
+                not leader.consensus.is_leader
+            )
+
+        run(tmp_path, 3, test)
+
+    def test_member_that_slept_catches_up_by_snapshot(self, tmp_path, monkeypatch):
+        monkeypatch.setattr("almonddeal.control.consensus.SNAPSHOT_EVERY_ENTRIES", 50)
+
+        async def test(group):
+            leader = await wait_leader(group)
+            sleeper = next(n for n in group.names if n != leader.name)
+            await group.kill(sleeper)
+            for number in range(500):
+                await submit(group, change(f"c{number}", number))
+            await anyio.sleep(0.5)
+            group.start(sleeper)
+            assert await settled_versions(group) == [500, 500, 500]
+
+        run(tmp_path, 4, test)
+
+    @pytest.mark.parametrize("seed", range(N_SEEDS))
+    def test_history_of_changes_is_that_of_a_single_copy(self, tmp_path, seed):
+        async def test(group):
+            history = []
+            async with anyio.create_task_group() as clients:
+                for number in range(3):
+                    clients.start_soon(change_for_ever, group, number, history)
+                for _ in range(N_FAULTS):
+                    await break_once(group)
+                group.cut_pairs.clear()
+                group.held_pairs.clear()
+                await anyio.sleep(1.5)
+                clients.cancel_scope.cancel()
+            versions = await settled_versions(group)
+            assert len(set(versions)) == 1
+            check_history(history, versions[0])
+
+        run(tmp_path, 100 + seed, test)
+
+
+class Operation:
+    """One change as its client saw it."""
+
+    def __init__(self, started, ended, base, result):
+        self.started = started
+        self.ended = ended
+        self.base = base
+        self.result = result
+
+
+async def change_for_ever(group, number, history):
+    """Make changes on the newest known base, each until it has an answer."""
+    base = 0
+    counter = 0
+    while True:
+        counter += 1
+        command = change(f"d{number}x{counter}", base)
+        started = anyio.current_time()
+        result = (await submit(group, command)).change
+        history.append(Operation(started, anyio.current_time(), base, result))
+        again = (await submit(group, command)).change
+        assert again.version == result.version, "a resent change got another answer"
+        base = result.version
+
+
+async def break_once(group):
+    """Bring about one random fault."""
+    name = group.random.choice(group.names)
+    kind = group.random.choice(("kill", "cut", "hold", "one way", "heal"))
+    if kind == "kill" and len(group.member_by_name) == len(group.names):
+        await group.kill(name)
+        await anyio.sleep(group.random.uniform(0.0, 0.8))
+        group.start(name)
+    elif kind in ("cut", "one way"):
+        for other in group.names:
+            group.cut_pairs.add((name, other))
+            if kind == "cut":
+                group.cut_pairs.add((other, name))
+    elif kind == "hold":
+        group.held_pairs |= {(name, other) for other in group.names}
+    else:
+        group.cut_pairs.clear()
+        group.held_pairs.clear()
+    group.leader()
+    await anyio.sleep(group.random.uniform(0.1, 0.9))
+    if group.random.random() < 0.5:
+        group.cut_pairs.clear()
+        group.held_pairs.clear()
+
+
+def check_history(history, last_version):
+    """Hold the answers against a single register that is only ever compared and set."""
+    accepted = [
+        op for op in history if error_from_wire(op.result.code, "").code.name == "OK"
+    ]
+    by_version = sorted(accepted, key=lambda op: op.result.version)
+    versions = [op.result.version for op in by_version]
+    assert len(set(versions)) == len(versions), "one version was accepted twice"
+    for op in by_version:
+        assert op.result.version == op.base + 1
+    for earlier, later in zip(by_version, by_version[1:], strict=False):
+        assert earlier.started <= later.ended, "real time order is broken"
+    assert not versions or versions[-1] <= last_version
+    for op in history:
+        if op not in accepted:
+            assert op.result.version > op.base, "a conflict without a newer version"
--- /dev/null
+++ b/packages/entry/src/almonddeal/control/tests/test_storage.py
@@ -0,0 +1,124 @@
+"""Tests of the files of the replicated log."""
+
+import errno
+from pathlib import Path
+
+import pytest
+from almonddeal_common.codes import AlmonddealError
+from almonddeal_common.wire.gen.ttypes import LogEntry, Snapshot
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from almonddeal.control.storage import LogStore
+
+
+class Ended(Exception):
+    """Stands for the end of the process."""
+
+
+def end_process(reason):
+    raise Ended(reason)
+
+
+def entries(first, n_entries, term=1):
+    return [LogEntry(term, first + n, 1, b"x" * (n + 1)) for n in range(n_entries)]
+
+
+def indices(folder):
+    with LogStore(folder, end_process) as store:
+        return [entry.index for entry in store.entries]
+
+
+class TestLogStore:
+    def test_entries_last(self, tmp_path):
+        with LogStore(tmp_path, end_process) as store:
+            store.append(entries(1, 3))
+            store.append(entries(4, 2))
+            store.save_meta(7, "entry1")
+        with LogStore(tmp_path, end_process) as store:
+            assert [e.index for e in store.entries] == [1, 2, 3, 4, 5]
+            assert (store.meta.term, store.meta.voted_for) == (7, "entry1")
+
+    def test_truncated_entries_are_gone(self, tmp_path):
+        with LogStore(tmp_path, end_process) as store:
+            store.append(entries(1, 5))
+            store.truncate_from(3)
+            store.append(entries(3, 1, term=2))
+        assert indices(tmp_path) == [1, 2, 3]
+
+    def test_snapshot_replaces_entries(self, tmp_path):
+        with LogStore(tmp_path, end_process) as store:
+            store.append(entries(1, 5))
+            store.save_snapshot(Snapshot(1, 4, 1, b"state"), entries(5, 1))
+        with LogStore(tmp_path, end_process) as store:
+            assert store.snapshot.index == 4
+            assert [e.index for e in store.entries] == [5]
+
+    @settings(max_examples=60, deadline=None, derandomize=True)
+    @given(cut=st.integers(0, 400), garbage=st.binary(max_size=30))
+    def test_torn_tail_is_cut(self, tmp_path_factory, cut, garbage):
+        folder = tmp_path_factory.mktemp("log")
+        with LogStore(folder, end_process) as store:
+            store.append(entries(1, 3))
+            n_synced = store._n_synced
+            store.append(entries(4, 3))
+        path = folder / "log"
+        data = path.read_bytes()
+        end = max(n_synced, len(data) - cut)
+        path.write_bytes(data[:end] + garbage)
+        found = indices(folder)
+        assert found[:3] == [1, 2, 3]
+        assert found == list(range(1, len(found) + 1))
+
+    def test_damage_before_synced_records_is_reported(self, tmp_path):
+        with LogStore(tmp_path, end_process) as store:
+            store.append(entries(1, 3))
+            store.append(entries(4, 3))
+        path = Path(tmp_path) / "log"
+        data = bytearray(path.read_bytes())
+        data[40] ^= 0xFF
+        path.write_bytes(data)
+        with (
+            pytest.raises(AlmonddealError, match="DATA_DAMAGED"),
+            LogStore(tmp_path, end_process),
+        ):
+            pass
+
+    def test_full_disk_refuses_and_keeps_the_log(self, tmp_path, monkeypatch):
+        with LogStore(tmp_path, end_process) as store:
+            store.append(entries(1, 3))
+            real = store._file
+
+            class FullFile:
+                def __getattr__(self, name):
+                    return getattr(real, name)
+
+                def flush(self):
+                    raise OSError(errno.ENOSPC, "no space")
+
+            store._file = FullFile()
+            with pytest.raises(AlmonddealError, match="STORAGE_FULL"):
+                store.append(entries(4, 2))
+            store.append(entries(4, 1))
+        assert indices(tmp_path) == [1, 2, 3, 4]
+
+    def test_failed_sync_ends_the_process(self, tmp_path, monkeypatch):
+        with LogStore(tmp_path, end_process) as store:
+
+            def fail(descriptor):
+                raise OSError(errno.EIO, "bad disk")
+
+            monkeypatch.setattr("os.fsync", fail)
+            with pytest.raises(Ended):
+                store.append(entries(1, 1))
+
+    def test_damaged_meta_is_reported(self, tmp_path):
+        with LogStore(tmp_path, end_process) as store:
+            store.save_meta(3, "entry0")
+        path = Path(tmp_path) / "meta"
+        path.write_bytes(path.read_bytes()[:-1] + b"?")
+        with (
+            pytest.raises(AlmonddealError, match="DATA_DAMAGED"),
+            LogStore(tmp_path, end_process),
+        ):
+            pass
