--- /dev/null
+++ b/packages/common/src/almonddeal_common/wire/tests/test_link.py
@@ -0,0 +1,216 @@
+"""Tests of links between two processes, and of two releases side by side."""
+
+import anyio
+import pytest
+from anyio import create_tcp_listener
+from thrift.protocol.TBinaryProtocol import TBinaryProtocol
+from thrift.Thrift import TType
+from thrift.transport.TTransport import TMemoryBuffer
+
+from almonddeal_common.codes import OVERLOADED, AlmonddealError
+from almonddeal_common.settings import Address
+from almonddeal_common.wire import link as link_module
+from almonddeal_common.wire.codec import FrameReader, decode, encode, encode_frame
+from almonddeal_common.wire.connect import Peer, dial, serve_links
+from almonddeal_common.wire.gen.ttypes import (
+    AttemptChunk,
+    Fence,
+    FenceReply,
+    Hello,
+    OrderQuery,
+    Phase,
+    Ping,
+    ServiceReply,
+    StartAttempt,
+)
+
+
+def make_hello(name="a", version=1, lowest=1):
+    return Hello(version, lowest, "entry", name, 1, "fd1")
+
+
+def run(handlers, test, server_hello=None):
+    """Run a test with a link to a server with the handlers."""
+
+    async def main():
+        listener = await create_tcp_listener(local_host="127.0.0.1")
+        port = listener.listeners[0].extra(anyio.abc.SocketAttribute.local_port)
+        address = Address("127.0.0.1", port)
+        async with anyio.create_task_group() as group:
+            hello = server_hello or make_hello("server")
+            group.start_soon(serve_links, listener, hello, handlers)
+            link = await dial(address, make_hello(), {})
+            group.start_soon(link.run)
+            await test(link)
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+async def echo(link, message, emit):
+    return FenceReply(code=0, promised_epoch=message.epoch)
+
+
+class TestLink:
+    def test_call(self):
+        async def test(link):
+            await link.ready.wait()
+            reply = await link.call(Fence("r", 7, False), 1000)
+            assert reply.promised_epoch == 7
+
+        run({Fence: echo}, test)
+
+    def test_error_keeps_its_code(self):
+        async def refuse(link, message, emit):
+            raise AlmonddealError(OVERLOADED, "full")
+
+        async def test(link):
+            await link.ready.wait()
+            with pytest.raises(AlmonddealError, match="OVERLOADED: full"):
+                await link.call(Fence("r", 7, False), 1000)
+
+        run({Fence: refuse}, test)
+
+    def test_call_times_out(self):
+        async def sleep(link, message, emit):
+            await anyio.sleep(5)
+
+        async def test(link):
+            await link.ready.wait()
+            with pytest.raises(AlmonddealError, match="DEADLINE"):
+                await link.call(Fence("r", 7, False), 50)
+
+        run({Fence: sleep}, test)
+
+    def test_stream_is_in_order_and_whole(self):
+        async def count(link, message, emit):
+            for index in range(500):
+                emit(AttemptChunk(1, index, [index], ["x"], ""))
+                if index % 50 == 0:
+                    await anyio.sleep(0)
+            return ServiceReply(status=1)
+
+        async def test(link):
+            await link.ready.wait()
+            async with link.open_stream(StartAttempt()) as stream:
+                indices = [chunk.index async for chunk in stream]
+            assert indices == list(range(500))
+            assert stream.reply.status == 1
+
+        run({StartAttempt: count}, test)
+
+    def test_leaving_a_stream_cancels_the_other_side(self):
+        cancelled = anyio.Event
+
+        class State:
+            event = None
+
+        async def forever(link, message, emit):
+            emit(AttemptChunk(1, 0, [0], ["x"], ""))
+            try:
+                await anyio.sleep(60)
+            finally:
+                State.event.set()
+
+        async def test(link):
+            State.event = cancelled()
+            await link.ready.wait()
+            async with link.open_stream(StartAttempt()) as stream:
+                await anext(stream)
+            with anyio.fail_after(2):
+                await State.event.wait()
+
+        run({StartAttempt: forever}, test)
+
+    def test_unknown_message_is_refused(self):
+        async def test(link):
+            await link.ready.wait()
+            with pytest.raises(AlmonddealError, match="PROTOCOL_MISMATCH"):
+                await link.call(OrderQuery("x"), 1000)
+
+        run({}, test)
+
+    def test_release_too_far_away_is_refused(self):
+        async def test(link):
+            with anyio.fail_after(2):
+                await link.closed.wait()
+            assert not link.is_open
+
+        run({}, test, make_hello("server", version=9, lowest=9))
+
+    def test_silent_peer_is_noticed(self, monkeypatch):
+        monkeypatch.setattr(link_module, "SILENCE_LIMIT_MS", 300)
+
+        async def main():
+            listener = await create_tcp_listener(local_host="127.0.0.1")
+            port = listener.listeners[0].extra(anyio.abc.SocketAttribute.local_port)
+
+            async def hang(stream):
+                await stream.send(encode_frame(Phase.NOTICE, 0, make_hello("mute")))
+                await anyio.sleep(60)
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(listener.serve, hang)
+                link = await dial(Address("127.0.0.1", port), make_hello(), {})
+                group.start_soon(link.run)
+                with anyio.fail_after(5):
+                    await link.closed.wait()
+                group.cancel_scope.cancel()
+
+        anyio.run(main)
+
+
+class TestPeer:
+    def test_waiters_for_the_first_link_outlast_a_failed_one(self):
+        async def main():
+            listener = await create_tcp_listener(local_host="127.0.0.1")
+            port = listener.listeners[0].extra(anyio.abc.SocketAttribute.local_port)
+            n_accepted = 0
+
+            async def serve(stream):
+                nonlocal n_accepted
+                n_accepted += 1
+                if n_accepted == 1:
+                    await anyio.aclose_forcefully(stream)
+                    return
+                await link_module.Link(stream, make_hello("server"), {}).run()
+
+            peer = Peer("server", Address("127.0.0.1", port), make_hello(), {})
+            async with anyio.create_task_group() as group:
+                group.start_soon(listener.serve, serve)
+                group.start_soon(peer.run)
+                with anyio.fail_after(5):
+                    await peer.up.wait()
+                assert peer.is_up
+                group.cancel_scope.cancel()
+
+        anyio.run(main)
+
+
+class TestCodec:
+    def test_frames_in_any_pieces(self):
+        data = b"".join(encode_frame(Phase.NOTICE, n, Ping(n)) for n in range(5))
+        for size in (1, 3, 7, len(data)):
+            reader = FrameReader()
+            frames = []
+            for start in range(0, len(data), size):
+                frames += reader.feed(data[start : start + size])
+            assert [frame.call_id for frame in frames] == list(range(5))
+
+    def test_unknown_field_of_a_newer_release_is_skipped(self):
+        buffer = TMemoryBuffer()
+        protocol = TBinaryProtocol(buffer)
+        protocol.writeFieldBegin("sent_us", TType.I64, 1)
+        protocol.writeI64(5)
+        protocol.writeFieldBegin("future", TType.STRING, 99)
+        protocol.writeString("what an older release does not know")
+        protocol.writeFieldStop()
+        assert decode(Ping, buffer.getvalue()).sent_us == 5
+
+    def test_missing_field_of_an_older_release_is_none(self):
+        data = encode(Fence("r", 7, None))
+        assert decode(Fence, data).only_read is None
+
+    def test_huge_frame_is_refused(self):
+        with pytest.raises(AlmonddealError, match="PROTOCOL_MISMATCH"):
+            FrameReader().feed(b"\xff\xff\xff\xff")
--- a/packages/entry/src/almonddeal/answers/ownership.py
+++ b/packages/entry/src/almonddeal/answers/ownership.py
@@ -18,6 +18,7 @@
     ANSWER_MEMORY_FULL,
     ANSWER_UNKNOWN,
     HOLDERS_UNREACHABLE,
+    NO,
     OK,
     OWNERSHIP_LOST,
     AlmonddealError,
@@ -93,23 +94,28 @@
         epoch = self._next_epoch(0)
         holders = self._choose_holders(spec.request, n_copies)
         if not is_new_id:
-            await self._reserve(spec.request, epoch, holders)
+            epoch = await self._reserve(spec.request, epoch, holders)
         answer = OwnedAnswer(spec, epoch, holders, previous_holders=holders)
         await self._establish(answer)
         return answer
 
     async def _reserve(self, request, epoch, holders):
-        promises = await self._ask(holders, Fence(request, epoch, False))
-        n_promised = 0
-        for reply in promises.values():
-            if reply.found or reply.code == ANSWER_EVICTED.number:
-                raise AlmonddealError(OWNERSHIP_LOST, "the answer exists")
-            n_promised += reply.code == OK.number
-        if n_promised < majority(holders):
-            code = HOLDERS_UNREACHABLE
-            if len(promises) >= majority(holders):
-                code = OWNERSHIP_LOST
-            raise AlmonddealError(code, f"{n_promised} of {len(holders)} promised")
+        """Have a majority promise an epoch for a new answer; returns the epoch."""
+        for _ in range(MAX_TRIES):
+            replies = await self._ask(holders, Fence(request, epoch, False))
+            for reply in replies.values():
+                if reply.found or reply.code == ANSWER_EVICTED.number:
+                    raise AlmonddealError(OWNERSHIP_LOST, "the answer exists")
+            n_promised = sum(r.code == OK.number for r in replies.values())
+            if n_promised >= majority(holders):
+                return epoch
+            if len(replies) < majority(holders):
+                detail = f"{len(replies)} of {len(holders)} holders answer"
+                raise AlmonddealError(HOLDERS_UNREACHABLE, detail, was_run=NO)
+            # Another creation was promised before, perhaps one that was cut off.
+            epoch = self._next_epoch(max(r.promised_epoch for r in replies.values()))
+            await anyio.sleep(BACKOFF_S * random.uniform(0.5, 2.0))
+        raise AlmonddealError(HOLDERS_UNREACHABLE, "the request id is contended")
 
     async def _establish(self, answer):
         self._replicator.spread(answer)
--- a/packages/entry/src/almonddeal/answers/tests/test_ownership.py
+++ b/packages/entry/src/almonddeal/answers/tests/test_ownership.py
@@ -5,6 +5,7 @@
 import anyio
 import pytest
 from almonddeal_common.codes import AlmonddealError
+from almonddeal_common.wire.gen.ttypes import Fence
 
 from almonddeal.answers.tests.fakes import FakeEntry, FakeNet, make_spec
 
@@ -143,6 +144,17 @@
 
         run(test)
 
+    def test_creation_that_was_cut_off_does_not_block_the_next_one(self):
+        async def test(net, group):
+            entry = FakeEntry(net, "entry0", group)
+            fence = Fence("kite:r1", entry.ownership._next_epoch(0), False)
+            for name in ENTRIES:
+                net.store_by_name[name].fence(fence)
+            answer = await entry.ownership.create(make_spec(), 2, False)
+            assert answer.is_established
+
+        run(test)
+
     def test_repair_replaces_a_dead_holder(self):
         async def test(net, group):
             entry = FakeEntry(net, "entry0", group)
--- a/packages/entry/src/almonddeal/control/tests/test_storage.py
+++ b/packages/entry/src/almonddeal/control/tests/test_storage.py
@@ -84,7 +84,7 @@
         ):
             pass
 
-    def test_full_disk_refuses_and_keeps_the_log(self, tmp_path, monkeypatch):
+    def test_full_disk_refuses_and_keeps_the_log(self, tmp_path):
         with LogStore(tmp_path, end_process) as store:
             store.append(entries(1, 3))
             real = store._file
--- a/packages/entry/src/almonddeal/limits/buckets.py
+++ b/packages/entry/src/almonddeal/limits/buckets.py
@@ -6,6 +6,7 @@
 from almonddeal_common.codes import RATE_LIMITED, TOO_MANY_STREAMS, AlmonddealError
 
 RETRY_AFTER_STREAMS_MS = 1000
+ROUNDING = 1e-9
 
 
 class TokenBucket:
@@ -22,8 +23,8 @@
         filled = self._level + (now_ms - self._at_ms) * rate_per_s / 1000
         self._level = min(float(burst), filled)
         self._at_ms = now_ms
-        if self._level >= 1.0:
-            self._level -= 1.0
+        if self._level >= 1.0 - ROUNDING:
+            self._level = max(0.0, self._level - 1.0)
             return 0.0
         return (1.0 - self._level) / rate_per_s * 1000
 
--- /dev/null
+++ b/packages/entry/src/almonddeal/limits/tests/test_dispatch.py
@@ -0,0 +1,97 @@
+"""Tests of giving out places at targets."""
+
+import anyio
+import pytest
+from almonddeal_common.codes import AlmonddealError
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from almonddeal.document.model import Customer
+from almonddeal.limits.dispatch import Dispatcher
+from almonddeal.targets.choose import least_loaded
+from almonddeal.targets.tests.fakes import make_target
+
+
+def make_customer(name="kite"):
+    return Customer(name, {"key_sha256": ["0" * 64]})
+
+
+class TestDispatcher:
+    def test_no_target_is_told_at_once(self):
+        async def main():
+            dispatcher = Dispatcher(list, least_loaded())
+            with pytest.raises(AlmonddealError, match="NO_TARGET"):
+                await dispatcher.place(make_customer(), "", 1000, False)
+
+        anyio.run(main)
+
+    def test_wait_ends_with_the_deadline(self):
+        async def main():
+            target = make_target(n_running=100, n_slots=10)
+            dispatcher = Dispatcher(lambda: [target], least_loaded())
+            with pytest.raises(AlmonddealError, match="OVERLOADED") as caught:
+                await dispatcher.place(make_customer(), "", 50, False)
+            assert caught.value.was_run == "no"
+            assert dispatcher.n_waiting == 0
+            assert target.n_mine == 0
+
+        anyio.run(main)
+
+    def test_target_that_failed_serves_when_nothing_else_is_left(self):
+        async def main():
+            target = make_target()
+            target.note_failure()
+            dispatcher = Dispatcher(lambda: [target], least_loaded())
+            placed = await dispatcher.place(
+                make_customer(), "", 50, True, (target.name,)
+            )
+            assert placed is target
+
+        anyio.run(main)
+
+    def test_fresh_target_goes_before_one_that_failed(self):
+        async def main():
+            failed = make_target("a")
+            fresh = make_target("b", n_running=5)
+            dispatcher = Dispatcher(lambda: [failed, fresh], least_loaded())
+            placed = await dispatcher.place(make_customer(), "", 50, True, ("a",))
+            assert placed is fresh
+
+        anyio.run(main)
+
+    @settings(max_examples=40, deadline=None, derandomize=True)
+    @given(
+        st.lists(
+            st.tuples(st.sampled_from("abc"), st.integers(1, 40), st.booleans()),
+            max_size=30,
+        )
+    )
+    def test_every_wait_ends_once_and_places_balance(self, requests):
+        targets = [make_target(name, n_slots=2) for name in ("x", "y")]
+        ended = []
+
+        async def use(dispatcher, customer, wait_ms, is_resume):
+            try:
+                target = await dispatcher.place(
+                    make_customer(customer), "", wait_ms, is_resume
+                )
+            except AlmonddealError as error:
+                assert error.was_run == "no"
+                ended.append("refused")
+                return
+            await anyio.sleep(0.002)
+            target.__exit__(None, None, None)
+            target.n_sent_since = max(0, target.n_sent_since - 1)
+            dispatcher.give_out()
+            ended.append("served")
+
+        async def main():
+            dispatcher = Dispatcher(lambda: targets, least_loaded())
+            async with anyio.create_task_group() as group:
+                for customer, wait_ms, is_resume in requests:
+                    group.start_soon(use, dispatcher, customer, wait_ms, is_resume)
+            assert dispatcher.n_waiting == 0
+
+        anyio.run(main)
+        assert len(ended) == len(requests)
+        assert all(target.n_mine == 0 for target in targets)
--- /dev/null
+++ b/packages/entry/src/almonddeal/limits/tests/test_limits.py
@@ -0,0 +1,74 @@
+"""Tests of rates, streams and budgets."""
+
+import pytest
+from almonddeal_common.codes import AlmonddealError
+
+from almonddeal.document.model import Customer
+from almonddeal.limits.buckets import CustomerLimits
+from almonddeal.limits.budget import RetryBudget
+
+
+def make_customer(**limits):
+    return Customer("kite", {"key_sha256": ["0" * 64], "limits": limits})
+
+
+class TestCustomerLimits:
+    def test_rate_is_refused_with_a_time_to_wait(self, monkeypatch):
+        now_ms = [0.0]
+        monkeypatch.setattr("almonddeal.limits.buckets.monotonic_ms", lambda: now_ms[0])
+        limits = CustomerLimits(lambda: 1, lambda customer: 0)
+        customer = make_customer(requests_per_s=10, burst=2)
+        limits.check_rate(customer)
+        limits.check_rate(customer)
+        with pytest.raises(AlmonddealError, match="RATE_LIMITED") as caught:
+            limits.check_rate(customer)
+        assert caught.value.was_run == "no"
+        now_ms[0] += caught.value.after_ms + 0.1
+        limits.check_rate(customer)
+
+    def test_rate_is_shared_among_instances(self, monkeypatch):
+        now_ms = [0.0]
+        monkeypatch.setattr("almonddeal.limits.buckets.monotonic_ms", lambda: now_ms[0])
+        limits = CustomerLimits(lambda: 4, lambda customer: 0)
+        customer = make_customer(requests_per_s=40, burst=4)
+        n_let_in = 0
+        for _ in range(1000):
+            now_ms[0] += 10.0
+            try:
+                limits.check_rate(customer)
+                n_let_in += 1
+            except AlmonddealError:
+                continue
+        assert 99 <= n_let_in <= 102
+
+    def test_streams_elsewhere_count(self):
+        limits = CustomerLimits(lambda: 2, lambda customer: 3)
+        customer = make_customer(max_streams=4)
+        limits.enter(customer)
+        with pytest.raises(AlmonddealError, match="TOO_MANY_STREAMS"):
+            limits.enter(customer)
+        limits.leave(customer)
+        assert limits.usage() == {}
+
+    def test_resumed_work_is_never_refused(self):
+        limits = CustomerLimits(lambda: 1, lambda customer: 9)
+        customer = make_customer(max_streams=1)
+        with limits.counted(customer):
+            assert limits.usage() == {"kite": 1}
+        assert limits.usage() == {}
+
+
+class TestRetryBudget:
+    def test_retries_stay_in_proportion(self):
+        budget = RetryBudget(ratio=0.1, max_saved=10)
+        n_retries = 0
+        for _ in range(1000):
+            budget.earn()
+            n_retries += budget.spend()
+        assert n_retries <= 1000 * 0.1 + 10
+
+    def test_saved_retries_are_bounded(self):
+        budget = RetryBudget(ratio=1.0, max_saved=5)
+        for _ in range(100):
+            budget.earn()
+        assert sum(budget.spend() for _ in range(100)) == 5
--- /dev/null
+++ b/packages/entry/src/almonddeal/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the entry instance as a whole."""
--- /dev/null
+++ b/packages/entry/src/almonddeal/tests/test_cli.py
@@ -0,0 +1,54 @@
+"""Tests of commands that need no running instance."""
+
+import json
+
+import pytest
+from almonddeal_common.codes import DATA_DAMAGED, DOCUMENT_INVALID, NOT_REACHED
+from almonddeal_common.wire.codec import encode
+from almonddeal_common.wire.gen.ttypes import LogEntry
+from click.testing import CliRunner
+
+from almonddeal.cli.main import main
+from almonddeal.control.storage import LogStore
+from almonddeal.control.tests.fakes import change
+
+RIGHT = {"format": 1, "customers": {}, "models": {}, "services": {}}
+
+
+def invoke(*arguments):
+    return CliRunner().invoke(main, [str(a) for a in arguments])
+
+
+class TestCommands:
+    def test_validate(self, tmp_path):
+        path = tmp_path / "fleet.json"
+        path.write_text(json.dumps(RIGHT))
+        assert invoke("validate", path).exit_code == 0
+        path.write_text(json.dumps({**RIGHT, "format": 3, "extra": 1}))
+        result = invoke("validate", path)
+        assert result.exit_code == DOCUMENT_INVALID.exit_status
+        assert result.output.count("error 503") == 2
+
+    def test_no_instance_is_told(self):
+        result = invoke("--url", "http://127.0.0.1:9", "status")
+        assert result.exit_code == NOT_REACHED.exit_status
+
+    @pytest.mark.parametrize("shell", ["bash", "zsh", "fish"])
+    def test_completion(self, shell):
+        assert "_ALMONDDEAL_COMPLETE" in invoke("completion", shell).output
+
+    def test_data_verify_and_export(self, tmp_path):
+        with LogStore(tmp_path, pytest.fail) as store:
+            command = encode(change("a", 0))
+            store.append([LogEntry(1, 1, 2, b""), LogEntry(1, 2, 1, command)])
+        assert "document version 1" in invoke("data", "verify", tmp_path).output
+        lines = invoke("data", "export", tmp_path).output.splitlines()
+        assert json.loads(lines[0])["document"] == {"a": 1}
+        assert json.loads(lines[1])["audit"]["author"] == "olu"
+
+    def test_data_verify_tells_damage(self, tmp_path):
+        with LogStore(tmp_path, pytest.fail) as store:
+            store.save_meta(1, "entry0")
+        (tmp_path / "meta").write_bytes(b"nonsense")
+        result = invoke("data", "verify", tmp_path)
+        assert result.exit_code == DATA_DAMAGED.exit_status
