--- a/features/control.feature
+++ b/features/control.feature
@@ -44,3 +44,15 @@
   Scenario: An operator who may only read
     When an operator who may only read applies a document
     Then the command ends with the status of FORBIDDEN
+
+  Scenario: A version is rolled out under load and no answer is cut or mixed
+    When 9 answers of 600 tokens are asked for and version "v2" is rolled out meanwhile
+    Then all answers are whole
+    And every engine has only the version "v2" within 40 seconds
+    And the audit trail has the steps of the rollout
+    And a new answer uses the version "v2"
+
+  Scenario: The leader is lost in the middle of a rollout
+    When version "v3" is rolled out and the leader is killed meanwhile
+    Then every engine has only the version "v3" within 60 seconds
+    And no engine carried out an order with an old fencing number
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -3,6 +3,7 @@
 import threading
 import time
 
+import httpx
 from almonddeal_common.codes import FORBIDDEN, VERSION_CONFLICT
 from almonddeal_tools.fleet import READER_TOKEN, sha256
 from answer_steps import finish_reading, start_reading
@@ -206,3 +207,66 @@
 @then("the command ends with the status of FORBIDDEN")
 def check_forbidden(context):
     assert context.result[0] == FORBIDDEN.exit_status, context.result
+
+
+def roll_out(context, version):
+    document = copy.deepcopy(context.fleet.document)
+    document["models"]["draft"]["version"] = version
+    context.fleet.document = document
+    context.version = version
+    context.fleet.apply(document)
+
+
+@when(
+    "{n_answers:d} answers of {n_tokens:d} tokens are asked for"
+    ' and version "{version}" is rolled out meanwhile'
+)
+def roll_out_meanwhile(context, n_answers, n_tokens, version):
+    start_many(context, n_answers, n_tokens)
+    roll_out(context, version)
+
+
+@when('version "{version}" is rolled out and the leader is killed meanwhile')
+def roll_out_and_kill(context, version):
+    roll_out(context, version)
+    time.sleep(1.0)
+    kill_leader(context)
+    time.sleep(1.0)
+    context.fleet.process_by_name[f"entry{context.killed}"].start()
+
+
+def loaded_versions(context):
+    status = context.fleet.status(0) or context.fleet.status(1)
+    return [t["models"] for t in status["targets"] if t["kind"] == "engine"]
+
+
+@then('every engine has only the version "{version}" within {timeout_s:d} seconds')
+def check_versions(context, version, timeout_s):
+    context.fleet.wait_until(
+        lambda: loaded_versions(context) == [[f"draft {version}"]] * 3,
+        f"version {version} alone",
+        timeout_s,
+    )
+
+
+@then("the audit trail has the steps of the rollout")
+def check_steps(context):
+    records = json.loads(context.fleet.command("--json", "audit")[1])["records"]
+    steps = [r["detail"] for r in records if r["kind"] == "step"]
+    for engine in range(3):
+        assert f"load draft {context.version} on engine{engine}" in steps, steps
+
+
+@then('a new answer uses the version "{version}"')
+def check_new_answer(context, version):
+    reading = start_reading(context, context.fleet.caller_urls[0], 20)
+    reading.answer.version = version
+    finish_reading(context, reading)
+    assert reading.answer.is_whole, reading.answer.violations()
+
+
+@then("no engine carried out an order with an old fencing number")
+def check_fences(context):
+    for url in context.fleet.engine_urls:
+        fences = [o["fence"] for o in httpx.get(f"{url}/orders").json()]
+        assert fences == sorted(fences), fences
--- a/idl/almonddeal.thrift
+++ b/idl/almonddeal.thrift
@@ -46,6 +46,9 @@
   13: i64 sequence
   14: i64 document_version
   15: i32 n_in_flight
+  16: i64 cache_epoch
+  17: list<binary> evicted_keys
+  18: string role
 }
 struct Announce { 1: TargetState state, 2: i64 document_version }
 struct AnnounceReply {
@@ -54,12 +57,18 @@
   3: bool leaving
   4: i64 lease_ms
   5: bool has_document
+  6: i64 fence
+}
+// An order to a target. Fencing numbers grow with every order and every new leader.
+struct TargetOrder {
+  1: i64 fence, 2: string kind, 3: string model, 4: string version, 5: string role
 }
 struct PeerDigest {
   1: string instance
   2: i64 document_version
   3: list<TargetState> targets
   4: map<string, i32> n_streams_by_customer
+  5: list<ModelState> versions_in_use
 }
 
 // ---- answers -------------------------------------------------------------------
@@ -81,6 +90,7 @@
   3: list<i32> prefix
   4: i32 priority
   5: bool prime
+  6: binary cache_key
 }
 struct AttemptChunk {
   1: i32 attempt
@@ -202,8 +212,11 @@
 struct Propose { 1: Command command }
 struct ProposeReply { 1: i32 code, 2: CommandResult result, 3: string leader }
 struct ReadFresh { }
-struct ReadFreshReply { 1: i32 code, 2: i64 commit_index, 3: string leader }
+struct ReadFreshReply {
+  1: i32 code, 2: i64 commit_index, 3: string leader, 4: i64 term
+}
 struct FetchDocument { 1: i64 have_version }
 struct FetchDocumentReply {
   1: i64 version, 2: string document_json, 3: string patches_json, 4: i64 fresh_age_ms
+  5: i64 term
 }
--- a/packages/agent/src/almonddeal_agent/admission.py
+++ b/packages/agent/src/almonddeal_agent/admission.py
@@ -10,6 +10,8 @@
     AlmonddealError,
 )
 
+FENCE_NEWS_MS = 3000
+
 
 class Admission:
     """The agent's proof that its target may take new work.
@@ -25,6 +27,8 @@
         Highest version that any entry instance told.
     n_in_flight : int
         Attempts and calls that run now.
+    fence : int
+        Highest fencing number that any entry instance told.
     """
 
     def __init__(self):
@@ -32,6 +36,7 @@
         self.is_stopping = False
         self.is_leaving = False
         self.n_in_flight = 0
+        self.fence = 0
         self._lease_ms = 0
         self._fresh_at_ms = None
 
@@ -45,6 +50,7 @@
         self.document_version = reply.document_version
         self.is_leaving = reply.leaving
         self._lease_ms = reply.lease_ms
+        self.fence = max(self.fence, reply.fence or 0)
         if reply.fresh_age_ms >= 0:
             fresh_at_ms = asked_ms - reply.fresh_age_ms
             self._fresh_at_ms = max(self._fresh_at_ms or fresh_at_ms, fresh_at_ms)
@@ -60,6 +66,13 @@
             return False
         return monotonic_ms() - self._fresh_at_ms < self._lease_ms
 
+    @property
+    def knows_fence(self):
+        """Whether the present fencing number was told by a fresh entry instance."""
+        if self.fence == 0 or self._fresh_at_ms is None:
+            return False
+        return monotonic_ms() - self._fresh_at_ms < FENCE_NEWS_MS
+
     def check(self):
         """Raise the reason why new work is refused, if there is one."""
         if self.is_stopping:
--- a/packages/agent/src/almonddeal_agent/attempts.py
+++ b/packages/agent/src/almonddeal_agent/attempts.py
@@ -12,6 +12,7 @@
 from almonddeal_common.logs import get_logger
 from almonddeal_common.wire.gen.ttypes import AttemptChunk, AttemptEnd
 
+from almonddeal_agent.cache import CacheView
 from almonddeal_agent.stall import StallLimit
 
 log = get_logger("attempts")
@@ -93,6 +94,9 @@
                     emit(chunk)
                 if tokens[-1].finish_reason:
                     return AttemptEnd(start.attempt, tokens[-1].finish_reason)
+        except BaseException:
+            await self._engine.cancel(start)
+            raise
         finally:
             with anyio.CancelScope(shield=True):
                 await stream.aclose()
@@ -127,6 +131,8 @@
     load : Load
     models : list of ModelState
         Empty while the engine does not answer.
+    role : str
+    cache : CacheView
     """
 
     INTERVAL_S = 0.2
@@ -139,6 +145,8 @@
         self.lost = anyio.Event()
         self.load = empty_load
         self.models = []
+        self.role = ""
+        self.cache = CacheView()
 
     def check_serves(self, model, version):
         """Refuse an attempt for a version that the engine has not loaded."""
@@ -152,12 +160,14 @@
         while True:
             try:
                 report = await self._engine.report()
+                events = await self._engine.cache_events(self.cache.since)
             except Exception as error:
                 n_failures += 1
                 self._note_failure(n_failures, error)
             else:
                 n_failures = 0
                 self._note_report(report)
+                self.cache.take(events)
             await anyio.sleep(self.INTERVAL_S)
 
     def _note_report(self, report):
@@ -169,6 +179,7 @@
         report.load.age_ms = report.load.age_ms or 0
         self.load = report.load
         self.models = report.models
+        self.role = report.role
 
     def _note_failure(self, n_failures, error):
         is_refused = "ConnectError" in type(error).__name__
--- a/packages/agent/src/almonddeal_agent/engine.py
+++ b/packages/agent/src/almonddeal_agent/engine.py
@@ -9,6 +9,7 @@
 import httpx
 from almonddeal_common.codes import (
     ATTEMPT_LOST,
+    STALE_FENCE,
     TARGET_REFUSED,
     AlmonddealError,
 )
@@ -33,13 +34,25 @@
 
 
 class EngineReport:
-    """What an engine says of itself: its load and the versions it has loaded."""
+    """What an engine says of itself: its load, its loaded versions and its role."""
 
-    __slots__ = ("load", "models")
+    __slots__ = ("load", "models", "role")
 
-    def __init__(self, load, models):
+    def __init__(self, load, models, role=""):
         self.load = load
         self.models = models
+        self.role = role
+
+
+class CacheEvent:
+    """One event of an engine's prefix cache: a key was stored or evicted."""
+
+    __slots__ = ("key", "kind", "number")
+
+    def __init__(self, number, kind, key):
+        self.number = number
+        self.kind = kind
+        self.key = key
 
 
 class EngineInterface:
@@ -48,16 +61,26 @@
     Attributes
     ----------
     generate : async generator function
-        ``generate(start)`` yields lists of `Token`; leaving it cancels the stream.
+        ``generate(start)`` begins a stream, or goes on from a prefix of token ids, and
+        yields lists of `Token`; leaving it cancels the stream.
+    cancel : async callable
+        ``cancel(start)`` cancels a stream also where closing it is not noticed.
     report : async callable
         Returns an `EngineReport`.
+    cache_events : async callable
+        ``cache_events(since)`` returns the events from a number on, as a list.
+    order : async callable
+        ``order(target_order)`` loads, unloads or changes the role.
     """
 
-    __slots__ = ("generate", "report")
+    __slots__ = ("cache_events", "cancel", "generate", "order", "report")
 
-    def __init__(self, generate, report):
+    def __init__(self, generate, cancel, report, cache_events, order):
         self.generate = generate
+        self.cancel = cancel
         self.report = report
+        self.cache_events = cache_events
+        self.order = order
 
 
 def make_client():
@@ -106,7 +129,41 @@
             response = await client.get(f"{base}/load")
         return _parse_report(response.json())
 
-    return EngineInterface(generate, report)
+    async def cancel(start):
+        body = {"request": start.spec.request, "attempt": start.attempt}
+        with anyio.move_on_after(CANCEL_TIMEOUT_S, shield=True):
+            try:
+                await client.post(f"{base}/cancel", json=body)
+            except httpx.HTTPError:
+                return
+
+    async def cache_events(since):
+        with anyio.fail_after(PROBE_TIMEOUT_S):
+            response = await client.get(f"{base}/events", params={"since": since})
+        return [
+            CacheEvent(e["number"], e["kind"], bytes.fromhex(e["key"]))
+            for e in response.json()
+        ]
+
+    async def order(target_order):
+        body = {
+            "fence": target_order.fence,
+            "kind": target_order.kind,
+            "model": target_order.model,
+            "version": target_order.version,
+            "role": target_order.role,
+        }
+        try:
+            response = await client.post(f"{base}/order", json=body)
+        except httpx.HTTPError as error:
+            raise AlmonddealError(TARGET_REFUSED, f"engine: {error!r}") from None
+        if response.status_code == 409:
+            raise AlmonddealError(STALE_FENCE, "the engine refused the number")
+        if response.status_code != 200:
+            detail = f"engine answered {response.status_code}"
+            raise AlmonddealError(TARGET_REFUSED, detail)
+
+    return EngineInterface(generate, cancel, report, cache_events, order)
 
 
 def _generate_body(start):
@@ -122,6 +179,7 @@
         "settings": json.loads(spec.settings_json),
         "max_tokens": spec.max_tokens,
         "priority": start.priority,
+        "cache_key": (start.cache_key or b"").hex(),
     }
 
 
@@ -157,4 +215,4 @@
         ModelState(m["model"], m["version"], m.get("adapters", []))
         for m in raw["models"]
     ]
-    return EngineReport(load, models)
+    return EngineReport(load, models, raw.get("role", ""))
--- a/packages/agent/src/almonddeal_agent/run.py
+++ b/packages/agent/src/almonddeal_agent/run.py
@@ -18,6 +18,7 @@
     OrderQuery,
     ServiceCall,
     StartAttempt,
+    TargetOrder,
     TargetState,
 )
 from almonddeal_common.wire.link import LOWEST_PROTOCOL_VERSION
@@ -27,6 +28,7 @@
 from almonddeal_agent.attempts import AttemptRunner, EngineWatch
 from almonddeal_agent.calls import CallRunner
 from almonddeal_agent.engine import http_engine, make_client
+from almonddeal_agent.fencing import OrderGate
 
 STOP_TIMEOUT_S = 30.0
 HANDOVER_TIMEOUT_S = 3.0
@@ -102,6 +104,8 @@
             self._watch = EngineWatch(engine, self._empty_load)
             self._attempts = AttemptRunner(engine, self._watch, self._admission)
             handlers[StartAttempt] = self._attempts.handle_start
+            gate = OrderGate(self._admission, engine.order)
+            handlers[TargetOrder] = gate.handle_order
             group.start_soon(self._watch.run)
         else:
             calls = CallRunner(self._client, address, self._admission, group)
@@ -127,6 +131,9 @@
             sequence=self._sequence,
             document_version=self._admission.document_version,
             n_in_flight=self._admission.n_in_flight,
+            cache_epoch=self._watch.cache.epoch if self._watch else 0,
+            evicted_keys=self._watch.cache.evicted_keys if self._watch else [],
+            role=self._watch.role if self._watch else "",
         )
 
     def _service_load(self):
--- a/packages/common/src/almonddeal_common/codes.py
+++ b/packages/common/src/almonddeal_common/codes.py
@@ -115,6 +115,7 @@
 TARGET_STALLED = _code(605, "TARGET_STALLED", 502, 65, UNKNOWN, SAFE, "The engine is connected and silent for too long.")
 TARGET_HANDOVER = _code(606, "TARGET_HANDOVER", 503, 66, UNKNOWN, SAFE, "The target stops and hands the answer over.")
 NOT_REACHED = _code(607, "NOT_REACHED", 502, 67, NO, SAFE, "No connection to the other process could be made.")
+STALE_FENCE = _code(608, "STALE_FENCE", 409, 68, NO, SAFE, "The order carries an older fencing number than one seen before.")
 
 SETTINGS_INVALID = _code(700, "SETTINGS_INVALID", 500, 70, NO, SAFE, "The settings file is wrong; nothing was started.")
 DATA_DAMAGED = _code(701, "DATA_DAMAGED", 500, 71, NO, SAFE, "The data folder is damaged beyond its torn tail.")
--- a/packages/common/src/almonddeal_common/held/store.py
+++ b/packages/common/src/almonddeal_common/held/store.py
@@ -92,6 +92,14 @@
         """Return the held answer of a request, or None."""
         return self._answer_by_request.get(request)
 
+    def versions_in_use(self):
+        """Return the models and versions of unfinished answers, as a set of pairs."""
+        return {
+            (answer.spec.model, answer.spec.version)
+            for answer in self._answer_by_request.values()
+            if answer.spec is not None and not answer.is_sealed
+        }
+
     # ---- appending -------------------------------------------------------------
 
     def append(self, message):
--- a/packages/common/src/almonddeal_common/wire/codec.py
+++ b/packages/common/src/almonddeal_common/wire/codec.py
@@ -22,6 +22,7 @@
     10: messages.Announce,
     11: messages.AnnounceReply,
     12: messages.PeerDigest,
+    13: messages.TargetOrder,
     20: messages.StartAttempt,
     21: messages.AttemptChunk,
     22: messages.AttemptEnd,
--- a/packages/common/src/almonddeal_common/wire/gen/ttypes.py
+++ b/packages/common/src/almonddeal_common/wire/gen/ttypes.py
@@ -719,6 +719,9 @@
      - sequence
      - document_version
      - n_in_flight
+     - cache_epoch
+     - evicted_keys
+     - role
 
     """
 
@@ -738,10 +741,13 @@
         'sequence',
         'document_version',
         'n_in_flight',
+        'cache_epoch',
+        'evicted_keys',
+        'role',
     )
 
 
-    def __init__(self, target=None, instance=None, incarnation=None, failure_domain=None, host=None, port=None, kind=None, service_name=None, labels=None, models=None, load=None, stopping=None, sequence=None, document_version=None, n_in_flight=None,):
+    def __init__(self, target=None, instance=None, incarnation=None, failure_domain=None, host=None, port=None, kind=None, service_name=None, labels=None, models=None, load=None, stopping=None, sequence=None, document_version=None, n_in_flight=None, cache_epoch=None, evicted_keys=None, role=None,):
         self.target = target
         self.instance = instance
         self.incarnation = incarnation
@@ -757,6 +763,9 @@
         self.sequence = sequence
         self.document_version = document_version
         self.n_in_flight = n_in_flight
+        self.cache_epoch = cache_epoch
+        self.evicted_keys = evicted_keys
+        self.role = role
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -855,6 +864,26 @@
                     self.n_in_flight = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.I64:
+                    self.cache_epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.LIST:
+                    self.evicted_keys = []
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = iprot.readBinary()
+                        self.evicted_keys.append(_elem25)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.STRING:
+                    self.role = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -900,16 +929,16 @@
         if self.labels is not None:
             oprot.writeFieldBegin('labels', TType.MAP, 9)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.labels))
-            for kiter20, viter21 in self.labels.items():
-                oprot.writeString(kiter20.encode('utf-8') if sys.version_info[0] == 2 else kiter20)
-                oprot.writeString(viter21.encode('utf-8') if sys.version_info[0] == 2 else viter21)
+            for kiter26, viter27 in self.labels.items():
+                oprot.writeString(kiter26.encode('utf-8') if sys.version_info[0] == 2 else kiter26)
+                oprot.writeString(viter27.encode('utf-8') if sys.version_info[0] == 2 else viter27)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.models is not None:
             oprot.writeFieldBegin('models', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.models))
-            for iter22 in self.models:
-                iter22.write(oprot)
+            for iter28 in self.models:
+                iter28.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.load is not None:
@@ -932,6 +961,21 @@
             oprot.writeFieldBegin('n_in_flight', TType.I32, 15)
             oprot.writeI32(self.n_in_flight)
             oprot.writeFieldEnd()
+        if self.cache_epoch is not None:
+            oprot.writeFieldBegin('cache_epoch', TType.I64, 16)
+            oprot.writeI64(self.cache_epoch)
+            oprot.writeFieldEnd()
+        if self.evicted_keys is not None:
+            oprot.writeFieldBegin('evicted_keys', TType.LIST, 17)
+            oprot.writeListBegin(TType.STRING, len(self.evicted_keys))
+            for iter29 in self.evicted_keys:
+                oprot.writeBinary(iter29)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.role is not None:
+            oprot.writeFieldBegin('role', TType.STRING, 18)
+            oprot.writeString(self.role.encode('utf-8') if sys.version_info[0] == 2 else self.role)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1046,6 +1090,7 @@
      - leaving
      - lease_ms
      - has_document
+     - fence
 
     """
 
@@ -1055,15 +1100,17 @@
         'leaving',
         'lease_ms',
         'has_document',
+        'fence',
     )
 
 
-    def __init__(self, document_version=None, fresh_age_ms=None, leaving=None, lease_ms=None, has_document=None,):
+    def __init__(self, document_version=None, fresh_age_ms=None, leaving=None, lease_ms=None, has_document=None, fence=None,):
         self.document_version = document_version
         self.fresh_age_ms = fresh_age_ms
         self.leaving = leaving
         self.lease_ms = lease_ms
         self.has_document = has_document
+        self.fence = fence
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1099,6 +1146,11 @@
                     self.has_document = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.fence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1129,6 +1181,126 @@
             oprot.writeFieldBegin('has_document', TType.BOOL, 5)
             oprot.writeBool(self.has_document)
             oprot.writeFieldEnd()
+        if self.fence is not None:
+            oprot.writeFieldBegin('fence', TType.I64, 6)
+            oprot.writeI64(self.fence)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TargetOrder(object):
+    """
+    Attributes:
+     - fence
+     - kind
+     - model
+     - version
+     - role
+
+    """
+
+    __slots__ = (
+        'fence',
+        'kind',
+        'model',
+        'version',
+        'role',
+    )
+
+
+    def __init__(self, fence=None, kind=None, model=None, version=None, role=None,):
+        self.fence = fence
+        self.kind = kind
+        self.model = model
+        self.version = version
+        self.role = role
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.fence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.model = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.role = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TargetOrder')
+        if self.fence is not None:
+            oprot.writeFieldBegin('fence', TType.I64, 1)
+            oprot.writeI64(self.fence)
+            oprot.writeFieldEnd()
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.STRING, 2)
+            oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
+            oprot.writeFieldEnd()
+        if self.model is not None:
+            oprot.writeFieldBegin('model', TType.STRING, 3)
+            oprot.writeString(self.model.encode('utf-8') if sys.version_info[0] == 2 else self.model)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 4)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
+        if self.role is not None:
+            oprot.writeFieldBegin('role', TType.STRING, 5)
+            oprot.writeString(self.role.encode('utf-8') if sys.version_info[0] == 2 else self.role)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1161,6 +1333,7 @@
      - document_version
      - targets
      - n_streams_by_customer
+     - versions_in_use
 
     """
 
@@ -1169,14 +1342,16 @@
         'document_version',
         'targets',
         'n_streams_by_customer',
+        'versions_in_use',
     )
 
 
-    def __init__(self, instance=None, document_version=None, targets=None, n_streams_by_customer=None,):
+    def __init__(self, instance=None, document_version=None, targets=None, n_streams_by_customer=None, versions_in_use=None,):
         self.instance = instance
         self.document_version = document_version
         self.targets = targets
         self.n_streams_by_customer = n_streams_by_customer
+        self.versions_in_use = versions_in_use
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1200,25 +1375,36 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.targets = []
-                    (_etype26, _size23) = iprot.readListBegin()
-                    for _i27 in range(_size23):
-                        _elem28 = TargetState()
-                        _elem28.read(iprot)
-                        self.targets.append(_elem28)
+                    (_etype33, _size30) = iprot.readListBegin()
+                    for _i34 in range(_size30):
+                        _elem35 = TargetState()
+                        _elem35.read(iprot)
+                        self.targets.append(_elem35)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.MAP:
                     self.n_streams_by_customer = {}
-                    (_ktype30, _vtype31, _size29) = iprot.readMapBegin()
-                    for _i33 in range(_size29):
-                        _key34 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val35 = iprot.readI32()
-                        self.n_streams_by_customer[_key34] = _val35
+                    (_ktype37, _vtype38, _size36) = iprot.readMapBegin()
+                    for _i40 in range(_size36):
+                        _key41 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val42 = iprot.readI32()
+                        self.n_streams_by_customer[_key41] = _val42
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.versions_in_use = []
+                    (_etype46, _size43) = iprot.readListBegin()
+                    for _i47 in range(_size43):
+                        _elem48 = ModelState()
+                        _elem48.read(iprot)
+                        self.versions_in_use.append(_elem48)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1240,18 +1426,25 @@
         if self.targets is not None:
             oprot.writeFieldBegin('targets', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.targets))
-            for iter36 in self.targets:
-                iter36.write(oprot)
+            for iter49 in self.targets:
+                iter49.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.n_streams_by_customer is not None:
             oprot.writeFieldBegin('n_streams_by_customer', TType.MAP, 4)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.n_streams_by_customer))
-            for kiter37, viter38 in self.n_streams_by_customer.items():
-                oprot.writeString(kiter37.encode('utf-8') if sys.version_info[0] == 2 else kiter37)
-                oprot.writeI32(viter38)
+            for kiter50, viter51 in self.n_streams_by_customer.items():
+                oprot.writeString(kiter50.encode('utf-8') if sys.version_info[0] == 2 else kiter50)
+                oprot.writeI32(viter51)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.versions_in_use is not None:
+            oprot.writeFieldBegin('versions_in_use', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.versions_in_use))
+            for iter52 in self.versions_in_use:
+                iter52.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1461,6 +1654,7 @@
      - prefix
      - priority
      - prime
+     - cache_key
 
     """
 
@@ -1470,15 +1664,17 @@
         'prefix',
         'priority',
         'prime',
+        'cache_key',
     )
 
 
-    def __init__(self, spec=None, attempt=None, prefix=None, priority=None, prime=None,):
+    def __init__(self, spec=None, attempt=None, prefix=None, priority=None, prime=None, cache_key=None,):
         self.spec = spec
         self.attempt = attempt
         self.prefix = prefix
         self.priority = priority
         self.prime = prime
+        self.cache_key = cache_key
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1503,10 +1699,10 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.prefix = []
-                    (_etype42, _size39) = iprot.readListBegin()
-                    for _i43 in range(_size39):
-                        _elem44 = iprot.readI32()
-                        self.prefix.append(_elem44)
+                    (_etype56, _size53) = iprot.readListBegin()
+                    for _i57 in range(_size53):
+                        _elem58 = iprot.readI32()
+                        self.prefix.append(_elem58)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1520,6 +1716,11 @@
                     self.prime = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.cache_key = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1541,8 +1742,8 @@
         if self.prefix is not None:
             oprot.writeFieldBegin('prefix', TType.LIST, 3)
             oprot.writeListBegin(TType.I32, len(self.prefix))
-            for iter45 in self.prefix:
-                oprot.writeI32(iter45)
+            for iter59 in self.prefix:
+                oprot.writeI32(iter59)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.priority is not None:
@@ -1553,6 +1754,10 @@
             oprot.writeFieldBegin('prime', TType.BOOL, 5)
             oprot.writeBool(self.prime)
             oprot.writeFieldEnd()
+        if self.cache_key is not None:
+            oprot.writeFieldBegin('cache_key', TType.STRING, 6)
+            oprot.writeBinary(self.cache_key)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1627,20 +1832,20 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.tokens = []
-                    (_etype49, _size46) = iprot.readListBegin()
-                    for _i50 in range(_size46):
-                        _elem51 = iprot.readI32()
-                        self.tokens.append(_elem51)
+                    (_etype63, _size60) = iprot.readListBegin()
+                    for _i64 in range(_size60):
+                        _elem65 = iprot.readI32()
+                        self.tokens.append(_elem65)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.texts = []
-                    (_etype55, _size52) = iprot.readListBegin()
-                    for _i56 in range(_size52):
-                        _elem57 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.texts.append(_elem57)
+                    (_etype69, _size66) = iprot.readListBegin()
+                    for _i70 in range(_size66):
+                        _elem71 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.texts.append(_elem71)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1670,15 +1875,15 @@
         if self.tokens is not None:
             oprot.writeFieldBegin('tokens', TType.LIST, 3)
             oprot.writeListBegin(TType.I32, len(self.tokens))
-            for iter58 in self.tokens:
-                oprot.writeI32(iter58)
+            for iter72 in self.tokens:
+                oprot.writeI32(iter72)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.texts is not None:
             oprot.writeFieldBegin('texts', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.texts))
-            for iter59 in self.texts:
-                oprot.writeString(iter59.encode('utf-8') if sys.version_info[0] == 2 else iter59)
+            for iter73 in self.texts:
+                oprot.writeString(iter73.encode('utf-8') if sys.version_info[0] == 2 else iter73)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.finish_reason is not None:
@@ -1930,20 +2135,20 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.tokens = []
-                    (_etype63, _size60) = iprot.readListBegin()
-                    for _i64 in range(_size60):
-                        _elem65 = iprot.readI32()
-                        self.tokens.append(_elem65)
+                    (_etype77, _size74) = iprot.readListBegin()
+                    for _i78 in range(_size74):
+                        _elem79 = iprot.readI32()
+                        self.tokens.append(_elem79)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.texts = []
-                    (_etype69, _size66) = iprot.readListBegin()
-                    for _i70 in range(_size66):
-                        _elem71 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.texts.append(_elem71)
+                    (_etype83, _size80) = iprot.readListBegin()
+                    for _i84 in range(_size80):
+                        _elem85 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.texts.append(_elem85)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1961,10 +2166,10 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.holders = []
-                    (_etype75, _size72) = iprot.readListBegin()
-                    for _i76 in range(_size72):
-                        _elem77 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.holders.append(_elem77)
+                    (_etype89, _size86) = iprot.readListBegin()
+                    for _i90 in range(_size86):
+                        _elem91 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.holders.append(_elem91)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2008,15 +2213,15 @@
         if self.tokens is not None:
             oprot.writeFieldBegin('tokens', TType.LIST, 4)
             oprot.writeListBegin(TType.I32, len(self.tokens))
-            for iter78 in self.tokens:
-                oprot.writeI32(iter78)
+            for iter92 in self.tokens:
+                oprot.writeI32(iter92)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.texts is not None:
             oprot.writeFieldBegin('texts', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.texts))
-            for iter79 in self.texts:
-                oprot.writeString(iter79.encode('utf-8') if sys.version_info[0] == 2 else iter79)
+            for iter93 in self.texts:
+                oprot.writeString(iter93.encode('utf-8') if sys.version_info[0] == 2 else iter93)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.finish_reason is not None:
@@ -2030,8 +2235,8 @@
         if self.holders is not None:
             oprot.writeFieldBegin('holders', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.holders))
-            for iter80 in self.holders:
-                oprot.writeString(iter80.encode('utf-8') if sys.version_info[0] == 2 else iter80)
+            for iter94 in self.holders:
+                oprot.writeString(iter94.encode('utf-8') if sys.version_info[0] == 2 else iter94)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.write_quorum is not None:
@@ -2214,11 +2419,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.appends = []
-                    (_etype84, _size81) = iprot.readListBegin()
-                    for _i85 in range(_size81):
-                        _elem86 = Append()
-                        _elem86.read(iprot)
-                        self.appends.append(_elem86)
+                    (_etype98, _size95) = iprot.readListBegin()
+                    for _i99 in range(_size95):
+                        _elem100 = Append()
+                        _elem100.read(iprot)
+                        self.appends.append(_elem100)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2235,8 +2440,8 @@
         if self.appends is not None:
             oprot.writeFieldBegin('appends', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.appends))
-            for iter87 in self.appends:
-                iter87.write(oprot)
+            for iter101 in self.appends:
+                iter101.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2291,11 +2496,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.results = []
-                    (_etype91, _size88) = iprot.readListBegin()
-                    for _i92 in range(_size88):
-                        _elem93 = AppendResult()
-                        _elem93.read(iprot)
-                        self.results.append(_elem93)
+                    (_etype105, _size102) = iprot.readListBegin()
+                    for _i106 in range(_size102):
+                        _elem107 = AppendResult()
+                        _elem107.read(iprot)
+                        self.results.append(_elem107)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2312,8 +2517,8 @@
         if self.results is not None:
             oprot.writeFieldBegin('results', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.results))
-            for iter94 in self.results:
-                iter94.write(oprot)
+            for iter108 in self.results:
+                iter108.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2519,20 +2724,20 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.tokens = []
-                    (_etype98, _size95) = iprot.readListBegin()
-                    for _i99 in range(_size95):
-                        _elem100 = iprot.readI32()
-                        self.tokens.append(_elem100)
+                    (_etype112, _size109) = iprot.readListBegin()
+                    for _i113 in range(_size109):
+                        _elem114 = iprot.readI32()
+                        self.tokens.append(_elem114)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.texts = []
-                    (_etype104, _size101) = iprot.readListBegin()
-                    for _i105 in range(_size101):
-                        _elem106 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.texts.append(_elem106)
+                    (_etype118, _size115) = iprot.readListBegin()
+                    for _i119 in range(_size115):
+                        _elem120 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.texts.append(_elem120)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2544,10 +2749,10 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.holders = []
-                    (_etype110, _size107) = iprot.readListBegin()
-                    for _i111 in range(_size107):
-                        _elem112 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.holders.append(_elem112)
+                    (_etype124, _size121) = iprot.readListBegin()
+                    for _i125 in range(_size121):
+                        _elem126 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.holders.append(_elem126)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2599,15 +2804,15 @@
         if self.tokens is not None:
             oprot.writeFieldBegin('tokens', TType.LIST, 6)
             oprot.writeListBegin(TType.I32, len(self.tokens))
-            for iter113 in self.tokens:
-                oprot.writeI32(iter113)
+            for iter127 in self.tokens:
+                oprot.writeI32(iter127)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.texts is not None:
             oprot.writeFieldBegin('texts', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.texts))
-            for iter114 in self.texts:
-                oprot.writeString(iter114.encode('utf-8') if sys.version_info[0] == 2 else iter114)
+            for iter128 in self.texts:
+                oprot.writeString(iter128.encode('utf-8') if sys.version_info[0] == 2 else iter128)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.finish_reason is not None:
@@ -2617,8 +2822,8 @@
         if self.holders is not None:
             oprot.writeFieldBegin('holders', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.holders))
-            for iter115 in self.holders:
-                oprot.writeString(iter115.encode('utf-8') if sys.version_info[0] == 2 else iter115)
+            for iter129 in self.holders:
+                oprot.writeString(iter129.encode('utf-8') if sys.version_info[0] == 2 else iter129)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.write_quorum is not None:
@@ -2798,11 +3003,11 @@
             elif fid == 4:
                 if ftype == TType.MAP:
                     self.headers = {}
-                    (_ktype117, _vtype118, _size116) = iprot.readMapBegin()
-                    for _i120 in range(_size116):
-                        _key121 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val122 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.headers[_key121] = _val122
+                    (_ktype131, _vtype132, _size130) = iprot.readMapBegin()
+                    for _i134 in range(_size130):
+                        _key135 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val136 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.headers[_key135] = _val136
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2846,9 +3051,9 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.MAP, 4)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.headers))
-            for kiter123, viter124 in self.headers.items():
-                oprot.writeString(kiter123.encode('utf-8') if sys.version_info[0] == 2 else kiter123)
-                oprot.writeString(viter124.encode('utf-8') if sys.version_info[0] == 2 else viter124)
+            for kiter137, viter138 in self.headers.items():
+                oprot.writeString(kiter137.encode('utf-8') if sys.version_info[0] == 2 else kiter137)
+                oprot.writeString(viter138.encode('utf-8') if sys.version_info[0] == 2 else viter138)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -2935,11 +3140,11 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.headers = {}
-                    (_ktype126, _vtype127, _size125) = iprot.readMapBegin()
-                    for _i129 in range(_size125):
-                        _key130 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val131 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.headers[_key130] = _val131
+                    (_ktype140, _vtype141, _size139) = iprot.readMapBegin()
+                    for _i143 in range(_size139):
+                        _key144 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val145 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.headers[_key144] = _val145
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2980,9 +3185,9 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.headers))
-            for kiter132, viter133 in self.headers.items():
-                oprot.writeString(kiter132.encode('utf-8') if sys.version_info[0] == 2 else kiter132)
-                oprot.writeString(viter133.encode('utf-8') if sys.version_info[0] == 2 else viter133)
+            for kiter146, viter147 in self.headers.items():
+                oprot.writeString(kiter146.encode('utf-8') if sys.version_info[0] == 2 else kiter146)
+                oprot.writeString(viter147.encode('utf-8') if sys.version_info[0] == 2 else viter147)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -3812,11 +4017,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype137, _size134) = iprot.readListBegin()
-                    for _i138 in range(_size134):
-                        _elem139 = LogEntry()
-                        _elem139.read(iprot)
-                        self.entries.append(_elem139)
+                    (_etype151, _size148) = iprot.readListBegin()
+                    for _i152 in range(_size148):
+                        _elem153 = LogEntry()
+                        _elem153.read(iprot)
+                        self.entries.append(_elem153)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3854,8 +4059,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter140 in self.entries:
-                iter140.write(oprot)
+            for iter154 in self.entries:
+                iter154.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.commit_index is not None:
@@ -4269,10 +4474,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.paths = []
-                    (_etype144, _size141) = iprot.readListBegin()
-                    for _i145 in range(_size141):
-                        _elem146 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.paths.append(_elem146)
+                    (_etype158, _size155) = iprot.readListBegin()
+                    for _i159 in range(_size155):
+                        _elem160 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.paths.append(_elem160)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4311,8 +4516,8 @@
         if self.paths is not None:
             oprot.writeFieldBegin('paths', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.paths))
-            for iter147 in self.paths:
-                oprot.writeString(iter147.encode('utf-8') if sys.version_info[0] == 2 else iter147)
+            for iter161 in self.paths:
+                oprot.writeString(iter161.encode('utf-8') if sys.version_info[0] == 2 else iter161)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.author is not None:
@@ -5362,6 +5567,7 @@
      - code
      - commit_index
      - leader
+     - term
 
     """
 
@@ -5369,13 +5575,15 @@
         'code',
         'commit_index',
         'leader',
+        'term',
     )
 
 
-    def __init__(self, code=None, commit_index=None, leader=None,):
+    def __init__(self, code=None, commit_index=None, leader=None, term=None,):
         self.code = code
         self.commit_index = commit_index
         self.leader = leader
+        self.term = term
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5401,6 +5609,11 @@
                     self.leader = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5423,6 +5636,10 @@
             oprot.writeFieldBegin('leader', TType.STRING, 3)
             oprot.writeString(self.leader.encode('utf-8') if sys.version_info[0] == 2 else self.leader)
             oprot.writeFieldEnd()
+        if self.term is not None:
+            oprot.writeFieldBegin('term', TType.I64, 4)
+            oprot.writeI64(self.term)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5523,6 +5740,7 @@
      - document_json
      - patches_json
      - fresh_age_ms
+     - term
 
     """
 
@@ -5531,14 +5749,16 @@
         'document_json',
         'patches_json',
         'fresh_age_ms',
+        'term',
     )
 
 
-    def __init__(self, version=None, document_json=None, patches_json=None, fresh_age_ms=None,):
+    def __init__(self, version=None, document_json=None, patches_json=None, fresh_age_ms=None, term=None,):
         self.version = version
         self.document_json = document_json
         self.patches_json = patches_json
         self.fresh_age_ms = fresh_age_ms
+        self.term = term
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5569,6 +5789,11 @@
                     self.fresh_age_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5595,6 +5820,10 @@
             oprot.writeFieldBegin('fresh_age_ms', TType.I64, 4)
             oprot.writeI64(self.fresh_age_ms)
             oprot.writeFieldEnd()
+        if self.term is not None:
+            oprot.writeFieldBegin('term', TType.I64, 5)
+            oprot.writeI64(self.term)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5685,6 +5914,9 @@
     (13, TType.I64, 'sequence', None, None, ),  # 13
     (14, TType.I64, 'document_version', None, None, ),  # 14
     (15, TType.I32, 'n_in_flight', None, None, ),  # 15
+    (16, TType.I64, 'cache_epoch', None, None, ),  # 16
+    (17, TType.LIST, 'evicted_keys', (TType.STRING, 'BINARY', False), None, ),  # 17
+    (18, TType.STRING, 'role', 'UTF8', None, ),  # 18
 )
 all_structs.append(Announce)
 Announce.thrift_spec = (
@@ -5700,6 +5932,16 @@
     (3, TType.BOOL, 'leaving', None, None, ),  # 3
     (4, TType.I64, 'lease_ms', None, None, ),  # 4
     (5, TType.BOOL, 'has_document', None, None, ),  # 5
+    (6, TType.I64, 'fence', None, None, ),  # 6
+)
+all_structs.append(TargetOrder)
+TargetOrder.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'fence', None, None, ),  # 1
+    (2, TType.STRING, 'kind', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'model', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'version', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'role', 'UTF8', None, ),  # 5
 )
 all_structs.append(PeerDigest)
 PeerDigest.thrift_spec = (
@@ -5708,6 +5950,7 @@
     (2, TType.I64, 'document_version', None, None, ),  # 2
     (3, TType.LIST, 'targets', (TType.STRUCT, [TargetState, None], False), None, ),  # 3
     (4, TType.MAP, 'n_streams_by_customer', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 4
+    (5, TType.LIST, 'versions_in_use', (TType.STRUCT, [ModelState, None], False), None, ),  # 5
 )
 all_structs.append(AnswerSpec)
 AnswerSpec.thrift_spec = (
@@ -5731,6 +5974,7 @@
     (3, TType.LIST, 'prefix', (TType.I32, None, False), None, ),  # 3
     (4, TType.I32, 'priority', None, None, ),  # 4
     (5, TType.BOOL, 'prime', None, None, ),  # 5
+    (6, TType.STRING, 'cache_key', 'BINARY', None, ),  # 6
 )
 all_structs.append(AttemptChunk)
 AttemptChunk.thrift_spec = (
@@ -6018,6 +6262,7 @@
     (1, TType.I32, 'code', None, None, ),  # 1
     (2, TType.I64, 'commit_index', None, None, ),  # 2
     (3, TType.STRING, 'leader', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'term', None, None, ),  # 4
 )
 all_structs.append(FetchDocument)
 FetchDocument.thrift_spec = (
@@ -6031,6 +6276,7 @@
     (2, TType.STRING, 'document_json', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'patches_json', 'UTF8', None, ),  # 3
     (4, TType.I64, 'fresh_age_ms', None, None, ),  # 4
+    (5, TType.I64, 'term', None, None, ),  # 5
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/entry/src/almonddeal/answers/generate.py
+++ b/packages/entry/src/almonddeal/answers/generate.py
@@ -21,6 +21,7 @@
 from almonddeal_common.logs import get_logger
 from almonddeal_common.wire.gen.ttypes import AttemptChunk, StartAttempt
 
+from almonddeal.targets.choose import prefix_key
 from almonddeal.targets.directory import entered
 
 RETRY_S = 0.02
@@ -147,7 +148,12 @@
         self.stats.n_resumes += bool(answer.tokens)
         attempt = answer.n_attempts
         start = StartAttempt(
-            answer.spec, attempt, answer.tokens, customer.limits.priority, False
+            answer.spec,
+            attempt,
+            answer.tokens,
+            customer.limits.priority,
+            False,
+            prefix_key(answer.spec.prompt),
         )
         link = await self._open_link(target.state)
         async with link.open_stream(start) as stream:
--- a/packages/entry/src/almonddeal/answers/service.py
+++ b/packages/entry/src/almonddeal/answers/service.py
@@ -65,10 +65,23 @@
     store : AnswerStore
     replica : DocumentReplica
     limits : CustomerLimits
+    version_for_new : callable
+        Maps a `Model` to the version that new answers use.
     group : anyio.abc.TaskGroup
     """
 
-    def __init__(self, ownership, generator, replicator, store, replica, limits, group):
+    def __init__(
+        self,
+        ownership,
+        generator,
+        replicator,
+        store,
+        replica,
+        limits,
+        version_for_new,
+        group,
+    ):
+        self._version_for_new = version_for_new
         self._limits = limits
         self._ownership = ownership
         self._generator = generator
@@ -85,6 +98,14 @@
         """Number of answers that are being generated here."""
         return sum(r.scope is not None for r in self._running_by_key.values())
 
+    def versions_in_use(self):
+        """Return the versions of unfinished answers that are owned here, as pairs."""
+        return {
+            (running.answer.spec.model, running.answer.spec.version)
+            for running in self._running_by_key.values()
+            if not running.answer.is_ended
+        }
+
     # ---- beginning and attaching -----------------------------------------------
 
     async def begin(self, customer, request):
@@ -133,7 +154,7 @@
             request=key,
             customer=customer.name,
             model=request.model,
-            version=model.version,
+            version=self._version_for_new(model),
             adapter=request.adapter,
             prompt=request.prompt,
             settings_json=json.dumps(request.settings, sort_keys=True),
--- a/packages/entry/src/almonddeal/cli/main.py
+++ b/packages/entry/src/almonddeal/cli/main.py
@@ -85,6 +85,9 @@
         result = client.request("POST", "/v1/plan", body)
         lines = [f"against version {result['base_version']}:"]
         lines += [f"  {path}" for path in result["changes"]] or ["  nothing"]
+        lines += [f"step: {step}" for step in result["steps"]]
+        if result["steps"]:
+            lines.append(f"lowest capacity on the way: {result['lowest_slots']} slots")
         client.show(result, lines)
 
 
--- a/packages/entry/src/almonddeal/control/client.py
+++ b/packages/entry/src/almonddeal/control/client.py
@@ -42,6 +42,11 @@
         The other members.
     replica : DocumentReplica
         Where the followed document goes.
+
+    Attributes
+    ----------
+    term : int
+        Highest term of the group that was confirmed here.
     """
 
     def __init__(self, name, consensus, member_by_name, replica):
@@ -51,6 +56,7 @@
         self._replica = replica
         self._leader = None
         self._fresh_at_ms = None
+        self.term = 0
 
     @property
     def fresh_age_ms(self):
@@ -148,11 +154,14 @@
 
     async def _read_index(self):
         if self._consensus.is_leader:
-            return await self._consensus.read_index(FRESH_TIMEOUT_MS)
+            index = await self._consensus.read_index(FRESH_TIMEOUT_MS)
+            self.term = max(self.term, self._consensus.term)
+            return index
         peer = self._leader_peer()
         reply = await peer.call(ReadFresh(), FRESH_TIMEOUT_MS)
         if reply.code != OK.number:
             raise AlmonddealError(CODE_BY_NUMBER[reply.code], f"from {peer.name}")
+        self.term = max(self.term, reply.term)
         return reply.commit_index
 
     async def handle_read_fresh(self, link, message, emit):
@@ -160,8 +169,8 @@
         try:
             index = await self._consensus.read_index(FRESH_TIMEOUT_MS)
         except AlmonddealError as error:
-            return ReadFreshReply(error.code.number, 0, self._consensus.leader or "")
-        return ReadFreshReply(OK.number, index, self._name)
+            return ReadFreshReply(error.code.number, 0, self._consensus.leader or "", 0)
+        return ReadFreshReply(OK.number, index, self._name, self._consensus.term)
 
     async def _confirm_as_follower(self, asked_ms):
         peer = next((p for p in self._member_by_name.values() if p.is_up), None)
@@ -170,6 +179,7 @@
         request = FetchDocument(self._replica.document.version)
         reply = await peer.call(request, FRESH_TIMEOUT_MS)
         self._replica.take(reply)
+        self.term = max(self.term, reply.term or 0)
         if reply.fresh_age_ms < 0:
             raise AlmonddealError(NO_QUORUM, f"{peer.name} is cut off from control")
         self._fresh_at_ms = asked_ms - reply.fresh_age_ms
--- a/packages/entry/src/almonddeal/control/replica.py
+++ b/packages/entry/src/almonddeal/control/replica.py
@@ -52,10 +52,10 @@
         self._followed = FleetDocument(reply.version, raw)
         self.notify_changed()
 
-    def make_reply(self, have_version, fresh_age_ms):
+    def make_reply(self, have_version, fresh_age_ms, term):
         """Return what an instance at `have_version` lacks, as patches if possible."""
         document = self.document
-        reply = FetchDocumentReply(document.version, "", "[]", int(fresh_age_ms))
+        reply = FetchDocumentReply(document.version, "", "[]", int(fresh_age_ms), term)
         if have_version >= document.version:
             return reply
         patches = self._state.patches_since(have_version) if have_version else None
--- a/packages/entry/src/almonddeal/document/model.py
+++ b/packages/entry/src/almonddeal/document/model.py
@@ -1,5 +1,9 @@
 """The fleet document as plain classes, made from JSON that passed validation."""
 
+MIN_READY = 0.5
+LEASE_MS = 3000
+MAX_LOADS = 1
+
 
 class Limits:
     """Limits of one customer, in requests a second and streams in flight."""
@@ -66,12 +70,19 @@
 
 
 class Model:
-    """One model: the version that new answers use and the pools that serve it."""
+    """One model: the version to run, and the pools that serve it.
+
+    Attributes
+    ----------
+    min_ready : float
+        Share of the engines that must have the version before new answers use it.
+    """
 
-    __slots__ = ("name", "pools", "version")
+    __slots__ = ("min_ready", "name", "pools", "version")
 
     def __init__(self, name, raw):
         self.name = name
+        self.min_ready = raw.get("min_ready", MIN_READY)
         self.version = raw["version"]
         self.pools = tuple(raw.get("pools", ()))
 
@@ -122,6 +133,7 @@
         "model_by_name",
         "pool_by_name",
         "raw",
+        "role_by_target",
         "service_by_name",
         "version",
     )
@@ -141,12 +153,18 @@
             name: pool["labels"] for name, pool in raw.get("pools", {}).items()
         }
         self.leaving = frozenset(raw.get("leaving", ()))
+        self.role_by_target = raw.get("roles", {})
         self.control = raw.get("control", {})
 
     @property
     def lease_ms(self):
         """Time in ms for which a target may take work without news of control."""
-        return self.control.get("lease_ms", 3000)
+        return self.control.get("lease_ms", LEASE_MS)
+
+    @property
+    def max_loads(self):
+        """Number of loads that the weight store bears at once."""
+        return self.control.get("max_loads", MAX_LOADS)
 
     @property
     def serves_without_control(self):
--- a/packages/entry/src/almonddeal/membership/digest.py
+++ b/packages/entry/src/almonddeal/membership/digest.py
@@ -2,7 +2,7 @@
 
 import anyio
 from almonddeal_common.clock import monotonic_ms
-from almonddeal_common.wire.gen.ttypes import PeerDigest
+from almonddeal_common.wire.gen.ttypes import ModelState, PeerDigest
 
 INTERVAL_S = 0.4
 HEARD_MS = 2500
@@ -35,15 +35,18 @@
     directory : TargetDirectory
     usage : callable
         Returns the streams in flight here, by customer.
+    versions_in_use : callable
+        Returns the versions with unfinished answers here, as (model, version) pairs.
     """
 
-    def __init__(self, name, peer_by_name, replica, directory, usage):
+    def __init__(self, name, peer_by_name, replica, directory, usage, versions_in_use):
         self.news_by_name = {}
         self._name = name
         self._peer_by_name = peer_by_name
         self._replica = replica
         self._directory = directory
         self._usage = usage
+        self._versions_in_use = versions_in_use
 
     async def run(self):
         """Send digests at intervals and after each new document, until cancelled."""
@@ -64,6 +67,7 @@
             self._replica.document.version,
             self._directory.heard_here(),
             self._usage(),
+            [ModelState(m, v, []) for m, v in sorted(self._versions_in_use())],
         )
 
     async def handle_digest(self, link, message, emit):
@@ -77,6 +81,22 @@
         """Number of live entry instances, this one included."""
         return 1 + sum(news.is_recent for news in self.news_by_name.values())
 
+    def versions_in_use(self, all_names):
+        """Return the versions with unfinished answers on any instance, or None.
+
+        None means that an instance has not been heard of since it may have begun
+        answers, so that nothing may be unloaded.
+        """
+        in_use = set(self._versions_in_use())
+        for name in all_names:
+            if name == self._name:
+                continue
+            news = self.news_by_name.get(name)
+            if news is None or not news.is_recent:
+                return None
+            in_use |= {(m.model, m.version) for m in news.digest.versions_in_use}
+        return in_use
+
     def n_streams_elsewhere(self, customer):
         """Return the streams that other live instances run for a customer."""
         return sum(
--- a/packages/entry/src/almonddeal/operators/app.py
+++ b/packages/entry/src/almonddeal/operators/app.py
@@ -19,6 +19,7 @@
 
 from almonddeal.callers.errors import answers_errors
 from almonddeal.callers.requests import read_body
+from almonddeal.document.model import FleetDocument
 from almonddeal.document.validate import validate_document
 from almonddeal.operators.changes import Change, validation_messages
 
@@ -93,7 +94,15 @@
         except ExceptionGroup as group:
             return _invalid_response(group)
         version = self._entry.document.version
-        return JSONResponse({"base_version": version, "changes": paths})
+        planned = self._entry.planned_steps(FleetDocument(version + 1, raw["document"]))
+        return JSONResponse(
+            {
+                "base_version": version,
+                "changes": paths,
+                "steps": [str(p.step) for p in planned],
+                "lowest_slots": min((p.n_slots_left for p in planned), default=None),
+            }
+        )
 
     async def _apply(self, request):
         raw = await _read_json(request)
--- a/packages/entry/src/almonddeal/run.py
+++ b/packages/entry/src/almonddeal/run.py
@@ -52,6 +52,8 @@
 from almonddeal.operators.changes import Changes
 from almonddeal.operators.confirmations import Confirmations
 from almonddeal.orders.run import OrderPorts, OrderRunner
+from almonddeal.rollout.controller import RolloutController
+from almonddeal.rollout.planner import simulate, version_for_new
 from almonddeal.targets.choose import two_choices, with_affinity
 from almonddeal.targets.directory import TargetDirectory
 from almonddeal.targets.links import AgentLinks
@@ -93,6 +95,7 @@
         self._control = None
         self._directory = None
         self._links = None
+        self._rollout = None
         self._digests = None
         self._peer_by_name = {}
         self._dispatcher_by_version = {}
@@ -143,8 +146,13 @@
                 "losses": dict(self._generator.stats.n_losses_by_code),
             },
             "orders_in_flight": self.orders.n_in_flight,
+            "rollout_paused": self._rollout.paused_because if self._rollout else None,
         }
 
+    def planned_steps(self, document):
+        """Return the steps that a `FleetDocument` would bring about from now on."""
+        return simulate(document, self._directory.engines())
+
     def _targets(self):
         return sorted(self._directory.target_by_name.values(), key=lambda t: t.name)
 
@@ -258,6 +266,7 @@
             self.replica,
             self._directory,
             self._usage,
+            self._versions_in_use_here,
         )
         self.limits = CustomerLimits(
             lambda: self._digests.n_live, self._digests.n_streams_elsewhere
@@ -278,6 +287,7 @@
             self._store,
             self.replica,
             self.limits,
+            self._version_for_new,
             group,
         )
 
@@ -314,6 +324,15 @@
         for peer in self._peer_by_name.values():
             group.start_soon(peer.run)
         if self._consensus is not None:
+            self._rollout = RolloutController(
+                self._consensus,
+                self._control,
+                self.replica,
+                self._directory,
+                self._links,
+                self._versions_in_use,
+            )
+            group.start_soon(self._rollout.run)
             group.start_soon(self._consensus.run)
             group.start_soon(self._compact_for_ever)
         group.start_soon(self._control.keep_fresh)
@@ -352,11 +371,23 @@
     # ---- joining the parts -----------------------------------------------------
 
     async def _handle_fetch(self, link, message, emit):
-        return self.replica.make_reply(message.have_version, self._control.fresh_age_ms)
+        return self.replica.make_reply(
+            message.have_version, self._control.fresh_age_ms, self._control.term
+        )
 
     def _usage(self):
         return self.limits.usage()
 
+    def _versions_in_use_here(self):
+        return self._store.versions_in_use() | self.answers.versions_in_use()
+
+    def _versions_in_use(self):
+        return self._digests.versions_in_use(self.settings.entry_by_name)
+
+    def _version_for_new(self, model):
+        engines = self._directory.engines()
+        return version_for_new(self.document, model, engines)
+
     def _give_out_places(self):
         for dispatcher in self._dispatcher_by_version.values():
             dispatcher.give_out()
--- a/packages/entry/src/almonddeal/targets/choose.py
+++ b/packages/entry/src/almonddeal/targets/choose.py
@@ -59,6 +59,9 @@
 def with_affinity(choose_other):
     """Return a policy that prefers the target that saw a prompt's beginning last.
 
+    What a target said of evictions corrects what was sent to it; after a gap in its
+    events the older belief is dropped.
+
     Parameters
     ----------
     choose_other : callable
@@ -68,12 +71,14 @@
 
     def choose(targets, prompt):
         key = prefix_key(prompt)
-        name = name_by_prefix.get(key)
+        name, epoch = name_by_prefix.get(key, (None, None))
         target = next((t for t in targets if t.name == name), None)
+        if target is not None and not target.may_have_cached(key, epoch):
+            target = None
         if target is None or target.occupancy >= AFFINITY_OCCUPANCY:
             target = choose_other(targets, prompt)
         if target is not None:
-            name_by_prefix[key] = target.name
+            name_by_prefix[key] = (target.name, target.state.cache_epoch)
             name_by_prefix.move_to_end(key)
             if len(name_by_prefix) > MAX_PREFIXES:
                 name_by_prefix.popitem(last=False)
--- a/packages/entry/src/almonddeal/targets/directory.py
+++ b/packages/entry/src/almonddeal/targets/directory.py
@@ -5,6 +5,9 @@
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.wire.gen.ttypes import AnnounceReply
 
+from almonddeal.rollout.fence import fence_of_term
+from almonddeal.rollout.planner import observe, swapping_target
+
 LIVE_MS = 2500
 FORGET_MS = 10 * 60 * 1000
 AVOID_MIN_MS = 300
@@ -77,6 +80,13 @@
         """Tell whether the target has a version of a model loaded."""
         return any(m.model == model and m.version == version for m in self.state.models)
 
+    def may_have_cached(self, key, epoch):
+        """Tell whether a prefix sent under a cache epoch may still be cached."""
+        state = self.state
+        if (state.cache_epoch or 0) != (epoch or 0):
+            return False
+        return key not in (state.evicted_keys or ())
+
     def take(self, state):
         """Take a newer announcement; returns whether it was newer."""
         mine = (self.state.incarnation, self.state.sequence)
@@ -139,13 +149,25 @@
 
     def candidates(self):
         """Return the live targets that are not leaving, as a list."""
-        leaving = self._replica.document.leaving
+        leaving = self._replica.document.leaving | {self.swapping()}
         return [
             target
             for target in self.target_by_name.values()
             if target.is_live and target.name not in leaving
         ]
 
+    def engines(self):
+        """Return what is observed of all engines, as a list of `Observed`."""
+        targets = self.target_by_name.values()
+        return [observe(t) for t in targets if t.state.kind == "engine"]
+
+    def swapping(self):
+        """Return the name of the engine whose role changes now, or None."""
+        document = self._replica.document
+        if not document.role_by_target:
+            return None
+        return swapping_target(document, self.engines())
+
     def take(self, state):
         """Take an announcement, from wherever it came."""
         target = self.target_by_name.get(state.target)
@@ -170,13 +192,15 @@
         self.take(state)
         self._heard_here_ms_by_name[state.target] = monotonic_ms()
         document = self._replica.document
+        is_swapping = state.target == self.swapping()
         lease_ms = 0 if document.serves_without_control else document.lease_ms
         return AnnounceReply(
             document.version,
             int(self._control.fresh_age_ms) + (self._control.fresh_age_ms > 0),
-            state.target in document.leaving,
+            state.target in document.leaving or is_swapping,
             lease_ms,
             document.version > 0,
+            fence_of_term(self._control.term),
         )
 
     def forget_old(self):
--- /dev/null
+++ b/tools/almonddeal_tools/bench/naive.py
@@ -0,0 +1,62 @@
+"""The naive way: straight to an engine, a fixed timeout, and again from the start."""
+
+import json
+import time
+
+import anyio
+
+
+class NaiveCaller:
+    """A caller without almonddeal.
+
+    Parameters
+    ----------
+    fleet : Fleet
+    timeout_s : float
+        Silence after which it begins again at another engine.
+    """
+
+    def __init__(self, fleet, timeout_s):
+        self._fleet = fleet
+        self._timeout_s = timeout_s
+
+    def _body(self, prompt, n_tokens):
+        return {
+            "request": f"naive:{time.monotonic_ns()}",
+            "attempt": 1,
+            "model": "draft",
+            "version": "v1",
+            "adapter": "",
+            "prompt": prompt,
+            "prefix": [],
+            "settings": {},
+            "max_tokens": n_tokens,
+            "priority": 5,
+        }
+
+    async def read(self, client, engine, prompt, n_tokens, on_token=None):
+        """Read tokens straight from an engine; returns the time of each."""
+        times = []
+        url = f"{self._fleet.engine_urls[engine]}/generate"
+        body = self._body(prompt, n_tokens)
+        async with client.stream("POST", url, json=body) as response:
+            async for line in response.aiter_lines():
+                if line and "finish" not in json.loads(line):
+                    times.append(time.monotonic())
+                    if on_token is not None:
+                        on_token(len(times))
+        return times
+
+    async def regenerate_ms(self, client, prompt, n_tokens):
+        """Return the time to begin again and come back to token `n_tokens`."""
+        started = time.monotonic()
+        times = await self.read(client, 0, prompt, n_tokens + 1)
+        return (times[-1] - started) * 1000
+
+    async def hang_ms(self, client, prompt, n_tokens):
+        """Return the same after a hang, which the fixed timeout has to notice."""
+        started = time.monotonic()
+        with anyio.move_on_after(self._timeout_s):
+            await anyio.sleep_forever()
+        waited_ms = (time.monotonic() - started) * 1000
+        return waited_ms + await self.regenerate_ms(client, prompt, n_tokens)
--- a/tools/almonddeal_tools/engine.py
+++ b/tools/almonddeal_tools/engine.py
@@ -39,6 +39,7 @@
         self.prefix = list(body["prefix"])
         self.max_tokens = body["max_tokens"]
         self.priority = body["priority"]
+        self.cache_key = body.get("cache_key", "")
         settings_json = json.dumps(body["settings"], sort_keys=True)
         self.context = context_digest(
             self.model, self.version, self.prompt, settings_json
@@ -48,6 +49,7 @@
         self.n_prefill = 0
         self.is_cancelled = False
         self.is_hung = False
+        self.is_stopped = False
 
     def record(self):
         """Return the attempt as a dict for JSON."""
@@ -63,10 +65,38 @@
 
 
 class PrefixCache:
-    """Which prompt blocks are cached; the least recently used go first."""
+    """Which prompt blocks are cached; the least recently used go first.
 
-    def __init__(self):
+    Events tell of keys that callers gave; some are left out, as real ones are.
+    """
+
+    def __init__(self, max_keys, lost_share):
         self._blocks = OrderedDict()
+        self._keys = OrderedDict()
+        self._max_keys = max_keys
+        self._lost_share = lost_share
+        self.events = []
+        self._n_events = 0
+
+    def note_key(self, key):
+        """Note that a key is in use; the least recently used ones are evicted."""
+        if not key:
+            return
+        if key not in self._keys:
+            self._add_event("stored", key)
+        self._keys[key] = None
+        self._keys.move_to_end(key)
+        while len(self._keys) > self._max_keys:
+            oldest, _ = self._keys.popitem(last=False)
+            self._add_event("evicted", oldest)
+
+    def _add_event(self, kind, key):
+        self._n_events += 1
+        if random.random() >= self._lost_share:
+            at = anyio.current_time()
+            event = {"number": self._n_events, "kind": kind, "key": key}
+            self.events.append((at, event))
+            del self.events[:-1000]
 
     def prefill(self, text_tokens):
         """Cache a sequence; returns the number of tokens that had to be computed."""
@@ -100,8 +130,10 @@
         self.running = set()
         self.n_waiting = 0
         self.records = []
-        self.cache = PrefixCache()
+        self.cache = PrefixCache(options["cache_keys"], options["lost_events"])
+        self.role = ""
         self.highest_fence = 0
+        self.orders = []
         self.is_refusing = False
         self.is_hung = False
         self.slots = anyio.CapacityLimiter(options["slots"])
@@ -129,6 +161,7 @@
             "slots": self.options["slots"],
             "free_tokens": 1_000_000,
             "token_ms": self.token_ms,
+            "role": self.role,
             "models": [{"model": m, "version": v} for m, v in self.models],
         }
 
@@ -160,14 +193,15 @@
             record.update(attempt.record())
 
     async def _decode(self, attempt):
+        self.cache.note_key(attempt.cache_key)
         sequence = [*attempt.prompt.split(), *attempt.prefix]
         attempt.n_prefill = self.cache.prefill(sequence)
         await anyio.sleep(attempt.n_prefill * self.options["prefill_us"] / 1e6)
         previous = attempt.prefix[-1] if attempt.prefix else -1
         index = len(attempt.prefix)
         due = anyio.current_time()
-        while index < attempt.max_tokens:
-            while self.is_hung or attempt.is_hung:
+        while index < attempt.max_tokens and not attempt.is_stopped:
+            while (self.is_hung or attempt.is_hung) and not attempt.is_stopped:
                 await anyio.sleep(0.02)
             # Steps are scheduled from the one before, so that a late timer does not
             # slow the engine down for good.
@@ -195,6 +229,9 @@
                 Route("/generate", self._generate, methods=["POST"]),
                 Route("/load", self._load),
                 Route("/records", self._records),
+                Route("/orders", self._orders),
+                Route("/cancel", self._cancel, methods=["POST"]),
+                Route("/events", self._events),
                 Route("/order", self._order, methods=["POST"]),
                 Route("/fault", self._fault, methods=["POST"]),
             ]
@@ -218,9 +255,27 @@
     async def _records(self, request):
         return JSONResponse(self._engine.records)
 
+    async def _orders(self, request):
+        return JSONResponse(self._engine.orders)
+
+    async def _cancel(self, request):
+        body = await request.json()
+        for attempt in self._engine.running:
+            if (attempt.request, attempt.attempt) == (body["request"], body["attempt"]):
+                attempt.is_stopped = True
+        return JSONResponse({"ok": True})
+
+    async def _events(self, request):
+        since = int(request.query_params["since"])
+        before = anyio.current_time() - self._engine.options["event_lag_ms"] / 1000
+        events = self._engine.cache.events
+        late = [e for at, e in events if at <= before and e["number"] >= since]
+        return JSONResponse(late)
+
     async def _order(self, request):
         engine = self._engine
         order = await request.json()
+        engine.orders.append(order)
         if engine.options["honours_fencing"] and order["fence"] < engine.highest_fence:
             return JSONResponse({"error": "old fencing number"}, 409)
         engine.highest_fence = max(engine.highest_fence, order["fence"])
@@ -229,6 +284,8 @@
             await anyio.sleep(engine.options["load_s"])
             if pair not in engine.models:
                 engine.models.append(pair)
+        elif order["kind"] == "role":
+            engine.role = order["role"]
         elif pair in engine.models:
             engine.models.remove(pair)
         return JSONResponse({"ok": True})
@@ -256,6 +313,9 @@
     "report_lag_ms": 200,
     "honours_fencing": True,
     "load_s": 1.0,
+    "cache_keys": 512,
+    "lost_events": 0.02,
+    "event_lag_ms": 300,
 }
 
 
