wire: drop the second thrift layer and the timers a token

Cause: profiles of an entry instance and an agent at 200 streams showed a thrift frame around each thrift message, two cancel scopes a token (agent read, caller wait) and a task with a timer for each batch of appends. Change: a fixed header in front of the thrift body; appends and fences handled without a task; one watcher for stalls in place of a timer a token; callers' deadlines looked at by the upkeep. Most of the agent's time is httpx reading one chunk a token.

--- a/idl/almonddeal.thrift
+++ b/idl/almonddeal.thrift
@@ -10,7 +10,6 @@
 
 enum Phase { CALL = 1, REPLY = 2, ITEM = 3, FAULT = 4, CANCEL = 5, NOTICE = 6 }
 
-struct Frame { 1: i32 phase, 2: i64 call_id, 3: i32 kind, 4: binary body }
 struct Fault { 1: i32 code, 2: string detail }
 struct Ping { 1: i64 sent_us }
 struct Ok { }
--- a/packages/agent/src/almonddeal_agent/attempts.py
+++ b/packages/agent/src/almonddeal_agent/attempts.py
@@ -1,5 +1,7 @@
 """Attempts: one numbered engine stream each, relayed to the owner of the answer."""
 
+from contextlib import contextmanager
+
 import anyio
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import (
@@ -15,6 +17,8 @@
 from almonddeal_agent.cache import CacheView
 from almonddeal_agent.stall import StallLimit
 
+STALL_CHECK_S = 0.05
+
 log = get_logger("attempts")
 
 
@@ -34,6 +38,7 @@
         self._watch = watch
         self._admission = admission
         self._handover = anyio.Event()
+        self._scope_by_limit = {}
         self.n_stalled = 0
         self.n_started = 0
 
@@ -84,16 +89,18 @@
         next_index = len(start.prefix)
         stream = self._engine.generate(start)
         try:
-            while True:
-                started_ms = monotonic_ms()
-                tokens = await self._next_tokens(stream, limit)
-                limit.note_tokens(len(tokens), monotonic_ms() - started_ms)
-                chunk = self._make_chunk(start.attempt, next_index, tokens)
-                next_index += len(chunk.tokens)
-                if chunk.tokens:
-                    emit(chunk)
-                if tokens[-1].finish_reason:
-                    return AttemptEnd(start.attempt, tokens[-1].finish_reason)
+            with anyio.CancelScope() as scope, self._watched(limit, scope):
+                async for tokens in stream:
+                    limit.note_tokens(len(tokens), monotonic_ms())
+                    chunk = self._make_chunk(start.attempt, next_index, tokens)
+                    next_index += len(chunk.tokens)
+                    if chunk.tokens:
+                        emit(chunk)
+                    if tokens[-1].finish_reason:
+                        return AttemptEnd(start.attempt, tokens[-1].finish_reason)
+            self.n_stalled += 1
+            detail = f"silent for {limit.limit_ms:.0f} ms"
+            raise AlmonddealError(TARGET_STALLED, detail)
         except BaseException:
             await self._engine.cancel(start)
             raise
@@ -101,13 +108,23 @@
             with anyio.CancelScope(shield=True):
                 await stream.aclose()
 
-    async def _next_tokens(self, stream, limit):
+    @contextmanager
+    def _watched(self, limit, scope):
+        """Have the stream cancelled in the context once it is silent for too long."""
+        self._scope_by_limit[limit] = scope
+        try:
+            yield
+        finally:
+            del self._scope_by_limit[limit]
+
+    async def watch_stalls(self):
+        """Cancel streams that stay silent for too long, until cancelled."""
         while True:
-            limit_ms = limit.limit_ms
-            with anyio.move_on_after(limit_ms / 1000):
-                return await anext(stream)
-            self.n_stalled += 1
-            raise AlmonddealError(TARGET_STALLED, f"silent for {limit_ms:.0f} ms")
+            await anyio.sleep(STALL_CHECK_S)
+            now_ms = monotonic_ms()
+            for limit, scope in list(self._scope_by_limit.items()):
+                if limit.is_over(now_ms):
+                    scope.cancel()
 
     @staticmethod
     def _make_chunk(attempt, next_index, tokens):
--- a/packages/agent/src/almonddeal_agent/run.py
+++ b/packages/agent/src/almonddeal_agent/run.py
@@ -107,6 +107,7 @@
             gate = OrderGate(self._admission, engine.order)
             handlers[TargetOrder] = gate.handle_order
             group.start_soon(self._watch.run)
+            group.start_soon(self._attempts.watch_stalls)
         else:
             calls = CallRunner(self._client, address, self._admission, group)
             handlers[ServiceCall] = calls.handle_call
--- a/packages/agent/src/almonddeal_agent/stall.py
+++ b/packages/agent/src/almonddeal_agent/stall.py
@@ -4,6 +4,8 @@
 the batch, and a first token waits for the queue in front of it.
 """
 
+from almonddeal_common.clock import monotonic_ms
+
 DECODE_GAPS = 15.0
 DECODE_MIN_MS = 700.0
 DECODE_MAX_MS = 2000.0
@@ -22,19 +24,25 @@
         Returns the newest `Load` of the engine.
     """
 
-    __slots__ = ("_gap_ms", "_load_of", "_n_tokens")
+    __slots__ = ("_gap_ms", "_heard_ms", "_load_of", "_n_tokens")
 
     def __init__(self, load_of):
         self._load_of = load_of
         self._gap_ms = 0.0
         self._n_tokens = 0
+        self._heard_ms = monotonic_ms()
 
-    def note_tokens(self, n_tokens, silence_ms):
-        """Take note of tokens that came after a silence in ms."""
+    def note_tokens(self, n_tokens, now_ms):
+        """Take note of tokens that came at a time of the monotonic clock."""
         if self._n_tokens:
-            gap_ms = silence_ms / n_tokens
+            gap_ms = (now_ms - self._heard_ms) / n_tokens
             self._gap_ms += GAP_WEIGHT * (gap_ms - self._gap_ms)
         self._n_tokens += n_tokens
+        self._heard_ms = now_ms
+
+    def is_over(self, now_ms):
+        """Tell whether the stream was silent for longer than the limit."""
+        return now_ms - self._heard_ms > self.limit_ms
 
     @property
     def limit_ms(self):
--- a/packages/common/src/almonddeal_common/held/handlers.py
+++ b/packages/common/src/almonddeal_common/held/handlers.py
@@ -6,10 +6,7 @@
 def held_answer_handlers(store):
     """Return the link handlers for an `AnswerStore`, by message type."""
 
-    async def take_appends(link, message, emit):
+    def take_appends(message):
         return AppendBatchReply([store.append(append) for append in message.appends])
 
-    async def fence(link, message, emit):
-        return store.fence(message)
-
-    return {AppendBatch: take_appends, Fence: fence}
+    return {AppendBatch: take_appends, Fence: store.fence}
--- a/packages/common/src/almonddeal_common/held/store.py
+++ b/packages/common/src/almonddeal_common/held/store.py
@@ -158,7 +158,6 @@
         )
         new_tokens = message.tokens[len(known) :]
         assert not (new_tokens and answer.is_sealed), "an ended answer would grow"
-        self._account(answer, -answer.n_bytes)
         answer.tokens.extend(new_tokens)
         answer.texts.extend(message.texts[len(known) :])
         if message.finish_reason:
@@ -166,7 +165,8 @@
             answer.end_code = message.end_code or 0
         answer.n_attempts = max(answer.n_attempts, message.n_attempts or 0)
         answer.touched_ms = monotonic_ms()
-        self._account(answer, answer.n_bytes)
+        if new_tokens:
+            self._account(answer, TOKEN_BYTES * len(new_tokens))
         self._answer_by_request.move_to_end(message.request)
 
     def _account(self, answer, n_bytes):
--- a/packages/common/src/almonddeal_common/wire/codec.py
+++ b/packages/common/src/almonddeal_common/wire/codec.py
@@ -1,4 +1,4 @@
-"""Bytes of a message: a length, then a thrift frame that holds a typed body."""
+"""Bytes of a message: a fixed header, then a typed thrift body."""
 
 import struct
 
@@ -9,7 +9,8 @@
 from almonddeal_common.wire.gen import ttypes as messages
 
 MAX_FRAME_BYTES = 64 * 1024 * 1024
-LENGTH = struct.Struct(">I")
+# length of the body, phase, kind of message, call id
+HEADER = struct.Struct(">IBHQ")
 
 _FACTORY = TBinaryProtocolAcceleratedFactory()
 
@@ -65,18 +66,36 @@
 
 
 def encode_frame(phase, call_id, message):
-    """Return a whole frame with its length in front."""
+    """Return a whole frame: a fixed header, then the thrift message."""
+    body = serialize(message, _FACTORY)
     kind = KIND_BY_TYPE[type(message)]
-    body = encode(messages.Frame(phase, call_id, kind, encode(message)))
-    return LENGTH.pack(len(body)) + body
+    return HEADER.pack(len(body), phase, kind, call_id) + body
 
 
-def frame_message(frame):
-    """Return the typed message inside a frame."""
-    type_ = TYPE_BY_KIND.get(frame.kind)
-    if type_ is None:
-        raise AlmonddealError(PROTOCOL_MISMATCH, f"unknown message kind {frame.kind}")
-    return decode(type_, frame.body)
+class Frame:
+    """One frame as it came: phase, call id, kind of message and its bytes."""
+
+    __slots__ = ("body", "call_id", "kind", "phase")
+
+    def __init__(self, phase, kind, call_id, body):
+        self.phase = phase
+        self.kind = kind
+        self.call_id = call_id
+        self.body = body
+
+    @property
+    def type(self):
+        """Type of the message, or None if this release does not know it."""
+        return TYPE_BY_KIND.get(self.kind)
+
+    def message(self):
+        """Return the typed message inside."""
+        type_ = self.type
+        if type_ is None:
+            raise AlmonddealError(
+                PROTOCOL_MISMATCH, f"unknown message kind {self.kind}"
+            )
+        return deserialize(type_(), self.body, _FACTORY)
 
 
 class FrameReader:
@@ -93,15 +112,15 @@
         buffer += data
         frames = []
         start = 0
-        while len(buffer) - start >= LENGTH.size:
-            (length,) = LENGTH.unpack_from(buffer, start)
+        while len(buffer) - start >= HEADER.size:
+            length, phase, kind, call_id = HEADER.unpack_from(buffer, start)
             if length > MAX_FRAME_BYTES:
                 raise AlmonddealError(PROTOCOL_MISMATCH, f"frame of {length} bytes")
-            end = start + LENGTH.size + length
+            end = start + HEADER.size + length
             if len(buffer) < end:
                 break
-            body = bytes(buffer[start + LENGTH.size : end])
-            frames.append(decode(messages.Frame, body))
+            body = bytes(buffer[start + HEADER.size : end])
+            frames.append(Frame(phase, kind, call_id, body))
             start = end
         del buffer[:start]
         return frames
--- a/packages/common/src/almonddeal_common/wire/gen/ttypes.py
+++ b/packages/common/src/almonddeal_common/wire/gen/ttypes.py
@@ -43,110 +43,6 @@
     }
 
 
-class Frame(object):
-    """
-    Attributes:
-     - phase
-     - call_id
-     - kind
-     - body
-
-    """
-
-    __slots__ = (
-        'phase',
-        'call_id',
-        'kind',
-        'body',
-    )
-
-
-    def __init__(self, phase=None, call_id=None, kind=None, body=None,):
-        self.phase = phase
-        self.call_id = call_id
-        self.kind = kind
-        self.body = body
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.I32:
-                    self.phase = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I64:
-                    self.call_id = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.I32:
-                    self.kind = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.STRING:
-                    self.body = iprot.readBinary()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('Frame')
-        if self.phase is not None:
-            oprot.writeFieldBegin('phase', TType.I32, 1)
-            oprot.writeI32(self.phase)
-            oprot.writeFieldEnd()
-        if self.call_id is not None:
-            oprot.writeFieldBegin('call_id', TType.I64, 2)
-            oprot.writeI64(self.call_id)
-            oprot.writeFieldEnd()
-        if self.kind is not None:
-            oprot.writeFieldBegin('kind', TType.I32, 3)
-            oprot.writeI32(self.kind)
-            oprot.writeFieldEnd()
-        if self.body is not None:
-            oprot.writeFieldBegin('body', TType.STRING, 4)
-            oprot.writeBinary(self.body)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class Fault(object):
     """
     Attributes:
@@ -5847,14 +5743,6 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(Frame)
-Frame.thrift_spec = (
-    None,  # 0
-    (1, TType.I32, 'phase', None, None, ),  # 1
-    (2, TType.I64, 'call_id', None, None, ),  # 2
-    (3, TType.I32, 'kind', None, None, ),  # 3
-    (4, TType.STRING, 'body', 'BINARY', None, ),  # 4
-)
 all_structs.append(Fault)
 Fault.thrift_spec = (
     None,  # 0
--- a/packages/common/src/almonddeal_common/wire/link.py
+++ b/packages/common/src/almonddeal_common/wire/link.py
@@ -5,6 +5,7 @@
 """
 
 from collections import deque
+from inspect import iscoroutinefunction
 
 import anyio
 from anyio import create_task_group, fail_after
@@ -19,7 +20,7 @@
     error_from_wire,
 )
 from almonddeal_common.logs import get_logger
-from almonddeal_common.wire.codec import FrameReader, encode_frame, frame_message
+from almonddeal_common.wire.codec import KIND_BY_TYPE, FrameReader, encode_frame
 from almonddeal_common.wire.gen.constants import PROTOCOL_VERSION
 from almonddeal_common.wire.gen.ttypes import Fault, Hello, Ok, Phase, Ping
 
@@ -38,6 +39,8 @@
     OSError,
 )
 
+PING_KIND = KIND_BY_TYPE[Ping]
+
 log = get_logger("wire")
 
 
@@ -109,7 +112,8 @@
         What this process says of itself.
     handler_by_type : dict
         Maps a message type to ``async handler(link, message, emit)`` that returns the
-        reply; ``emit(item)`` sends an item of a stream.
+        reply; ``emit(item)`` sends an item of a stream. A plain function
+        ``handler(message)`` is run at once, without a task of its own.
 
     Attributes
     ----------
@@ -173,7 +177,7 @@
             frames = []
             while not frames:
                 frames = reader.feed(await self._stream.receive(RECEIVE_BYTES))
-        hello = frame_message(frames[0])
+        hello = frames[0].message()
         if not isinstance(hello, Hello):
             raise AlmonddealError(PROTOCOL_MISMATCH, "no hello")
         if hello.protocol_version < LOWEST_PROTOCOL_VERSION:
@@ -198,9 +202,13 @@
 
     def _receive(self, frame):
         if frame.phase == Phase.CALL:
-            self._group.start_soon(self._handle, frame)
+            handler = self._handler_by_type.get(frame.type)
+            if handler is not None and not iscoroutinefunction(handler):
+                self._send(Phase.REPLY, frame.call_id, handler(frame.message()))
+            else:
+                self._group.start_soon(self._handle, frame)
         elif frame.phase == Phase.NOTICE:
-            if frame.kind != 2:
+            if frame.kind != PING_KIND:
                 self._group.start_soon(self._handle_notice, frame)
         elif frame.phase == Phase.CANCEL:
             scope = self._scope_by_id.get(frame.call_id)
@@ -213,7 +221,7 @@
         call = self._call_by_id.get(frame.call_id)
         if call is None:
             return
-        message = frame_message(frame)
+        message = frame.message()
         if frame.phase == Phase.ITEM:
             call.items.append(message)
             call.event.set()
@@ -251,7 +259,7 @@
             log.exception("handler of notice %s failed", frame.kind)
 
     async def _run_handler(self, frame, emit):
-        message = frame_message(frame)
+        message = frame.message()
         handler = self._handler_by_type.get(type(message))
         if handler is None:
             raise AlmonddealError(PROTOCOL_MISMATCH, f"kind {frame.kind} not served")
@@ -313,9 +321,11 @@
             call.end(error=AlmonddealError(LINK_LOST, self._closed_reason or "closed"))
         self._call_by_id.clear()
 
-    async def call(self, message, timeout_ms):
+    async def call(self, message, timeout_ms=None):
         """Send a message and return the reply.
 
+        Without a timeout, the silence limit of the link bounds the wait.
+
         Raises
         ------
         AlmonddealError
@@ -323,8 +333,11 @@
         """
         call_id, call = self._start_call(message)
         try:
-            with anyio.move_on_after(timeout_ms / 1000):
+            if timeout_ms is None:
                 await call.event.wait()
+            else:
+                with anyio.move_on_after(timeout_ms / 1000):
+                    await call.event.wait()
         finally:
             self.forget(call_id, cancel=not call.ended)
         if call.error is not None:
--- a/packages/entry/src/almonddeal/answers/replicate.py
+++ b/packages/entry/src/almonddeal/answers/replicate.py
@@ -10,7 +10,6 @@
 )
 from almonddeal_common.wire.gen.ttypes import Append, AppendBatch
 
-TIMEOUT_MS = 1500
 RETRY_S = 0.03
 MAX_BATCH_TOKENS = 20_000
 
@@ -131,7 +130,7 @@
     async def _send_batch(self, holder, batch):
         link = self._link_to(holder)
         message = AppendBatch([make_append(answer, holder) for answer in batch])
-        reply = await link.call(message, TIMEOUT_MS)
+        reply = await link.call(message)
         for answer, result in zip(batch, reply.results, strict=True):
             if answer.error is None and note_result(answer, holder, result):
                 self._mark(answer, holder)
--- a/packages/entry/src/almonddeal/answers/service.py
+++ b/packages/entry/src/almonddeal/answers/service.py
@@ -289,6 +289,8 @@
             await anyio.sleep(CLEAN_INTERVAL_S / 4)
             now_ms = monotonic_ms()
             for key, running in list(self._running_by_key.items()):
+                # Those who wait look at their deadlines.
+                running.answer.notify_changed()
                 if running.answer.n_subscribers == 0:
                     self._clean(key, running, now_ms - running.idle_since_ms)
             for key, lock in list(self._lock_by_key.items()):
--- a/packages/entry/src/almonddeal/callers/streams.py
+++ b/packages/entry/src/almonddeal/callers/streams.py
@@ -1,6 +1,5 @@
 """Delivering an answer to a caller, whole or as it grows."""
 
-import anyio
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import CODE_BY_NUMBER, DEADLINE, AlmonddealError
 from starlette.responses import JSONResponse, StreamingResponse
@@ -8,7 +7,7 @@
 from almonddeal.callers.errors import error_event
 from almonddeal.callers.events import CompletionForm
 
-COMMENT_INTERVAL_S = 10.0
+COMMENT_INTERVAL_MS = 10_000.0
 KEEP_ALIVE_COMMENT = ": waiting\n\n"
 STREAM_HEADERS = {"cache-control": "no-cache", "x-accel-buffering": "no"}
 
@@ -38,24 +37,21 @@
         self._answer = answer
         self._deadline_ms = deadline_ms
 
-    async def progress(self, most_s=COMMENT_INTERVAL_S):
-        """Wait for progress, at most `most_s`; returns whether there was any.
+    async def progress(self):
+        """Wait until something may have changed.
+
+        The upkeep of the answers wakes those who wait at intervals, so that no timer
+        is needed for each token.
 
         Raises
         ------
         AlmonddealError
             `DEADLINE`; the answer is cancelled then.
         """
-        left_s = most_s
-        if self._deadline_ms is not None:
-            left_s = min(most_s, (self._deadline_ms - monotonic_ms()) / 1000)
-        with anyio.move_on_after(max(0.0, left_s)):
-            await self._answer.wait_changed()
-            return True
+        await self._answer.wait_changed()
         if self._deadline_ms is not None and monotonic_ms() >= self._deadline_ms:
             self._service.cancel_answer(self._answer)
             raise AlmonddealError(DEADLINE, "the caller's deadline passed")
-        return False
 
     async def until_ended(self):
         """Wait for the end of the answer, or raise its error."""
@@ -101,10 +97,12 @@
 
 
 async def _events(service, answer, form, n_seen, waiting):
+    sent_ms = monotonic_ms()
     with service.subscribe(answer):
         while True:
             n_ready = answer.n_deliverable
             if n_ready > n_seen:
+                sent_ms = monotonic_ms()
                 yield _token_events(answer, form, n_seen, n_ready)
                 n_seen = n_ready
             elif answer.is_ended:
@@ -115,11 +113,12 @@
                 return
             else:
                 try:
-                    moved = await waiting.progress()
+                    await waiting.progress()
                 except AlmonddealError as error:
                     yield error_event(error)
                     return
-                if not moved:
+                if monotonic_ms() - sent_ms > COMMENT_INTERVAL_MS:
+                    sent_ms = monotonic_ms()
                     yield KEEP_ALIVE_COMMENT
 
 
