document: change what differs, and index targets by version

Change: only items that differ are compared, copied, parsed and held against the schema; targets are indexed by the versions they have; the rollout planner looks every 2 s while nothing changes. An ecosystem client library runs in a scenario.

--- a/features/answers.feature
+++ b/features/answers.feature
@@ -62,3 +62,8 @@
     When a caller asks for an answer of 30 tokens at entry 0
     Then the answer is whole
     And another customer that asks for it gets the code ANSWER_UNKNOWN
+
+  Scenario: A client library of the ecosystem works unchanged
+    When the client library asks for a completion, a chat completion and a stream
+    Then each of the three is a whole answer
+    And the client library tells a wrong key and an unknown model by their classes
--- /dev/null
+++ b/features/steps/library_steps.py
@@ -0,0 +1,55 @@
+import json
+
+import openai
+from almonddeal_tools.chain import context_digest, first_break, parse_text
+from almonddeal_tools.fleet import KEY_BY_CUSTOMER
+from behave import then, when
+
+N_TOKENS = 40
+CHAT = [{"role": "user", "content": "hello"}]
+
+
+def make_client(context, key=KEY_BY_CUSTOMER["tujenge"]):
+    url = context.fleet.caller_urls[0] + "/v1"
+    return openai.OpenAI(api_key=key, base_url=url, max_retries=0)
+
+
+@when("the client library asks for a completion, a chat completion and a stream")
+def ask_with_library(context):
+    client = make_client(context)
+    whole = client.completions.create(model="draft", prompt="hi", max_tokens=N_TOKENS)
+    chat = client.chat.completions.create(
+        model="draft", messages=CHAT, max_tokens=N_TOKENS
+    )
+    stream = client.chat.completions.create(
+        model="draft", messages=CHAT, max_tokens=N_TOKENS, stream=True
+    )
+    pieces = [chunk.choices[0].delta.content or "" for chunk in stream]
+    context.texts = [
+        ("hi", whole.choices[0].text),
+        ("user: hello", chat.choices[0].message.content),
+        ("user: hello", "".join(pieces)),
+    ]
+
+
+@then("each of the three is a whole answer")
+def check_texts(context):
+    for prompt, text in context.texts:
+        tokens = parse_text(text)
+        digest = context_digest("draft", "v1", prompt, json.dumps({}))
+        assert len(tokens) == N_TOKENS
+        assert first_break(digest, tokens) is None
+
+
+@then("the client library tells a wrong key and an unknown model by their classes")
+def check_errors(context):
+    for key, model, expected in (
+        ("wrong", "draft", openai.AuthenticationError),
+        (KEY_BY_CUSTOMER["tujenge"], "none", openai.NotFoundError),
+    ):
+        try:
+            make_client(context, key).completions.create(model=model, prompt="hi")
+        except expected as error:
+            assert error.body["was_run"] == "no", error.body
+        else:
+            raise AssertionError(f"no {expected.__name__}")
--- a/packages/entry/src/almonddeal/control/replica.py
+++ b/packages/entry/src/almonddeal/control/replica.py
@@ -49,7 +49,7 @@
             raw = self._followed.raw
             for patch_json in json.loads(reply.patches_json):
                 raw = apply_changes(raw, patch_json)
-        self._followed = FleetDocument(reply.version, raw)
+        self._followed = FleetDocument(reply.version, raw, self._followed)
         self.notify_changed()
 
     def make_reply(self, have_version, fresh_age_ms, term):
--- a/packages/entry/src/almonddeal/control/state.py
+++ b/packages/entry/src/almonddeal/control/state.py
@@ -104,7 +104,7 @@
     def _accept(self, change):
         raw = apply_changes(self.document.raw, change.patch_json)
         version = self.document.version + 1
-        self.document = FleetDocument(version, raw)
+        self.document = FleetDocument(version, raw, self.document)
         self._accepted_by_version[version] = _Accepted(
             version, change.author, change.at_ms, change.patch_json
         )
--- a/packages/entry/src/almonddeal/document/diff.py
+++ b/packages/entry/src/almonddeal/document/diff.py
@@ -1,18 +1,74 @@
-"""Differences between two documents as JSON Patch (RFC 6902)."""
+"""Differences between two documents as JSON Patch (RFC 6902).
+
+A document may hold many thousands of customers and a change touches few, so only the
+items that differ are compared, copied and checked.
+"""
 
 import json
 
 from jsonpatch import JsonPatch, make_patch
 
+SECTIONS = ("customers", "models", "services", "pools", "roles")
+
+
+def only_changed(old, new):
+    """Return both documents without the named items that are equal in both.
+
+    Parameters
+    ----------
+    old, new : dict
+        Documents as JSON; values that are no documents are returned as they are.
+
+    Returns
+    -------
+    old_part, new_part : dict
+    """
+    old_part, new_part = dict(old), dict(new)
+    for section in SECTIONS:
+        before, after = old.get(section), new.get(section)
+        if isinstance(before, dict) and isinstance(after, dict):
+            old_part[section], new_part[section] = _differing(before, after)
+    return old_part, new_part
+
+
+def _differing(before, after):
+    equal = {name for name, item in after.items() if before.get(name) == item}
+    return (
+        {name: item for name, item in before.items() if name not in equal},
+        {name: item for name, item in after.items() if name not in equal},
+    )
+
 
 def make_changes(old, new):
     """Return the patch from `old` to `new` as JSON text."""
-    return json.dumps(make_patch(old, new).patch)
+    return json.dumps(make_patch(*only_changed(old, new)).patch)
 
 
 def apply_changes(raw, patch_json):
-    """Return a new document: `raw` with a patch applied."""
-    return JsonPatch(json.loads(patch_json)).apply(raw)
+    """Return a new document: `raw` with a patch applied.
+
+    Items that the patch does not touch are shared with `raw`, which stays as it was.
+    """
+    patch = json.loads(patch_json)
+    result = dict(raw)
+    for operation in patch:
+        _copy_along(result, operation["path"])
+        if "from" in operation:
+            _copy_along(result, operation["from"])
+    return JsonPatch(patch).apply(result, in_place=True)
+
+
+def _copy_along(node, path):
+    """Replace what a JSON pointer passes through by copies."""
+    for escaped in path.split("/")[1:-1]:
+        key = escaped.replace("~1", "/").replace("~0", "~")
+        if isinstance(node, list):
+            key = int(key)
+        child = node[key] if isinstance(node, list) else node.get(key)
+        if not isinstance(child, (dict, list)):
+            return
+        node[key] = child.copy()
+        node = node[key]
 
 
 def changed_paths(patch_json):
--- a/packages/entry/src/almonddeal/document/model.py
+++ b/packages/entry/src/almonddeal/document/model.py
@@ -123,6 +123,8 @@
         Number of the accepted change; 0 before the first one.
     raw : dict
         The JSON, already validated.
+    previous : FleetDocument, optional
+        Document whose customers are taken over where their JSON is the same object.
     """
 
     __slots__ = (
@@ -138,10 +140,10 @@
         "version",
     )
 
-    def __init__(self, version, raw):
+    def __init__(self, version, raw, previous=None):
         self.version = version
         self.raw = raw
-        self.customer_by_name = _build(Customer, raw.get("customers", {}))
+        self.customer_by_name = _build_customers(raw.get("customers", {}), previous)
         self.customer_by_key_hash = {
             key: customer
             for customer in self.customer_by_name.values()
@@ -182,6 +184,17 @@
         )
 
 
+def _build_customers(raw_by_name, previous):
+    if previous is None:
+        return _build(Customer, raw_by_name)
+    known_raw = previous.raw.get("customers", {})
+    known = previous.customer_by_name
+    return {
+        name: known[name] if known_raw.get(name) is raw else Customer(name, raw)
+        for name, raw in raw_by_name.items()
+    }
+
+
 def _build(type_, raw_by_name):
     return {name: type_(name, raw) for name, raw in raw_by_name.items()}
 
--- a/packages/entry/src/almonddeal/document/tests/test_document.py
+++ b/packages/entry/src/almonddeal/document/tests/test_document.py
@@ -3,6 +3,8 @@
 import copy
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from almonddeal.document.diff import apply_changes, changed_paths, make_changes
 from almonddeal.document.model import FleetDocument
@@ -120,7 +122,40 @@
         assert document.in_pools({}, ())
 
 
+NAMES = st.sampled_from(["a", "b", "c/d", "e~f"])
+ITEMS = st.dictionaries(
+    NAMES, st.dictionaries(st.sampled_from("xy"), st.integers(0, 2), max_size=2)
+)
+DOCUMENTS = st.fixed_dictionaries(
+    {"customers": ITEMS, "models": ITEMS, "leaving": st.lists(NAMES, max_size=2)}
+)
+
+
 class TestDiff:
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(DOCUMENTS, DOCUMENTS)
+    def test_any_document_leads_to_any_other(self, old, new):
+        kept = copy.deepcopy(old)
+        assert apply_changes(old, make_changes(old, new)) == new
+        assert old == kept
+
+    @pytest.mark.parametrize(("change", "path"), WRONG)
+    def test_errors_are_found_beside_a_valid_document(self, change, path):
+        document = copy.deepcopy(RIGHT)
+        change(document)
+        with pytest.raises(ExceptionGroup) as caught:
+            validate_document(document, RIGHT)
+        assert path in [error.path for error in caught.value.exceptions]
+
+    def test_unchanged_customers_are_taken_over(self):
+        new = copy.deepcopy(RIGHT)
+        new["customers"]["owl"] = {"key_sha256": ["b" * 64]}
+        first = FleetDocument(1, RIGHT)
+        raw = apply_changes(RIGHT, make_changes(RIGHT, new))
+        second = FleetDocument(2, raw, first)
+        assert second.customer_by_name["kite"] is first.customer_by_name["kite"]
+        assert "b" * 64 in second.customer_by_key_hash
+
     def test_patch_leads_from_one_to_the_other(self):
         new = copy.deepcopy(RIGHT)
         new["customers"]["owl"] = {"key_sha256": ["b" * 64]}
--- a/packages/entry/src/almonddeal/document/validate.py
+++ b/packages/entry/src/almonddeal/document/validate.py
@@ -8,25 +8,32 @@
 )
 from almonddeal_common.codes import DOCUMENT_INVALID
 
+from almonddeal.document.diff import only_changed
 from almonddeal.document.model import path_is_below
 
 SCHEMA = load_schema("almonddeal.document", "schema.json")
 
 
-def validate_document(raw):
+def validate_document(raw, valid=None):
     """Check a whole document.
 
     Parameters
     ----------
     raw : object
         Parsed JSON.
+    valid : dict, optional
+        A document that passed before; items equal to its own are not held against the
+        schema again.
 
     Raises
     ------
     ExceptionGroup
         Holds a `CheckError` for everything that is wrong.
     """
-    errors = schema_errors(SCHEMA, raw, DOCUMENT_INVALID)
+    checked = raw
+    if valid is not None and isinstance(raw, dict):
+        _, checked = only_changed(valid, raw)
+    errors = schema_errors(SCHEMA, checked, DOCUMENT_INVALID)
     if not errors:
         errors = _cross_errors(raw)
     raise_together("document", errors)
--- a/packages/entry/src/almonddeal/operators/changes.py
+++ b/packages/entry/src/almonddeal/operators/changes.py
@@ -13,14 +13,14 @@
     AlmonddealError,
 )
 from almonddeal_common.wire.gen.ttypes import ChangeDocument, Command, RecordAttempt
+from anyio import to_thread
 
-from almonddeal.document.diff import apply_changes, changed_paths, make_changes
+from almonddeal.document.diff import changed_paths, make_changes
 from almonddeal.document.validate import validate_document
 
 SUBMIT_TIMEOUT_MS = 8000
 MAX_NOTE_CHARS = 500
 DRAIN_TRIES = 5
-EMPTY = {"format": 1, "customers": {}, "models": {}, "services": {}}
 
 
 class Change:
@@ -54,7 +54,7 @@
 
     def plan(self, document):
         """Return what a document would change, as a list of paths."""
-        validate_document(document)
+        validate_document(document, self._base())
         return changed_paths(make_changes(self._base(), document))
 
     def _base(self):
@@ -71,14 +71,16 @@
             `VERSION_CONFLICT`, `NO_QUORUM` or `CHANGE_OUTCOME_UNKNOWN`.
         """
         try:
-            validate_document(change.document)
+            await to_thread.run_sync(validate_document, change.document, self._base())
         except ExceptionGroup as group:
             detail = "; ".join(str(e) for e in group.exceptions[:3])
             await self._record(change, "refused", detail)
             raise
         current = self._replica.document
         # A patch against another base is never applied; the log compares versions.
-        patch_json = make_changes(current.raw, change.document)
+        patch_json = await to_thread.run_sync(
+            make_changes, current.raw, change.document
+        )
         base_version = change.base_version
         if base_version is None:
             base_version = current.version
@@ -139,6 +141,3 @@
         {"code": DOCUMENT_INVALID.number, "message": error.detail}
         for error in group.exceptions
     ]
-
-
-__all__ = ["EMPTY", "Change", "Changes", "apply_changes", "validation_messages"]
--- a/packages/entry/src/almonddeal/rollout/controller.py
+++ b/packages/entry/src/almonddeal/rollout/controller.py
@@ -10,6 +10,7 @@
 from almonddeal.rollout.planner import Pause, next_steps
 
 INTERVAL_S = 0.3
+IDLE_INTERVAL_S = 2.0
 RETRY_S = 2.0
 RECORD_TIMEOUT_MS = 5000
 ORDER_TIMEOUT_MS = 600_000
@@ -41,6 +42,7 @@
         self._links = links
         self._versions_in_use = versions_in_use
         self._busy = set()
+        self._had_steps = False
         self._term = 0
         self._n_orders = 0
 
@@ -48,18 +50,26 @@
         """Work until cancelled."""
         async with anyio.create_task_group() as group:
             while True:
-                await anyio.sleep(INTERVAL_S)
+                await self._wait_for_work()
                 if self._consensus.is_leader:
                     await self._advance(group)
                 else:
                     self.paused_because = None
 
+    async def _wait_for_work(self):
+        """Wait a moment while steps are taken, and longer while nothing changes."""
+        await anyio.sleep(INTERVAL_S)
+        if not self._busy and not self._had_steps:
+            with anyio.move_on_after(IDLE_INTERVAL_S - INTERVAL_S):
+                await self._replica.wait_newer(self._replica.document.version)
+
     async def _advance(self, group):
         in_use = self._versions_in_use()
         document = self._replica.document
         if in_use is None or document.version == 0:
             return
         steps = next_steps(document, self._directory.engines(), in_use, self._busy)
+        self._had_steps = bool(steps)
         if isinstance(steps, Pause):
             await self._note_pause(steps.reason)
             return
--- a/packages/entry/src/almonddeal/run.py
+++ b/packages/entry/src/almonddeal/run.py
@@ -409,9 +409,8 @@
         pools = model.pools if model is not None else ()
         return [
             target
-            for target in self._directory.candidates()
-            if target.serves(model_name, version)
-            and self.document.in_pools(target.state.labels, pools)
+            for target in self._directory.serving(model_name, version)
+            if self.document.in_pools(target.state.labels, pools)
         ]
 
     def _version_exists(self, spec):
--- a/packages/entry/src/almonddeal/targets/directory.py
+++ b/packages/entry/src/almonddeal/targets/directory.py
@@ -142,6 +142,8 @@
 
     def __init__(self, replica, control, on_news):
         self.target_by_name = {}
+        self._targets_by_version = {}
+        self._versions_by_name = {}
         self._heard_here_ms_by_name = {}
         self._replica = replica
         self._control = control
@@ -149,13 +151,37 @@
 
     def candidates(self):
         """Return the live targets that are not leaving, as a list."""
-        leaving = self._replica.document.leaving | {self.swapping()}
+        return self._open(self.target_by_name.values())
+
+    def serving(self, model, version):
+        """Return the candidates that have a version of a model loaded, as a list."""
+        return self._open(self._targets_by_version.get((model, version), {}).values())
+
+    def _open(self, targets):
+        leaving = self._replica.document.leaving
+        swapping = self.swapping()
         return [
             target
-            for target in self.target_by_name.values()
-            if target.is_live and target.name not in leaving
+            for target in targets
+            if target.is_live and target.name not in leaving and target.name != swapping
         ]
 
+    def _index(self, target):
+        """Keep the targets by the versions they have loaded."""
+        versions = {(m.model, m.version) for m in target.state.models or ()}
+        known = self._versions_by_name.get(target.name, set())
+        for version in known - versions:
+            del self._targets_by_version[version][target.name]
+        for version in versions - known:
+            self._targets_by_version.setdefault(version, {})[target.name] = target
+        self._versions_by_name[target.name] = versions
+
+    def _forget(self, name):
+        for version in self._versions_by_name.pop(name, ()):
+            del self._targets_by_version[version][name]
+        del self.target_by_name[name]
+        self._heard_here_ms_by_name.pop(name, None)
+
     def engines(self):
         """Return what is observed of all engines, as a list of `Observed`."""
         targets = self.target_by_name.values()
@@ -172,9 +198,10 @@
         """Take an announcement, from wherever it came."""
         target = self.target_by_name.get(state.target)
         if target is None:
-            self.target_by_name[state.target] = Target(state)
+            target = self.target_by_name[state.target] = Target(state)
         elif not target.take(state):
             return
+        self._index(target)
         self._on_news()
 
     def heard_here(self):
@@ -208,5 +235,4 @@
         now_ms = monotonic_ms()
         for name, target in list(self.target_by_name.items()):
             if now_ms - target.heard_ms > FORGET_MS and target.n_mine == 0:
-                del self.target_by_name[name]
-                self._heard_here_ms_by_name.pop(name, None)
+                self._forget(name)
--- /dev/null
+++ b/tools/almonddeal_tools/slopes.py
@@ -0,0 +1,479 @@
+"""Slopes behind docs/CAPACITY.md: what each role costs as the fleet grows.
+
+Each line gives a quantity at several sizes and the slope between them. Followers and
+targets are light: they are objects in this process, or links to a real one.
+"""
+
+import json
+import random
+import sys
+import time
+import tracemalloc
+
+import anyio
+import click
+from almonddeal.control.replica import DocumentReplica
+from almonddeal.control.state import ControlState
+from almonddeal.document.diff import make_changes
+from almonddeal.document.model import FleetDocument
+from almonddeal.document.validate import validate_document
+from almonddeal.limits.buckets import CustomerLimits
+from almonddeal.rollout.planner import next_steps, observe
+from almonddeal.targets.choose import two_choices, with_affinity
+from almonddeal.targets.directory import Target, TargetDirectory
+from almonddeal_common.held.store import AnswerStore
+from almonddeal_common.settings import Address
+from almonddeal_common.wire.codec import encode, encode_frame
+from almonddeal_common.wire.connect import dial
+from almonddeal_common.wire.gen.constants import PROTOCOL_VERSION
+from almonddeal_common.wire.gen.ttypes import (
+    Announce,
+    AnnounceReply,
+    AnswerSpec,
+    Append,
+    AppendLog,
+    ChangeDocument,
+    Command,
+    Hello,
+    Load,
+    LogEntry,
+    ModelState,
+    PeerDigest,
+    Phase,
+    TargetState,
+)
+
+from almonddeal_tools.bench.path import cpu_s, rss_mb
+from almonddeal_tools.fleet import Fleet, sha256
+
+N_MODELS = 18
+REPEATS = 200
+
+
+def show(name, unit, points):
+    """Print a quantity at its sizes, with the slope of the last interval."""
+    (size_a, value_a), (size_b, value_b) = points[0], points[-1]
+    slope = (value_b - value_a) / (size_b - size_a)
+    line = {
+        "name": name,
+        "unit": unit,
+        "points": [[size, round(value, 4)] for size, value in points],
+        "slope": float(f"{slope:.4g}"),
+    }
+    click.echo(json.dumps(line))
+
+
+def timed_us(function, repeats=REPEATS):
+    """Return the processor time of one call in us."""
+    started = time.process_time()
+    for _ in range(repeats):
+        function()
+    return (time.process_time() - started) / repeats * 1e6
+
+
+def make_document(n_customers):
+    """Return a document with customers of the usual form."""
+    customers = {
+        f"customer{n}": {
+            "key_sha256": [sha256(f"key{n}")],
+            "models": ["m0", "m1"],
+            "limits": {"requests_per_s": 50, "burst": 100, "max_streams": 20},
+            "resume": {"copies": 2},
+        }
+        for n in range(n_customers)
+    }
+    models = {f"m{n}": {"version": "v1"} for n in range(N_MODELS)}
+    return {"format": 1, "customers": customers, "models": models, "services": {}}
+
+
+def changed(raw):
+    """Return a copy of a document with one customer changed."""
+    new = json.loads(json.dumps(raw))
+    new["customers"]["customer7"]["limits"]["burst"] = 7
+    return new
+
+
+def make_target_state(number):
+    """Return the announcement of one of many engines."""
+    return TargetState(
+        target=f"engine{number}",
+        instance=f"agent{number}",
+        incarnation=1_700_000_000_000_000_000,
+        failure_domain=f"fd{number % 6}",
+        host="10.0.0.1",
+        port=7000,
+        kind="engine",
+        service_name="",
+        labels={"pool": "a"},
+        models=[ModelState(f"m{number % N_MODELS}", "v1", [])],
+        load=Load(10, 0, 64, 100_000, 30.0, 200),
+        stopping=False,
+        sequence=100_000,
+        document_version=5000,
+        n_in_flight=10,
+        cache_epoch=0,
+        evicted_keys=[],
+        role="",
+    )
+
+
+def memory_mb(make):
+    """Return the memory in MB that what `make` returns takes."""
+    tracemalloc.start()
+    kept = make()
+    used = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return used / 1e6
+
+
+# ---- the document and its changes --------------------------------------------------
+
+
+def measure_document():
+    """Measure the document over the number of customers."""
+    sizes = (1000, 5000, 20_000)
+    raws = [make_document(n) for n in sizes]
+    show(
+        "document as JSON, over customers",
+        "KB",
+        [(n, len(json.dumps(r)) / 1e3) for n, r in zip(sizes, raws, strict=True)],
+    )
+    show(
+        "document in memory, over customers",
+        "MB",
+        [(n, memory_mb(lambda n=n: FleetDocument(1, make_document(n)))) for n in sizes],
+    )
+    show(
+        "validate a document, over customers",
+        "ms",
+        [
+            (n, timed_us(lambda r=r: validate_document(r), 1) / 1e3)
+            for n, r in zip(sizes, raws, strict=True)
+        ],
+    )
+    show(
+        "validate a document against the one before, over customers",
+        "ms",
+        [
+            (n, timed_us(lambda r=r: validate_document(changed(r), r), 1) / 1e3)
+            for n, r in zip(sizes, raws, strict=True)
+        ],
+    )
+    measure_changes(sizes, raws)
+
+
+def measure_changes(sizes, raws):
+    """Measure one change of one customer."""
+    points_diff, points_apply, points_bytes = [], [], []
+    for n_customers, raw in zip(sizes, raws, strict=True):
+        new = changed(raw)
+        patch = make_changes(raw, new)
+        state = ControlState()
+        state.document = FleetDocument(1, raw)
+        command = ChangeDocument("id", 1, "olu", "10.0.0.1", patch, 1, "")
+        entry = LogEntry(1, 1, 1, encode(Command(change=command)))
+        points_diff.append(
+            (
+                n_customers,
+                timed_us(lambda a=raw, b=new: make_changes(a, b), 1) / 1e3,
+            )
+        )
+        points_bytes.append((n_customers, len(encode(entry))))
+        points_apply.append(
+            (
+                n_customers,
+                timed_us(lambda s=state, c=command: s.apply(2, Command(change=c)), 1)
+                / 1e3,
+            )
+        )
+    show("make the patch of one change, over customers", "ms", points_diff)
+    show("apply one change, over customers", "ms", points_apply)
+    show("one change on the wire, over customers", "bytes", points_bytes)
+
+
+# ---- messages ----------------------------------------------------------------------
+
+
+def measure_messages():
+    """Measure the bytes of the messages that are sent at intervals."""
+    sizes = (10, 100, 620)
+    digests = [
+        PeerDigest("entry1", 5000, [make_target_state(n) for n in range(size)], {}, [])
+        for size in sizes
+    ]
+    show(
+        "digest between entry instances, over targets heard here",
+        "bytes",
+        [
+            (size, len(encode_frame(Phase.NOTICE, 0, digest)))
+            for size, digest in zip(sizes, digests, strict=True)
+        ],
+    )
+    announce = len(encode_frame(Phase.CALL, 1, Announce(make_target_state(1), 5000)))
+    reply = len(
+        encode_frame(Phase.REPLY, 1, AnnounceReply(5000, 300, False, 3000, True, 1))
+    )
+    show(
+        "announcement and its reply, over entry instances announced to",
+        "bytes",
+        [(n, n * (announce + reply)) for n in (1, 3, 10)],
+    )
+    entries = [LogEntry(1, n, 1, b"x" * 300) for n in range(100)]
+    show(
+        "log entries to one follower, over entries of 300 bytes",
+        "bytes",
+        [
+            (
+                n,
+                len(
+                    encode_frame(Phase.CALL, 1, AppendLog(1, "e", 1, 1, entries[:n], 1))
+                ),
+            )
+            for n in (0, 10, 100)
+        ],
+    )
+    spec = AnswerSpec(request="k:1", prompt="", settings_json="{}")
+    show(
+        "append of tokens to one holder, over tokens",
+        "bytes",
+        [
+            (
+                n,
+                len(
+                    encode(
+                        Append(
+                            "kite:0123456789abcdef", 65537, 9, [1] * n, [" word"] * n
+                        )
+                    )
+                ),
+            )
+            for n in (1, 10, 100)
+        ],
+    )
+    assert spec is not None
+
+
+# ---- decisions ---------------------------------------------------------------------
+
+
+def measure_routing():
+    """Measure one choice of a target over the number of targets."""
+    points, memory = [], []
+    document = FleetDocument(1, make_document(10))
+    replica = DocumentReplica(None)
+    for n_targets in (20, 200, 620):
+        targets = [Target(make_target_state(n)) for n in range(n_targets)]
+        choose = with_affinity(two_choices(random.Random(1)))
+        numbers = iter(range(10**9))
+
+        directory = TargetDirectory(replica, None, lambda: None)
+        for target in targets:
+            directory.take(target.state)
+
+        def decide(directory=directory, choose=choose, numbers=numbers):
+            fitting = directory.serving("m3", "v1")
+            choose(fitting, f"prompt {next(numbers)}")
+
+        points.append((n_targets, timed_us(decide)))
+        memory.append(
+            (
+                n_targets,
+                memory_mb(
+                    lambda n=n_targets: [Target(make_target_state(k)) for k in range(n)]
+                ),
+            )
+        )
+    show("one routing decision, over targets", "us", points)
+    show("targets in memory, over targets", "MB", memory)
+    show(
+        "one look of the rollout planner, over targets",
+        "ms",
+        [
+            (
+                n,
+                timed_us(
+                    lambda n=n: next_steps(
+                        document,
+                        [observe(Target(make_target_state(k))) for k in range(n)],
+                        set(),
+                    ),
+                    3,
+                )
+                / 1e3,
+            )
+            for n in (20, 200, 620)
+        ],
+    )
+
+
+def measure_limits():
+    """Measure limits over the number of customers that are active."""
+    points, memory = [], []
+    for n_customers in (1000, 20_000):
+        document = FleetDocument(1, make_document(n_customers))
+        customers = list(document.customer_by_name.values())
+        limits = CustomerLimits(lambda: 1, lambda customer: 0)
+        numbers = iter(range(10**9))
+
+        def check(limits=limits, customers=customers, numbers=numbers):
+            limits.check_rate(customers[next(numbers) % len(customers)])
+
+        points.append((n_customers, timed_us(check, 1000)))
+
+        def fill(customers=customers):
+            filled = CustomerLimits(lambda: 1, lambda customer: 0)
+            for customer in customers:
+                filled.check_rate(customer)
+            return filled
+
+        memory.append((n_customers, memory_mb(fill)))
+    show("check of one request's rate, over customers", "us", points)
+    show("buckets in memory, over customers", "MB", memory)
+
+
+def measure_holding():
+    """Measure held answers over tokens."""
+
+    def hold(n_tokens):
+        store = AnswerStore()
+        spec = AnswerSpec(request="k:1", customer="k", prompt="p", settings_json="{}")
+        for index in range(n_tokens):
+            store.append(
+                Append(
+                    request="k:1",
+                    epoch=1,
+                    index=index,
+                    tokens=[index],
+                    texts=[f" {index:08x}"],
+                    finish_reason="",
+                    spec=spec if index == 0 else None,
+                    holders=["a"],
+                )
+            )
+        return store
+
+    sizes = (1000, 10_000, 50_000)
+    show(
+        "held tokens in memory, over tokens",
+        "MB",
+        [(n, memory_mb(lambda n=n: hold(n))) for n in sizes],
+    )
+    show(
+        "take one appended token, over tokens held",
+        "us",
+        [(n, timed_us(lambda n=n: hold(n), 1) / n) for n in sizes],
+    )
+
+
+# ---- followers of a real instance --------------------------------------------------
+
+
+class LightAgents:
+    """Many agents on one link each, announcing like real ones."""
+
+    INTERVAL_S = 0.4
+
+    def __init__(self, address, n_agents):
+        self._address = address
+        self._n_agents = n_agents
+        self.n_replies = 0
+
+    async def run(self, seconds):
+        """Announce for a time."""
+        with anyio.move_on_after(seconds):
+            async with anyio.create_task_group() as group:
+                for number in range(self._n_agents):
+                    group.start_soon(self._announce, group, number)
+                    await anyio.sleep(0.002)
+
+    async def _announce(self, group, number):
+        hello = Hello(PROTOCOL_VERSION, 1, "agent", f"light{number}", 1, "fd1")
+        link = await dial(self._address, hello, {})
+        group.start_soon(link.run)
+        await link.ready.wait()
+        state = make_target_state(1000 + number)
+        state.sequence = 0
+        while True:
+            state.sequence += 1
+            reply = await link.call(Announce(state, 1), 5000)
+            self.n_replies += 1
+            state.document_version = reply.document_version
+            await anyio.sleep(self.INTERVAL_S)
+
+
+def measure_followers():
+    """Measure a real entry instance over agents that announce to it."""
+    points_cpu, points_memory, points_force = [], [], []
+    for n_agents in (0, 100, 300):
+        with Fleet(n_engines=1, n_services=0) as fleet:
+            entry = fleet.process_by_name["entry1"]
+            agents = LightAgents(Address.parse(fleet.entry_addresses[1]), n_agents)
+            anyio.run(_follow, fleet, entry, agents, points_cpu, points_force)
+            points_memory.append((n_agents, rss_mb(entry)))
+    show("entry instance, processor, over agents", "% of a core", points_cpu)
+    show("entry instance, memory, over agents", "MB", points_memory)
+    show("accepted to in force everywhere, over agents", "ms", points_force)
+
+
+async def _follow(fleet, entry, agents, points_cpu, points_force):
+    seconds = 14.0
+    async with anyio.create_task_group() as group:
+        group.start_soon(agents.run, seconds)
+        await anyio.sleep(5.0)
+        before, started = cpu_s(entry), time.monotonic()
+        await anyio.sleep(4.0)
+        share = (cpu_s(entry) - before) / (time.monotonic() - started)
+        points_cpu.append((agents._n_agents, share * 100))
+        times = []
+        for number in range(5):
+            times.append(await anyio.to_thread.run_sync(_time_change, fleet, number))
+        points_force.append((agents._n_agents, sorted(times)[len(times) // 2]))
+        group.cancel_scope.cancel()
+
+
+def _time_change(fleet, number):
+    document = json.loads(json.dumps(fleet.document))
+    document["leaving"] = [f"none{number}"]
+    started = time.monotonic()
+    fleet.apply(document, entry=1)
+    return (time.monotonic() - started) * 1000
+
+
+def measure_agent():
+    """Measure an idle agent and the processor time of an idle entry instance."""
+    with Fleet(n_engines=1, n_services=0) as fleet:
+        names = ("agent0", "entry0", "entry1", "entry2")
+        before = {name: cpu_s(fleet.process_by_name[name]) for name in names}
+        time.sleep(10)
+        for name in names:
+            process = fleet.process_by_name[name]
+            line = {
+                "name": f"idle {name}",
+                "processor_percent": round((cpu_s(process) - before[name]) * 10, 2),
+                "memory_mb": round(rss_mb(process), 1),
+            }
+            click.echo(json.dumps(line))
+
+
+PARTS = {
+    "document": measure_document,
+    "messages": measure_messages,
+    "routing": measure_routing,
+    "limits": measure_limits,
+    "holding": measure_holding,
+    "agent": measure_agent,
+    "followers": measure_followers,
+}
+
+
+@click.command()
+@click.argument("parts", nargs=-1, type=click.Choice(list(PARTS)))
+def main(parts):
+    """Measure the slopes, or only some parts of them."""
+    for part in parts or PARTS:
+        PARTS[part]()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
