agent: metrics; stand-in: priorities; cli: schema of the document

Cause: an agent served an empty metrics page, the stand-in ignored priorities, and the published schema could be read only in the source. Change: ten gauges of an agent, places by priority in the engine stand-in, 'almonddeal schema', import order independent of where ruff runs. Figures: 'pytest packages/agent packages/entry/src/almonddeal/tests': all pass.

--- a/features/steps/answer_steps.py
+++ b/features/steps/answer_steps.py
@@ -3,10 +3,11 @@
 
 import anyio
 import httpx
+from behave import then, when
+
 from almonddeal_tools.caller import Answer, headers_of, make_client, stream_answer
 from almonddeal_tools.chain import n_attempts
 from almonddeal_tools.fleet import KEY_BY_CUSTOMER
-from behave import then, when
 
 KEY = KEY_BY_CUSTOMER["tujenge"]
 OTHER_KEY = KEY_BY_CUSTOMER["keystone"]
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -4,11 +4,12 @@
 import time
 
 import httpx
-from almonddeal_common.codes import FORBIDDEN, VERSION_CONFLICT
-from almonddeal_tools.fleet import READER_TOKEN, sha256
 from answer_steps import finish_reading, start_reading
 from behave import then, when
 
+from almonddeal_common.codes import FORBIDDEN, VERSION_CONFLICT
+from almonddeal_tools.fleet import READER_TOKEN, sha256
+
 
 def changed_document(context, name):
     document = copy.deepcopy(context.fleet.document)
--- a/features/steps/library_steps.py
+++ b/features/steps/library_steps.py
@@ -1,9 +1,10 @@
 import json
 
 import openai
+from behave import then, when
+
 from almonddeal_tools.chain import context_digest, first_break, parse_text
 from almonddeal_tools.fleet import KEY_BY_CUSTOMER
-from behave import then, when
 
 N_TOKENS = 40
 CHAT = [{"role": "user", "content": "hello"}]
--- a/features/steps/order_steps.py
+++ b/features/steps/order_steps.py
@@ -2,9 +2,10 @@
 import time
 
 import httpx
+from behave import then, when
+
 from almonddeal_tools.caller import headers_of
 from almonddeal_tools.fleet import KEY_BY_CUSTOMER
-from behave import then, when
 
 KEY = KEY_BY_CUSTOMER["tujenge"]
 
--- a/packages/agent/src/almonddeal_agent/announce.py
+++ b/packages/agent/src/almonddeal_agent/announce.py
@@ -1,6 +1,7 @@
 """Announcing the target to entry instances, which answer with the lease."""
 
 import anyio
+
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import AlmonddealError
 from almonddeal_common.wire.gen.ttypes import Announce
--- a/packages/agent/src/almonddeal_agent/attempts.py
+++ b/packages/agent/src/almonddeal_agent/attempts.py
@@ -3,6 +3,9 @@
 from contextlib import contextmanager
 
 import anyio
+
+from almonddeal_agent.cache import CacheView
+from almonddeal_agent.stall import StallLimit
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import (
     ATTEMPT_LOST,
@@ -14,9 +17,6 @@
 from almonddeal_common.logs import get_logger
 from almonddeal_common.wire.gen.ttypes import AttemptChunk, AttemptEnd
 
-from almonddeal_agent.cache import CacheView
-from almonddeal_agent.stall import StallLimit
-
 STALL_CHECK_S = 0.05
 
 log = get_logger("attempts")
--- a/packages/agent/src/almonddeal_agent/calls.py
+++ b/packages/agent/src/almonddeal_agent/calls.py
@@ -4,6 +4,7 @@
 
 import anyio
 import httpx
+
 from almonddeal_common.codes import (
     NO,
     NOT_REACHED,
--- a/packages/agent/src/almonddeal_agent/engine.py
+++ b/packages/agent/src/almonddeal_agent/engine.py
@@ -7,6 +7,7 @@
 
 import anyio
 import httpx
+
 from almonddeal_common.codes import (
     ATTEMPT_LOST,
     STALE_FENCE,
--- a/packages/agent/src/almonddeal_agent/fencing.py
+++ b/packages/agent/src/almonddeal_agent/fencing.py
@@ -6,6 +6,7 @@
 """
 
 import anyio
+
 from almonddeal_common.codes import (
     LEASE_EXPIRED,
     STALE_FENCE,
--- a/packages/agent/src/almonddeal_agent/main.py
+++ b/packages/agent/src/almonddeal_agent/main.py
@@ -4,14 +4,14 @@
 
 import anyio
 import click
+
+from almonddeal_agent.run import Agent
 from almonddeal_common import __version__
 from almonddeal_common.checks import load_schema
 from almonddeal_common.failures import exit_with_errors
 from almonddeal_common.logs import set_up_logging
 from almonddeal_common.settings import read_settings
 
-from almonddeal_agent.run import Agent
-
 SETTINGS = load_schema("almonddeal_agent", "settings.schema.json")
 
 
--- a/packages/agent/src/almonddeal_agent/run.py
+++ b/packages/agent/src/almonddeal_agent/run.py
@@ -3,6 +3,14 @@
 import time
 
 import anyio
+
+from almonddeal_agent.admission import Admission
+from almonddeal_agent.announce import announce_for_ever
+from almonddeal_agent.attempts import AttemptRunner, EngineWatch
+from almonddeal_agent.calls import CallRunner
+from almonddeal_agent.engine import http_engine, make_client
+from almonddeal_agent.fencing import OrderGate
+from almonddeal_agent.metrics import AgentMetrics
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.held.handlers import held_answer_handlers
 from almonddeal_common.held.store import AnswerStore
@@ -23,13 +31,6 @@
 )
 from almonddeal_common.wire.link import LOWEST_PROTOCOL_VERSION
 
-from almonddeal_agent.admission import Admission
-from almonddeal_agent.announce import announce_for_ever
-from almonddeal_agent.attempts import AttemptRunner, EngineWatch
-from almonddeal_agent.calls import CallRunner
-from almonddeal_agent.engine import http_engine, make_client
-from almonddeal_agent.fencing import OrderGate
-
 STOP_TIMEOUT_S = 30.0
 HANDOVER_TIMEOUT_S = 3.0
 STOP_NEWS_S = 1.0
@@ -81,6 +82,7 @@
             if "metrics" in self._settings:
                 address = Address.parse(self._settings["metrics"])
                 group.start_soon(serve_http, metrics_app, address, anyio.Event())
+                group.start_soon(AgentMetrics(self._figures).run)
             log.info("serves target %s", self._target["name"])
             await wait_for_stop(stop)
             await self._drain()
@@ -137,6 +139,21 @@
             role=self._watch.role if self._watch else "",
         )
 
+    def _figures(self):
+        admission, attempts = self._admission, self._attempts
+        return {
+            "in_flight": admission.n_in_flight,
+            "has_lease": int(admission.has_lease),
+            "is_leaving": int(admission.is_leaving),
+            "document_version": admission.document_version,
+            "fence": admission.fence,
+            "answers_held": len(self._store),
+            "answers_held_bytes": self._store.n_bytes,
+            "attempts_started": attempts.n_started if attempts else 0,
+            "attempts_stalled": attempts.n_stalled if attempts else 0,
+            "engine_token_ms": self._watch.load.token_ms if self._watch else 0.0,
+        }
+
     def _service_load(self):
         n_slots = self._target.get("max_calls", SERVICE_CALLS)
         return Load(self._admission.n_in_flight, 0, n_slots, 0, 0.0, 0)
--- a/packages/agent/src/almonddeal_agent/tests/test_admission.py
+++ b/packages/agent/src/almonddeal_agent/tests/test_admission.py
@@ -1,11 +1,11 @@
 """Tests of the lease of a target."""
 
 import pytest
-from almonddeal_common.codes import AlmonddealError
-from almonddeal_common.wire.gen.ttypes import AnnounceReply
 
 from almonddeal_agent import admission as admission_module
 from almonddeal_agent.admission import Admission
+from almonddeal_common.codes import AlmonddealError
+from almonddeal_common.wire.gen.ttypes import AnnounceReply
 
 
 @pytest.fixture
--- a/packages/agent/src/almonddeal_agent/tests/test_fencing.py
+++ b/packages/agent/src/almonddeal_agent/tests/test_fencing.py
@@ -2,15 +2,15 @@
 
 import anyio
 import pytest
-from almonddeal_common.clock import monotonic_ms
-from almonddeal_common.codes import AlmonddealError
-from almonddeal_common.wire.gen.ttypes import AnnounceReply, Load, TargetOrder
 
 from almonddeal_agent.admission import Admission
 from almonddeal_agent.cache import CacheView
 from almonddeal_agent.engine import CacheEvent
 from almonddeal_agent.fencing import OrderGate
 from almonddeal_agent.stall import DECODE_MARGIN_MS, DECODE_MAX_MS, StallLimit
+from almonddeal_common.clock import monotonic_ms
+from almonddeal_common.codes import AlmonddealError
+from almonddeal_common.wire.gen.ttypes import AnnounceReply, Load, TargetOrder
 
 
 def make_gate(fence=0):
--- a/packages/entry/src/almonddeal/answers/generate.py
+++ b/packages/entry/src/almonddeal/answers/generate.py
@@ -3,6 +3,9 @@
 from collections import defaultdict
 
 import anyio
+
+from almonddeal.targets.choose import prefix_key
+from almonddeal.targets.directory import entered
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import (
     ANSWER_INCOMPLETE,
@@ -21,9 +24,6 @@
 from almonddeal_common.logs import get_logger
 from almonddeal_common.wire.gen.ttypes import AttemptChunk, StartAttempt
 
-from almonddeal.targets.choose import prefix_key
-from almonddeal.targets.directory import entered
-
 RETRY_S = 0.02
 RETRY_MAX_S = 0.5
 NO_TARGET_RETRY_S = 0.1
--- a/packages/entry/src/almonddeal/answers/owned.py
+++ b/packages/entry/src/almonddeal/answers/owned.py
@@ -1,6 +1,7 @@
 """An answer as its owner knows it: what exists, what is held, what may be delivered."""
 
 import anyio
+
 from almonddeal_common.codes import OWNERSHIP_LOST, AlmonddealError
 
 
--- a/packages/entry/src/almonddeal/answers/ownership.py
+++ b/packages/entry/src/almonddeal/answers/ownership.py
@@ -13,6 +13,9 @@
 import random
 
 import anyio
+
+from almonddeal.answers.owned import OwnedAnswer, majority
+from almonddeal.answers.placement import choose_holders, rank
 from almonddeal_common.codes import (
     ANSWER_EVICTED,
     ANSWER_MEMORY_FULL,
@@ -26,9 +29,6 @@
 from almonddeal_common.logs import get_logger
 from almonddeal_common.wire.gen.ttypes import Fence
 
-from almonddeal.answers.owned import OwnedAnswer, majority
-from almonddeal.answers.placement import choose_holders, rank
-
 CALL_TIMEOUT_MS = 700
 ESTABLISH_TIMEOUT_S = 2.0
 MAX_TRIES = 6
--- a/packages/entry/src/almonddeal/answers/replicate.py
+++ b/packages/entry/src/almonddeal/answers/replicate.py
@@ -1,6 +1,7 @@
 """Sending answers to their holders: one task a holder, many answers a message."""
 
 import anyio
+
 from almonddeal_common.codes import (
     ANSWER_MEMORY_FULL,
     ANSWER_UNKNOWN,
--- a/packages/entry/src/almonddeal/answers/service.py
+++ b/packages/entry/src/almonddeal/answers/service.py
@@ -4,6 +4,7 @@
 import uuid
 
 import anyio
+
 from almonddeal_common.clock import monotonic_ms, wall_ms
 from almonddeal_common.codes import (
     ANSWER_CANCELLED,
--- a/packages/entry/src/almonddeal/answers/tests/fakes.py
+++ b/packages/entry/src/almonddeal/answers/tests/fakes.py
@@ -1,12 +1,12 @@
 """A small network of answer holders in one process, with cuts and restarts."""
 
 import anyio
-from almonddeal_common.codes import LINK_LOST, NOT_REACHED, AlmonddealError
-from almonddeal_common.held.store import AnswerStore
-from almonddeal_common.wire.gen.ttypes import AnswerSpec, AppendBatch, AppendBatchReply
 
 from almonddeal.answers.ownership import Ownership
 from almonddeal.answers.replicate import Replicator
+from almonddeal_common.codes import LINK_LOST, NOT_REACHED, AlmonddealError
+from almonddeal_common.held.store import AnswerStore
+from almonddeal_common.wire.gen.ttypes import AnswerSpec, AppendBatch, AppendBatchReply
 
 
 class FakeNet:
--- a/packages/entry/src/almonddeal/answers/tests/test_ownership.py
+++ b/packages/entry/src/almonddeal/answers/tests/test_ownership.py
@@ -4,10 +4,10 @@
 
 import anyio
 import pytest
-from almonddeal_common.codes import AlmonddealError
-from almonddeal_common.wire.gen.ttypes import Fence
 
 from almonddeal.answers.tests.fakes import FakeEntry, FakeNet, make_spec
+from almonddeal_common.codes import AlmonddealError
+from almonddeal_common.wire.gen.ttypes import Fence
 
 ENTRIES = ["entry0", "entry1", "entry2"]
 AGENTS = ["agent0", "agent1", "agent2"]
--- a/packages/entry/src/almonddeal/callers/app.py
+++ b/packages/entry/src/almonddeal/callers/app.py
@@ -6,17 +6,6 @@
 """
 
 import anyio
-from almonddeal_common.clock import monotonic_ms
-from almonddeal_common.codes import (
-    BAD_REQUEST,
-    FORBIDDEN,
-    KEY_MISSING,
-    LEASE_EXPIRED,
-    NOT_FOUND,
-    STOPPING,
-    AlmonddealError,
-)
-from almonddeal_common.wire.gen.ttypes import ServiceCall
 from starlette.applications import Starlette
 from starlette.requests import ClientDisconnect
 from starlette.responses import JSONResponse, Response
@@ -33,6 +22,17 @@
 from almonddeal.callers.streams import stream_response, whole_response
 from almonddeal.orders.lookups import run_lookup
 from almonddeal.orders.run import order_id
+from almonddeal_common.clock import monotonic_ms
+from almonddeal_common.codes import (
+    BAD_REQUEST,
+    FORBIDDEN,
+    KEY_MISSING,
+    LEASE_EXPIRED,
+    NOT_FOUND,
+    STOPPING,
+    AlmonddealError,
+)
+from almonddeal_common.wire.gen.ttypes import ServiceCall
 
 MAX_KEY_CHARS = 256
 METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
--- a/packages/entry/src/almonddeal/callers/errors.py
+++ b/packages/entry/src/almonddeal/callers/errors.py
@@ -2,9 +2,10 @@
 
 import json
 
+from starlette.responses import JSONResponse
+
 from almonddeal_common.codes import INTERNAL, AlmonddealError
 from almonddeal_common.logs import get_logger
-from starlette.responses import JSONResponse
 
 log = get_logger("callers")
 
--- a/packages/entry/src/almonddeal/callers/requests.py
+++ b/packages/entry/src/almonddeal/callers/requests.py
@@ -5,6 +5,8 @@
 import re
 
 import anyio
+
+from almonddeal.answers.service import MAX_ID_CHARS, AnswerRequest
 from almonddeal_common.codes import (
     BAD_REQUEST,
     FORBIDDEN,
@@ -14,8 +16,6 @@
     AlmonddealError,
 )
 
-from almonddeal.answers.service import MAX_ID_CHARS, AnswerRequest
-
 MAX_BODY_BYTES = 4 * 1024 * 1024
 BODY_TIMEOUT_S = 20.0
 MAX_TOKENS_DEFAULT = 1024
--- a/packages/entry/src/almonddeal/callers/streams.py
+++ b/packages/entry/src/almonddeal/callers/streams.py
@@ -1,11 +1,11 @@
 """Delivering an answer to a caller, whole or as it grows."""
 
-from almonddeal_common.clock import monotonic_ms
-from almonddeal_common.codes import CODE_BY_NUMBER, DEADLINE, AlmonddealError
 from starlette.responses import JSONResponse, StreamingResponse
 
 from almonddeal.callers.errors import error_event
 from almonddeal.callers.events import CompletionForm
+from almonddeal_common.clock import monotonic_ms
+from almonddeal_common.codes import CODE_BY_NUMBER, DEADLINE, AlmonddealError
 
 COMMENT_INTERVAL_MS = 10_000.0
 KEEP_ALIVE_COMMENT = ": waiting\n\n"
--- a/packages/entry/src/almonddeal/cli/client.py
+++ b/packages/entry/src/almonddeal/cli/client.py
@@ -4,6 +4,7 @@
 
 import click
 import httpx
+
 from almonddeal_common.codes import (
     CODE_BY_NUMBER,
     DOCUMENT_INVALID,
--- a/packages/entry/src/almonddeal/cli/data.py
+++ b/packages/entry/src/almonddeal/cli/data.py
@@ -3,14 +3,14 @@
 import json
 
 import click
-from almonddeal_common.codes import DATA_DAMAGED, AlmonddealError
-from almonddeal_common.failures import exit_with_errors
-from almonddeal_common.wire.codec import decode
-from almonddeal_common.wire.gen.ttypes import Command
 
 from almonddeal.control.consensus import KIND_COMMAND
 from almonddeal.control.state import ControlState
 from almonddeal.control.storage import LogStore
+from almonddeal_common.codes import DATA_DAMAGED, AlmonddealError
+from almonddeal_common.failures import exit_with_errors
+from almonddeal_common.wire.codec import decode
+from almonddeal_common.wire.gen.ttypes import Command
 
 
 def _fail(reason):
--- a/packages/entry/src/almonddeal/cli/main.py
+++ b/packages/entry/src/almonddeal/cli/main.py
@@ -7,18 +7,18 @@
 
 import anyio
 import click
-from almonddeal_common import __version__
-from almonddeal_common.checks import CheckError
-from almonddeal_common.codes import DOCUMENT_INVALID, NOT_IN_FORCE, AlmonddealError
-from almonddeal_common.failures import exit_with_errors
-from almonddeal_common.logs import set_up_logging
 from click.shell_completion import get_completion_class
 
 from almonddeal.cli.client import OperatorClient
 from almonddeal.cli.data import data
-from almonddeal.document.validate import validate_document
+from almonddeal.document.validate import SCHEMA, validate_document
 from almonddeal.run import EntryInstance
 from almonddeal.settings import read_entry_settings
+from almonddeal_common import __version__
+from almonddeal_common.checks import CheckError
+from almonddeal_common.codes import DOCUMENT_INVALID, NOT_IN_FORCE, AlmonddealError
+from almonddeal_common.failures import exit_with_errors
+from almonddeal_common.logs import set_up_logging
 
 DEFAULT_URL = "http://127.0.0.1:9001"
 WAIT_MS = 20_000
@@ -198,6 +198,12 @@
             client.show(event, [f"version {event['version']}"])
 
 
+@main.command()
+def schema():
+    """Print the JSON Schema of the fleet document."""
+    click.echo(json.dumps(SCHEMA.schema, indent=2))
+
+
 @main.command()
 @click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
 def completion(shell):
--- a/packages/entry/src/almonddeal/control/client.py
+++ b/packages/entry/src/almonddeal/control/client.py
@@ -1,6 +1,7 @@
 """Speaking to the control group from any entry instance: commands and freshness."""
 
 import anyio
+
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import (
     CHANGE_OUTCOME_UNKNOWN,
--- a/packages/entry/src/almonddeal/control/consensus.py
+++ b/packages/entry/src/almonddeal/control/consensus.py
@@ -11,6 +11,8 @@
 import random
 
 import anyio
+from anyio import create_task_group, to_thread
+
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import (
     CHANGE_OUTCOME_UNKNOWN,
@@ -30,7 +32,6 @@
     Vote,
     VoteReply,
 )
-from anyio import create_task_group, to_thread
 
 HEARTBEAT_MS = 100
 ELECTION_MIN_MS = 600
--- a/packages/entry/src/almonddeal/control/replica.py
+++ b/packages/entry/src/almonddeal/control/replica.py
@@ -3,10 +3,10 @@
 import json
 
 import anyio
-from almonddeal_common.wire.gen.ttypes import FetchDocumentReply
 
 from almonddeal.document.diff import apply_changes
 from almonddeal.document.model import EMPTY_DOCUMENT, FleetDocument
+from almonddeal_common.wire.gen.ttypes import FetchDocumentReply
 
 
 class DocumentReplica:
--- a/packages/entry/src/almonddeal/control/state.py
+++ b/packages/entry/src/almonddeal/control/state.py
@@ -3,14 +3,13 @@
 import json
 from collections import OrderedDict
 
-from almonddeal_common.codes import OK, VERSION_CONFLICT
-from almonddeal_common.wire.codec import decode, encode
-from almonddeal_common.wire.gen.ttypes import ChangeResult, CommandResult
-
 from almonddeal.control.audit import AuditTrail
 from almonddeal.document.diff import apply_changes, changed_paths
 from almonddeal.document.model import EMPTY_DOCUMENT, FleetDocument
 from almonddeal.orders.ledger import OrderLedger
+from almonddeal_common.codes import OK, VERSION_CONFLICT
+from almonddeal_common.wire.codec import decode, encode
+from almonddeal_common.wire.gen.ttypes import ChangeResult, CommandResult
 
 KEEP_CHANGES = 4096
 KEEP_CHANGE_MS = 36 * 3600 * 1000
--- a/packages/entry/src/almonddeal/control/tests/fakes.py
+++ b/packages/entry/src/almonddeal/control/tests/fakes.py
@@ -5,6 +5,10 @@
 from pathlib import Path
 
 import anyio
+
+from almonddeal.control.consensus import Consensus
+from almonddeal.control.state import ControlState
+from almonddeal.control.storage import LogStore
 from almonddeal_common.codes import LINK_LOST, NOT_REACHED, AlmonddealError
 from almonddeal_common.wire.codec import decode, encode
 from almonddeal_common.wire.gen.ttypes import (
@@ -15,10 +19,6 @@
     Vote,
 )
 
-from almonddeal.control.consensus import Consensus
-from almonddeal.control.state import ControlState
-from almonddeal.control.storage import LogStore
-
 
 class Crash(Exception):
     """Ends a member at once."""
--- a/packages/entry/src/almonddeal/control/tests/test_consensus.py
+++ b/packages/entry/src/almonddeal/control/tests/test_consensus.py
@@ -2,9 +2,9 @@
 
 import anyio
 import pytest
-from almonddeal_common.codes import AlmonddealError, error_from_wire
 
 from almonddeal.control.tests.fakes import FakeGroup, change
+from almonddeal_common.codes import AlmonddealError, error_from_wire
 
 N_SEEDS = 3
 N_FAULTS = 12
--- a/packages/entry/src/almonddeal/control/tests/test_storage.py
+++ b/packages/entry/src/almonddeal/control/tests/test_storage.py
@@ -4,12 +4,12 @@
 from pathlib import Path
 
 import pytest
-from almonddeal_common.codes import AlmonddealError
-from almonddeal_common.wire.gen.ttypes import LogEntry, Snapshot
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from almonddeal.control.storage import LogStore
+from almonddeal_common.codes import AlmonddealError
+from almonddeal_common.wire.gen.ttypes import LogEntry, Snapshot
 
 
 class Ended(Exception):
--- a/packages/entry/src/almonddeal/document/validate.py
+++ b/packages/entry/src/almonddeal/document/validate.py
@@ -1,5 +1,7 @@
 """Validation of a fleet document: the schema, then checks across its parts."""
 
+from almonddeal.document.diff import only_changed
+from almonddeal.document.model import path_is_below
 from almonddeal_common.checks import (
     CheckError,
     load_schema,
@@ -8,9 +10,6 @@
 )
 from almonddeal_common.codes import DOCUMENT_INVALID
 
-from almonddeal.document.diff import only_changed
-from almonddeal.document.model import path_is_below
-
 SCHEMA = load_schema("almonddeal.document", "schema.json")
 
 
--- a/packages/entry/src/almonddeal/limits/dispatch.py
+++ b/packages/entry/src/almonddeal/limits/dispatch.py
@@ -1,10 +1,10 @@
 """Who gets the next free place at a target: the fair queue before the engines."""
 
 import anyio
-from almonddeal_common.clock import monotonic_ms
-from almonddeal_common.codes import NO_TARGET, OVERLOADED, AlmonddealError
 
 from almonddeal.limits.fair_queue import FairQueue
+from almonddeal_common.clock import monotonic_ms
+from almonddeal_common.codes import NO_TARGET, OVERLOADED, AlmonddealError
 
 RATE_WEIGHT = 0.1
 RECHECK_S = 0.25
--- a/packages/entry/src/almonddeal/limits/tests/test_dispatch.py
+++ b/packages/entry/src/almonddeal/limits/tests/test_dispatch.py
@@ -2,7 +2,6 @@
 
 import anyio
 import pytest
-from almonddeal_common.codes import AlmonddealError
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -10,6 +9,7 @@
 from almonddeal.limits.dispatch import Dispatcher
 from almonddeal.targets.choose import least_loaded
 from almonddeal.targets.tests.fakes import make_target
+from almonddeal_common.codes import AlmonddealError
 
 
 def make_customer(name="kite"):
--- a/packages/entry/src/almonddeal/limits/tests/test_limits.py
+++ b/packages/entry/src/almonddeal/limits/tests/test_limits.py
@@ -1,11 +1,11 @@
 """Tests of rates, streams and budgets."""
 
 import pytest
-from almonddeal_common.codes import AlmonddealError
 
 from almonddeal.document.model import Customer
 from almonddeal.limits.buckets import CustomerLimits
 from almonddeal.limits.budget import RetryBudget
+from almonddeal_common.codes import AlmonddealError
 
 
 def make_customer(**limits):
--- a/packages/entry/src/almonddeal/membership/digest.py
+++ b/packages/entry/src/almonddeal/membership/digest.py
@@ -1,6 +1,7 @@
 """Digests that entry instances send each other: versions, targets and usage."""
 
 import anyio
+
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.wire.gen.ttypes import ModelState, PeerDigest
 
--- a/packages/entry/src/almonddeal/metrics.py
+++ b/packages/entry/src/almonddeal/metrics.py
@@ -1,6 +1,7 @@
 """Metrics of an entry instance."""
 
 import anyio
+
 from almonddeal_common.metrics import Gauge
 
 INTERVAL_S = 1.0
--- a/packages/entry/src/almonddeal/operators/app.py
+++ b/packages/entry/src/almonddeal/operators/app.py
@@ -3,6 +3,15 @@
 import hashlib
 import json
 
+from starlette.applications import Starlette
+from starlette.responses import JSONResponse, StreamingResponse
+from starlette.routing import Mount, Route
+
+from almonddeal.callers.errors import answers_errors
+from almonddeal.callers.requests import read_body
+from almonddeal.document.model import FleetDocument
+from almonddeal.document.validate import validate_document
+from almonddeal.operators.changes import Change, validation_messages
 from almonddeal_common.codes import (
     BAD_REQUEST,
     CODE_BY_NUMBER,
@@ -13,15 +22,6 @@
     AlmonddealError,
 )
 from almonddeal_common.metrics import metrics_app
-from starlette.applications import Starlette
-from starlette.responses import JSONResponse, StreamingResponse
-from starlette.routing import Mount, Route
-
-from almonddeal.callers.errors import answers_errors
-from almonddeal.callers.requests import read_body
-from almonddeal.document.model import FleetDocument
-from almonddeal.document.validate import validate_document
-from almonddeal.operators.changes import Change, validation_messages
 
 RANK_BY_ROLE = {"read": 0, "operate": 1, "administer": 2}
 MAX_WAIT_MS = 60_000
--- a/packages/entry/src/almonddeal/operators/changes.py
+++ b/packages/entry/src/almonddeal/operators/changes.py
@@ -4,6 +4,10 @@
 import uuid
 
 import anyio
+from anyio import to_thread
+
+from almonddeal.document.diff import changed_paths, make_changes
+from almonddeal.document.validate import validate_document
 from almonddeal_common.clock import monotonic_ms, wall_ms
 from almonddeal_common.codes import (
     DOCUMENT_INVALID,
@@ -13,10 +17,6 @@
     AlmonddealError,
 )
 from almonddeal_common.wire.gen.ttypes import ChangeDocument, Command, RecordAttempt
-from anyio import to_thread
-
-from almonddeal.document.diff import changed_paths, make_changes
-from almonddeal.document.validate import validate_document
 
 SUBMIT_TIMEOUT_MS = 8000
 MAX_NOTE_CHARS = 500
--- a/packages/entry/src/almonddeal/orders/lookups.py
+++ b/packages/entry/src/almonddeal/orders/lookups.py
@@ -1,5 +1,6 @@
 """Lookups: calls without effects, retried within a budget."""
 
+from almonddeal.targets.directory import entered
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import (
     DEADLINE,
@@ -8,8 +9,6 @@
     AlmonddealError,
 )
 
-from almonddeal.targets.directory import entered
-
 MAX_TRIES = 3
 CALL_MARGIN_MS = 500
 RETRY_STATUSES = frozenset((502, 503, 504))
--- a/packages/entry/src/almonddeal/orders/run.py
+++ b/packages/entry/src/almonddeal/orders/run.py
@@ -4,6 +4,9 @@
 import uuid
 
 import anyio
+
+from almonddeal.orders.ledger import DONE, RELEASED, UNKNOWN_OUTCOME
+from almonddeal.targets.directory import entered
 from almonddeal_common.clock import monotonic_ms, wall_ms
 from almonddeal_common.codes import (
     CODE_BY_NUMBER,
@@ -32,9 +35,6 @@
     SettleOrder,
 )
 
-from almonddeal.orders.ledger import DONE, RELEASED, UNKNOWN_OUTCOME
-from almonddeal.targets.directory import entered
-
 CONTROL_TIMEOUT_MS = 3000
 SETTLE_TIMEOUT_MS = 3000
 QUERY_TIMEOUT_MS = 1000
--- a/packages/entry/src/almonddeal/orders/tests/test_ledger.py
+++ b/packages/entry/src/almonddeal/orders/tests/test_ledger.py
@@ -2,8 +2,6 @@
 
 import hashlib
 
-from almonddeal_common.codes import KEY_REUSED, OK, ORDER_EXPIRED
-from almonddeal_common.wire.gen.ttypes import ClaimOrder, ServiceReply, SettleOrder
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -15,6 +13,8 @@
     UNKNOWN_OUTCOME,
     OrderLedger,
 )
+from almonddeal_common.codes import KEY_REUSED, OK, ORDER_EXPIRED
+from almonddeal_common.wire.gen.ttypes import ClaimOrder, ServiceReply, SettleOrder
 
 DAY_MS = 24 * 3600 * 1000
 KEYS = st.sampled_from("abc")
--- a/packages/entry/src/almonddeal/rollout/controller.py
+++ b/packages/entry/src/almonddeal/rollout/controller.py
@@ -1,14 +1,14 @@
 """Carrying out rollouts on the leader of the control group."""
 
 import anyio
+
+from almonddeal.rollout.fence import fence_of_term
+from almonddeal.rollout.planner import Pause, next_steps
 from almonddeal_common.clock import wall_ms
 from almonddeal_common.codes import NO_QUORUM, AlmonddealError
 from almonddeal_common.logs import get_logger
 from almonddeal_common.wire.gen.ttypes import Command, RecordAttempt, TargetOrder
 
-from almonddeal.rollout.fence import fence_of_term
-from almonddeal.rollout.planner import Pause, next_steps
-
 INTERVAL_S = 0.3
 IDLE_INTERVAL_S = 2.0
 RETRY_S = 2.0
--- a/packages/entry/src/almonddeal/run.py
+++ b/packages/entry/src/almonddeal/run.py
@@ -6,31 +6,6 @@
 from contextlib import ExitStack
 
 import anyio
-from almonddeal_common.clock import monotonic_ms
-from almonddeal_common.codes import (
-    DATA_DAMAGED,
-    NOT_LEADER,
-    AlmonddealError,
-)
-from almonddeal_common.held.handlers import held_answer_handlers
-from almonddeal_common.held.store import AnswerStore
-from almonddeal_common.http import serve_http, wait_for_stop
-from almonddeal_common.logs import get_logger
-from almonddeal_common.wire.connect import Peer, listen, serve_links
-from almonddeal_common.wire.gen.constants import PROTOCOL_VERSION
-from almonddeal_common.wire.gen.ttypes import (
-    Announce,
-    AppendLog,
-    FetchDocument,
-    Hello,
-    InstallSnapshot,
-    OrderAlive,
-    PeerDigest,
-    Propose,
-    ReadFresh,
-    Vote,
-)
-from almonddeal_common.wire.link import LOWEST_PROTOCOL_VERSION
 
 from almonddeal.answers.generate import Generator
 from almonddeal.answers.ownership import Ownership
@@ -57,6 +32,31 @@
 from almonddeal.targets.choose import two_choices, with_affinity
 from almonddeal.targets.directory import TargetDirectory
 from almonddeal.targets.links import AgentLinks
+from almonddeal_common.clock import monotonic_ms
+from almonddeal_common.codes import (
+    DATA_DAMAGED,
+    NOT_LEADER,
+    AlmonddealError,
+)
+from almonddeal_common.held.handlers import held_answer_handlers
+from almonddeal_common.held.store import AnswerStore
+from almonddeal_common.http import serve_http, wait_for_stop
+from almonddeal_common.logs import get_logger
+from almonddeal_common.wire.connect import Peer, listen, serve_links
+from almonddeal_common.wire.gen.constants import PROTOCOL_VERSION
+from almonddeal_common.wire.gen.ttypes import (
+    Announce,
+    AppendLog,
+    FetchDocument,
+    Hello,
+    InstallSnapshot,
+    OrderAlive,
+    PeerDigest,
+    Propose,
+    ReadFresh,
+    Vote,
+)
+from almonddeal_common.wire.link import LOWEST_PROTOCOL_VERSION
 
 COMPACT_INTERVAL_S = 1.0
 STOP_POLL_S = 0.05
--- a/packages/entry/src/almonddeal/targets/directory.py
+++ b/packages/entry/src/almonddeal/targets/directory.py
@@ -2,11 +2,10 @@
 
 from contextlib import contextmanager
 
-from almonddeal_common.clock import monotonic_ms
-from almonddeal_common.wire.gen.ttypes import AnnounceReply
-
 from almonddeal.rollout.fence import fence_of_term
 from almonddeal.rollout.planner import observe, swapping_target
+from almonddeal_common.clock import monotonic_ms
+from almonddeal_common.wire.gen.ttypes import AnnounceReply
 
 LIVE_MS = 2500
 FORGET_MS = 10 * 60 * 1000
--- a/packages/entry/src/almonddeal/targets/links.py
+++ b/packages/entry/src/almonddeal/targets/links.py
@@ -1,6 +1,7 @@
 """Links to agents, opened when first needed and kept while they are in use."""
 
 import anyio
+
 from almonddeal_common.codes import NOT_REACHED, AlmonddealError
 from almonddeal_common.settings import Address
 from almonddeal_common.wire.connect import dial
--- a/packages/entry/src/almonddeal/targets/tests/fakes.py
+++ b/packages/entry/src/almonddeal/targets/tests/fakes.py
@@ -1,8 +1,7 @@
 """Targets for tests."""
 
-from almonddeal_common.wire.gen.ttypes import Load, ModelState, TargetState
-
 from almonddeal.targets.directory import Target
+from almonddeal_common.wire.gen.ttypes import Load, ModelState, TargetState
 
 
 def make_state(name="a", n_running=0, n_slots=10, sequence=1, incarnation=1, **more):
--- a/packages/entry/src/almonddeal/tests/test_cli.py
+++ b/packages/entry/src/almonddeal/tests/test_cli.py
@@ -3,14 +3,14 @@
 import json
 
 import pytest
-from almonddeal_common.codes import DATA_DAMAGED, DOCUMENT_INVALID, NOT_REACHED
-from almonddeal_common.wire.codec import encode
-from almonddeal_common.wire.gen.ttypes import LogEntry
 from click.testing import CliRunner
 
 from almonddeal.cli.main import main
 from almonddeal.control.storage import LogStore
 from almonddeal.control.tests.fakes import change
+from almonddeal_common.codes import DATA_DAMAGED, DOCUMENT_INVALID, NOT_REACHED
+from almonddeal_common.wire.codec import encode
+from almonddeal_common.wire.gen.ttypes import LogEntry
 
 RIGHT = {"format": 1, "customers": {}, "models": {}, "services": {}}
 
@@ -37,6 +37,10 @@
     def test_completion(self, shell):
         assert "_ALMONDDEAL_COMPLETE" in invoke("completion", shell).output
 
+    def test_schema(self):
+        schema = json.loads(invoke("schema").output)
+        assert schema["properties"]["customers"]
+
     def test_data_verify_and_export(self, tmp_path):
         with LogStore(tmp_path, pytest.fail) as store:
             command = encode(change("a", 0))
--- a/packages/entry/src/almonddeal/tests/test_settings.py
+++ b/packages/entry/src/almonddeal/tests/test_settings.py
@@ -4,13 +4,13 @@
 import json
 
 import pytest
-from almonddeal_agent.main import SETTINGS as AGENT_SETTINGS
-from almonddeal_common.codes import SETTINGS_INVALID
-from almonddeal_common.settings import read_settings
 from click.testing import CliRunner
 
 from almonddeal.cli.main import main
 from almonddeal.settings import read_entry_settings
+from almonddeal_agent.main import SETTINGS as AGENT_SETTINGS
+from almonddeal_common.codes import SETTINGS_INVALID
+from almonddeal_common.settings import read_settings
 
 RIGHT = {
     "instance": "entry0",
--- a/tools/almonddeal_tools/bench/claims.py
+++ b/tools/almonddeal_tools/bench/claims.py
@@ -5,11 +5,11 @@
 import uuid
 
 import anyio
+
 from almonddeal_common.settings import Address
 from almonddeal_common.wire.connect import dial
 from almonddeal_common.wire.gen.constants import PROTOCOL_VERSION
 from almonddeal_common.wire.gen.ttypes import ClaimOrder, Command, Hello, Propose
-
 from almonddeal_tools.bench.figures import Distribution, show
 
 N_CLAIMS = 4000
--- a/tools/almonddeal_tools/engine.py
+++ b/tools/almonddeal_tools/engine.py
@@ -4,9 +4,11 @@
 by ``POST /fault``. ``GET /records`` tells every attempt that ran.
 """
 
+import heapq
 import json
 import random
 from collections import OrderedDict
+from contextlib import asynccontextmanager
 
 import anyio
 import click
@@ -114,6 +116,48 @@
         return len(text_tokens) - n_cached
 
 
+class PrioritySlots:
+    """Places in the batch; who waits with the highest priority gets the next one."""
+
+    def __init__(self, n_slots):
+        self._n_free = n_slots
+        self._waiting = []
+        self._n_entered = 0
+
+    @asynccontextmanager
+    async def taken(self, priority):
+        """Hold one place in the context, waiting for it if need be."""
+        if self._n_free:
+            self._n_free -= 1
+        else:
+            await self._wait(priority)
+        try:
+            yield
+        finally:
+            self._give_back()
+
+    async def _wait(self, priority):
+        self._n_entered += 1
+        event = anyio.Event()
+        entry = (-priority, self._n_entered, event)
+        heapq.heappush(self._waiting, entry)
+        try:
+            await event.wait()
+        except BaseException:
+            if event.is_set():
+                self._give_back()
+            else:
+                self._waiting.remove(entry)
+                heapq.heapify(self._waiting)
+            raise
+
+    def _give_back(self):
+        if self._waiting:
+            heapq.heappop(self._waiting)[2].set()
+        else:
+            self._n_free += 1
+
+
 class Engine:
     """State of the stand-in.
 
@@ -136,7 +180,7 @@
         self.orders = []
         self.is_refusing = False
         self.is_hung = False
-        self.slots = anyio.CapacityLimiter(options["slots"])
+        self.slots = PrioritySlots(options["slots"])
         self._reports = []
 
     @property
@@ -176,7 +220,7 @@
         self.n_waiting += 1
         entered = False
         try:
-            async with self.slots:
+            async with self.slots.taken(attempt.priority):
                 self.n_waiting -= 1
                 entered = True
                 self.running.add(attempt)
--- a/tools/almonddeal_tools/slopes.py
+++ b/tools/almonddeal_tools/slopes.py
@@ -12,6 +12,7 @@
 
 import anyio
 import click
+
 from almonddeal.control.replica import DocumentReplica
 from almonddeal.control.state import ControlState
 from almonddeal.document.diff import make_changes
@@ -42,7 +43,6 @@
     Phase,
     TargetState,
 )
-
 from almonddeal_tools.bench.path import cpu_s, rss_mb
 from almonddeal_tools.fleet import Fleet, sha256
 
