tests: catch two broken variants that no test caught

Change: a test in which the new holders are reached and the old majority is not, and tests of votes over a restart and of a candidate with a shorter log.

--- a/packages/entry/src/almonddeal/answers/tests/test_ownership.py
+++ b/packages/entry/src/almonddeal/answers/tests/test_ownership.py
@@ -171,6 +171,25 @@
 
         run(test)
 
+    def test_nothing_is_committed_by_new_holders_alone(self):
+        async def test(net, group):
+            entry = FakeEntry(net, "entry0", group)
+            answer = await entry.ownership.create(make_spec(), 2, True)
+            write(entry, answer, 0, 5)
+            await settle()
+            net.cut("entry0", "entry1")
+            await entry.ownership.repair(answer, 2)
+            net.cut("entry0", "entry2")
+            write(entry, answer, 5, 3)
+            await settle()
+            n_delivered = answer.n_deliverable
+            delivered = answer.tokens[:n_delivered]
+            taker = FakeEntry(net, "entry1", group)
+            taken = await taker.ownership.take_over("kite:r1", 2)
+            assert taken.tokens[:n_delivered] == delivered
+
+        run(test)
+
 
 class DeliveredText:
     """The naive version of an answer: one list, which only grows by agreement."""
--- a/packages/entry/src/almonddeal/control/tests/test_consensus.py
+++ b/packages/entry/src/almonddeal/control/tests/test_consensus.py
@@ -5,6 +5,7 @@
 
 from almonddeal.control.tests.fakes import FakeGroup, change
 from almonddeal_common.codes import AlmonddealError, error_from_wire
+from almonddeal_common.wire.gen.ttypes import Vote
 
 N_SEEDS = 3
 N_FAULTS = 12
@@ -77,6 +78,42 @@
 
         run(tmp_path, 2, test)
 
+    def test_one_vote_a_term_also_after_a_restart(self, tmp_path):
+        async def test(group):
+            for name in ("entry1", "entry2"):
+                await group.kill(name)
+            voter = group.member_by_name["entry0"].consensus
+            first = await voter.handle_vote(
+                None, Vote(50, "entry1", 99, 50, False), None
+            )
+            second = await voter.handle_vote(
+                None, Vote(50, "entry2", 99, 50, False), None
+            )
+            await group.kill("entry0")
+            group.start("entry0")
+            voter = group.member_by_name["entry0"].consensus
+            third = await voter.handle_vote(
+                None, Vote(50, "entry2", 99, 50, False), None
+            )
+            again = await voter.handle_vote(
+                None, Vote(50, "entry1", 99, 50, False), None
+            )
+            granted = [v.granted for v in (first, second, third, again)]
+            assert granted == [True, False, False, True]
+
+        run(tmp_path, 5, test)
+
+    def test_candidate_with_a_shorter_log_gets_no_vote(self, tmp_path):
+        async def test(group):
+            await submit(group, change("a", 0))
+            leader = await wait_leader(group)
+            term = leader.consensus.term
+            vote = Vote(term + 5, "entry9", 0, 0, False)
+            reply = await leader.consensus.handle_vote(None, vote, None)
+            assert not reply.granted
+
+        run(tmp_path, 6, test)
+
     def test_leader_that_is_cut_off_cannot_confirm_itself(self, tmp_path):
         async def test(group):
             leader = await wait_leader(group)
