wire, agent: ask and ping less often when nothing runs

Profiles showed two HTTP probes of the engine five times a second, pings on links that carry other frames, and short ticks. Change: an idle engine is asked once a second and for cache events every fourth time; pings only on quiet links; heartbeats of the log every 150 ms, announcements, digests and freshness every 500 ms.

--- a/packages/agent/src/almonddeal_agent/announce.py
+++ b/packages/agent/src/almonddeal_agent/announce.py
@@ -6,7 +6,7 @@
 from almonddeal_common.codes import AlmonddealError
 from almonddeal_common.wire.gen.ttypes import Announce
 
-INTERVAL_S = 0.4
+INTERVAL_S = 0.5
 TIMEOUT_MS = 1000
 
 
--- a/packages/agent/src/almonddeal_agent/attempts.py
+++ b/packages/agent/src/almonddeal_agent/attempts.py
@@ -17,7 +17,7 @@
 from almonddeal_common.logs import get_logger
 from almonddeal_common.wire.gen.ttypes import AttemptChunk, AttemptEnd
 
-STALL_CHECK_S = 0.05
+STALL_CHECK_S = 0.1
 
 log = get_logger("attempts")
 
@@ -141,6 +141,14 @@
 class EngineWatch:
     """Asks the engine for its report at intervals and notices when it is gone.
 
+    Parameters
+    ----------
+    engine : EngineInterface
+    empty_load : Load
+        Load of an engine that does not answer.
+    is_busy : callable
+        Tells whether anything runs; an idle engine is asked less often.
+
     Attributes
     ----------
     lost : anyio.Event
@@ -152,10 +160,13 @@
     cache : CacheView
     """
 
-    INTERVAL_S = 0.2
+    INTERVAL_S = 0.25
+    IDLE_INTERVAL_S = 1.0
+    EVENTS_EVERY = 4
     MAX_FAILURES = 3
 
-    def __init__(self, engine, empty_load):
+    def __init__(self, engine, empty_load, is_busy):
+        self._is_busy = is_busy
         self._engine = engine
         self._empty_load = empty_load
         self._heard_ms = monotonic_ms()
@@ -174,10 +185,14 @@
     async def run(self):
         """Watch until cancelled."""
         n_failures = 0
+        n_reports = 0
+        events = []
         while True:
             try:
                 report = await self._engine.report()
-                events = await self._engine.cache_events(self.cache.since)
+                if n_reports % self.EVENTS_EVERY == 0:
+                    events = await self._engine.cache_events(self.cache.since)
+                n_reports += 1
             except Exception as error:
                 n_failures += 1
                 self._note_failure(n_failures, error)
@@ -185,7 +200,8 @@
                 n_failures = 0
                 self._note_report(report)
                 self.cache.take(events)
-            await anyio.sleep(self.INTERVAL_S)
+            is_busy = self._is_busy()
+            await anyio.sleep(self.INTERVAL_S if is_busy else self.IDLE_INTERVAL_S)
 
     def _note_report(self, report):
         if self.lost.is_set():
--- a/packages/agent/src/almonddeal_agent/run.py
+++ b/packages/agent/src/almonddeal_agent/run.py
@@ -103,7 +103,7 @@
         address = Address.parse(self._target["address"])
         if self._target["kind"] == "engine":
             engine = http_engine(self._client, address)
-            self._watch = EngineWatch(engine, self._empty_load)
+            self._watch = EngineWatch(engine, self._empty_load, self._is_busy)
             self._attempts = AttemptRunner(engine, self._watch, self._admission)
             handlers[StartAttempt] = self._attempts.handle_start
             gate = OrderGate(self._admission, engine.order)
@@ -154,6 +154,9 @@
             "engine_token_ms": self._watch.load.token_ms if self._watch else 0.0,
         }
 
+    def _is_busy(self):
+        return self._admission.n_in_flight > 0
+
     def _service_load(self):
         n_slots = self._target.get("max_calls", SERVICE_CALLS)
         return Load(self._admission.n_in_flight, 0, n_slots, 0, 0.0, 0)
--- a/packages/common/src/almonddeal_common/wire/link.py
+++ b/packages/common/src/almonddeal_common/wire/link.py
@@ -24,7 +24,7 @@
 from almonddeal_common.wire.gen.constants import PROTOCOL_VERSION
 from almonddeal_common.wire.gen.ttypes import Fault, Hello, Ok, Phase, Ping
 
-PING_INTERVAL_MS = 250
+PING_INTERVAL_MS = 400
 SILENCE_LIMIT_MS = 1500
 OWN_STALL_MS = 250
 HANDSHAKE_TIMEOUT_S = 2.0
@@ -132,6 +132,7 @@
         self._outgoing_bytes = 0
         self._outgoing_ready = anyio.Event()
         self._last_received_ms = monotonic_ms()
+        self._last_sent_ms = 0.0
         self._group = None
         self._closed_reason = None
         self.n_sent_bytes = 0
@@ -288,12 +289,14 @@
             last_ms = now_ms
             if now_ms - self._last_received_ms > SILENCE_LIMIT_MS:
                 raise AlmonddealError(LINK_LOST, "peer silent")
-            self._send(Phase.NOTICE, 0, Ping(int(now_ms * 1000)))
+            if now_ms - self._last_sent_ms > PING_INTERVAL_MS / 2:
+                self._send(Phase.NOTICE, 0, Ping(int(now_ms * 1000)))
 
     def _send(self, phase, call_id, message):
         if self.closed.is_set():
             return
         data = encode_frame(phase, call_id, message)
+        self._last_sent_ms = monotonic_ms()
         self._outgoing.append(data)
         self._outgoing_bytes += len(data)
         if self._outgoing_bytes > MAX_OUTGOING_BYTES:
--- a/packages/entry/src/almonddeal/control/client.py
+++ b/packages/entry/src/almonddeal/control/client.py
@@ -24,7 +24,7 @@
 RETRY_S = 0.05
 PROPOSE_TIMEOUT_MS = 2000
 FRESH_TIMEOUT_MS = 800
-FRESH_INTERVAL_S = 0.4
+FRESH_INTERVAL_S = 0.5
 NOT_PROPOSED = frozenset((NOT_LEADER.number, NOT_REACHED.number))
 
 log = get_logger("control")
--- a/packages/entry/src/almonddeal/control/consensus.py
+++ b/packages/entry/src/almonddeal/control/consensus.py
@@ -33,10 +33,10 @@
     VoteReply,
 )
 
-HEARTBEAT_MS = 100
+HEARTBEAT_MS = 150
 ELECTION_MIN_MS = 600
 ELECTION_MAX_MS = 1200
-TICK_MS = 40
+TICK_MS = 80
 OWN_STALL_MS = 200
 CALL_TIMEOUT_MS = 500
 SNAPSHOT_TIMEOUT_MS = 10_000
--- a/packages/entry/src/almonddeal/membership/digest.py
+++ b/packages/entry/src/almonddeal/membership/digest.py
@@ -5,7 +5,7 @@
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.wire.gen.ttypes import ModelState, PeerDigest
 
-INTERVAL_S = 0.4
+INTERVAL_S = 0.5
 HEARD_MS = 2500
 
 
