http: never cut a long answer for the caller's silence

A malformed deadline header was refused after the answer had begun. Change: no read timeout (slow requests stay bounded by the keep-alive timeout before they begin and by the time for the body after); the deadline is read before anything is run; one class carries what a caller is to get. The soak now has answers of 35 s. Conclusion: long answers are part of the soak from now on.

--- a/features/steps/answer_steps.py
+++ b/features/steps/answer_steps.py
@@ -23,6 +23,7 @@
         self._url = url
         self._timeout_ms = timeout_ms
         self._leave = False
+        self.longest_gap_s = 0.0
 
     def run(self):
         anyio.run(self._read)
@@ -31,8 +32,12 @@
         async with make_client() as client:
             if self._timeout_ms is not None:
                 client.headers["x-timeout-ms"] = str(self._timeout_ms)
+            last = None
             try:
                 async for _ in stream_answer(client, self._url, KEY, self.answer):
+                    now = time.monotonic()
+                    self.longest_gap_s = max(self.longest_gap_s, now - (last or now))
+                    last = now
                     if self._leave:
                         return
             except httpx.HTTPError as error:
--- a/packages/common/src/almonddeal_common/http.py
+++ b/packages/common/src/almonddeal_common/http.py
@@ -10,17 +10,19 @@
 from almonddeal_common.codes import ADDRESS_IN_USE, AlmonddealError
 
 GRACEFUL_TIMEOUT_S = 3.0
-KEEP_ALIVE_TIMEOUT_S = 60.0
-READ_TIMEOUT_S = 30
+KEEP_ALIVE_TIMEOUT_S = 30.0
 BACKLOG = 2048
 
 
-def _config(address, tls):
+def make_config(address, tls=None):
+    """Return the hypercorn configuration for an address."""
     config = Config()
     config.bind = [str(address)]
     config.graceful_timeout = GRACEFUL_TIMEOUT_S
     config.keep_alive_timeout = KEEP_ALIVE_TIMEOUT_S
-    config.read_timeout = READ_TIMEOUT_S
+    # A caller of a long answer sends nothing for minutes; slow requests are bounded by
+    # the keep-alive timeout before they begin and by the time for their body after.
+    config.read_timeout = None
     config.backlog = BACKLOG
     config.accesslog = None
     config.errorlog = logging.getLogger("almonddeal.http")
@@ -44,7 +46,7 @@
         Files ``certificate`` and ``key``.
     """
     try:
-        await serve(app, _config(address, tls), shutdown_trigger=stop.wait)
+        await serve(app, make_config(address, tls), shutdown_trigger=stop.wait)
     except OSError as error:
         raise AlmonddealError(ADDRESS_IN_USE, f"{address}: {error}") from None
 
--- /dev/null
+++ b/packages/common/src/almonddeal_common/tests/test_http.py
@@ -0,0 +1,105 @@
+"""Tests of serving HTTP."""
+
+import ssl
+from datetime import UTC, datetime, timedelta
+from ipaddress import ip_address
+
+import anyio
+import httpx
+import pytest
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509.oid import NameOID
+
+from almonddeal_common.codes import AlmonddealError
+from almonddeal_common.http import make_config, serve_http
+from almonddeal_common.settings import Address
+
+PORT = 11_731
+
+
+async def hello(scope, receive, send):
+    """Answer every request with a word."""
+    if scope["type"] == "lifespan":
+        await receive()
+        await send({"type": "lifespan.startup.complete"})
+        await receive()
+        await send({"type": "lifespan.shutdown.complete"})
+        return
+    await send({"type": "http.response.start", "status": 200, "headers": []})
+    await send({"type": "http.response.body", "body": b"hello"})
+
+
+def write_certificate(folder):
+    """Write a certificate for 127.0.0.1 with its key; returns the files."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, "127.0.0.1")])
+    now = datetime.now(UTC)
+    certificate = (
+        x509.CertificateBuilder()
+        .subject_name(name)
+        .issuer_name(name)
+        .public_key(key.public_key())
+        .serial_number(1)
+        .not_valid_before(now - timedelta(days=1))
+        .not_valid_after(now + timedelta(days=1))
+        .add_extension(
+            x509.SubjectAlternativeName([x509.IPAddress(ip_address("127.0.0.1"))]),
+            critical=False,
+        )
+        .sign(key, hashes.SHA256())
+    )
+    paths = {"certificate": str(folder / "cert.pem"), "key": str(folder / "key.pem")}
+    (folder / "cert.pem").write_bytes(
+        certificate.public_bytes(serialization.Encoding.PEM)
+    )
+    (folder / "key.pem").write_bytes(
+        key.private_bytes(
+            serialization.Encoding.PEM,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
+        )
+    )
+    return paths
+
+
+class TestServing:
+    def test_silence_of_a_caller_never_cuts_its_answer(self):
+        assert make_config(Address("127.0.0.1", 1)).read_timeout is None
+
+    def test_tls_from_key_files(self, tmp_path):
+        tls = write_certificate(tmp_path)
+
+        async def main():
+            stop = anyio.Event()
+            async with anyio.create_task_group() as group:
+                address = Address("127.0.0.1", PORT)
+                group.start_soon(serve_http, hello, address, stop, tls)
+                context = ssl.create_default_context(cafile=tls["certificate"])
+                async with httpx.AsyncClient(verify=context, trust_env=False) as client:
+                    response = await self._get(client, f"https://{address}/")
+                stop.set()
+            assert response.text == "hello"
+
+        anyio.run(main)
+
+    async def _get(self, client, url):
+        with anyio.fail_after(5):
+            while True:
+                try:
+                    return await client.get(url)
+                except httpx.ConnectError:
+                    await anyio.sleep(0.05)
+
+    def test_address_in_use_has_its_code(self):
+        async def main():
+            address = Address("127.0.0.1", PORT)
+            listener = await anyio.create_tcp_listener(
+                local_host=address.host, local_port=address.port
+            )
+            async with listener:
+                with pytest.raises(AlmonddealError, match="ADDRESS_IN_USE"):
+                    await serve_http(hello, address, anyio.Event())
+
+        anyio.run(main)
--- a/packages/entry/src/almonddeal/callers/app.py
+++ b/packages/entry/src/almonddeal/callers/app.py
@@ -19,7 +19,7 @@
     parse_last_event_id,
     read_body,
 )
-from almonddeal.callers.streams import stream_response, whole_response
+from almonddeal.callers.streams import Delivery, stream_response, whole_response
 from almonddeal.orders.lookups import run_lookup
 from almonddeal.orders.run import order_id
 from almonddeal_common.clock import monotonic_ms
@@ -87,24 +87,20 @@
             check_request_id(request_id)
         if "last-event-id" in request.headers:
             return await self._go_on(request, customer, is_chat)
+        deadline_ms = _deadline_ms(request)
         data = await read_body(request)
         body = parse_completion(data, is_chat, request_id, customer, entry.document)
         self._check_fresh()
         entry.limits.check_rate(customer)
         answer = await entry.answers.begin(customer, body.answer)
         request_id = answer.spec.request.partition(":")[2]
-        return await self._respond(request, answer, request_id, is_chat, body.stream, 0)
+        delivery = Delivery(answer, request_id, is_chat, 0, deadline_ms)
+        return await self._respond(request, delivery, body.stream)
 
-    async def _respond(self, request, answer, request_id, is_chat, stream, n_seen):
+    async def _respond(self, request, delivery, stream):
         service = self._entry.answers
-        deadline_ms = _deadline_ms(request)
-        if stream:
-            work = stream_response(
-                service, answer, request_id, is_chat, n_seen, deadline_ms
-            )
-        else:
-            work = whole_response(service, answer, request_id, is_chat, deadline_ms)
-        return await _while_connected(request, work)
+        respond = stream_response if stream else whole_response
+        return await _while_connected(request, respond(service, delivery))
 
     async def _resume(self, request):
         customer = self._find_customer(request)
@@ -122,9 +118,11 @@
             request_id = named_id
             n_seen = index + 1
         check_request_id(request_id)
+        deadline_ms = _deadline_ms(request)
         stream = request.query_params.get("stream", "true") != "false"
         answer = await self._entry.answers.attach(customer, request_id)
-        return await self._respond(request, answer, request_id, is_chat, stream, n_seen)
+        delivery = Delivery(answer, request_id, is_chat, n_seen, deadline_ms)
+        return await self._respond(request, delivery, stream)
 
     async def _cancel(self, request):
         customer = self._find_customer(request)
--- a/packages/entry/src/almonddeal/callers/streams.py
+++ b/packages/entry/src/almonddeal/callers/streams.py
@@ -70,29 +70,58 @@
             await self.progress()
 
 
-async def whole_response(service, answer, request_id, is_chat, deadline_ms):
+class Delivery:
+    """What one caller is to get of an answer.
+
+    Parameters
+    ----------
+    answer : OwnedAnswer
+    request_id : str
+    is_chat : bool
+    n_seen : int
+        Number of tokens that the caller has.
+    deadline_ms : float or None
+        On the monotonic clock.
+    """
+
+    __slots__ = ("answer", "deadline_ms", "is_chat", "n_seen", "request_id")
+
+    def __init__(self, answer, request_id, is_chat, n_seen, deadline_ms):
+        self.answer = answer
+        self.request_id = request_id
+        self.is_chat = is_chat
+        self.n_seen = n_seen
+        self.deadline_ms = deadline_ms
+
+    def make_form(self):
+        """Return the form in which the caller reads the answer."""
+        return CompletionForm(self.request_id, self.answer.spec, self.is_chat)
+
+
+async def whole_response(service, delivery):
     """Return the response that holds the whole answer."""
+    answer = delivery.answer
     with service.subscribe(answer):
-        await Waiting(service, answer, deadline_ms).until_ended()
+        await Waiting(service, answer, delivery.deadline_ms).until_ended()
     error = end_error(answer)
     if error is not None:
         raise error
-    form = CompletionForm(request_id, answer.spec, is_chat)
-    body = form.whole("".join(answer.texts), len(answer.tokens), answer.finish_reason)
-    return JSONResponse(body, headers={"x-request-id": request_id})
+    text = "".join(answer.texts)
+    body = delivery.make_form().whole(text, len(answer.tokens), answer.finish_reason)
+    return JSONResponse(body, headers={"x-request-id": delivery.request_id})
 
 
-async def stream_response(service, answer, request_id, is_chat, n_seen, deadline_ms):
-    """Return a stream of events from position `n_seen` on.
+async def stream_response(service, delivery):
+    """Return a stream of events after what the caller has seen.
 
     Errors that come before the first event become an HTTP status.
     """
-    waiting = Waiting(service, answer, deadline_ms)
+    answer = delivery.answer
+    waiting = Waiting(service, answer, delivery.deadline_ms)
     with service.subscribe(answer):
-        await waiting.until_beyond(n_seen)
-    form = CompletionForm(request_id, answer.spec, is_chat)
-    events = _events(service, answer, form, n_seen, waiting)
-    headers = {"x-request-id": request_id, **STREAM_HEADERS}
+        await waiting.until_beyond(delivery.n_seen)
+    events = _events(service, answer, delivery.make_form(), delivery.n_seen, waiting)
+    headers = {"x-request-id": delivery.request_id, **STREAM_HEADERS}
     return StreamingResponse(events, media_type="text/event-stream", headers=headers)
 
 
--- a/tools/almonddeal_tools/soak.py
+++ b/tools/almonddeal_tools/soak.py
@@ -20,6 +20,8 @@
 N_CALLERS = 12
 N_ORDERERS = 6
 GIVE_UP_S = 60.0
+# The last ones run for longer than any timeout of the HTTP server.
+ANSWER_TOKENS = (20, 20, 100, 100, 400, 400, 800, 800, 7000)
 RETRY_S = 0.2
 KNOWN_ERRORS_ARE_FINAL = ("ANSWER_UNKNOWN", "ANSWER_EVICTED", "VERSION_GONE")
 
@@ -87,7 +89,7 @@
         customer = self._random.choice(list(KEY_BY_CUSTOMER))
         key = KEY_BY_CUSTOMER[customer]
         while not self.is_over:
-            n_tokens = self._random.choice((20, 100, 400, 800))
+            n_tokens = self._random.choice(ANSWER_TOKENS)
             prompt = f"prompt {self._random.random()}"
             answer = Answer(prompt, n_tokens)
             await self._read_whole(client, key, answer)
