control: read the newest document before a change without a base

Change: such a change, and a drain, first confirm that nothing newer is committed. A bench of control: acceptance, in force, catching up, and the time without a leader.

--- a/packages/entry/src/almonddeal/control/client.py
+++ b/packages/entry/src/almonddeal/control/client.py
@@ -136,18 +136,28 @@
     async def keep_fresh(self):
         """Confirm at intervals that nothing newer was committed, until cancelled."""
         while True:
-            asked_ms = monotonic_ms()
             try:
-                if self._consensus is not None:
-                    await self._confirm_as_member()
-                    self._fresh_at_ms = asked_ms
-                else:
-                    await self._confirm_as_follower(asked_ms)
+                await self.refresh()
             except AlmonddealError:
                 await anyio.sleep(RETRY_S)
                 continue
             await anyio.sleep(FRESH_INTERVAL_S)
 
+    async def refresh(self):
+        """Learn all that was committed before this call.
+
+        Raises
+        ------
+        AlmonddealError
+            If that cannot be confirmed now.
+        """
+        asked_ms = monotonic_ms()
+        if self._consensus is None:
+            await self._confirm_as_follower(asked_ms)
+            return
+        await self._confirm_as_member()
+        self._fresh_at_ms = max(self._fresh_at_ms or asked_ms, asked_ms)
+
     async def _confirm_as_member(self):
         index = await self._read_index()
         if not await self._consensus.wait_applied(index, FRESH_TIMEOUT_MS):
--- a/packages/entry/src/almonddeal/operators/changes.py
+++ b/packages/entry/src/almonddeal/operators/changes.py
@@ -76,6 +76,8 @@
             detail = "; ".join(str(e) for e in group.exceptions[:3])
             await self._record(change, "refused", detail)
             raise
+        if change.base_version is None:
+            await self._control.refresh()
         current = self._replica.document
         # A patch against another base is never applied; the log compares versions.
         patch_json = await to_thread.run_sync(
@@ -112,6 +114,7 @@
     async def drain(self, target, author, origin):
         """Put a target among those that leave; returns the `ChangeResult`."""
         for _ in range(DRAIN_TRIES):
+            await self._control.refresh()
             current = self._replica.document
             document = copy.deepcopy(current.raw)
             if not document:
--- a/tools/almonddeal_tools/bench/__main__.py
+++ b/tools/almonddeal_tools/bench/__main__.py
@@ -5,6 +5,7 @@
 
 from almonddeal_tools.bench import detectors
 from almonddeal_tools.bench.claims import ClaimBench
+from almonddeal_tools.bench.control import ControlBench
 from almonddeal_tools.bench.path import PathBench
 from almonddeal_tools.bench.resource import ResourceBench
 from almonddeal_tools.bench.resume import ResumeBench
@@ -38,12 +39,18 @@
         anyio.run(ClaimBench(fleet).run)
 
 
+def _run_control():
+    with Fleet() as fleet:
+        ControlBench(fleet).run()
+
+
 PARTS = {
     "detectors": detectors.run,
     "resume": _run_resume,
     "resource": _run_resource,
     "path": _run_path,
     "claims": _run_claims,
+    "control": _run_control,
 }
 
 
