control, tools: split large files by duty; never reuse an attempt's number

Cause: files of 450 to 575 lines held several duties (log entries and waiting proposers in the consensus, rows for operators in the entry instance, processes and documents in the fleet driver); a refused attempt gave its number back, so a log line read attempt 0. Change: EntryLog, Waiters, operators/status, tools' process, documents, slope parts; attempts are numbered once, and whether anything ran is kept apart.

--- a/features/steps/answer_steps.py
+++ b/features/steps/answer_steps.py
@@ -7,7 +7,7 @@
 
 from almonddeal_tools.caller import Answer, headers_of, make_client, stream_answer
 from almonddeal_tools.chain import n_attempts
-from almonddeal_tools.fleet import KEY_BY_CUSTOMER
+from almonddeal_tools.documents import KEY_BY_CUSTOMER
 
 KEY = KEY_BY_CUSTOMER["tujenge"]
 OTHER_KEY = KEY_BY_CUSTOMER["keystone"]
--- a/features/steps/bad_input_steps.py
+++ b/features/steps/bad_input_steps.py
@@ -7,7 +7,7 @@
 from behave import then, when
 
 from almonddeal_tools.caller import headers_of
-from almonddeal_tools.fleet import KEY_BY_CUSTOMER
+from almonddeal_tools.documents import KEY_BY_CUSTOMER
 
 KEY = KEY_BY_CUSTOMER["tujenge"]
 RIGHT = {"model": "draft", "prompt": "marked as bad", "max_tokens": 5}
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -8,7 +8,8 @@
 from behave import then, when
 
 from almonddeal_common.codes import FORBIDDEN, VERSION_CONFLICT
-from almonddeal_tools.fleet import READER_TOKEN, sha256
+from almonddeal_tools.documents import sha256
+from almonddeal_tools.fleet import READER_TOKEN
 
 
 def changed_document(context, name):
--- a/features/steps/library_steps.py
+++ b/features/steps/library_steps.py
@@ -4,7 +4,7 @@
 from behave import then, when
 
 from almonddeal_tools.chain import context_digest, first_break, parse_text
-from almonddeal_tools.fleet import KEY_BY_CUSTOMER
+from almonddeal_tools.documents import KEY_BY_CUSTOMER
 
 N_TOKENS = 40
 CHAT = [{"role": "user", "content": "hello"}]
--- a/packages/entry/src/almonddeal/answers/generate.py
+++ b/packages/entry/src/almonddeal/answers/generate.py
@@ -11,6 +11,7 @@
     ANSWER_INCOMPLETE,
     INTERNAL,
     LEASE_EXPIRED,
+    NO,
     NO_TARGET,
     NOT_REACHED,
     OVERLOADED,
@@ -18,6 +19,7 @@
     TARGET_HANDOVER,
     TARGET_LEAVING,
     TARGET_REFUSED,
+    UNKNOWN,
     VERSION_GONE,
     AlmonddealError,
 )
@@ -126,7 +128,7 @@
 
     def _give_up(self, answer, error):
         if not answer.tokens:
-            was_run = "no" if answer.n_attempts == 0 else "unknown"
+            was_run = UNKNOWN if answer.was_run else NO
             return AlmonddealError(
                 error.code, error.detail, was_run=was_run, after_ms=error.after_ms
             )
@@ -139,8 +141,8 @@
         self.stats.n_losses_by_code[error.code.name] += 1
         if error.code.number not in NOT_A_FAULT:
             target.note_failure()
-        if error.code.number in NOT_STARTED:
-            answer.n_attempts -= 1
+        if error.code.number not in NOT_STARTED:
+            answer.was_run = True
         log.info(
             "lost attempt %d of %s at token %d, %s",
             answer.n_attempts,
--- a/packages/entry/src/almonddeal/answers/owned.py
+++ b/packages/entry/src/almonddeal/answers/owned.py
@@ -40,6 +40,7 @@
         self.n_attempts = 0
         self.n_committed = 0
         self.n_subscribers = 0
+        self.was_run = False
         self.n_primed = -1
         self.primed_target = None
         self.error = None
--- a/packages/entry/src/almonddeal/control/consensus.py
+++ b/packages/entry/src/almonddeal/control/consensus.py
@@ -13,6 +13,8 @@
 import anyio
 from anyio import create_task_group, to_thread
 
+from almonddeal.control.entries import EntryLog
+from almonddeal.control.waiters import Waiters
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import (
     CHANGE_OUTCOME_UNKNOWN,
@@ -54,15 +56,6 @@
 log = get_logger("control")
 
 
-class _Waiter:
-    __slots__ = ("event", "result", "term")
-
-    def __init__(self, term):
-        self.term = term
-        self.event = anyio.Event()
-        self.result = None
-
-
 class Consensus:
     """One member of the control group.
 
@@ -92,13 +85,12 @@
         self._machine = machine
         self._on_applied = on_applied
         self._voted_for = store.meta.voted_for
-        self._snapshot = store.snapshot
-        self._entries = list(store.entries)
-        self._durable_index = self.last_index
+        self._log = EntryLog(store.snapshot, store.entries)
+        self._durable_index = self._log.last_index
         self._match_by_name = {}
         self._next_by_name = {}
         self._confirmed_ms_by_name = {}
-        self._waiter_by_index = {}
+        self._waiters = Waiters()
         self._wake_by_name = {}
         self._write_wake = anyio.Event()
         self._changed = anyio.Event()
@@ -106,16 +98,11 @@
         self._last_heard_ms = monotonic_ms()
         self._election_ms = self._random_election_ms()
         self._first_index_of_term = 0
-        if self._snapshot.state:
-            machine.restore(self._snapshot.state)
+        if store.snapshot.state:
+            machine.restore(store.snapshot.state)
 
     # ---- facts -----------------------------------------------------------------
 
-    @property
-    def last_index(self):
-        """Index of the last entry, whether committed or not."""
-        return self._snapshot.index + len(self._entries)
-
     @property
     def quorum(self):
         """Number of members that make a majority."""
@@ -126,16 +113,6 @@
         """Whether this member leads its current term."""
         return self.role == LEADER
 
-    def _entry(self, index):
-        return self._entries[index - self._snapshot.index - 1]
-
-    def _term_at(self, index):
-        if index == self._snapshot.index:
-            return self._snapshot.term
-        if index < self._snapshot.index or index > self.last_index:
-            return None
-        return self._entry(index).term
-
     def _random_election_ms(self):
         return random.uniform(ELECTION_MIN_MS, ELECTION_MAX_MS)
 
@@ -216,9 +193,7 @@
             self._lead()
 
     async def _collect_votes(self, term, pre):
-        request = Vote(
-            term, self.name, self.last_index, self._term_at(self.last_index), pre
-        )
+        request = Vote(term, self.name, self._log.last_index, self._log.last_term, pre)
         n_granted = 1
         enough = anyio.Event()
         if n_granted >= self.quorum:
@@ -253,8 +228,8 @@
     async def handle_vote(self, link, message, emit):
         """Answer a candidate."""
         up_to_date = (message.last_term, message.last_index) >= (
-            self._term_at(self.last_index),
-            self.last_index,
+            self._log.last_term,
+            self._log.last_index,
         )
         silence_ms = monotonic_ms() - self._last_heard_ms
         hears_leader = self.role == LEADER or silence_ms < ELECTION_MIN_MS
@@ -278,16 +253,16 @@
         now_ms = monotonic_ms()
         self._confirmed_ms_by_name = dict.fromkeys(self._peer_by_name, now_ms)
         self._match_by_name = dict.fromkeys(self._peer_by_name, 0)
-        self._next_by_name = dict.fromkeys(self._peer_by_name, self.last_index + 1)
-        self._first_index_of_term = self.last_index + 1
+        self._next_by_name = dict.fromkeys(self._peer_by_name, self._log.last_index + 1)
+        self._first_index_of_term = self._log.last_index + 1
         self._append_as_leader(KIND_BARRIER, b"")
         self._notify_changed()
 
     # ---- leader ----------------------------------------------------------------
 
     def _append_as_leader(self, kind, command):
-        entry = LogEntry(self.term, self.last_index + 1, kind, command)
-        self._entries.append(entry)
+        entry = LogEntry(self.term, self._log.last_index + 1, kind, command)
+        self._log.append(entry)
         self._write_wake.set()
         self._wake_peers()
         return entry.index
@@ -307,14 +282,10 @@
         if self.role != LEADER:
             raise AlmonddealError(NOT_LEADER, f"leader is {self.leader or 'unknown'}")
         index = self._append_as_leader(KIND_COMMAND, encode(command))
-        waiter = _Waiter(self.term)
-        self._waiter_by_index[index] = waiter
-        with anyio.move_on_after(timeout_ms / 1000):
-            await waiter.event.wait()
-        self._waiter_by_index.pop(index, None)
-        if waiter.result is None:
+        result = await self._waiters.wait(index, self.term, timeout_ms)
+        if result is None:
             raise AlmonddealError(CHANGE_OUTCOME_UNKNOWN, "not committed in time")
-        return waiter.result
+        return result
 
     async def _write_proposals(self):
         while True:
@@ -324,7 +295,7 @@
                 if self.role != LEADER:
                     continue
                 first = self._durable_index + 1
-                entries = self._entries[first - self._snapshot.index - 1 :]
+                entries = self._log.since(first)
                 if not entries:
                     continue
                 try:
@@ -339,8 +310,8 @@
     def _drop_unwritten(self, first):
         # A follower may hold these entries and commit them under the next leader, so
         # their outcome is unknown to the proposer.
-        self._fail_waiters(first)
-        del self._entries[first - self._snapshot.index - 1 :]
+        self._waiters.fail_from(first)
+        self._log.truncate_from(first)
         self._last_heard_ms = monotonic_ms() + STORAGE_FULL_PAUSE_MS
         self._follow(None)
 
@@ -363,14 +334,14 @@
                     await event.wait()
 
     def _peer_lags(self, name):
-        return self._next_by_name[name] <= self.last_index
+        return self._next_by_name[name] <= self._log.last_index
 
     async def _send_to_peer(self, name, peer):
         term = self.term
         started_ms = monotonic_ms()
         next_index = self._next_by_name[name]
-        if next_index <= self._snapshot.index:
-            message = InstallSnapshot(term, self.name, self._snapshot)
+        if next_index < self._log.first_index:
+            message = InstallSnapshot(term, self.name, self._log.snapshot)
             reply = await peer.call(message, SNAPSHOT_TIMEOUT_MS)
         else:
             reply = await peer.call(self._append_message(next_index), CALL_TIMEOUT_MS)
@@ -384,14 +355,13 @@
         self._note_reply(name, reply)
 
     def _append_message(self, next_index):
-        start = next_index - self._snapshot.index - 1
-        entries = self._entries[start : start + MAX_ENTRIES_A_CALL]
+        entries = self._log.since(next_index, MAX_ENTRIES_A_CALL)
         prev_index = next_index - 1
         return AppendLog(
             self.term,
             self.name,
             prev_index,
-            self._term_at(prev_index),
+            self._log.term_at(prev_index),
             entries,
             self.commit_index,
         )
@@ -414,7 +384,7 @@
         # The leader applies only what its own disk holds, so that it can drop entries
         # that it failed to write.
         index = min(sorted(matched, reverse=True)[self.quorum - 1], self._durable_index)
-        if index > self.commit_index and self._term_at(index) == self.term:
+        if index > self.commit_index and self._log.term_at(index) == self.term:
             self.commit_index = index
             self._apply_committed()
             self._wake_peers()
@@ -428,7 +398,7 @@
                 return AppendLogReply(self.term, False, 0)
             await self._hear_leader(message.term, message.leader)
             self._forget_unwritten()
-            if self._term_at(message.prev_index) != message.prev_term:
+            if self._log.term_at(message.prev_index) != message.prev_term:
                 return self._mismatch(message.prev_index)
             await self._take_entries(message.entries)
             match = message.prev_index + len(message.entries)
@@ -447,38 +417,35 @@
     def _forget_unwritten(self):
         """Drop entries that this member proposed as leader and never wrote."""
         first = self._durable_index + 1
-        if first <= self.last_index:
-            self._fail_waiters(first)
-            del self._entries[first - self._snapshot.index - 1 :]
+        if first <= self._log.last_index:
+            self._waiters.fail_from(first)
+            self._log.truncate_from(first)
 
     def _mismatch(self, prev_index):
         if prev_index <= self.commit_index:
             hint = self.commit_index
-        elif prev_index > self.last_index:
-            hint = self.last_index
+        elif prev_index > self._log.last_index:
+            hint = self._log.last_index
         else:
             hint = max(self.commit_index, prev_index - MAX_ENTRIES_A_CALL)
         return AppendLogReply(self.term, False, hint)
 
     async def _take_entries(self, entries):
-        new = [e for e in entries if e.index > self._snapshot.index]
-        while new and self._term_at(new[0].index) == new[0].term:
+        new = [e for e in entries if e.index >= self._log.first_index]
+        while new and self._log.term_at(new[0].index) == new[0].term:
             new.pop(0)
         if not new:
             return
         first = new[0].index
-        if first <= self.last_index:
+        if first <= self._log.last_index:
             assert first > self.commit_index, "a committed entry would be changed"
-            self._fail_waiters(first)
-            del self._entries[first - self._snapshot.index - 1 :]
+            self._waiters.fail_from(first)
+            self._log.truncate_from(first)
             await self._on_disk(self._store.truncate_from, first)
         await self._on_disk(self._store.append, new)
-        self._entries.extend(new)
-        self._durable_index = self.last_index
-
-    def _fail_waiters(self, first):
-        for index in [i for i in self._waiter_by_index if i >= first]:
-            self._waiter_by_index.pop(index).event.set()
+        for entry in new:
+            self._log.append(entry)
+        self._durable_index = self._log.last_index
 
     async def handle_snapshot(self, link, message, emit):
         """Take the leader's snapshot in place of a log that is too far behind."""
@@ -489,8 +456,7 @@
             snapshot = message.snapshot
             if snapshot.index > self.commit_index:
                 await self._on_disk(self._store.save_snapshot, snapshot, [])
-                self._snapshot = snapshot
-                self._entries = []
+                self._log = EntryLog(snapshot, [])
                 self._durable_index = snapshot.index
                 self.commit_index = self.applied_index = snapshot.index
                 self._machine.restore(snapshot.state)
@@ -504,23 +470,15 @@
             return
         while self.applied_index < self.commit_index:
             index = self.applied_index + 1
-            entry = self._entry(index)
+            entry = self._log.entry(index)
             assert entry.index == index, "entries are applied in order"
             result = None
             if entry.kind == KIND_COMMAND:
                 result = self._machine.apply(index, decode(Command, entry.command))
             self.applied_index = index
-            self._resolve_waiter(entry, result)
+            self._waiters.resolve(entry, result)
         self._after_apply()
 
-    def _resolve_waiter(self, entry, result):
-        waiter = self._waiter_by_index.pop(entry.index, None)
-        if waiter is None:
-            return
-        if waiter.term == entry.term:
-            waiter.result = result
-        waiter.event.set()
-
     def _after_apply(self):
         if self._on_applied is not None:
             self._on_applied()
@@ -528,19 +486,18 @@
 
     async def compact(self):
         """Write a snapshot when enough entries came since the last one."""
-        if self.applied_index - self._snapshot.index < SNAPSHOT_EVERY_ENTRIES:
+        if self.applied_index - self._log.snapshot.index < SNAPSHOT_EVERY_ENTRIES:
             return
         async with self.disk:
             index = self.applied_index
             state = self._machine.dump()
             snapshot = Snapshot(
-                self._snapshot.format, index, self._term_at(index), state
+                self._log.snapshot.format, index, self._log.term_at(index), state
             )
-            after = self._entries[index - self._snapshot.index :]
+            after = self._log.since(index + 1)
             durable = [e for e in after if e.index <= self._durable_index]
             await self._on_disk(self._store.save_snapshot, snapshot, durable)
-            self._entries = self._entries[index - self._snapshot.index :]
-            self._snapshot = snapshot
+            self._log.compact(snapshot)
             log.info("kept a snapshot at entry %d", index)
 
     # ---- reading ---------------------------------------------------------------
--- a/packages/entry/src/almonddeal/run.py
+++ b/packages/entry/src/almonddeal/run.py
@@ -28,6 +28,7 @@
 from almonddeal.operators.app import OperatorInterface
 from almonddeal.operators.changes import Changes
 from almonddeal.operators.confirmations import Confirmations
+from almonddeal.operators.status import entry_rows, target_rows
 from almonddeal.orders.run import OrderPorts, OrderRunner
 from almonddeal.rollout.controller import RolloutController
 from almonddeal.rollout.planner import simulate, version_for_new
@@ -137,8 +138,10 @@
             "leader": self._control.leader,
             "fresh_age_ms": round(self._control.fresh_age_ms),
             "is_fresh": self.is_fresh,
-            "entries": self._entry_status(),
-            "targets": [self._target_status(t) for t in self._targets()],
+            "entries": entry_rows(
+                self.settings, self._view, self._digests, self.document
+            ),
+            "targets": target_rows(self._directory, self.document),
             "answers": {
                 "working": self.answers.n_working,
                 "held": len(self._store),
@@ -155,39 +158,6 @@
         """Return the steps that a `FleetDocument` would bring about from now on."""
         return simulate(document, self._directory.engines())
 
-    def _targets(self):
-        return sorted(self._directory.target_by_name.values(), key=lambda t: t.name)
-
-    def _entry_status(self):
-        versions = {
-            name: news.digest.document_version
-            for name, news in self._digests.news_by_name.items()
-        }
-        versions[self.settings.instance] = self.document.version
-        live = set(self._view.live_entries())
-        return [
-            {"instance": name, "live": name in live, "version": versions.get(name)}
-            for name in sorted(self.settings.entry_by_name)
-        ]
-
-    def _target_status(self, target):
-        state = target.state
-        return {
-            "target": target.name,
-            "instance": state.instance,
-            "failure_domain": state.failure_domain,
-            "kind": state.kind,
-            "live": target.is_live,
-            "leaving": target.name in self.document.leaving,
-            "stopping": state.stopping,
-            "version": state.document_version,
-            "models": [f"{m.model} {m.version}" for m in state.models],
-            "in_flight": state.n_in_flight,
-            "running": state.load.n_running,
-            "waiting": state.load.n_waiting,
-            "slots": state.load.n_slots,
-        }
-
     # ---- running ---------------------------------------------------------------
 
     async def run(self):
--- a/tools/almonddeal_tools/bench/path.py
+++ b/tools/almonddeal_tools/bench/path.py
@@ -11,7 +11,7 @@
 from almonddeal_tools.bench.naive import read_naively
 from almonddeal_tools.bench.resume import TimedReading
 from almonddeal_tools.caller import Answer, make_client
-from almonddeal_tools.fleet import KEY_BY_CUSTOMER
+from almonddeal_tools.documents import KEY_BY_CUSTOMER
 
 N_STREAMS = 200
 N_TOKENS = 150
--- a/tools/almonddeal_tools/bench/resource.py
+++ b/tools/almonddeal_tools/bench/resource.py
@@ -4,7 +4,7 @@
 
 from almonddeal_tools.bench.figures import show
 from almonddeal_tools.caller import Answer, make_client, stream_answer
-from almonddeal_tools.fleet import KEY_BY_CUSTOMER
+from almonddeal_tools.documents import KEY_BY_CUSTOMER
 
 N_ANSWERS = 200
 N_TOKENS = 200
--- a/tools/almonddeal_tools/bench/resume.py
+++ b/tools/almonddeal_tools/bench/resume.py
@@ -9,7 +9,7 @@
 from almonddeal_tools.bench.naive import NaiveCaller, read_naively
 from almonddeal_tools.caller import Answer, make_client, stream_answer
 from almonddeal_tools.chain import HASH_BITS
-from almonddeal_tools.fleet import KEY_BY_CUSTOMER
+from almonddeal_tools.documents import KEY_BY_CUSTOMER
 
 N_ROUNDS = 25
 N_FLOORS = 15
--- a/tools/almonddeal_tools/demo.py
+++ b/tools/almonddeal_tools/demo.py
@@ -14,7 +14,8 @@
 
 from almonddeal_tools.caller import Answer, headers_of, make_client, stream_answer
 from almonddeal_tools.chain import n_attempts
-from almonddeal_tools.fleet import KEY_BY_CUSTOMER, Fleet
+from almonddeal_tools.documents import KEY_BY_CUSTOMER
+from almonddeal_tools.fleet import Fleet
 
 KEY = KEY_BY_CUSTOMER["tujenge"]
 LONG = 600
--- a/tools/almonddeal_tools/fleet.py
+++ b/tools/almonddeal_tools/fleet.py
@@ -1,11 +1,9 @@
 """A fleet of real processes on loopback, for the drivers and the scenarios."""
 
-import hashlib
 import json
 import os
 import random
 import shutil
-import signal
 import socket
 import subprocess
 import sys
@@ -15,20 +13,16 @@
 
 import httpx
 
+from almonddeal_tools.documents import base_document, sha256
+from almonddeal_tools.process import Process
+
 START_TIMEOUT_S = 30.0
-STOP_TIMEOUT_S = 8.0
 PORT_RANGE = (12_000, 32_000)
 OPERATOR_TOKEN = "operator-token"
 READER_TOKEN = "reader-token"
-KEY_BY_CUSTOMER = {"tujenge": "key-tujenge", "keystone": "key-keystone"}
 BIN = Path(sys.executable).parent
 
 
-def sha256(text):
-    """Return the hex digest of a text."""
-    return hashlib.sha256(text.encode()).hexdigest()
-
-
 def free_ports(n_ports):
     """Return ports that nobody listens on now, below those that systems give out."""
     ports = []
@@ -44,104 +38,6 @@
     return ports
 
 
-def base_document():
-    """Return the fleet document that the drivers start from."""
-    return {
-        "format": 1,
-        "customers": {
-            "tujenge": {
-                "key_sha256": [sha256(KEY_BY_CUSTOMER["tujenge"])],
-                "models": ["draft"],
-                "services": ["badges"],
-                "limits": {"requests_per_s": 1000, "burst": 1000, "max_streams": 500},
-                "resume": {
-                    "mode": "primed",
-                    "copies": 2,
-                    "disconnect_grace_ms": 500,
-                },
-            },
-            "keystone": {
-                "key_sha256": [sha256(KEY_BY_CUSTOMER["keystone"])],
-                "models": ["draft"],
-                "services": ["badges"],
-                "limits": {"requests_per_s": 1000, "burst": 1000, "max_streams": 500},
-                "resume": {"mode": "plain", "copies": 2, "disconnect_grace_ms": 0},
-            },
-        },
-        "models": {"draft": {"version": "v1"}},
-        "services": {
-            "badges": {
-                "timeout_ms": 8000,
-                "lookups": [{"method": "GET", "path_prefix": "/status"}],
-            }
-        },
-    }
-
-
-class Process:
-    """One process of the fleet."""
-
-    def __init__(self, name, command, log_path):
-        self.name = name
-        self._command = command
-        self._log_path = log_path
-        self._popen = None
-        self.is_paused = False
-
-    def __repr__(self):
-        return f"Process({self.name!r})"
-
-    @property
-    def pid(self):
-        """Id of the running process."""
-        return self._popen.pid
-
-    @property
-    def is_running(self):
-        """Whether the process runs."""
-        return self._popen is not None and self._popen.poll() is None
-
-    def start(self):
-        """Start the process, or start it again."""
-        self.is_paused = False
-        with open(self._log_path, "ab") as log:
-            self._popen = subprocess.Popen(
-                self._command, stdout=log, stderr=log, stdin=subprocess.DEVNULL
-            )
-
-    def signal(self, number):
-        """Send a signal."""
-        if self.is_running:
-            os.kill(self.pid, number)
-
-    def kill(self):
-        """End the process without notice."""
-        self.signal(signal.SIGKILL)
-        self.wait()
-
-    def terminate(self):
-        """Tell the process to stop."""
-        self.signal(signal.SIGTERM)
-
-    def pause(self):
-        """Stop the process from running for a while."""
-        self.is_paused = True
-        self.signal(signal.SIGSTOP)
-
-    def resume(self):
-        """Let a paused process run on."""
-        self.is_paused = False
-        self.signal(signal.SIGCONT)
-
-    def wait(self, timeout_s=STOP_TIMEOUT_S):
-        """Wait for the end; returns the exit status."""
-        return self._popen.wait(timeout_s)
-
-    def log_text(self):
-        """Return what the process wrote."""
-        return Path(self._log_path).read_text()
-
-
 class Fleet:
     """Entry instances, agents and stand-ins in a folder of their own.
 
--- a/tools/almonddeal_tools/run_fleet.py
+++ b/tools/almonddeal_tools/run_fleet.py
@@ -4,7 +4,8 @@
 
 import click
 
-from almonddeal_tools.fleet import KEY_BY_CUSTOMER, OPERATOR_TOKEN, Fleet
+from almonddeal_tools.documents import KEY_BY_CUSTOMER
+from almonddeal_tools.fleet import OPERATOR_TOKEN, Fleet
 
 
 def _hints(fleet):
--- a/tools/almonddeal_tools/slopes.py
+++ b/tools/almonddeal_tools/slopes.py
@@ -10,7 +10,6 @@
 import time
 import tracemalloc
 
-import anyio
 import click
 
 from almonddeal.control.replica import DocumentReplica
@@ -23,10 +22,7 @@
 from almonddeal.targets.choose import two_choices, with_affinity
 from almonddeal.targets.directory import Target, TargetDirectory
 from almonddeal_common.held.store import AnswerStore
-from almonddeal_common.settings import Address
 from almonddeal_common.wire.codec import encode, encode_frame
-from almonddeal_common.wire.connect import dial
-from almonddeal_common.wire.gen.constants import PROTOCOL_VERSION
 from almonddeal_common.wire.gen.ttypes import (
     Announce,
     AnnounceReply,
@@ -35,34 +31,17 @@
     AppendLog,
     ChangeDocument,
     Command,
-    Hello,
-    Load,
     LogEntry,
-    ModelState,
     PeerDigest,
     Phase,
-    TargetState,
 )
-from almonddeal_tools.bench.path import cpu_s, rss_mb
-from almonddeal_tools.fleet import Fleet, sha256
+from almonddeal_tools.documents import sha256
+from almonddeal_tools.slope_points import N_MODELS, make_target_state, show
+from almonddeal_tools.slopes_fleet import measure_agent, measure_followers
 
-N_MODELS = 18
 REPEATS = 200
 
 
-def show(name, unit, points):
-    """Print a quantity at its sizes, with the slope of the last interval."""
-    (size_a, value_a), (size_b, value_b) = points[0], points[-1]
-    slope = (value_b - value_a) / (size_b - size_a)
-    line = {
-        "name": name,
-        "unit": unit,
-        "points": [[size, round(value, 4)] for size, value in points],
-        "slope": float(f"{slope:.4g}"),
-    }
-    click.echo(json.dumps(line))
-
-
 def timed_us(function, repeats=REPEATS):
     """Return the processor time of one call in us."""
     started = time.process_time()
@@ -93,30 +72,6 @@
     return new
 
 
-def make_target_state(number):
-    """Return the announcement of one of many engines."""
-    return TargetState(
-        target=f"engine{number}",
-        instance=f"agent{number}",
-        incarnation=1_700_000_000_000_000_000,
-        failure_domain=f"fd{number % 6}",
-        host="10.0.0.1",
-        port=7000,
-        kind="engine",
-        service_name="",
-        labels={"pool": "a"},
-        models=[ModelState(f"m{number % N_MODELS}", "v1", [])],
-        load=Load(10, 0, 64, 100_000, 30.0, 200),
-        stopping=False,
-        sequence=100_000,
-        document_version=5000,
-        n_in_flight=10,
-        cache_epoch=0,
-        evicted_keys=[],
-        role="",
-    )
-
-
 def memory_mb(make):
     """Return the memory in MB that what `make` returns takes."""
     tracemalloc.start()
@@ -366,96 +321,6 @@
     )
 
 
-# ---- followers of a real instance --------------------------------------------------
-
-
-class LightAgents:
-    """Many agents on one link each, announcing like real ones."""
-
-    INTERVAL_S = 0.4
-
-    def __init__(self, address, n_agents):
-        self._address = address
-        self._n_agents = n_agents
-        self.n_replies = 0
-
-    async def run(self, seconds):
-        """Announce for a time."""
-        with anyio.move_on_after(seconds):
-            async with anyio.create_task_group() as group:
-                for number in range(self._n_agents):
-                    group.start_soon(self._announce, group, number)
-                    await anyio.sleep(0.002)
-
-    async def _announce(self, group, number):
-        hello = Hello(PROTOCOL_VERSION, 1, "agent", f"light{number}", 1, "fd1")
-        link = await dial(self._address, hello, {})
-        group.start_soon(link.run)
-        await link.ready.wait()
-        state = make_target_state(1000 + number)
-        state.sequence = 0
-        while True:
-            state.sequence += 1
-            reply = await link.call(Announce(state, 1), 5000)
-            self.n_replies += 1
-            state.document_version = reply.document_version
-            await anyio.sleep(self.INTERVAL_S)
-
-
-def measure_followers():
-    """Measure a real entry instance over agents that announce to it."""
-    points_cpu, points_memory, points_force = [], [], []
-    for n_agents in (0, 100, 300):
-        with Fleet(n_engines=1, n_services=0) as fleet:
-            entry = fleet.process_by_name["entry1"]
-            agents = LightAgents(Address.parse(fleet.entry_addresses[1]), n_agents)
-            anyio.run(_follow, fleet, entry, agents, points_cpu, points_force)
-            points_memory.append((n_agents, rss_mb(entry)))
-    show("entry instance, processor, over agents", "% of a core", points_cpu)
-    show("entry instance, memory, over agents", "MB", points_memory)
-    show("accepted to in force everywhere, over agents", "ms", points_force)
-
-
-async def _follow(fleet, entry, agents, points_cpu, points_force):
-    seconds = 14.0
-    async with anyio.create_task_group() as group:
-        group.start_soon(agents.run, seconds)
-        await anyio.sleep(5.0)
-        before, started = cpu_s(entry), time.monotonic()
-        await anyio.sleep(4.0)
-        share = (cpu_s(entry) - before) / (time.monotonic() - started)
-        points_cpu.append((agents._n_agents, share * 100))
-        times = []
-        for number in range(5):
-            times.append(await anyio.to_thread.run_sync(_time_change, fleet, number))
-        points_force.append((agents._n_agents, sorted(times)[len(times) // 2]))
-        group.cancel_scope.cancel()
-
-
-def _time_change(fleet, number):
-    document = json.loads(json.dumps(fleet.document))
-    document["leaving"] = [f"none{number}"]
-    started = time.monotonic()
-    fleet.apply(document, entry=1)
-    return (time.monotonic() - started) * 1000
-
-
-def measure_agent():
-    """Measure an idle agent and the processor time of an idle entry instance."""
-    with Fleet(n_engines=1, n_services=0) as fleet:
-        names = ("agent0", "entry0", "entry1", "entry2")
-        before = {name: cpu_s(fleet.process_by_name[name]) for name in names}
-        time.sleep(10)
-        for name in names:
-            process = fleet.process_by_name[name]
-            line = {
-                "name": f"idle {name}",
-                "processor_percent": round((cpu_s(process) - before[name]) * 10, 2),
-                "memory_mb": round(rss_mb(process), 1),
-            }
-            click.echo(json.dumps(line))
-
-
 PARTS = {
     "document": measure_document,
     "messages": measure_messages,
--- a/tools/almonddeal_tools/soak.py
+++ b/tools/almonddeal_tools/soak.py
@@ -14,7 +14,8 @@
 import httpx
 
 from almonddeal_tools.caller import Answer, headers_of, make_client, stream_answer
-from almonddeal_tools.fleet import KEY_BY_CUSTOMER, Fleet
+from almonddeal_tools.documents import KEY_BY_CUSTOMER
+from almonddeal_tools.fleet import Fleet
 from almonddeal_tools.relay import Relays
 
 N_CALLERS = 12
