answers: find an answer that only agents still hold

Change: live agents are asked after the entry instances; the soak counts the reasons for HOLDERS_UNREACHABLE. Figures: a new test restarts all entry instances while two agents hold the answer: not found before, whole after. Conclusion: the next soak shows what is left.

--- a/packages/entry/src/almonddeal/answers/ownership.py
+++ b/packages/entry/src/almonddeal/answers/ownership.py
@@ -35,6 +35,7 @@
 BACKOFF_S = 0.05
 EPOCH_OWNER_BITS = 16
 FIND_BATCH = 7
+MAX_AGENTS_ASKED = 14
 
 log = get_logger("answers")
 
@@ -150,10 +151,9 @@
         raise AlmonddealError(HOLDERS_UNREACHABLE, "the answer is contended")
 
     async def _find_latest(self, request):
-        names = rank(request, self._view.all_entries())
+        """Return the newest description of an answer that anybody gives."""
         n_unreached = 0
-        for start in range(0, len(names), FIND_BATCH):
-            batch = names[start : start + FIND_BATCH]
+        for batch in self._search_batches(request):
             replies = await self._ask(batch, Fence(request, 0, True))
             n_unreached += len(batch) - len(replies)
             found = [reply for reply in replies.values() if reply.found]
@@ -162,9 +162,17 @@
             if any(r.code == ANSWER_EVICTED.number for r in replies.values()):
                 raise AlmonddealError(ANSWER_EVICTED, "no longer kept")
         if n_unreached:
-            detail = f"{n_unreached} entry instances cannot be asked"
+            detail = f"{n_unreached} instances cannot be asked"
             raise AlmonddealError(HOLDERS_UNREACHABLE, detail)
-        raise AlmonddealError(ANSWER_UNKNOWN, "no entry instance holds it")
+        raise AlmonddealError(ANSWER_UNKNOWN, "no instance holds it")
+
+    def _search_batches(self, request):
+        """Yield names in the order in which they are likely to hold an answer."""
+        entries = rank(request, self._view.all_entries())
+        agents = rank(request, self._view.live_agents())[:MAX_AGENTS_ASKED]
+        for names in (entries, agents):
+            for start in range(0, len(names), FIND_BATCH):
+                yield names[start : start + FIND_BATCH]
 
     async def _try_take(self, request, latest, n_copies):
         epoch = self._next_epoch(latest.promised_epoch)
--- a/packages/entry/src/almonddeal/answers/tests/test_ownership.py
+++ b/packages/entry/src/almonddeal/answers/tests/test_ownership.py
@@ -171,6 +171,26 @@
 
         run(test)
 
+    def test_answer_is_found_where_only_agents_are_left(self):
+        async def test(net, group):
+            first = FakeEntry(net, "entry0", group)
+            answer = await first.ownership.create(make_spec(), 2, True)
+            write(first, answer, 0, 5)
+            await settle()
+            for name in ("entry1", "entry2"):
+                net.cut("entry0", name)
+                await first.ownership.repair(answer, 2)
+                await settle()
+            net.heal()
+            assert sum(h.startswith("agent") for h in answer.holders) == 2
+            for name in ENTRIES:
+                net.restart(name)
+            second = FakeEntry(net, "entry1", group)
+            taken = await second.ownership.take_over("kite:r1", 2)
+            assert taken.tokens == [0, 1, 2, 3, 4]
+
+        run(test)
+
     def test_nothing_is_committed_by_new_holders_alone(self):
         async def test(net, group):
             entry = FakeEntry(net, "entry0", group)
--- a/tools/almonddeal_tools/soak.py
+++ b/tools/almonddeal_tools/soak.py
@@ -106,6 +106,8 @@
                 pass
             if answer.error is not None:
                 self.n_by_error[answer.error["name"]] += 1
+                if answer.error["name"] == "HOLDERS_UNREACHABLE":
+                    self.n_by_error[answer.error["message"]] += 1
                 if answer.error["name"] in KNOWN_ERRORS_ARE_FINAL:
                     break
             if answer.finish_reason is None:
