answers: restore copies within half a second of a loss

Change: holders look four times a second; an instance counts as away after 500 ms. Conclusion: the window is shorter; two losses inside it still end in a refusal.

--- a/packages/entry/src/almonddeal/answers/guard.py
+++ b/packages/entry/src/almonddeal/answers/guard.py
@@ -13,9 +13,9 @@
 from almonddeal_common.codes import AlmonddealError
 from almonddeal_common.logs import get_logger
 
-INTERVAL_S = 0.5
+INTERVAL_S = 0.25
 MAX_AT_ONCE = 50
-ORPHAN_SHARE = 0.4
+ORPHAN_SHARE = 0.5
 
 log = get_logger("answers")
 
--- a/packages/entry/src/almonddeal/answers/service.py
+++ b/packages/entry/src/almonddeal/answers/service.py
@@ -17,7 +17,7 @@
 from almonddeal_common.wire.gen.ttypes import AnswerSpec
 
 CLEAN_INTERVAL_S = 1.0
-REPAIR_INTERVAL_S = 0.5
+REPAIR_INTERVAL_S = 0.25
 KEEP_OWNED_MS = 5 * 60 * 1000
 MAX_ID_CHARS = 128
 
--- a/packages/entry/src/almonddeal/membership/view.py
+++ b/packages/entry/src/almonddeal/membership/view.py
@@ -4,7 +4,7 @@
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import NOT_REACHED, AlmonddealError
 
-AWAY_MS = 1000
+AWAY_MS = 500
 
 
 class FleetView:
