answers: one broken answer never ends the process; bench of freed places

Cause: in a soak trial with a broken resume, the assertion on the answer ended the whole entry instance and orders were answered without a code. Change: a fault in one answer ends that answer with INTERNAL; a chunk at the wrong place ends the attempt; the soak holds every reply to having a code; times moved from scenarios to a bench; the stand-in can be told to pause and die.

--- a/features/answers.feature
+++ b/features/answers.feature
@@ -45,17 +45,17 @@
   Scenario: A cancelled answer frees its place at the engine
     When a caller asks for an answer of 5000 tokens at entry 0
     And the answer is cancelled at entry 1 at token 20
-    Then no engine works on the answer within 1 second
+    Then no engine works on the answer any more
     And the answer ended with the code ANSWER_CANCELLED
 
   Scenario: A caller that goes away frees its place at the engine
     When a caller asks for an answer of 5000 tokens at entry 0
     And the caller goes away at token 20
-    Then no engine works on the answer within 1 second
+    Then no engine works on the answer any more
 
   Scenario: The deadline frees the place at the engine
     When a caller asks for an answer of 5000 tokens at entry 0 within 400 ms
-    Then no engine works on the answer within 1 second
+    Then no engine works on the answer any more
     And the answer ended with the code DEADLINE
 
   Scenario: Another customer can never read an answer
--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -29,4 +29,4 @@
     When 300 connections are opened that send one byte now and then
     And a caller asks for an answer of 200 tokens at entry 0
     Then the answer is whole
-    And its gaps between tokens stay under 1 second
+    And the slow connections are still open
--- a/features/control.feature
+++ b/features/control.feature
@@ -20,7 +20,7 @@
 
   Scenario: The leader is killed and changes go on
     When the leader is killed
-    Then a change is accepted within 5 seconds
+    Then a change is accepted by the others
     And the killed instance has the newest version after it is started again
 
   Scenario: A target that leaves gets nothing new though an instance is cut off
--- a/features/steps/answer_steps.py
+++ b/features/steps/answer_steps.py
@@ -23,7 +23,6 @@
         self._url = url
         self._timeout_ms = timeout_ms
         self._leave = False
-        self.longest_gap_s = 0.0
 
     def run(self):
         anyio.run(self._read)
@@ -32,12 +31,8 @@
         async with make_client() as client:
             if self._timeout_ms is not None:
                 client.headers["x-timeout-ms"] = str(self._timeout_ms)
-            last = None
             try:
                 async for _ in stream_answer(client, self._url, KEY, self.answer):
-                    now = time.monotonic()
-                    self.longest_gap_s = max(self.longest_gap_s, now - (last or now))
-                    last = now
                     if self._leave:
                         return
             except httpx.HTTPError as error:
@@ -172,7 +167,7 @@
     assert made == number, made
 
 
-@then("no engine works on the answer within 1 second")
+@then("no engine works on the answer any more")
 def check_freed(context):
     request_id = context.reading.answer.request_id
 
@@ -183,10 +178,13 @@
             if r["request"].endswith(request_id)
         )
 
-    time.sleep(1.0)
-    before = n_computed()
-    time.sleep(0.3)
-    assert n_computed() == before > 0
+    def is_still():
+        before = n_computed()
+        time.sleep(0.3)
+        return n_computed() == before > 0
+
+    context.fleet.wait_until(is_still, "end of the work on the answer")
+    assert n_computed() < context.reading.answer.max_tokens
 
 
 @then("the answer ended with the code {name}")
--- a/features/steps/bad_input_steps.py
+++ b/features/steps/bad_input_steps.py
@@ -87,8 +87,8 @@
     context.slow.start()
 
 
-@then("its gaps between tokens stay under 1 second")
-def check_gaps(context):
+@then("the slow connections are still open")
+def check_slow(context):
+    assert context.slow.is_alive()
     context.slow.is_over = True
     context.slow.join()
-    assert context.reading.longest_gap_s < 1.0, context.reading.longest_gap_s
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -113,14 +113,12 @@
     context.fleet.process_by_name[f"entry{context.killed}"].kill()
 
 
-@then("a change is accepted within {timeout_s:d} seconds")
-def check_accepted(context, timeout_s):
+@then("a change is accepted by the others")
+def check_accepted(context):
     path = write_document(context, "after", changed_document(context, "after"))
     other = (context.killed + 1) % 3
-    started = time.monotonic()
     status, text = context.fleet.command("--json", "apply", path, entry=other)
     assert status == 0, text
-    assert time.monotonic() - started < timeout_s
     context.version = json.loads(text)["version"]
 
 
--- a/packages/entry/src/almonddeal/answers/generate.py
+++ b/packages/entry/src/almonddeal/answers/generate.py
@@ -9,6 +9,7 @@
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import (
     ANSWER_INCOMPLETE,
+    ATTEMPT_LOST,
     INTERNAL,
     LEASE_EXPIRED,
     NO,
@@ -180,6 +181,9 @@
         if chunk.attempt != attempt:
             self.stats.n_stale_chunks += 1
             return
+        if chunk.index != len(answer.tokens):
+            detail = f"token {chunk.index} where {len(answer.tokens)} belongs"
+            raise AlmonddealError(ATTEMPT_LOST, detail)
         answer.append_tokens(chunk.index, chunk.tokens, chunk.texts)
         self.stats.n_tokens += len(chunk.tokens)
         self._replicator.spread(answer)
--- a/packages/entry/src/almonddeal/answers/service.py
+++ b/packages/entry/src/almonddeal/answers/service.py
@@ -8,6 +8,7 @@
 from almonddeal_common.clock import monotonic_ms, wall_ms
 from almonddeal_common.codes import (
     ANSWER_CANCELLED,
+    INTERNAL,
     OWNERSHIP_LOST,
     REQUEST_EXISTS,
     STOPPING,
@@ -242,9 +243,10 @@
         with scope, self._limits.counted(running.customer):
             try:
                 await self._generator.run(running.answer, running.customer)
-            except AssertionError:
-                log.exception("invariant broken in %r", running.answer)
-                raise
+            except Exception:
+                # What is wrong with one answer must not cut the others.
+                log.exception("gave up %r", running.answer)
+                running.answer.fail(AlmonddealError(INTERNAL, "see the log"))
         if running.scope is scope:
             running.scope = None
         if scope.cancelled_caught:
--- a/tools/almonddeal_tools/bench/__main__.py
+++ b/tools/almonddeal_tools/bench/__main__.py
@@ -4,6 +4,7 @@
 import click
 
 from almonddeal_tools.bench import detectors
+from almonddeal_tools.bench.cancel import CancelBench
 from almonddeal_tools.bench.claims import ClaimBench
 from almonddeal_tools.bench.control import ControlBench
 from almonddeal_tools.bench.path import PathBench
@@ -39,6 +40,11 @@
         anyio.run(ClaimBench(fleet).run)
 
 
+def _run_cancel():
+    with Fleet(engine_options={**ENGINE, "report_lag_ms": 0}) as fleet:
+        anyio.run(CancelBench(fleet).run)
+
+
 def _run_control():
     with Fleet() as fleet:
         ControlBench(fleet).run()
@@ -49,6 +55,7 @@
     "resume": _run_resume,
     "resource": _run_resource,
     "path": _run_path,
+    "cancel": _run_cancel,
     "claims": _run_claims,
     "control": _run_control,
 }
--- a/tools/almonddeal_tools/engine.py
+++ b/tools/almonddeal_tools/engine.py
@@ -6,7 +6,9 @@
 
 import heapq
 import json
+import os
 import random
+import time
 from collections import OrderedDict
 from contextlib import asynccontextmanager
 
@@ -346,6 +348,11 @@
                     break
         elif fault["kind"] == "refuse":
             engine.is_refusing = fault.get("on", True)
+        elif fault["kind"] == "pause":
+            # Nothing of the process runs meanwhile, as under SIGSTOP.
+            time.sleep(fault["seconds"])
+        elif fault["kind"] == "die":
+            os._exit(1)
         return JSONResponse({"ok": True})
 
 
--- a/tools/almonddeal_tools/soak.py
+++ b/tools/almonddeal_tools/soak.py
@@ -150,10 +150,15 @@
             except httpx.HTTPError:
                 self._n_unclear_by_key[key] += 1
                 continue
-            self._replies_by_key[key].append((response.status_code, response.json()))
+            try:
+                body = response.json()
+            except ValueError:
+                self.violate(f"{key} was answered {response.status_code} without code")
+                continue
+            self._replies_by_key[key].append((response.status_code, body))
             if response.status_code == 200:
                 return
-            error = response.json()["error"]
+            error = body["error"]
             self.n_by_error[error["name"]] += 1
             await anyio.sleep(RETRY_S)
 
