tests: restart everything one after the other under load

Cause: rolling restarts were shown for one process at a time only. Change: a scenario in which six callers ask without a pause while each agent and entry instance is told to stop and started again. Conclusion: a planned stop cuts nothing as long as answers end within stop_timeout_s.

--- a/features/control.feature
+++ b/features/control.feature
@@ -56,3 +56,7 @@
     When version "v3" is rolled out and the leader is killed meanwhile
     Then every engine has only the version "v3" within 60 seconds
     And no engine carried out an order with an old fencing number
+
+  Scenario: Everything is restarted one after the other under load
+    When callers ask without a pause while every process is told to stop and started again
+    Then no answer that had begun was cut
