control: wait out an election before a change without a base

Change: it tries until the time for a change is over. The test command prints why a scenario failed.

--- a/packages/entry/src/almonddeal/control/client.py
+++ b/packages/entry/src/almonddeal/control/client.py
@@ -143,6 +143,23 @@
                 continue
             await anyio.sleep(FRESH_INTERVAL_S)
 
+    async def refresh_within(self, timeout_ms):
+        """Learn all that was committed before this call, also over an election.
+
+        Raises
+        ------
+        AlmonddealError
+            `NO_QUORUM` if it cannot be confirmed in time.
+        """
+        deadline_ms = monotonic_ms() + timeout_ms
+        while monotonic_ms() < deadline_ms:
+            try:
+                await self.refresh()
+                return
+            except AlmonddealError:
+                await anyio.sleep(RETRY_S)
+        raise AlmonddealError(NO_QUORUM, "the control group did not answer")
+
     async def refresh(self):
         """Learn all that was committed before this call.
 
--- a/tools/almonddeal_tools/run_tests.py
+++ b/tools/almonddeal_tools/run_tests.py
@@ -41,7 +41,7 @@
 
 
 def _run_behave():
-    status, output = _run("behave", "--format", "progress", "--no-capture")
+    status, output = _run("behave", "--format", "progress3")
     match = BEHAVE_COUNT.search(output)
     n_passed, n_failed, n_errors = (
         (int(n or 0) for n in match.groups())
