tests: check rolling restarts under the version that is in force

Cause: the scenario checked answers under v1 after another scenario had rolled out v3. Change: the caller checks under the document's version. Conclusion: a fault of the test, none of the product.

--- a/features/steps/rolling_steps.py
+++ b/features/steps/rolling_steps.py
@@ -28,7 +28,9 @@
             url = self._random.choice(self._fleet.caller_urls)
             if not is_ready(url):
                 continue
-            answer = Answer(f"steady {self._random.random()}", N_TOKENS)
+            version = self._fleet.document["models"]["draft"]["version"]
+            prompt = f"steady {self._random.random()}"
+            answer = Answer(prompt, N_TOKENS, version=version)
             reading = Reading(url, answer)
             reading.run()
             if answer.is_whole:
