--- a/packages/entry/src/almonddeal/run.py
+++ b/packages/entry/src/almonddeal/run.py
@@ -1,7 +1,6 @@
 """An entry instance as a whole: builds its parts from the settings and runs them."""
 
 import os
-import random
 import time
 from contextlib import ExitStack
 
@@ -21,7 +20,7 @@
 from almonddeal.control.storage import LogStore
 from almonddeal.limits.buckets import CustomerLimits
 from almonddeal.limits.budget import RetryBudget
-from almonddeal.limits.dispatch import Dispatcher
+from almonddeal.limits.places import Places
 from almonddeal.membership.digest import DigestExchange
 from almonddeal.membership.view import FleetView
 from almonddeal.metrics import EntryMetrics
@@ -31,8 +30,7 @@
 from almonddeal.operators.status import entry_rows, target_rows
 from almonddeal.orders.run import OrderPorts, OrderRunner
 from almonddeal.rollout.controller import RolloutController
-from almonddeal.rollout.planner import simulate, version_for_new
-from almonddeal.targets.choose import two_choices, with_affinity
+from almonddeal.rollout.planner import simulate
 from almonddeal.targets.directory import TargetDirectory
 from almonddeal.targets.links import AgentLinks
 from almonddeal_common.clock import monotonic_ms
@@ -101,7 +99,7 @@
         self._rollout = None
         self._digests = None
         self._peer_by_name = {}
-        self._dispatcher_by_version = {}
+        self._places = None
         self._started_ms = monotonic_ms()
 
     # ---- facts -----------------------------------------------------------------
@@ -225,9 +223,11 @@
         )
 
     def _build_targets(self, group):
+        self._places = Places(self.replica)
         self._directory = TargetDirectory(
-            self.replica, self._control, self._give_out_places
+            self.replica, self._control, self._places.give_out
         )
+        self._places.directory = self._directory
         self._links = AgentLinks(self._hello, group)
         self._view = FleetView(
             self.settings, self._peer_by_name, self._directory, self._links
@@ -250,11 +250,11 @@
         replicator = Replicator(name, self._store, self._view.link_to, group)
         ownership = Ownership(name, self._store, self._view, replicator)
         self._generator = Generator(
-            self._dispatcher_of,
+            self._places.dispatcher_of,
             self._links.open,
             replicator,
-            self._version_exists,
-            Primer(self._spare_target, self._links.open, group),
+            self._places.version_exists,
+            Primer(self._places.spare_target, self._links.open, group),
         )
         self.answers = AnswerService(
             ownership,
@@ -263,15 +263,15 @@
             self._store,
             self.replica,
             self.limits,
-            self._version_for_new,
+            self._places.version_for_new,
             group,
         )
 
     def _build_orders(self, group):
         self.order_ports = OrderPorts(
-            self._place_call,
+            self._places.place_call,
             self._links.open,
-            self._service_states,
+            self._places.service_states,
             self._ask_entry,
         )
         self.orders = OrderRunner(
@@ -368,72 +368,5 @@
     def _versions_in_use(self):
         return self._digests.versions_in_use(self.settings.entry_by_name)
 
-    def _version_for_new(self, model):
-        engines = self._directory.engines()
-        return version_for_new(self.document, model, engines)
-
-    def _give_out_places(self):
-        for dispatcher in self._dispatcher_by_version.values():
-            dispatcher.give_out()
-
-    def _dispatcher_of(self, spec):
-        key = ("engine", spec.model, spec.version)
-        dispatcher = self._dispatcher_by_version.get(key)
-        if dispatcher is None:
-
-            def targets():
-                return self._engine_targets(spec.model, spec.version)
-
-            choose = with_affinity(two_choices(random))
-            dispatcher = self._dispatcher_by_version[key] = Dispatcher(targets, choose)
-        return dispatcher
-
-    def _spare_target(self, spec, avoid, preferred):
-        return self._dispatcher_of(spec).spare_target(avoid, preferred)
-
-    def _engine_targets(self, model_name, version):
-        model = self.document.model_by_name.get(model_name)
-        pools = model.pools if model is not None else ()
-        return [
-            target
-            for target in self._directory.serving(model_name, version)
-            if self.document.in_pools(target.state.labels, pools)
-        ]
-
-    def _version_exists(self, spec):
-        return any(
-            target.is_live and target.serves(spec.model, spec.version)
-            for target in self._directory.target_by_name.values()
-        )
-
-    def _service_targets(self, service):
-        return [
-            target
-            for target in self._directory.candidates()
-            if target.state.kind == "service"
-            and target.state.service_name == service.name
-            and self.document.in_pools(target.state.labels, service.pools)
-        ]
-
-    def _service_states(self, service):
-        return [
-            target.state
-            for target in self._directory.target_by_name.values()
-            if target.state.service_name == service.name
-        ]
-
-    async def _place_call(self, service, wait_ms):
-        key = ("service", service.name, "")
-        dispatcher = self._dispatcher_by_version.get(key)
-        if dispatcher is None:
-
-            def targets():
-                current = self.document.service_by_name.get(service.name, service)
-                return self._service_targets(current)
-
-            choose = two_choices(random)
-            dispatcher = self._dispatcher_by_version[key] = Dispatcher(targets, choose)
-        return await dispatcher.place_call(wait_ms)
-
     async def _ask_entry(self, name, message, timeout_ms):
         return await self._peer_by_name[name].call(message, timeout_ms)
