orders: tell two claims of one order at one instance apart

Cause: reading the code again: an instance kept one live claim an order, so of two equal requests at the same instance the second hid the first, which then looked dead and was settled as unknown while it ran. A claim that another instance had settled as unknown was still sent by its owner when it woke. Change: live claims are kept by claim id; a claim is sent only while it stands as claimed.

--- a/features/orders.feature
+++ b/features/orders.feature
@@ -9,6 +9,11 @@
     Then the service ran the order "a1" once
     And all callers got the same reply
 
+  Scenario: Two equal orders at one instance at the same moment
+    When the order "a7" is sent at entries 1 and 1 at once
+    Then the service ran the order "a7" once
+    And all callers got the same reply
+
   Scenario: A retry after a lost answer gets the stored reply
     When the order "a2" is sent at entry 0
     And the order "a2" is sent at entry 2
--- a/features/steps/order_steps.py
+++ b/features/steps/order_steps.py
@@ -32,10 +32,11 @@
         time.sleep(0.002)
 
 
-@when('the order "{key}" is sent at entries 0 and 1 at once')
-def send_at_once(context, key):
+@when('the order "{key}" is sent at entries {first:d} and {second:d} at once')
+def send_at_once(context, key, first, second):
     threads = [
-        threading.Thread(target=send, args=(context, number, key)) for number in (0, 1)
+        threading.Thread(target=send, args=(context, number, key))
+        for number in (first, second)
     ]
     for thread in threads:
         thread.start()
--- a/packages/entry/src/almonddeal/orders/run.py
+++ b/packages/entry/src/almonddeal/orders/run.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from almonddeal.orders.ledger import DONE, RELEASED, UNKNOWN_OUTCOME
+from almonddeal.orders.ledger import CLAIMED, DONE, RELEASED, UNKNOWN_OUTCOME
 from almonddeal.targets.directory import entered
 from almonddeal_common.clock import monotonic_ms, wall_ms
 from almonddeal_common.codes import (
@@ -83,7 +83,7 @@
         self._control = control
         self._ports = ports
         self._group = group
-        self._claim_by_order = {}
+        self._live_claims = set()
         self.n_in_flight = 0
 
     async def run(self, service, order, call):
@@ -134,8 +134,10 @@
         while True:
             claim = uuid.uuid4().hex
             result = await self._claim(call, mark, claim)
-            if result.claim == claim:
+            # A claim that somebody settled meanwhile is not sent any more.
+            if result.claim == claim and result.state == CLAIMED:
                 return await self._send_claimed(service, call, claim, deadline_ms)
+            self._live_claims.discard(claim)
             reply = await self._learn(service, call, result, deadline_ms)
             if reply is not None:
                 return reply
@@ -151,7 +153,7 @@
             incarnation=self._incarnation,
             at_ms=wall_ms(),
         )
-        self._claim_by_order[call.order] = claim
+        self._live_claims.add(claim)
         try:
             result = await self._control.submit(
                 Command(claim=command), CONTROL_TIMEOUT_MS
@@ -237,8 +239,7 @@
     async def _settle_once(self, call, claim, outcome, reply):
         settle = SettleOrder(call.order, claim, outcome, reply, wall_ms())
         await self._control.submit(Command(settle=settle), SETTLE_TIMEOUT_MS)
-        if self._claim_by_order.get(call.order) == claim:
-            del self._claim_by_order[call.order]
+        self._live_claims.discard(claim)
 
     # ---- learning of an order claimed elsewhere --------------------------------
 
@@ -268,7 +269,7 @@
         """Tell whether the claim's owner still works on it; None if it is not known."""
         if result.instance == self._name:
             same_process = result.incarnation == self._incarnation
-            return same_process and self._is_mine(order, result.claim)
+            return same_process and result.claim in self._live_claims
         try:
             message = OrderAlive(order, result.claim, result.incarnation)
             reply = await self._ports.ask_entry(
@@ -278,14 +279,10 @@
             return None
         return reply.alive
 
-    def _is_mine(self, order, claim):
-        return self._claim_by_order.get(order) == claim
-
     async def handle_alive(self, link, message, emit):
         """Tell whether this process works on a claim; the handler of `OrderAlive`."""
         same_process = message.incarnation == self._incarnation
-        alive = same_process and self._is_mine(message.order, message.claim)
-        return OrderAliveReply(alive)
+        return OrderAliveReply(same_process and message.claim in self._live_claims)
 
     async def _ask_agents(self, service, order):
         for state in self._ports.service_states(service):
