--- a/tools/almonddeal_tools/engine.py
+++ b/tools/almonddeal_tools/engine.py
@@ -179,6 +179,7 @@
         self.cache = PrefixCache(options["cache_keys"], options["lost_events"])
         self.role = ""
         self.highest_fence = 0
+        self.loading = anyio.Lock()
         self.orders = []
         self.is_refusing = False
         self.is_hung = False
@@ -327,7 +328,9 @@
         engine.highest_fence = max(engine.highest_fence, order["fence"])
         pair = [order["model"], order["version"]]
         if order["kind"] == "load":
-            await anyio.sleep(engine.options["load_s"])
+            # The weight store gives one version at a time.
+            async with engine.loading:
+                await anyio.sleep(engine.options["load_s"])
             if pair not in engine.models:
                 engine.models.append(pair)
         elif order["kind"] == "role":
