--- a/tools/almonddeal_tools/engine.py
+++ b/tools/almonddeal_tools/engine.py
@@ -4,13 +4,11 @@
 by ``POST /fault``. ``GET /records`` tells every attempt that ran.
 """
 
-import heapq
 import json
 import os
 import random
 import time
 from collections import OrderedDict
-from contextlib import asynccontextmanager
 
 import anyio
 import click
@@ -26,6 +24,7 @@
     next_token,
     token_text,
 )
+from almonddeal_tools.slots import PrioritySlots
 
 CACHE_BLOCK = 64
 MAX_CACHE_BLOCKS = 4096
@@ -118,48 +117,6 @@
         return len(text_tokens) - n_cached
 
 
-class PrioritySlots:
-    """Places in the batch; who waits with the highest priority gets the next one."""
-
-    def __init__(self, n_slots):
-        self._n_free = n_slots
-        self._waiting = []
-        self._n_entered = 0
-
-    @asynccontextmanager
-    async def taken(self, priority):
-        """Hold one place in the context, waiting for it if need be."""
-        if self._n_free:
-            self._n_free -= 1
-        else:
-            await self._wait(priority)
-        try:
-            yield
-        finally:
-            self._give_back()
-
-    async def _wait(self, priority):
-        self._n_entered += 1
-        event = anyio.Event()
-        entry = (-priority, self._n_entered, event)
-        heapq.heappush(self._waiting, entry)
-        try:
-            await event.wait()
-        except BaseException:
-            if event.is_set():
-                self._give_back()
-            else:
-                self._waiting.remove(entry)
-                heapq.heapify(self._waiting)
-            raise
-
-    def _give_back(self):
-        if self._waiting:
-            heapq.heappop(self._waiting)[2].set()
-        else:
-            self._n_free += 1
-
-
 class Engine:
     """State of the stand-in.
 
