wire: drop messages that nobody sends

Cause: reading the whole change: three messages and a method of the ledger had no user. Change: ReadOrder, ProbeTarget, CancelAnswer and OrderLedger.read are gone; their kind numbers stay free. Conclusion: no change of behaviour.

--- a/idl/almonddeal.thrift
+++ b/idl/almonddeal.thrift
@@ -100,7 +100,6 @@
   5: string finish_reason
 }
 struct AttemptEnd { 1: i32 attempt, 2: string finish_reason }
-struct ProbeTarget { 1: string target }
 
 struct Append {
   1: string request
@@ -135,7 +134,6 @@
   11: i32 n_attempts
   12: i32 end_code
 }
-struct CancelAnswer { 1: string request, 2: string customer }
 
 // ---- orders --------------------------------------------------------------------
 struct ServiceCall {
@@ -208,7 +206,6 @@
   3: optional ChangeResult change
   4: optional ClaimResult claim
 }
-struct ReadOrder { 1: string order }
 struct Propose { 1: Command command }
 struct ProposeReply { 1: i32 code, 2: CommandResult result, 3: string leader }
 struct ReadFresh { }
--- a/packages/common/src/almonddeal_common/wire/codec.py
+++ b/packages/common/src/almonddeal_common/wire/codec.py
@@ -27,12 +27,10 @@
     20: messages.StartAttempt,
     21: messages.AttemptChunk,
     22: messages.AttemptEnd,
-    23: messages.ProbeTarget,
     24: messages.AppendBatch,
     25: messages.AppendBatchReply,
     26: messages.Fence,
     27: messages.FenceReply,
-    28: messages.CancelAnswer,
     30: messages.ServiceCall,
     31: messages.ServiceReply,
     32: messages.OrderQuery,
@@ -49,7 +47,6 @@
     48: messages.ReadFreshReply,
     49: messages.FetchDocument,
     50: messages.FetchDocumentReply,
-    51: messages.ReadOrder,
     52: messages.ClaimResult,
 }
 KIND_BY_TYPE = {type_: kind for kind, type_ in TYPE_BY_KIND.items()}
--- a/packages/common/src/almonddeal_common/wire/gen/ttypes.py
+++ b/packages/common/src/almonddeal_common/wire/gen/ttypes.py
@@ -1911,74 +1911,6 @@
         return not (self == other)
 
 
-class ProbeTarget(object):
-    """
-    Attributes:
-     - target
-
-    """
-
-    __slots__ = (
-        'target',
-    )
-
-
-    def __init__(self, target=None,):
-        self.target = target
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('ProbeTarget')
-        if self.target is not None:
-            oprot.writeFieldBegin('target', TType.STRING, 1)
-            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class Append(object):
     """
     Attributes:
@@ -2779,86 +2711,6 @@
         return not (self == other)
 
 
-class CancelAnswer(object):
-    """
-    Attributes:
-     - request
-     - customer
-
-    """
-
-    __slots__ = (
-        'request',
-        'customer',
-    )
-
-
-    def __init__(self, request=None, customer=None,):
-        self.request = request
-        self.customer = customer
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.request = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.STRING:
-                    self.customer = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('CancelAnswer')
-        if self.request is not None:
-            oprot.writeFieldBegin('request', TType.STRING, 1)
-            oprot.writeString(self.request.encode('utf-8') if sys.version_info[0] == 2 else self.request)
-            oprot.writeFieldEnd()
-        if self.customer is not None:
-            oprot.writeFieldBegin('customer', TType.STRING, 2)
-            oprot.writeString(self.customer.encode('utf-8') if sys.version_info[0] == 2 else self.customer)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class ServiceCall(object):
     """
     Attributes:
@@ -5197,74 +5049,6 @@
         return not (self == other)
 
 
-class ReadOrder(object):
-    """
-    Attributes:
-     - order
-
-    """
-
-    __slots__ = (
-        'order',
-    )
-
-
-    def __init__(self, order=None,):
-        self.order = order
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.order = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('ReadOrder')
-        if self.order is not None:
-            oprot.writeFieldBegin('order', TType.STRING, 1)
-            oprot.writeString(self.order.encode('utf-8') if sys.version_info[0] == 2 else self.order)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class Propose(object):
     """
     Attributes:
@@ -5900,11 +5684,6 @@
     (1, TType.I32, 'attempt', None, None, ),  # 1
     (2, TType.STRING, 'finish_reason', 'UTF8', None, ),  # 2
 )
-all_structs.append(ProbeTarget)
-ProbeTarget.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'target', 'UTF8', None, ),  # 1
-)
 all_structs.append(Append)
 Append.thrift_spec = (
     None,  # 0
@@ -5962,12 +5741,6 @@
     (11, TType.I32, 'n_attempts', None, None, ),  # 11
     (12, TType.I32, 'end_code', None, None, ),  # 12
 )
-all_structs.append(CancelAnswer)
-CancelAnswer.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'request', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'customer', 'UTF8', None, ),  # 2
-)
 all_structs.append(ServiceCall)
 ServiceCall.thrift_spec = (
     None,  # 0
@@ -6145,11 +5918,6 @@
     (3, TType.STRUCT, 'change', [ChangeResult, None], None, ),  # 3
     (4, TType.STRUCT, 'claim', [ClaimResult, None], None, ),  # 4
 )
-all_structs.append(ReadOrder)
-ReadOrder.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'order', 'UTF8', None, ),  # 1
-)
 all_structs.append(Propose)
 Propose.thrift_spec = (
     None,  # 0
--- a/packages/entry/src/almonddeal/orders/ledger.py
+++ b/packages/entry/src/almonddeal/orders/ledger.py
@@ -103,11 +103,6 @@
             return ClaimResult(KEY_REUSED.number, order.state)
         return self._result(order)
 
-    def read(self, order_id):
-        """Return how an order stands, or None if its key was never claimed."""
-        order = self._order_by_id.get(order_id)
-        return None if order is None else self._result(order)
-
     def settle(self, command):
         """Settle a claim once; a later settlement changes nothing."""
         self._advance(command.at_ms)
