--- a/idl/almonddeal.thrift
+++ b/idl/almonddeal.thrift
@@ -160,17 +160,26 @@
 // ---- control -------------------------------------------------------------------
 struct LogEntry { 1: i64 term, 2: i64 index, 3: i32 kind, 4: binary command }
 struct Meta { 1: i32 format, 2: i64 term, 3: string voted_for }
-struct Snapshot { 1: i32 format, 2: i64 index, 3: i64 term, 4: binary state }
+struct MemberSet { 1: map<string, string> address_by_name, 2: i32 n_wanted }
+struct Snapshot {
+  1: i32 format, 2: i64 index, 3: i64 term, 4: binary state
+  5: optional MemberSet members
+}
 struct Vote {
   1: i64 term, 2: string candidate, 3: i64 last_index, 4: i64 last_term, 5: bool pre
+  6: string recipient
 }
 struct VoteReply { 1: i64 term, 2: bool granted }
 struct AppendLog {
   1: i64 term, 2: string leader, 3: i64 prev_index, 4: i64 prev_term
-  5: list<LogEntry> entries, 6: i64 commit_index
+  5: list<LogEntry> entries, 6: i64 commit_index, 7: string recipient
 }
 struct AppendLogReply { 1: i64 term, 2: bool ok, 3: i64 match_index }
-struct InstallSnapshot { 1: i64 term, 2: string leader, 3: Snapshot snapshot }
+struct InstallSnapshot {
+  1: i64 term, 2: string leader, 3: Snapshot snapshot, 4: string recipient
+}
+struct JoinGroup { 1: string name, 2: string address, 3: bool is_addition }
+struct JoinGroupReply { 1: i32 code, 2: string leader_address, 3: bool is_voter }
 struct ChangeDocument {
   1: string change_id, 2: i64 base_version, 3: string author, 4: string origin
   5: string patch_json, 6: i64 at_ms, 7: string note
@@ -194,17 +203,23 @@
   1: string order, 2: string claim, 3: string outcome, 4: ServiceReply reply
   5: i64 at_ms
 }
+struct PublishConfiguration {
+  1: i64 version, 2: binary content, 3: string origin, 4: i64 at_ms
+}
+struct PublishResult { 1: i64 version_in_force, 2: bool is_stored }
 struct Command {
   1: optional ChangeDocument change
   2: optional RecordAttempt attempt
   3: optional ClaimOrder claim
   4: optional SettleOrder settle
+  5: optional PublishConfiguration publish
 }
 struct CommandResult {
   1: i32 code
   2: i64 index
   3: optional ChangeResult change
   4: optional ClaimResult claim
+  5: optional PublishResult publish
 }
 struct Propose { 1: Command command }
 struct ProposeReply { 1: i32 code, 2: CommandResult result, 3: string leader }
@@ -217,3 +232,23 @@
   1: i64 version, 2: string document_json, 3: string patches_json, 4: i64 fresh_age_ms
   5: i64 term
 }
+
+// ---- following the control group -----------------------------------------------
+struct AnnouncedTarget {
+  1: string target, 2: string service_name, 3: string address, 4: string failure_domain
+  5: string version, 6: i32 n_slots, 7: i32 state, 8: i64 born_ms, 9: i64 sequence
+  10: i64 warmup_ms, 11: i64 age_ms
+}
+struct ShareTargets { 1: list<AnnouncedTarget> targets }
+struct Run {
+  1: string request, 2: string instance, 3: string target, 4: i64 born_ms
+  5: i32 n_tokens, 6: i32 n_unread_tokens, 7: bool is_ended, 8: string backup
+  9: string fingerprint, 10: i64 backup_born_ms, 11: string attempt
+}
+struct ShareRuns { 1: list<Run> runs, 2: bool is_relayed }
+struct Follow { 1: i64 have_version, 2: string instance }
+struct FollowUpdate {
+  1: i64 version, 2: binary content, 3: list<AnnouncedTarget> targets
+  4: list<string> member_addresses, 5: bool is_fresh, 6: list<Run> runs
+  7: i32 n_followers
+}
--- a/packages/common/src/almonddeal_common/codes.py
+++ b/packages/common/src/almonddeal_common/codes.py
@@ -83,6 +83,7 @@
 NO_TARGET = _code(203, "NO_TARGET", 503, 23, NO, SAFE, "No live target serves this request.")
 STOPPING = _code(204, "STOPPING", 503, 24, NO, SAFE, "The process is stopping and takes nothing new.")
 DEADLINE = _code(205, "DEADLINE", 504, 25, UNKNOWN, UNSAFE, "The deadline passed first.")
+NO_CONFIGURATION = _code(206, "NO_CONFIGURATION", 503, 26, NO, SAFE, "The process has no configuration yet.")
 
 ANSWER_UNKNOWN = _code(300, "ANSWER_UNKNOWN", 404, 30, UNKNOWN, SAFE, "No answer is known by this request id.")
 HOLDERS_UNREACHABLE = _code(301, "HOLDERS_UNREACHABLE", 503, 31, UNKNOWN, SAFE, "Too few holders of the answer can be reached just now.")
--- a/packages/common/src/almonddeal_common/http.py
+++ b/packages/common/src/almonddeal_common/http.py
@@ -33,7 +33,7 @@
     return config
 
 
-async def serve_http(app, address, stop, tls=None):
+async def serve_http(app, address, stop, tls=None, config=None):
     """Serve until the event `stop` is set.
 
     Parameters
@@ -44,9 +44,12 @@
     stop : anyio.Event
     tls : dict, optional
         Files ``certificate`` and ``key``.
+    config : hypercorn.config.Config, optional
+        In place of the usual one for the address.
     """
+    config = config or make_config(address, tls)
     try:
-        await serve(app, make_config(address, tls), shutdown_trigger=stop.wait)
+        await serve(app, config, shutdown_trigger=stop.wait)
     except OSError as error:
         raise AlmonddealError(ADDRESS_IN_USE, f"{address}: {error}") from None
 
--- a/packages/common/src/almonddeal_common/wire/codec.py
+++ b/packages/common/src/almonddeal_common/wire/codec.py
@@ -48,6 +48,12 @@
     49: messages.FetchDocument,
     50: messages.FetchDocumentReply,
     52: messages.ClaimResult,
+    53: messages.JoinGroup,
+    54: messages.JoinGroupReply,
+    60: messages.ShareTargets,
+    61: messages.ShareRuns,
+    62: messages.Follow,
+    63: messages.FollowUpdate,
 }
 KIND_BY_TYPE = {type_: kind for kind, type_ in TYPE_BY_KIND.items()}
 
--- a/packages/common/src/almonddeal_common/wire/connect.py
+++ b/packages/common/src/almonddeal_common/wire/connect.py
@@ -59,6 +59,8 @@
         What this process says of itself.
     handler_by_type : dict
         Handlers for what the other side calls.
+    on_ready : callable, optional
+        Called with each new link once it is ready.
 
     Attributes
     ----------
@@ -68,7 +70,8 @@
         When the link was lost last.
     """
 
-    def __init__(self, name, address, hello, handler_by_type):
+    def __init__(self, name, address, hello, handler_by_type, on_ready=None):
+        self._on_ready = on_ready
         self.name = name
         self.address = address
         self.link = None
@@ -106,6 +109,8 @@
                 self.incarnation = link.peer.incarnation
                 self.memory_since_ms = monotonic_ms()
             self.up.set()
+            if self._on_ready is not None:
+                self._on_ready(link)
 
         self.link = link
         async with anyio.create_task_group() as group:
--- a/packages/common/src/almonddeal_common/wire/gen/ttypes.py
+++ b/packages/common/src/almonddeal_common/wire/gen/ttypes.py
@@ -3423,6 +3423,96 @@
         return not (self == other)
 
 
+class MemberSet(object):
+    """
+    Attributes:
+     - address_by_name
+     - n_wanted
+
+    """
+
+    __slots__ = (
+        'address_by_name',
+        'n_wanted',
+    )
+
+
+    def __init__(self, address_by_name=None, n_wanted=None,):
+        self.address_by_name = address_by_name
+        self.n_wanted = n_wanted
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.MAP:
+                    self.address_by_name = {}
+                    (_ktype156, _vtype157, _size155) = iprot.readMapBegin()
+                    for _i159 in range(_size155):
+                        _key160 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val161 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.address_by_name[_key160] = _val161
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.n_wanted = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MemberSet')
+        if self.address_by_name is not None:
+            oprot.writeFieldBegin('address_by_name', TType.MAP, 1)
+            oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.address_by_name))
+            for kiter162, viter163 in self.address_by_name.items():
+                oprot.writeString(kiter162.encode('utf-8') if sys.version_info[0] == 2 else kiter162)
+                oprot.writeString(viter163.encode('utf-8') if sys.version_info[0] == 2 else viter163)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.n_wanted is not None:
+            oprot.writeFieldBegin('n_wanted', TType.I32, 2)
+            oprot.writeI32(self.n_wanted)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Snapshot(object):
     """
     Attributes:
@@ -3430,6 +3520,7 @@
      - index
      - term
      - state
+     - members
 
     """
 
@@ -3438,14 +3529,16 @@
         'index',
         'term',
         'state',
+        'members',
     )
 
 
-    def __init__(self, format=None, index=None, term=None, state=None,):
+    def __init__(self, format=None, index=None, term=None, state=None, members=None,):
         self.format = format
         self.index = index
         self.term = term
         self.state = state
+        self.members = members
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3476,6 +3569,12 @@
                     self.state = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.members = MemberSet()
+                    self.members.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3502,6 +3601,10 @@
             oprot.writeFieldBegin('state', TType.STRING, 4)
             oprot.writeBinary(self.state)
             oprot.writeFieldEnd()
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.STRUCT, 5)
+            self.members.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3535,6 +3638,7 @@
      - last_index
      - last_term
      - pre
+     - recipient
 
     """
 
@@ -3544,15 +3648,17 @@
         'last_index',
         'last_term',
         'pre',
+        'recipient',
     )
 
 
-    def __init__(self, term=None, candidate=None, last_index=None, last_term=None, pre=None,):
+    def __init__(self, term=None, candidate=None, last_index=None, last_term=None, pre=None, recipient=None,):
         self.term = term
         self.candidate = candidate
         self.last_index = last_index
         self.last_term = last_term
         self.pre = pre
+        self.recipient = recipient
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3588,6 +3694,11 @@
                     self.pre = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.recipient = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3618,6 +3729,10 @@
             oprot.writeFieldBegin('pre', TType.BOOL, 5)
             oprot.writeBool(self.pre)
             oprot.writeFieldEnd()
+        if self.recipient is not None:
+            oprot.writeFieldBegin('recipient', TType.STRING, 6)
+            oprot.writeString(self.recipient.encode('utf-8') if sys.version_info[0] == 2 else self.recipient)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3732,6 +3847,7 @@
      - prev_term
      - entries
      - commit_index
+     - recipient
 
     """
 
@@ -3742,16 +3858,18 @@
         'prev_term',
         'entries',
         'commit_index',
+        'recipient',
     )
 
 
-    def __init__(self, term=None, leader=None, prev_index=None, prev_term=None, entries=None, commit_index=None,):
+    def __init__(self, term=None, leader=None, prev_index=None, prev_term=None, entries=None, commit_index=None, recipient=None,):
         self.term = term
         self.leader = leader
         self.prev_index = prev_index
         self.prev_term = prev_term
         self.entries = entries
         self.commit_index = commit_index
+        self.recipient = recipient
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3785,11 +3903,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype158, _size155) = iprot.readListBegin()
-                    for _i159 in range(_size155):
-                        _elem160 = LogEntry()
-                        _elem160.read(iprot)
-                        self.entries.append(_elem160)
+                    (_etype167, _size164) = iprot.readListBegin()
+                    for _i168 in range(_size164):
+                        _elem169 = LogEntry()
+                        _elem169.read(iprot)
+                        self.entries.append(_elem169)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3798,6 +3916,11 @@
                     self.commit_index = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.recipient = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3827,14 +3950,18 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter161 in self.entries:
-                iter161.write(oprot)
+            for iter170 in self.entries:
+                iter170.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.commit_index is not None:
             oprot.writeFieldBegin('commit_index', TType.I64, 6)
             oprot.writeI64(self.commit_index)
             oprot.writeFieldEnd()
+        if self.recipient is not None:
+            oprot.writeFieldBegin('recipient', TType.STRING, 7)
+            oprot.writeString(self.recipient.encode('utf-8') if sys.version_info[0] == 2 else self.recipient)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3958,6 +4085,7 @@
      - term
      - leader
      - snapshot
+     - recipient
 
     """
 
@@ -3965,13 +4093,15 @@
         'term',
         'leader',
         'snapshot',
+        'recipient',
     )
 
 
-    def __init__(self, term=None, leader=None, snapshot=None,):
+    def __init__(self, term=None, leader=None, snapshot=None, recipient=None,):
         self.term = term
         self.leader = leader
         self.snapshot = snapshot
+        self.recipient = recipient
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3998,6 +4128,11 @@
                     self.snapshot.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.recipient = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4020,6 +4155,194 @@
             oprot.writeFieldBegin('snapshot', TType.STRUCT, 3)
             self.snapshot.write(oprot)
             oprot.writeFieldEnd()
+        if self.recipient is not None:
+            oprot.writeFieldBegin('recipient', TType.STRING, 4)
+            oprot.writeString(self.recipient.encode('utf-8') if sys.version_info[0] == 2 else self.recipient)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class JoinGroup(object):
+    """
+    Attributes:
+     - name
+     - address
+     - is_addition
+
+    """
+
+    __slots__ = (
+        'name',
+        'address',
+        'is_addition',
+    )
+
+
+    def __init__(self, name=None, address=None, is_addition=None,):
+        self.name = name
+        self.address = address
+        self.is_addition = is_addition
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.is_addition = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('JoinGroup')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 2)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.is_addition is not None:
+            oprot.writeFieldBegin('is_addition', TType.BOOL, 3)
+            oprot.writeBool(self.is_addition)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class JoinGroupReply(object):
+    """
+    Attributes:
+     - code
+     - leader_address
+     - is_voter
+
+    """
+
+    __slots__ = (
+        'code',
+        'leader_address',
+        'is_voter',
+    )
+
+
+    def __init__(self, code=None, leader_address=None, is_voter=None,):
+        self.code = code
+        self.leader_address = leader_address
+        self.is_voter = is_voter
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.code = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.leader_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.is_voter = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('JoinGroupReply')
+        if self.code is not None:
+            oprot.writeFieldBegin('code', TType.I32, 1)
+            oprot.writeI32(self.code)
+            oprot.writeFieldEnd()
+        if self.leader_address is not None:
+            oprot.writeFieldBegin('leader_address', TType.STRING, 2)
+            oprot.writeString(self.leader_address.encode('utf-8') if sys.version_info[0] == 2 else self.leader_address)
+            oprot.writeFieldEnd()
+        if self.is_voter is not None:
+            oprot.writeFieldBegin('is_voter', TType.BOOL, 3)
+            oprot.writeBool(self.is_voter)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4242,10 +4565,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.paths = []
-                    (_etype165, _size162) = iprot.readListBegin()
-                    for _i166 in range(_size162):
-                        _elem167 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.paths.append(_elem167)
+                    (_etype174, _size171) = iprot.readListBegin()
+                    for _i175 in range(_size171):
+                        _elem176 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.paths.append(_elem176)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4284,8 +4607,8 @@
         if self.paths is not None:
             oprot.writeFieldBegin('paths', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.paths))
-            for iter168 in self.paths:
-                oprot.writeString(iter168.encode('utf-8') if sys.version_info[0] == 2 else iter168)
+            for iter177 in self.paths:
+                oprot.writeString(iter177.encode('utf-8') if sys.version_info[0] == 2 else iter177)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.author is not None:
@@ -4835,29 +5158,29 @@
         return not (self == other)
 
 
-class Command(object):
+class PublishConfiguration(object):
     """
     Attributes:
-     - change
-     - attempt
-     - claim
-     - settle
+     - version
+     - content
+     - origin
+     - at_ms
 
     """
 
     __slots__ = (
-        'change',
-        'attempt',
-        'claim',
-        'settle',
+        'version',
+        'content',
+        'origin',
+        'at_ms',
     )
 
 
-    def __init__(self, change=None, attempt=None, claim=None, settle=None,):
-        self.change = change
-        self.attempt = attempt
-        self.claim = claim
-        self.settle = settle
+    def __init__(self, version=None, content=None, origin=None, at_ms=None,):
+        self.version = version
+        self.content = content
+        self.origin = origin
+        self.at_ms = at_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4869,10 +5192,197 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRUCT:
-                    self.change = ChangeDocument()
-                    self.change.read(iprot)
-                else:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.content = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.origin = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.at_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PublishConfiguration')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 1)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.content is not None:
+            oprot.writeFieldBegin('content', TType.STRING, 2)
+            oprot.writeBinary(self.content)
+            oprot.writeFieldEnd()
+        if self.origin is not None:
+            oprot.writeFieldBegin('origin', TType.STRING, 3)
+            oprot.writeString(self.origin.encode('utf-8') if sys.version_info[0] == 2 else self.origin)
+            oprot.writeFieldEnd()
+        if self.at_ms is not None:
+            oprot.writeFieldBegin('at_ms', TType.I64, 4)
+            oprot.writeI64(self.at_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PublishResult(object):
+    """
+    Attributes:
+     - version_in_force
+     - is_stored
+
+    """
+
+    __slots__ = (
+        'version_in_force',
+        'is_stored',
+    )
+
+
+    def __init__(self, version_in_force=None, is_stored=None,):
+        self.version_in_force = version_in_force
+        self.is_stored = is_stored
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.version_in_force = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.is_stored = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PublishResult')
+        if self.version_in_force is not None:
+            oprot.writeFieldBegin('version_in_force', TType.I64, 1)
+            oprot.writeI64(self.version_in_force)
+            oprot.writeFieldEnd()
+        if self.is_stored is not None:
+            oprot.writeFieldBegin('is_stored', TType.BOOL, 2)
+            oprot.writeBool(self.is_stored)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Command(object):
+    """
+    Attributes:
+     - change
+     - attempt
+     - claim
+     - settle
+     - publish
+
+    """
+
+    __slots__ = (
+        'change',
+        'attempt',
+        'claim',
+        'settle',
+        'publish',
+    )
+
+
+    def __init__(self, change=None, attempt=None, claim=None, settle=None, publish=None,):
+        self.change = change
+        self.attempt = attempt
+        self.claim = claim
+        self.settle = settle
+        self.publish = publish
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.change = ChangeDocument()
+                    self.change.read(iprot)
+                else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.STRUCT:
@@ -4892,6 +5402,12 @@
                     self.settle.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.publish = PublishConfiguration()
+                    self.publish.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4918,6 +5434,10 @@
             oprot.writeFieldBegin('settle', TType.STRUCT, 4)
             self.settle.write(oprot)
             oprot.writeFieldEnd()
+        if self.publish is not None:
+            oprot.writeFieldBegin('publish', TType.STRUCT, 5)
+            self.publish.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4950,6 +5470,7 @@
      - index
      - change
      - claim
+     - publish
 
     """
 
@@ -4958,14 +5479,16 @@
         'index',
         'change',
         'claim',
+        'publish',
     )
 
 
-    def __init__(self, code=None, index=None, change=None, claim=None,):
+    def __init__(self, code=None, index=None, change=None, claim=None, publish=None,):
         self.code = code
         self.index = index
         self.change = change
         self.claim = claim
+        self.publish = publish
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4998,6 +5521,12 @@
                     self.claim.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.publish = PublishResult()
+                    self.publish.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5024,6 +5553,10 @@
             oprot.writeFieldBegin('claim', TType.STRUCT, 4)
             self.claim.write(oprot)
             oprot.writeFieldEnd()
+        if self.publish is not None:
+            oprot.writeFieldBegin('publish', TType.STRUCT, 5)
+            self.publish.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5211,12 +5744,654 @@
         return not (self == other)
 
 
-class ReadFresh(object):
+class ReadFresh(object):
+
+    __slots__ = (
+    )
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ReadFresh')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ReadFreshReply(object):
+    """
+    Attributes:
+     - code
+     - commit_index
+     - leader
+     - term
+
+    """
+
+    __slots__ = (
+        'code',
+        'commit_index',
+        'leader',
+        'term',
+    )
+
+
+    def __init__(self, code=None, commit_index=None, leader=None, term=None,):
+        self.code = code
+        self.commit_index = commit_index
+        self.leader = leader
+        self.term = term
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.code = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.commit_index = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.leader = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ReadFreshReply')
+        if self.code is not None:
+            oprot.writeFieldBegin('code', TType.I32, 1)
+            oprot.writeI32(self.code)
+            oprot.writeFieldEnd()
+        if self.commit_index is not None:
+            oprot.writeFieldBegin('commit_index', TType.I64, 2)
+            oprot.writeI64(self.commit_index)
+            oprot.writeFieldEnd()
+        if self.leader is not None:
+            oprot.writeFieldBegin('leader', TType.STRING, 3)
+            oprot.writeString(self.leader.encode('utf-8') if sys.version_info[0] == 2 else self.leader)
+            oprot.writeFieldEnd()
+        if self.term is not None:
+            oprot.writeFieldBegin('term', TType.I64, 4)
+            oprot.writeI64(self.term)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class FetchDocument(object):
+    """
+    Attributes:
+     - have_version
+
+    """
+
+    __slots__ = (
+        'have_version',
+    )
+
+
+    def __init__(self, have_version=None,):
+        self.have_version = have_version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.have_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('FetchDocument')
+        if self.have_version is not None:
+            oprot.writeFieldBegin('have_version', TType.I64, 1)
+            oprot.writeI64(self.have_version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class FetchDocumentReply(object):
+    """
+    Attributes:
+     - version
+     - document_json
+     - patches_json
+     - fresh_age_ms
+     - term
+
+    """
+
+    __slots__ = (
+        'version',
+        'document_json',
+        'patches_json',
+        'fresh_age_ms',
+        'term',
+    )
+
+
+    def __init__(self, version=None, document_json=None, patches_json=None, fresh_age_ms=None, term=None,):
+        self.version = version
+        self.document_json = document_json
+        self.patches_json = patches_json
+        self.fresh_age_ms = fresh_age_ms
+        self.term = term
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.document_json = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.patches_json = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.fresh_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('FetchDocumentReply')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 1)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.document_json is not None:
+            oprot.writeFieldBegin('document_json', TType.STRING, 2)
+            oprot.writeString(self.document_json.encode('utf-8') if sys.version_info[0] == 2 else self.document_json)
+            oprot.writeFieldEnd()
+        if self.patches_json is not None:
+            oprot.writeFieldBegin('patches_json', TType.STRING, 3)
+            oprot.writeString(self.patches_json.encode('utf-8') if sys.version_info[0] == 2 else self.patches_json)
+            oprot.writeFieldEnd()
+        if self.fresh_age_ms is not None:
+            oprot.writeFieldBegin('fresh_age_ms', TType.I64, 4)
+            oprot.writeI64(self.fresh_age_ms)
+            oprot.writeFieldEnd()
+        if self.term is not None:
+            oprot.writeFieldBegin('term', TType.I64, 5)
+            oprot.writeI64(self.term)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AnnouncedTarget(object):
+    """
+    Attributes:
+     - target
+     - service_name
+     - address
+     - failure_domain
+     - version
+     - n_slots
+     - state
+     - born_ms
+     - sequence
+     - warmup_ms
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'target',
+        'service_name',
+        'address',
+        'failure_domain',
+        'version',
+        'n_slots',
+        'state',
+        'born_ms',
+        'sequence',
+        'warmup_ms',
+        'age_ms',
+    )
+
+
+    def __init__(self, target=None, service_name=None, address=None, failure_domain=None, version=None, n_slots=None, state=None, born_ms=None, sequence=None, warmup_ms=None, age_ms=None,):
+        self.target = target
+        self.service_name = service_name
+        self.address = address
+        self.failure_domain = failure_domain
+        self.version = version
+        self.n_slots = n_slots
+        self.state = state
+        self.born_ms = born_ms
+        self.sequence = sequence
+        self.warmup_ms = warmup_ms
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.n_slots = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.state = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.warmup_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AnnouncedTarget')
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 1)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 3)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 4)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 5)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
+        if self.n_slots is not None:
+            oprot.writeFieldBegin('n_slots', TType.I32, 6)
+            oprot.writeI32(self.n_slots)
+            oprot.writeFieldEnd()
+        if self.state is not None:
+            oprot.writeFieldBegin('state', TType.I32, 7)
+            oprot.writeI32(self.state)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 8)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 9)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.warmup_ms is not None:
+            oprot.writeFieldBegin('warmup_ms', TType.I64, 10)
+            oprot.writeI64(self.warmup_ms)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 11)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ShareTargets(object):
+    """
+    Attributes:
+     - targets
+
+    """
+
+    __slots__ = (
+        'targets',
+    )
+
+
+    def __init__(self, targets=None,):
+        self.targets = targets
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.targets = []
+                    (_etype181, _size178) = iprot.readListBegin()
+                    for _i182 in range(_size178):
+                        _elem183 = AnnouncedTarget()
+                        _elem183.read(iprot)
+                        self.targets.append(_elem183)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ShareTargets')
+        if self.targets is not None:
+            oprot.writeFieldBegin('targets', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.targets))
+            for iter184 in self.targets:
+                iter184.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Run(object):
+    """
+    Attributes:
+     - request
+     - instance
+     - target
+     - born_ms
+     - n_tokens
+     - n_unread_tokens
+     - is_ended
+     - backup
+     - fingerprint
+     - backup_born_ms
+     - attempt
+
+    """
 
     __slots__ = (
+        'request',
+        'instance',
+        'target',
+        'born_ms',
+        'n_tokens',
+        'n_unread_tokens',
+        'is_ended',
+        'backup',
+        'fingerprint',
+        'backup_born_ms',
+        'attempt',
     )
 
 
+    def __init__(self, request=None, instance=None, target=None, born_ms=None, n_tokens=None, n_unread_tokens=None, is_ended=None, backup=None, fingerprint=None, backup_born_ms=None, attempt=None,):
+        self.request = request
+        self.instance = instance
+        self.target = target
+        self.born_ms = born_ms
+        self.n_tokens = n_tokens
+        self.n_unread_tokens = n_unread_tokens
+        self.is_ended = is_ended
+        self.backup = backup
+        self.fingerprint = fingerprint
+        self.backup_born_ms = backup_born_ms
+        self.attempt = attempt
+
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
@@ -5226,6 +6401,61 @@
             (fname, ftype, fid) = iprot.readFieldBegin()
             if ftype == TType.STOP:
                 break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.n_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.n_unread_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.is_ended = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.backup = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.backup_born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRING:
+                    self.attempt = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5235,7 +6465,51 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('ReadFresh')
+        oprot.writeStructBegin('Run')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRING, 1)
+            oprot.writeString(self.request.encode('utf-8') if sys.version_info[0] == 2 else self.request)
+            oprot.writeFieldEnd()
+        if self.instance is not None:
+            oprot.writeFieldBegin('instance', TType.STRING, 2)
+            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeFieldEnd()
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 3)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 4)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        if self.n_tokens is not None:
+            oprot.writeFieldBegin('n_tokens', TType.I32, 5)
+            oprot.writeI32(self.n_tokens)
+            oprot.writeFieldEnd()
+        if self.n_unread_tokens is not None:
+            oprot.writeFieldBegin('n_unread_tokens', TType.I32, 6)
+            oprot.writeI32(self.n_unread_tokens)
+            oprot.writeFieldEnd()
+        if self.is_ended is not None:
+            oprot.writeFieldBegin('is_ended', TType.BOOL, 7)
+            oprot.writeBool(self.is_ended)
+            oprot.writeFieldEnd()
+        if self.backup is not None:
+            oprot.writeFieldBegin('backup', TType.STRING, 8)
+            oprot.writeString(self.backup.encode('utf-8') if sys.version_info[0] == 2 else self.backup)
+            oprot.writeFieldEnd()
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 9)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.backup_born_ms is not None:
+            oprot.writeFieldBegin('backup_born_ms', TType.I64, 10)
+            oprot.writeI64(self.backup_born_ms)
+            oprot.writeFieldEnd()
+        if self.attempt is not None:
+            oprot.writeFieldBegin('attempt', TType.STRING, 11)
+            oprot.writeString(self.attempt.encode('utf-8') if sys.version_info[0] == 2 else self.attempt)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5261,29 +6535,23 @@
         return not (self == other)
 
 
-class ReadFreshReply(object):
+class ShareRuns(object):
     """
     Attributes:
-     - code
-     - commit_index
-     - leader
-     - term
+     - runs
+     - is_relayed
 
     """
 
     __slots__ = (
-        'code',
-        'commit_index',
-        'leader',
-        'term',
+        'runs',
+        'is_relayed',
     )
 
 
-    def __init__(self, code=None, commit_index=None, leader=None, term=None,):
-        self.code = code
-        self.commit_index = commit_index
-        self.leader = leader
-        self.term = term
+    def __init__(self, runs=None, is_relayed=None,):
+        self.runs = runs
+        self.is_relayed = is_relayed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5295,23 +6563,19 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.I32:
-                    self.code = iprot.readI32()
+                if ftype == TType.LIST:
+                    self.runs = []
+                    (_etype188, _size185) = iprot.readListBegin()
+                    for _i189 in range(_size185):
+                        _elem190 = Run()
+                        _elem190.read(iprot)
+                        self.runs.append(_elem190)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I64:
-                    self.commit_index = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.STRING:
-                    self.leader = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.I64:
-                    self.term = iprot.readI64()
+                if ftype == TType.BOOL:
+                    self.is_relayed = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             else:
@@ -5323,22 +6587,17 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('ReadFreshReply')
-        if self.code is not None:
-            oprot.writeFieldBegin('code', TType.I32, 1)
-            oprot.writeI32(self.code)
-            oprot.writeFieldEnd()
-        if self.commit_index is not None:
-            oprot.writeFieldBegin('commit_index', TType.I64, 2)
-            oprot.writeI64(self.commit_index)
-            oprot.writeFieldEnd()
-        if self.leader is not None:
-            oprot.writeFieldBegin('leader', TType.STRING, 3)
-            oprot.writeString(self.leader.encode('utf-8') if sys.version_info[0] == 2 else self.leader)
+        oprot.writeStructBegin('ShareRuns')
+        if self.runs is not None:
+            oprot.writeFieldBegin('runs', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.runs))
+            for iter191 in self.runs:
+                iter191.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.term is not None:
-            oprot.writeFieldBegin('term', TType.I64, 4)
-            oprot.writeI64(self.term)
+        if self.is_relayed is not None:
+            oprot.writeFieldBegin('is_relayed', TType.BOOL, 2)
+            oprot.writeBool(self.is_relayed)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -5365,20 +6624,23 @@
         return not (self == other)
 
 
-class FetchDocument(object):
+class Follow(object):
     """
     Attributes:
      - have_version
+     - instance
 
     """
 
     __slots__ = (
         'have_version',
+        'instance',
     )
 
 
-    def __init__(self, have_version=None,):
+    def __init__(self, have_version=None, instance=None,):
         self.have_version = have_version
+        self.instance = instance
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5394,6 +6656,11 @@
                     self.have_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5403,11 +6670,15 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('FetchDocument')
+        oprot.writeStructBegin('Follow')
         if self.have_version is not None:
             oprot.writeFieldBegin('have_version', TType.I64, 1)
             oprot.writeI64(self.have_version)
             oprot.writeFieldEnd()
+        if self.instance is not None:
+            oprot.writeFieldBegin('instance', TType.STRING, 2)
+            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5433,32 +6704,38 @@
         return not (self == other)
 
 
-class FetchDocumentReply(object):
+class FollowUpdate(object):
     """
     Attributes:
      - version
-     - document_json
-     - patches_json
-     - fresh_age_ms
-     - term
+     - content
+     - targets
+     - member_addresses
+     - is_fresh
+     - runs
+     - n_followers
 
     """
 
     __slots__ = (
         'version',
-        'document_json',
-        'patches_json',
-        'fresh_age_ms',
-        'term',
+        'content',
+        'targets',
+        'member_addresses',
+        'is_fresh',
+        'runs',
+        'n_followers',
     )
 
 
-    def __init__(self, version=None, document_json=None, patches_json=None, fresh_age_ms=None, term=None,):
+    def __init__(self, version=None, content=None, targets=None, member_addresses=None, is_fresh=None, runs=None, n_followers=None,):
         self.version = version
-        self.document_json = document_json
-        self.patches_json = patches_json
-        self.fresh_age_ms = fresh_age_ms
-        self.term = term
+        self.content = content
+        self.targets = targets
+        self.member_addresses = member_addresses
+        self.is_fresh = is_fresh
+        self.runs = runs
+        self.n_followers = n_followers
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5476,22 +6753,49 @@
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.STRING:
-                    self.document_json = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.content = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.STRING:
-                    self.patches_json = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.LIST:
+                    self.targets = []
+                    (_etype195, _size192) = iprot.readListBegin()
+                    for _i196 in range(_size192):
+                        _elem197 = AnnouncedTarget()
+                        _elem197.read(iprot)
+                        self.targets.append(_elem197)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.I64:
-                    self.fresh_age_ms = iprot.readI64()
+                if ftype == TType.LIST:
+                    self.member_addresses = []
+                    (_etype201, _size198) = iprot.readListBegin()
+                    for _i202 in range(_size198):
+                        _elem203 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.member_addresses.append(_elem203)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
-                if ftype == TType.I64:
-                    self.term = iprot.readI64()
+                if ftype == TType.BOOL:
+                    self.is_fresh = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.runs = []
+                    (_etype207, _size204) = iprot.readListBegin()
+                    for _i208 in range(_size204):
+                        _elem209 = Run()
+                        _elem209.read(iprot)
+                        self.runs.append(_elem209)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.n_followers = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             else:
@@ -5503,26 +6807,43 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('FetchDocumentReply')
+        oprot.writeStructBegin('FollowUpdate')
         if self.version is not None:
             oprot.writeFieldBegin('version', TType.I64, 1)
             oprot.writeI64(self.version)
             oprot.writeFieldEnd()
-        if self.document_json is not None:
-            oprot.writeFieldBegin('document_json', TType.STRING, 2)
-            oprot.writeString(self.document_json.encode('utf-8') if sys.version_info[0] == 2 else self.document_json)
+        if self.content is not None:
+            oprot.writeFieldBegin('content', TType.STRING, 2)
+            oprot.writeBinary(self.content)
             oprot.writeFieldEnd()
-        if self.patches_json is not None:
-            oprot.writeFieldBegin('patches_json', TType.STRING, 3)
-            oprot.writeString(self.patches_json.encode('utf-8') if sys.version_info[0] == 2 else self.patches_json)
+        if self.targets is not None:
+            oprot.writeFieldBegin('targets', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.targets))
+            for iter210 in self.targets:
+                iter210.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.fresh_age_ms is not None:
-            oprot.writeFieldBegin('fresh_age_ms', TType.I64, 4)
-            oprot.writeI64(self.fresh_age_ms)
+        if self.member_addresses is not None:
+            oprot.writeFieldBegin('member_addresses', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRING, len(self.member_addresses))
+            for iter211 in self.member_addresses:
+                oprot.writeString(iter211.encode('utf-8') if sys.version_info[0] == 2 else iter211)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.term is not None:
-            oprot.writeFieldBegin('term', TType.I64, 5)
-            oprot.writeI64(self.term)
+        if self.is_fresh is not None:
+            oprot.writeFieldBegin('is_fresh', TType.BOOL, 5)
+            oprot.writeBool(self.is_fresh)
+            oprot.writeFieldEnd()
+        if self.runs is not None:
+            oprot.writeFieldBegin('runs', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.runs))
+            for iter212 in self.runs:
+                iter212.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.n_followers is not None:
+            oprot.writeFieldBegin('n_followers', TType.I32, 7)
+            oprot.writeI32(self.n_followers)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -5794,6 +7115,12 @@
     (2, TType.I64, 'term', None, None, ),  # 2
     (3, TType.STRING, 'voted_for', 'UTF8', None, ),  # 3
 )
+all_structs.append(MemberSet)
+MemberSet.thrift_spec = (
+    None,  # 0
+    (1, TType.MAP, 'address_by_name', (TType.STRING, 'UTF8', TType.STRING, 'UTF8', False), None, ),  # 1
+    (2, TType.I32, 'n_wanted', None, None, ),  # 2
+)
 all_structs.append(Snapshot)
 Snapshot.thrift_spec = (
     None,  # 0
@@ -5801,6 +7128,7 @@
     (2, TType.I64, 'index', None, None, ),  # 2
     (3, TType.I64, 'term', None, None, ),  # 3
     (4, TType.STRING, 'state', 'BINARY', None, ),  # 4
+    (5, TType.STRUCT, 'members', [MemberSet, None], None, ),  # 5
 )
 all_structs.append(Vote)
 Vote.thrift_spec = (
@@ -5810,6 +7138,7 @@
     (3, TType.I64, 'last_index', None, None, ),  # 3
     (4, TType.I64, 'last_term', None, None, ),  # 4
     (5, TType.BOOL, 'pre', None, None, ),  # 5
+    (6, TType.STRING, 'recipient', 'UTF8', None, ),  # 6
 )
 all_structs.append(VoteReply)
 VoteReply.thrift_spec = (
@@ -5826,6 +7155,7 @@
     (4, TType.I64, 'prev_term', None, None, ),  # 4
     (5, TType.LIST, 'entries', (TType.STRUCT, [LogEntry, None], False), None, ),  # 5
     (6, TType.I64, 'commit_index', None, None, ),  # 6
+    (7, TType.STRING, 'recipient', 'UTF8', None, ),  # 7
 )
 all_structs.append(AppendLogReply)
 AppendLogReply.thrift_spec = (
@@ -5840,6 +7170,21 @@
     (1, TType.I64, 'term', None, None, ),  # 1
     (2, TType.STRING, 'leader', 'UTF8', None, ),  # 2
     (3, TType.STRUCT, 'snapshot', [Snapshot, None], None, ),  # 3
+    (4, TType.STRING, 'recipient', 'UTF8', None, ),  # 4
+)
+all_structs.append(JoinGroup)
+JoinGroup.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
+    (3, TType.BOOL, 'is_addition', None, None, ),  # 3
+)
+all_structs.append(JoinGroupReply)
+JoinGroupReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'code', None, None, ),  # 1
+    (2, TType.STRING, 'leader_address', 'UTF8', None, ),  # 2
+    (3, TType.BOOL, 'is_voter', None, None, ),  # 3
 )
 all_structs.append(ChangeDocument)
 ChangeDocument.thrift_spec = (
@@ -5902,6 +7247,20 @@
     (4, TType.STRUCT, 'reply', [ServiceReply, None], None, ),  # 4
     (5, TType.I64, 'at_ms', None, None, ),  # 5
 )
+all_structs.append(PublishConfiguration)
+PublishConfiguration.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'version', None, None, ),  # 1
+    (2, TType.STRING, 'content', 'BINARY', None, ),  # 2
+    (3, TType.STRING, 'origin', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'at_ms', None, None, ),  # 4
+)
+all_structs.append(PublishResult)
+PublishResult.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'version_in_force', None, None, ),  # 1
+    (2, TType.BOOL, 'is_stored', None, None, ),  # 2
+)
 all_structs.append(Command)
 Command.thrift_spec = (
     None,  # 0
@@ -5909,6 +7268,7 @@
     (2, TType.STRUCT, 'attempt', [RecordAttempt, None], None, ),  # 2
     (3, TType.STRUCT, 'claim', [ClaimOrder, None], None, ),  # 3
     (4, TType.STRUCT, 'settle', [SettleOrder, None], None, ),  # 4
+    (5, TType.STRUCT, 'publish', [PublishConfiguration, None], None, ),  # 5
 )
 all_structs.append(CommandResult)
 CommandResult.thrift_spec = (
@@ -5917,6 +7277,7 @@
     (2, TType.I64, 'index', None, None, ),  # 2
     (3, TType.STRUCT, 'change', [ChangeResult, None], None, ),  # 3
     (4, TType.STRUCT, 'claim', [ClaimResult, None], None, ),  # 4
+    (5, TType.STRUCT, 'publish', [PublishResult, None], None, ),  # 5
 )
 all_structs.append(Propose)
 Propose.thrift_spec = (
@@ -5955,5 +7316,63 @@
     (4, TType.I64, 'fresh_age_ms', None, None, ),  # 4
     (5, TType.I64, 'term', None, None, ),  # 5
 )
+all_structs.append(AnnouncedTarget)
+AnnouncedTarget.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'target', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'address', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'version', 'UTF8', None, ),  # 5
+    (6, TType.I32, 'n_slots', None, None, ),  # 6
+    (7, TType.I32, 'state', None, None, ),  # 7
+    (8, TType.I64, 'born_ms', None, None, ),  # 8
+    (9, TType.I64, 'sequence', None, None, ),  # 9
+    (10, TType.I64, 'warmup_ms', None, None, ),  # 10
+    (11, TType.I64, 'age_ms', None, None, ),  # 11
+)
+all_structs.append(ShareTargets)
+ShareTargets.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'targets', (TType.STRUCT, [AnnouncedTarget, None], False), None, ),  # 1
+)
+all_structs.append(Run)
+Run.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'instance', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'target', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'born_ms', None, None, ),  # 4
+    (5, TType.I32, 'n_tokens', None, None, ),  # 5
+    (6, TType.I32, 'n_unread_tokens', None, None, ),  # 6
+    (7, TType.BOOL, 'is_ended', None, None, ),  # 7
+    (8, TType.STRING, 'backup', 'UTF8', None, ),  # 8
+    (9, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 9
+    (10, TType.I64, 'backup_born_ms', None, None, ),  # 10
+    (11, TType.STRING, 'attempt', 'UTF8', None, ),  # 11
+)
+all_structs.append(ShareRuns)
+ShareRuns.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'runs', (TType.STRUCT, [Run, None], False), None, ),  # 1
+    (2, TType.BOOL, 'is_relayed', None, None, ),  # 2
+)
+all_structs.append(Follow)
+Follow.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'have_version', None, None, ),  # 1
+    (2, TType.STRING, 'instance', 'UTF8', None, ),  # 2
+)
+all_structs.append(FollowUpdate)
+FollowUpdate.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'version', None, None, ),  # 1
+    (2, TType.STRING, 'content', 'BINARY', None, ),  # 2
+    (3, TType.LIST, 'targets', (TType.STRUCT, [AnnouncedTarget, None], False), None, ),  # 3
+    (4, TType.LIST, 'member_addresses', (TType.STRING, 'UTF8', False), None, ),  # 4
+    (5, TType.BOOL, 'is_fresh', None, None, ),  # 5
+    (6, TType.LIST, 'runs', (TType.STRUCT, [Run, None], False), None, ),  # 6
+    (7, TType.I32, 'n_followers', None, None, ),  # 7
+)
 fix_spec(all_structs)
 del all_structs
--- /dev/null
+++ b/packages/entry/src/almonddeal/announced/__init__.py
@@ -0,0 +1,1 @@
+"""Targets as they announce themselves, without an agent."""
--- a/packages/entry/src/almonddeal/control/consensus.py
+++ b/packages/entry/src/almonddeal/control/consensus.py
@@ -1,7 +1,8 @@
 """Agreement on one log among the members of the control group.
 
-Elections with pre-vote, durable terms and votes, commit by a majority, snapshots. One
-task serves each peer. The leader writes many proposals with one sync.
+Elections with pre-vote, durable terms and votes, commit by a majority, snapshots,
+members that change one at a time. One task serves each peer. The leader writes many
+proposals with one sync.
 
 References
 ----------
@@ -14,12 +15,15 @@
 from anyio import create_task_group, to_thread
 
 from almonddeal.control.entries import EntryLog
+from almonddeal.control.members import Joining, Members, next_members
 from almonddeal.control.waiters import Waiters
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import (
     CHANGE_OUTCOME_UNKNOWN,
     NO_QUORUM,
     NOT_LEADER,
+    NOT_REACHED,
+    OK,
     AlmonddealError,
 )
 from almonddeal_common.logs import get_logger
@@ -29,7 +33,9 @@
     AppendLogReply,
     Command,
     InstallSnapshot,
+    JoinGroupReply,
     LogEntry,
+    MemberSet,
     Snapshot,
     Vote,
     VoteReply,
@@ -44,6 +50,7 @@
 SNAPSHOT_TIMEOUT_MS = 10_000
 SNAPSHOT_EVERY_ENTRIES = 4096
 STORAGE_FULL_PAUSE_MS = 5000
+MAX_LOST_ELECTIONS = 2
 MAX_ENTRIES_A_CALL = 512
 
 FOLLOWER = "follower"
@@ -52,6 +59,7 @@
 
 KIND_COMMAND = 1
 KIND_BARRIER = 2
+KIND_MEMBERS = 3
 
 log = get_logger("control")
 
@@ -71,9 +79,24 @@
         State machine with ``apply(index, command)``, ``dump()`` and ``restore(state)``.
     on_applied : callable, optional
         Called without arguments after entries were applied.
+    connect : callable, optional
+        ``connect(name, address)`` returns a running `Peer`. With it the members may
+        change, and those kept in `store` count; without it they are `peer_by_name` and
+        this member for ever.
+    disconnect : callable, optional
+        ``disconnect(peer)`` ends what `connect` began.
     """
 
-    def __init__(self, name, peer_by_name, store, machine, on_applied=None):
+    def __init__(
+        self,
+        name,
+        peer_by_name,
+        store,
+        machine,
+        on_applied=None,
+        connect=None,
+        disconnect=None,
+    ):
         self.name = name
         self.term = store.meta.term
         self.role = FOLLOWER
@@ -84,9 +107,18 @@
         self._store = store
         self._machine = machine
         self._on_applied = on_applied
+        self._connect = connect
+        self._disconnect = disconnect
+        self._scope_by_name = {}
+        self._joining_by_name = {}
+        self._group = None
         self._voted_for = store.meta.voted_for
         self._log = EntryLog(store.snapshot, store.entries)
         self._durable_index = self._log.last_index
+        self._members_index = 0
+        self.members = Members(dict.fromkeys([name, *peer_by_name], ""), 0)
+        if connect is not None:
+            self._restore_members()
         self._match_by_name = {}
         self._next_by_name = {}
         self._confirmed_ms_by_name = {}
@@ -96,6 +128,7 @@
         self._changed = anyio.Event()
         self.disk = anyio.Lock()
         self._last_heard_ms = monotonic_ms()
+        self._n_lost_elections = 0
         self._election_ms = self._random_election_ms()
         self._first_index_of_term = 0
         if store.snapshot.state:
@@ -106,13 +139,18 @@
     @property
     def quorum(self):
         """Number of members that make a majority."""
-        return (len(self._peer_by_name) + 1) // 2 + 1
+        return self.members.quorum
 
     @property
     def is_leader(self):
         """Whether this member leads its current term."""
         return self.role == LEADER
 
+    @property
+    def is_forgotten(self):
+        """Whether no leader was heard for longer than any election should take."""
+        return self.role != LEADER and self._n_lost_elections > MAX_LOST_ELECTIONS
+
     def _random_election_ms(self):
         return random.uniform(ELECTION_MIN_MS, ELECTION_MAX_MS)
 
@@ -123,9 +161,8 @@
         async with create_task_group() as group:
             group.start_soon(self._watch_election)
             group.start_soon(self._write_proposals)
-            for name in self._peer_by_name:
-                self._wake_by_name[name] = anyio.Event()
-                group.start_soon(self._serve_peer, name)
+            self._group = group
+            self._update_peers()
 
     async def _on_disk(self, function, *args):
         return await to_thread.run_sync(function, *args)
@@ -140,6 +177,9 @@
             last_ms = now_ms
             if self.role == LEADER:
                 self._check_quorum(now_ms)
+                self._change_members(now_ms)
+            elif self.name not in self.members:
+                self._last_heard_ms = now_ms
             elif now_ms - self._last_heard_ms > self._election_ms:
                 self._last_heard_ms = now_ms
                 self._election_ms = self._random_election_ms()
@@ -152,8 +192,11 @@
 
     def _confirmed_ms(self):
         """Latest time at which a majority is known to have followed this leader."""
-        times = sorted(self._confirmed_ms_by_name.values(), reverse=True)
-        needed = self.quorum - 1
+        voters = self.members.others(self.name)
+        times = sorted(
+            (self._confirmed_ms_by_name.get(name, 0.0) for name in voters), reverse=True
+        )
+        needed = self.quorum - int(self.name in self.members)
         if needed == 0:
             return monotonic_ms()
         return times[needed - 1] if len(times) >= needed else 0.0
@@ -179,6 +222,7 @@
     # ---- elections -------------------------------------------------------------
 
     async def _campaign(self):
+        self._n_lost_elections += 1
         if not await self._collect_votes(self.term + 1, pre=True):
             return
         async with self.disk:
@@ -193,14 +237,15 @@
             self._lead()
 
     async def _collect_votes(self, term, pre):
-        request = Vote(term, self.name, self._log.last_index, self._log.last_term, pre)
+        last_index, last_term = self._log.last_index, self._log.last_term
         n_granted = 1
         enough = anyio.Event()
         if n_granted >= self.quorum:
             return True
 
-        async def ask(peer):
+        async def ask(name, peer):
             nonlocal n_granted
+            request = Vote(term, self.name, last_index, last_term, pre, name)
             try:
                 reply = await peer.call(request, CALL_TIMEOUT_MS)
             except AlmonddealError:
@@ -215,8 +260,8 @@
 
         async def ask_all():
             async with create_task_group() as askers:
-                for peer in self._peer_by_name.values():
-                    askers.start_soon(ask, peer)
+                for name in self.members.others(self.name):
+                    askers.start_soon(ask, name, self._peer_by_name[name])
             enough.set()
 
         async with create_task_group() as group:
@@ -227,6 +272,7 @@
 
     async def handle_vote(self, link, message, emit):
         """Answer a candidate."""
+        self._check_recipient(message.recipient)
         up_to_date = (message.last_term, message.last_index) >= (
             self._log.last_term,
             self._log.last_index,
@@ -255,7 +301,12 @@
         self._match_by_name = dict.fromkeys(self._peer_by_name, 0)
         self._next_by_name = dict.fromkeys(self._peer_by_name, self._log.last_index + 1)
         self._first_index_of_term = self._log.last_index + 1
-        self._append_as_leader(KIND_BARRIER, b"")
+        self._joining_by_name = {}
+        if self._connect is None:
+            self._append_as_leader(KIND_BARRIER, b"")
+        else:
+            self._append_members(self.members)
+        self._update_peers()
         self._notify_changed()
 
     # ---- leader ----------------------------------------------------------------
@@ -267,6 +318,10 @@
         self._wake_peers()
         return entry.index
 
+    def _append_members(self, members):
+        index = self._append_as_leader(KIND_MEMBERS, encode(members.to_wire()))
+        self._use_members(members, index)
+
     def _wake_peers(self):
         for event in self._wake_by_name.values():
             event.set()
@@ -311,11 +366,15 @@
         # A follower may hold these entries and commit them under the next leader, so
         # their outcome is unknown to the proposer.
         self._waiters.fail_from(first)
-        self._log.truncate_from(first)
+        self._truncate_log(first)
         self._last_heard_ms = monotonic_ms() + STORAGE_FULL_PAUSE_MS
         self._follow(None)
 
-    async def _serve_peer(self, name):
+    async def _serve_peer(self, name, scope):
+        with scope:
+            await self._replicate_to(name)
+
+    async def _replicate_to(self, name):
         while True:
             if self.role != LEADER:
                 await self._changed.wait()
@@ -341,20 +400,21 @@
         started_ms = monotonic_ms()
         next_index = self._next_by_name[name]
         if next_index < self._log.first_index:
-            message = InstallSnapshot(term, self.name, self._log.snapshot)
+            message = InstallSnapshot(term, self.name, self._log.snapshot, name)
             reply = await peer.call(message, SNAPSHOT_TIMEOUT_MS)
         else:
-            reply = await peer.call(self._append_message(next_index), CALL_TIMEOUT_MS)
+            message = self._append_message(next_index, name)
+            reply = await peer.call(message, CALL_TIMEOUT_MS)
         if reply.term > self.term:
             async with self.disk:
                 await self._adopt_term(reply.term)
             return
-        if self.role != LEADER or self.term != term:
+        if self.role != LEADER or self.term != term or name not in self._next_by_name:
             return
         self._confirmed_ms_by_name[name] = started_ms
         self._note_reply(name, reply)
 
-    def _append_message(self, next_index):
+    def _append_message(self, next_index, name):
         entries = self._log.since(next_index, MAX_ENTRIES_A_CALL)
         prev_index = next_index - 1
         return AppendLog(
@@ -364,6 +424,7 @@
             self._log.term_at(prev_index),
             entries,
             self.commit_index,
+            name,
         )
 
     def _note_reply(self, name, reply):
@@ -380,7 +441,10 @@
     def _advance_commit(self):
         if self.role != LEADER:
             return
-        matched = [*self._match_by_name.values(), self._durable_index]
+        voters = self.members.others(self.name)
+        matched = [self._match_by_name.get(name, 0) for name in voters]
+        if self.name in self.members:
+            matched.append(self._durable_index)
         # The leader applies only what its own disk holds, so that it can drop entries
         # that it failed to write.
         index = min(sorted(matched, reverse=True)[self.quorum - 1], self._durable_index)
@@ -388,11 +452,121 @@
             self.commit_index = index
             self._apply_committed()
             self._wake_peers()
+            if self.name not in self.members and index >= self._members_index:
+                log.info(
+                    "leaves the group, members are %s", sorted(self.members.others(""))
+                )
+                self._follow(None)
+
+    # ---- members ---------------------------------------------------------------
+
+    def _use_members(self, members, index):
+        """Take the members of the entry at `index`, committed or not."""
+        if self.members.address_by_name != members.address_by_name:
+            log.info("members are %s by entry %d", sorted(members.others("")), index)
+        self.members = members
+        self._members_index = index
+        self._update_peers()
+
+    def _restore_members(self):
+        """Take the newest members that the log holds, after entries were removed."""
+        for index in range(self._log.last_index, self._log.first_index - 1, -1):
+            entry = self._log.entry(index)
+            if entry.kind == KIND_MEMBERS:
+                members = Members.from_wire(decode(MemberSet, entry.command))
+                self._use_members(members, index)
+                return
+        members = Members.from_wire(self._log.snapshot.members) or Members({}, 0)
+        self._use_members(members, self._log.snapshot.index)
+
+    def _truncate_log(self, first):
+        self._log.truncate_from(first)
+        if self._connect is not None and self._members_index >= first:
+            self._restore_members()
+
+    def _update_peers(self):
+        """Keep a peer and its task for each voter and each joining process."""
+        if self._group is None:
+            return
+        address_by_name = dict(self.members.address_by_name)
+        if self.role == LEADER:
+            for joining in self._joining_by_name.values():
+                address_by_name.setdefault(joining.name, joining.address)
+        address_by_name.pop(self.name, None)
+        for name, address in address_by_name.items():
+            if name not in self._peer_by_name:
+                self._peer_by_name[name] = self._connect(name, address)
+            if name not in self._scope_by_name:
+                scope = self._scope_by_name[name] = anyio.CancelScope()
+                self._wake_by_name[name] = anyio.Event()
+                self._match_by_name[name] = 0
+                self._next_by_name[name] = self._log.last_index + 1
+                self._confirmed_ms_by_name[name] = 0.0
+                self._group.start_soon(self._serve_peer, name, scope)
+        for name in [n for n in self._scope_by_name if n not in address_by_name]:
+            self._scope_by_name.pop(name).cancel()
+            for by_name in (
+                self._wake_by_name,
+                self._match_by_name,
+                self._next_by_name,
+                self._confirmed_ms_by_name,
+            ):
+                by_name.pop(name, None)
+            self._disconnect(self._peer_by_name.pop(name))
+
+    def _change_members(self, now_ms):
+        """Append the next change of the members, one at a time."""
+        if self._connect is None or self._members_index > self.commit_index:
+            return
+        for name in [n for n in self._joining_by_name if n in self.members]:
+            del self._joining_by_name[name]
+
+        def is_caught_up(name):
+            is_heard = now_ms - self._confirmed_ms_by_name[name] < ELECTION_MIN_MS
+            return is_heard and self._match_by_name[name] >= self.commit_index
+
+        def silence_ms(name):
+            if name == self.name:
+                return 0.0
+            return now_ms - self._confirmed_ms_by_name[name]
+
+        members = next_members(
+            self.members, self._joining_by_name, is_caught_up, silence_ms
+        )
+        if members is not None:
+            self._append_members(members)
+
+    async def handle_join(self, link, message, emit):
+        """Let a process take part that asks to become a voter."""
+        if self.role != LEADER:
+            address = self.members.address_by_name.get(self.leader, "")
+            return JoinGroupReply(NOT_LEADER.number, address, False)
+        is_voter = message.name in self.members
+        if not is_voter and message.name not in self._joining_by_name:
+            log.info("%s at %s asks to join", message.name, message.address)
+            for name in [
+                n
+                for n, joining in self._joining_by_name.items()
+                if joining.address == message.address
+            ]:
+                del self._joining_by_name[name]
+            self._joining_by_name[message.name] = Joining(
+                message.name, message.address, message.is_addition
+            )
+            self._update_peers()
+        address = self.members.address_by_name.get(self.name, "")
+        return JoinGroupReply(OK.number, address, is_voter)
+
+    def _check_recipient(self, recipient):
+        # The process at a member's address may be another one since it lost its disk.
+        if recipient and recipient != self.name:
+            raise AlmonddealError(NOT_REACHED, f"{self.name} is not {recipient}")
 
     # ---- follower --------------------------------------------------------------
 
     async def handle_append(self, link, message, emit):
         """Take entries from the leader; replies once they are synced."""
+        self._check_recipient(message.recipient)
         async with self.disk:
             if message.term < self.term:
                 return AppendLogReply(self.term, False, 0)
@@ -410,6 +584,7 @@
         await self._adopt_term(term)
         assert self.role != LEADER, f"two leaders in term {term}"
         self._last_heard_ms = monotonic_ms()
+        self._n_lost_elections = 0
         if self.leader != leader:
             log.info("follows %s in term %d", leader, term)
             self._follow(leader)
@@ -419,7 +594,7 @@
         first = self._durable_index + 1
         if first <= self._log.last_index:
             self._waiters.fail_from(first)
-            self._log.truncate_from(first)
+            self._truncate_log(first)
 
     def _mismatch(self, prev_index):
         if prev_index <= self.commit_index:
@@ -440,15 +615,19 @@
         if first <= self._log.last_index:
             assert first > self.commit_index, "a committed entry would be changed"
             self._waiters.fail_from(first)
-            self._log.truncate_from(first)
+            self._truncate_log(first)
             await self._on_disk(self._store.truncate_from, first)
         await self._on_disk(self._store.append, new)
         for entry in new:
             self._log.append(entry)
+            if entry.kind == KIND_MEMBERS:
+                members = Members.from_wire(decode(MemberSet, entry.command))
+                self._use_members(members, entry.index)
         self._durable_index = self._log.last_index
 
     async def handle_snapshot(self, link, message, emit):
         """Take the leader's snapshot in place of a log that is too far behind."""
+        self._check_recipient(message.recipient)
         async with self.disk:
             if message.term < self.term:
                 return AppendLogReply(self.term, False, 0)
@@ -459,7 +638,10 @@
                 self._log = EntryLog(snapshot, [])
                 self._durable_index = snapshot.index
                 self.commit_index = self.applied_index = snapshot.index
-                self._machine.restore(snapshot.state)
+                if snapshot.state:
+                    self._machine.restore(snapshot.state)
+                if self._connect is not None:
+                    self._restore_members()
                 self._after_apply()
         return AppendLogReply(self.term, True, max(snapshot.index, self.commit_index))
 
@@ -492,7 +674,11 @@
             index = self.applied_index
             state = self._machine.dump()
             snapshot = Snapshot(
-                self._log.snapshot.format, index, self._log.term_at(index), state
+                self._log.snapshot.format,
+                index,
+                self._log.term_at(index),
+                state,
+                self._members_at(index),
             )
             after = self._log.since(index + 1)
             durable = [e for e in after if e.index <= self._durable_index]
@@ -500,6 +686,16 @@
             self._log.compact(snapshot)
             log.info("kept a snapshot at entry %d", index)
 
+    def _members_at(self, index):
+        """Return the `MemberSet` that was in force at a committed index."""
+        if self._connect is None:
+            return None
+        for earlier in range(index, self._log.first_index - 1, -1):
+            entry = self._log.entry(earlier)
+            if entry.kind == KIND_MEMBERS:
+                return decode(MemberSet, entry.command)
+        return self._log.snapshot.members
+
     # ---- reading ---------------------------------------------------------------
 
     async def read_index(self, timeout_ms):
--- /dev/null
+++ b/packages/entry/src/almonddeal/control/identity.py
@@ -0,0 +1,63 @@
+"""The name under which a member of the group votes: it lasts as long as its disk."""
+
+import secrets
+from pathlib import Path
+
+from almonddeal.control.members import Members
+from almonddeal.control.storage import read_file, write_file
+from almonddeal_common.logs import get_logger
+from almonddeal_common.wire.gen.ttypes import Snapshot
+
+FILE_NAME = "identity"
+
+log = get_logger("control")
+
+
+def first_name(address):
+    """Return the name of a first member, which its address alone decides."""
+    return f"{address}#first"
+
+
+def load_identity(folder, address, seed_addresses, is_first_start):
+    """Return the member's name on this disk, choosing one if the disk is empty.
+
+    Parameters
+    ----------
+    folder : path-like
+        Data folder; made if missing.
+    address : str
+        Link address of this process.
+    seed_addresses : list of str
+        On the first start of all, those of the first members.
+    is_first_start : bool
+
+    Returns
+    -------
+    name : str
+    is_founder : bool
+        Whether this is a first member that has just got its name.
+    """
+    folder = Path(folder)
+    folder.mkdir(parents=True, exist_ok=True)
+    path = folder / FILE_NAME
+    payload = read_file(path)
+    if payload is not None:
+        return payload.decode(), False
+    is_founder = is_first_start and address in seed_addresses
+    name = first_name(address) if is_founder else f"{address}#{secrets.token_hex(6)}"
+    write_file(path, name.encode())
+    log.info("takes the name %s on an empty disk", name)
+    return name, is_founder
+
+
+def found_group(store, seed_addresses):
+    """Write the first members into the store of one of them.
+
+    All founders write the same, so that they are one group whoever leads it first.
+    """
+    members = Members(
+        {first_name(address): address for address in seed_addresses},
+        len(seed_addresses),
+    )
+    snapshot = Snapshot(store.snapshot.format, 0, 0, b"", members.to_wire())
+    store.save_snapshot(snapshot, [])
--- /dev/null
+++ b/packages/entry/src/almonddeal/publication/__init__.py
@@ -0,0 +1,1 @@
+"""The published configuration: agreed on, distributed and followed."""
--- /dev/null
+++ b/packages/entry/src/almonddeal/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Passing requests of callers to announced targets."""
--- /dev/null
+++ b/packages/entry/src/almonddeal/relay/choose.py
@@ -0,0 +1,96 @@
+"""Choice of a target: plain services by expected time, engines by work and memory."""
+
+from almonddeal_common.clock import monotonic_ms
+
+FAILURE_COST_MS = 400.0  # time that a failed lookup loses, most of its deadline
+OTHER_DOMAIN_COST_MS = 4.0  # a round trip between failure domains, and its bytes
+PREFILL_TOKENS_PER_MS = 5.0  # published speed of the engines
+RUN_COST_MS = 60.0  # what one more run slows an engine's tokens over an answer
+OTHER_DOMAIN_ENGINE_COST_MS = 80.0  # bytes of a prompt and its answer
+MEMORY_SHARE = 0.92  # engines preempt when their memory is full
+LOAD_AGE_LIMIT_MS = 500.0  # older reports of load say nothing
+JITTER_MS = 25.0  # keeps instances that know the same from choosing the same
+
+
+def choose_plain(states, domain, random_value):
+    """Return the target with the least expected time for a short request, or None.
+
+    Parameters
+    ----------
+    states : list of TargetState
+    domain : str
+        Failure domain of this instance.
+    random_value : callable
+        Returns a number from 0 to 1.
+    """
+    now_ms = monotonic_ms()
+
+    def cost_ms(state):
+        latency_ms = state.expected_latency_ms(now_ms)
+        n_slots = max(1, state.record.n_slots)
+        busy = n_busy(state, now_ms) / n_slots
+        failures = state.failure_rate(now_ms) * FAILURE_COST_MS
+        distance = OTHER_DOMAIN_COST_MS * (state.record.failure_domain != domain)
+        wait_ms = latency_ms * (1 + busy + max(0.0, busy - 0.8) * 4)
+        return wait_ms + failures + distance + random_value()
+
+    return min(states, key=cost_ms, default=None)
+
+
+def n_busy(state, now_ms):
+    """Return how many requests a target is thought to work on."""
+    reported = 0
+    if state.load is not None and now_ms - state.load_ms < LOAD_AGE_LIMIT_MS:
+        reported = state.load[0] + state.load[1]
+    return max(state.n_in_flight, reported)
+
+
+def choose_engine(states, load_view, n_tokens, traits, domain, random_value):
+    """Return the engine that will begin and finish an answer soonest, or None.
+
+    Parameters
+    ----------
+    states : list of TargetState
+    load_view : LoadView
+    n_tokens : int
+        Tokens of the prompt and the longest output.
+    traits : EngineTraits
+    domain : str
+    random_value : callable
+
+    Returns
+    -------
+    state : TargetState or None
+        None if no engine has room.
+    """
+    room = MEMORY_SHARE * traits.n_cache_tokens
+
+    def has_room(state):
+        load = load_view.load(state.record)
+        return (
+            load.n_used_tokens + n_tokens <= room and load.n_runs < state.record.n_slots
+        )
+
+    def cost_ms(state):
+        load = load_view.load(state.record)
+        distance = state.record.failure_domain != domain
+        return (
+            load.n_unread_tokens / PREFILL_TOKENS_PER_MS
+            + load.n_runs * RUN_COST_MS
+            + load.n_copy_tokens / traits.n_cache_tokens * RUN_COST_MS
+            + OTHER_DOMAIN_ENGINE_COST_MS * distance
+            + JITTER_MS * random_value()
+        )
+
+    return min(filter(has_room, states), key=cost_ms, default=None)
+
+
+def choose_backup(states, target, load_view, n_tokens, traits, random_value):
+    """Return an engine of another failure domain for the copy of a run, or None."""
+    elsewhere = [
+        state
+        for state in states
+        if state.record.failure_domain != target.failure_domain
+        and state.record.target != target.target
+    ]
+    return choose_engine(elsewhere, load_view, n_tokens, traits, "", random_value)
--- /dev/null
+++ b/packages/entry/src/almonddeal/relay/gateway.py
@@ -0,0 +1,83 @@
+"""The way of a request through an entry instance: route, customer, then the relay."""
+
+from almonddeal.relay.plain import relay_plain
+from almonddeal.relay.requests import Admitted
+from almonddeal.relay.streams import relay_stream
+from almonddeal.routing.model import STREAM
+from almonddeal_common.clock import monotonic_ms
+from almonddeal_common.codes import (
+    NO_CONFIGURATION,
+    NOT_FOUND,
+    UNAUTHENTICATED,
+    AlmonddealError,
+)
+from almonddeal_common.logs import decide, get_logger
+
+NOT_READY_RETRY_MS = 500  # a new process gets its configuration within this time
+
+log = get_logger("relay")
+
+
+def admit(request, table):
+    """Return the `Admitted` for a request.
+
+    Parameters
+    ----------
+    request : CallerRequest
+    table : RoutingTable or None
+
+    Raises
+    ------
+    AlmonddealError
+    """
+    if table is None:
+        raise AlmonddealError(
+            NO_CONFIGURATION, "not ready yet", after_ms=NOT_READY_RETRY_MS
+        )
+    route = table.find_route(request.host, request.path)
+    if route is None:
+        raise AlmonddealError(NOT_FOUND, "no route matches")
+    customer = None
+    if table.needs_keys and not route.is_public:
+        customer = table.customer_by_key.get(request.key)
+        if customer is None:
+            raise AlmonddealError(UNAUTHENTICATED, "the key is unknown")
+    return Admitted(request, route, table.pick_service(route), customer)
+
+
+async def serve_request(request, table, parts, reply):
+    """Serve one request to its end.
+
+    Cancelling it means that the caller left: what it runs at targets is stopped.
+
+    Parameters
+    ----------
+    request : CallerRequest
+    table : RoutingTable or None
+    parts : RelayParts
+    reply : object
+        The caller's side: ``send_whole(status, headers, body)``, or ``start(status,
+        headers)``, ``send(data)`` and ``finish()``, or ``refuse(refusal)``.
+    """
+    kind = "none"
+    try:
+        admitted = admit(request, table)
+        kind = admitted.route.kind
+        if kind == STREAM:
+            await relay_stream(admitted, parts, reply)
+        else:
+            await relay_plain(admitted, parts, reply)
+        outcome = "OK"
+    except AlmonddealError as refusal:
+        outcome = refusal.code.name
+        decide(
+            log,
+            "ends a request itself",
+            request=request.request_id,
+            code=refusal.code.name,
+            detail=refusal.detail,
+            version=table.version if table is not None else 0,
+            after_ms=refusal.after_ms,
+        )
+        await reply.refuse(refusal)
+    parts.metrics.note(kind, outcome, monotonic_ms() - request.arrived_ms)
--- /dev/null
+++ b/packages/entry/src/almonddeal/relay/load.py
@@ -0,0 +1,97 @@
+"""The load of engines: runs of all instances, as far as they are known here."""
+
+from almonddeal_common.clock import monotonic_ms
+
+FORGET_RUN_MS = 30_000  # longer than any route lets a request run
+
+
+class TargetLoad:
+    """Sums over the runs at one target.
+
+    Attributes
+    ----------
+    n_runs : int
+    n_tokens : int
+        Tokens of prompts and output in memory, at their most.
+    n_unread_tokens : int
+        Tokens of prompts that are still to be read.
+    n_copy_tokens : int
+        Tokens of copies that are kept for runs at other targets.
+    """
+
+    __slots__ = ("n_copy_tokens", "n_runs", "n_tokens", "n_unread_tokens")
+
+    def __init__(self):
+        self.n_runs = 0
+        self.n_tokens = 0
+        self.n_unread_tokens = 0
+        self.n_copy_tokens = 0
+
+    @property
+    def n_used_tokens(self):
+        """Tokens in memory, copies included."""
+        return self.n_tokens + self.n_copy_tokens
+
+
+EMPTY_LOAD = TargetLoad()
+
+
+class LoadView:
+    """Load by target, kept from the runs that were reported.
+
+    A target that started anew has a load of its own: targets are told apart by id and
+    start.
+    """
+
+    def __init__(self):
+        self._run_by_request = {}
+        self._taken_ms_by_request = {}
+        self._load_by_target = {}
+
+    def take(self, run):
+        """Note the newest state of a run."""
+        known = self._run_by_request.pop(run.request, None)
+        self._taken_ms_by_request.pop(run.request, None)
+        if known is not None:
+            self._count(known, -1)
+        if not run.is_ended:
+            self._run_by_request[run.request] = run
+            self._taken_ms_by_request[run.request] = monotonic_ms()
+            self._count(run, 1)
+
+    def _count(self, run, sign):
+        load = self._load(run.target, run.born_ms)
+        load.n_runs += sign
+        load.n_tokens += sign * run.n_tokens
+        load.n_unread_tokens += sign * run.n_unread_tokens
+        if run.backup:
+            copy = self._load(run.backup, run.backup_born_ms)
+            copy.n_copy_tokens += sign * run.n_tokens
+
+    def _load(self, target, born_ms):
+        key = (target, born_ms)
+        if key not in self._load_by_target:
+            self._load_by_target[key] = TargetLoad()
+        return self._load_by_target[key]
+
+    def load(self, record):
+        """Return the `TargetLoad` of an announced target."""
+        return self._load_by_target.get((record.target, record.born_ms), EMPTY_LOAD)
+
+    def find_run(self, fingerprint):
+        """Return a run for the same answer, or None."""
+        for run in self._run_by_request.values():
+            if run.fingerprint == fingerprint:
+                return run
+        return None
+
+    def forget_old(self):
+        """Drop runs whose end was never reported, and loads of nothing."""
+        now_ms = monotonic_ms()
+        for request, taken_ms in list(self._taken_ms_by_request.items()):
+            if now_ms - taken_ms > FORGET_RUN_MS:
+                self._count(self._run_by_request.pop(request), -1)
+                del self._taken_ms_by_request[request]
+        for key, load in list(self._load_by_target.items()):
+            if not load.n_runs and not load.n_copy_tokens:
+                del self._load_by_target[key]
--- /dev/null
+++ b/packages/entry/src/almonddeal/relay/parts.py
@@ -0,0 +1,63 @@
+"""What serving a request needs of its instance."""
+
+from almonddeal.limits.budget import RetryBudget
+
+OWN_RATIO_SHARE = 0.6  # of the allowed ratio; the rest covers uneven shares of traffic
+INSTANCES_ASSUMED = 6  # that share the slack, while fewer are known
+
+
+class RelayParts:
+    """Parts that all requests of an instance share.
+
+    Parameters
+    ----------
+    instance : str
+    domain : str
+        Failure domain of this instance.
+    targets : TargetBook
+    loads : LoadView
+    runs : Board
+        Own runs, as other instances hear of them.
+    open_attempt : callable
+        ``open_attempt(attempt)`` sends it; an async context manager that gives a
+        `TargetAnswer`, or raises `NOT_REACHED` if nothing was sent, or `LINK_LOST`.
+    retry_limits : RetryLimits
+    metrics : RelayMetrics
+    """
+
+    def __init__(
+        self,
+        instance,
+        domain,
+        targets,
+        loads,
+        runs,
+        open_attempt,
+        retry_limits,
+        metrics,
+    ):
+        self.instance = instance
+        self.domain = domain
+        self.targets = targets
+        self.loads = loads
+        self.runs = runs
+        self.open = open_attempt
+        self.metrics = metrics
+        self.version = 0
+        self._retry_limits = retry_limits
+        self._budget_by_service = {}
+
+    def budget(self, service_name):
+        """Return this instance's share of the retry budget of a service."""
+        budget = self._budget_by_service.get(service_name)
+        if budget is None:
+            limits = self._retry_limits
+            budget = self._budget_by_service[service_name] = RetryBudget(
+                limits.ratio * OWN_RATIO_SHARE, limits.slack / INSTANCES_ASSUMED
+            )
+        return budget
+
+    def report(self, run):
+        """Note a change of an own run here and for all other instances."""
+        self.loads.take(run)
+        self.runs.put(run.request, run)
--- /dev/null
+++ b/packages/entry/src/almonddeal/relay/targets.py
@@ -0,0 +1,200 @@
+"""The entry side of announced targets: who may be used, and what was seen of each."""
+
+import math
+
+from almonddeal.announced.records import DRAINING, GONE, READY, SILENT, is_newer
+from almonddeal_common.clock import monotonic_ms
+from almonddeal_common.logs import decide, get_logger
+
+AVOID_MIN_MS = 400  # first pause after a target could not be reached
+AVOID_MAX_MS = 8000
+PRIOR_LATENCY_MS = 50.0  # of a target that nothing is known of
+EVIDENCE_HALF_LIFE_MS = 3000.0  # how fast evidence against a target loses its weight
+EVIDENCE_GAIN = 0.25
+LOST_AGAIN_WITHIN_MS = 400  # two lost connections within this time are no accident
+
+log = get_logger("targets")
+
+
+class TargetState:
+    """One target as this instance sees it.
+
+    Attributes
+    ----------
+    record : AnnouncedTarget
+    n_in_flight : int
+        Requests of this instance that it works on.
+    latency_ms : float
+        Smoothed time of plain answers.
+    avoid_until_ms : float
+        Until when it is used only if there is no other.
+    scopes : set of anyio.CancelScope
+        Of attempts that end when the target is lost.
+    last_heard_ms : float
+        When bytes of any answer came last.
+    """
+
+    __slots__ = (
+        "_failure_rate",
+        "_lost_ms",
+        "_n_lost",
+        "_rated_ms",
+        "avoid_until_ms",
+        "last_heard_ms",
+        "latency_ms",
+        "load",
+        "load_ms",
+        "n_in_flight",
+        "record",
+        "scopes",
+    )
+
+    def __init__(self, record):
+        self.record = record
+        self.scopes = set()
+        self.n_in_flight = 0
+        self.last_heard_ms = 0.0
+        self.reset()
+
+    def __repr__(self):
+        return f"<TargetState {self.record.target} at {self.record.address}>"
+
+    def reset(self):
+        """Forget evidence, for a target that started anew."""
+        self.latency_ms = PRIOR_LATENCY_MS
+        self.avoid_until_ms = 0.0
+        self.load = None
+        self.load_ms = 0.0
+        self._failure_rate = 0.0
+        self._rated_ms = 0.0
+        self._n_lost = 0
+        self._lost_ms = 0.0
+
+    def failure_rate(self, now_ms):
+        """Return the smoothed share of failures; it fades when nothing is seen."""
+        age_ms = now_ms - self._rated_ms
+        return self._failure_rate * math.exp(-age_ms / EVIDENCE_HALF_LIFE_MS)
+
+    def expected_latency_ms(self, now_ms):
+        """Return the smoothed latency; it fades towards the prior."""
+        age_ms = now_ms - self._rated_ms
+        weight = math.exp(-age_ms / EVIDENCE_HALF_LIFE_MS)
+        return weight * self.latency_ms + (1 - weight) * PRIOR_LATENCY_MS
+
+    def rate(self, is_failure, latency_ms):
+        """Note the outcome of one request."""
+        now_ms = monotonic_ms()
+        failures = self.failure_rate(now_ms)
+        self.latency_ms = self.expected_latency_ms(now_ms)
+        self.latency_ms += EVIDENCE_GAIN * (latency_ms - self.latency_ms)
+        self._failure_rate = failures + EVIDENCE_GAIN * (int(is_failure) - failures)
+        self._rated_ms = now_ms
+        if not is_failure:
+            self._n_lost = 0
+
+    def hear(self):
+        """Note that bytes came."""
+        self.last_heard_ms = monotonic_ms()
+
+    def avoid(self, reason, request_id):
+        """Use the target only if there is no other, longer each time in a row."""
+        now_ms = monotonic_ms()
+        if now_ms < self.avoid_until_ms:
+            return
+        pause_ms = min(AVOID_MAX_MS, AVOID_MIN_MS * 2**self._n_lost)
+        self._n_lost = min(self._n_lost + 1, 8)
+        self.avoid_until_ms = now_ms + pause_ms
+        decide(
+            log,
+            "sets a target aside",
+            target=self.record.target,
+            reason=reason,
+            request=request_id,
+            pause_ms=round(pause_ms),
+        )
+
+    def lose_connection(self, request_id):
+        """Note a broken connection; a second one soon after sets the target aside."""
+        now_ms = monotonic_ms()
+        if now_ms - self._lost_ms < LOST_AGAIN_WITHIN_MS:
+            self.avoid("connections broke", request_id)
+        self._lost_ms = now_ms
+
+    def end_attempts(self):
+        """Cancel the attempts of this instance at the target."""
+        for scope in list(self.scopes):
+            scope.cancel()
+
+
+class TargetBook:
+    """Targets by id, merged from what control instances say."""
+
+    def __init__(self):
+        self.state_by_target = {}
+        self._target_by_address = {}
+
+    def take(self, record):
+        """Merge a record; returns whether it was news."""
+        state = self.state_by_target.get(record.target)
+        if not is_newer(record, None if state is None else state.record):
+            return False
+        if state is None:
+            state = self.state_by_target[record.target] = TargetState(record)
+        else:
+            if record.born_ms != state.record.born_ms:
+                state.reset()
+            state.record = record
+        self._claim_address(record)
+        decide(
+            log,
+            "learns of a target",
+            target=record.target,
+            state=record.state,
+            born_ms=record.born_ms,
+            address=record.address,
+        )
+        return True
+
+    def _claim_address(self, record):
+        holder = self.state_by_target.get(self._target_by_address.get(record.address))
+        if holder is None or holder.record.born_ms <= record.born_ms:
+            self._target_by_address[record.address] = record.target
+
+    def get(self, target):
+        """Return the state of a target, or None."""
+        return self.state_by_target.get(target)
+
+    def is_usable(self, state):
+        """Tell whether new work may go to a target at all."""
+        record = state.record
+        if record.state in (DRAINING, GONE):
+            return False
+        return self._target_by_address.get(record.address) == record.target
+
+    def candidates(self, service_name, excluded=()):
+        """Return the states of targets for new work of a service, as a list.
+
+        Those that are set aside or silent come only if there is no other.
+        """
+        now_ms = monotonic_ms()
+        usable = [
+            state
+            for state in self.state_by_target.values()
+            if state.record.service_name == service_name
+            and self.is_usable(state)
+            and state.record.target not in excluded
+        ]
+        good = [
+            state
+            for state in usable
+            if state.record.state == READY and state.avoid_until_ms <= now_ms
+        ]
+        return good or usable
+
+    def misdirect(self, state, request_id):
+        """Note that another target answers at a target's address."""
+        state.avoid("another target has its address", request_id)
+        if state.record.state != SILENT:
+            record = state.record
+            state.avoid_until_ms = monotonic_ms() + AVOID_MAX_MS
+            log.info("%s is not at %s any more", record.target, record.address)
--- /dev/null
+++ b/packages/entry/src/almonddeal/roles/__init__.py
@@ -0,0 +1,1 @@
+"""Programs built from the slices: an entry role and a control role."""
--- /dev/null
+++ b/packages/entry/src/almonddeal/roles/control.py
@@ -0,0 +1,300 @@
+"""A control instance: member of the group, registry of targets, feed of followers."""
+
+import os
+import time
+from contextlib import ExitStack
+from signal import SIGHUP, SIGINT, SIGTERM
+
+import anyio
+
+from almonddeal.announced.registry import TargetRegistry
+from almonddeal.control.client import ControlClient
+from almonddeal.control.consensus import Consensus
+from almonddeal.control.identity import found_group, load_identity
+from almonddeal.control.storage import LogStore
+from almonddeal.publication.feed import Feed
+from almonddeal.publication.state import Publication, pack
+from almonddeal_common.clock import wall_ms
+from almonddeal_common.codes import DATA_DAMAGED, NO_QUORUM, OK, AlmonddealError
+from almonddeal_common.http import serve_http
+from almonddeal_common.logs import decide, get_logger
+from almonddeal_common.metrics import metrics_app
+from almonddeal_common.settings import Address
+from almonddeal_common.wire.connect import Peer, dial, listen, serve_links
+from almonddeal_common.wire.gen.constants import PROTOCOL_VERSION
+from almonddeal_common.wire.gen.ttypes import (
+    AppendLog,
+    Command,
+    Follow,
+    Hello,
+    InstallSnapshot,
+    JoinGroup,
+    Propose,
+    PublishConfiguration,
+    ReadFresh,
+    ShareRuns,
+    ShareTargets,
+    Vote,
+)
+from almonddeal_common.wire.link import LOWEST_PROTOCOL_VERSION
+
+COMPACT_INTERVAL_S = 1.0
+JOIN_INTERVAL_S = 0.3
+JOIN_TIMEOUT_MS = 800
+PUBLISH_TIMEOUT_MS = 900  # an operator's call goes elsewhere after 1 s
+READ_TIMEOUT_MS = 900
+STOP_S = 0.3
+
+log = get_logger("control")
+
+
+def end_process(reason):
+    """End the process at once, when the disk can no longer be trusted."""
+    log.critical("%s", reason)
+    for handler in log.root.handlers:
+        handler.flush()
+    os._exit(DATA_DAMAGED.exit_status)
+
+
+class ControlRole:
+    """One control instance.
+
+    Parameters
+    ----------
+    settings : RoleSettings
+    parse : callable
+        ``parse(content)`` returns the `RoutingTable` of a configuration or raises
+        `DOCUMENT_INVALID`.
+
+    Attributes
+    ----------
+    feed : Feed
+    """
+
+    def __init__(self, settings, parse):
+        self.settings = settings
+        self.feed = None
+        self._parse = parse
+        self._publication = Publication()
+        self._registry = TargetRegistry()
+        self._peer_by_name = {}
+        self._scope_by_name = {}
+        self._group = None
+
+    # ---- operators -------------------------------------------------------------
+
+    async def publish(self, content, origin):
+        """Check a configuration and have it agreed on.
+
+        Parameters
+        ----------
+        content : bytes
+            As the operator sent it.
+        origin : str
+            Who sent it, for the audit trail.
+
+        Returns
+        -------
+        result : PublishResult
+
+        Raises
+        ------
+        AlmonddealError
+            `DOCUMENT_INVALID`, or a code that tells that the outcome is not known.
+        """
+        version = self._parse(content).version
+        command = Command(
+            publish=PublishConfiguration(version, pack(content), origin, wall_ms())
+        )
+        result = await self._control.submit(command, PUBLISH_TIMEOUT_MS)
+        if result.code != OK.number:
+            raise AlmonddealError(NO_QUORUM, "the group refused the configuration")
+        decide(
+            log,
+            "publishes a configuration",
+            version=version,
+            in_force=result.publish.version_in_force,
+            is_stored=result.publish.is_stored,
+            origin=origin,
+        )
+        return result.publish
+
+    async def read(self):
+        """Return version and content of the newest configuration agreed on."""
+        await self._control.refresh_within(READ_TIMEOUT_MS)
+        return self._publication.version, self._publication.content
+
+    # ---- targets ---------------------------------------------------------------
+
+    async def announce(self, record, origin):
+        """Take a target's word; tells whether a majority of the group knows it."""
+        return await self.feed.take_target(record, origin)
+
+    async def leave(self, target, born_ms, origin):
+        """Note that a target left; tells whether a majority of the group knows it."""
+        record = self._registry.leave(target, born_ms, origin)
+        return await self.feed.share_target(record)
+
+    # ---- running ---------------------------------------------------------------
+
+    async def run(self, app):
+        """Run until told to stop.
+
+        Parameters
+        ----------
+        app : callable
+            ASGI application for operators and targets.
+        """
+        settings = self.settings
+        with ExitStack() as stack:
+            listener = await listen(settings.link_address)
+            name, store, consensus = self._build(stack)
+            self.feed = Feed(
+                name,
+                self._publication,
+                self._registry,
+                self._control,
+                consensus,
+                self._peer_by_name,
+            )
+            stop = anyio.Event()
+            async with anyio.create_task_group() as group:
+                self._group = group
+                handlers = self._handlers(consensus)
+                group.start_soon(serve_links, listener, self._hello, handlers)
+                group.start_soon(consensus.run)
+                group.start_soon(self._join_for_ever, name, consensus)
+                group.start_soon(self._compact_for_ever, consensus)
+                group.start_soon(self._control.keep_fresh)
+                group.start_soon(self._registry.watch_silence)
+                group.start_soon(self.feed.watch_freshness)
+                group.start_soon(serve_http, app, settings.control, stop)
+                group.start_soon(serve_http, metrics_app, settings.metrics, stop)
+                decide(
+                    log,
+                    "starts",
+                    name=name,
+                    term=store.meta.term,
+                    index=consensus.applied_index,
+                    n_entries=len(store.entries),
+                )
+                await _wait_for_stop()
+                decide(log, "stops", name=name)
+                stop.set()
+                await anyio.sleep(STOP_S)
+                group.cancel_scope.cancel()
+
+    def _build(self, stack):
+        settings = self.settings
+        address = str(settings.link_address)
+        name, is_founder = load_identity(
+            settings.data_folder,
+            address,
+            settings.seed_addresses,
+            settings.is_first_start,
+        )
+        store = stack.enter_context(LogStore(settings.data_folder, end_process))
+        if is_founder:
+            found_group(store, settings.seed_addresses)
+        self._hello = Hello(
+            PROTOCOL_VERSION,
+            LOWEST_PROTOCOL_VERSION,
+            "control",
+            name,
+            time.time_ns(),
+            settings.failure_domain,
+        )
+        consensus = Consensus(
+            name,
+            self._peer_by_name,
+            store,
+            self._publication,
+            self._notify_applied,
+            self._connect,
+            self._disconnect,
+        )
+        self._control = ControlClient(name, consensus, self._peer_by_name, None)
+        return name, store, consensus
+
+    def _notify_applied(self):
+        if self.feed is not None:
+            self.feed.notify_changed()
+
+    def _handlers(self, consensus):
+        return {
+            Vote: consensus.handle_vote,
+            AppendLog: consensus.handle_append,
+            InstallSnapshot: consensus.handle_snapshot,
+            JoinGroup: consensus.handle_join,
+            Propose: self._control.handle_propose,
+            ReadFresh: self._control.handle_read_fresh,
+            Follow: self.feed.handle_follow,
+            ShareTargets: self.feed.handle_targets,
+            ShareRuns: self.feed.handle_runs,
+        }
+
+    # ---- peers -----------------------------------------------------------------
+
+    def _connect(self, name, address):
+        peer = Peer(name, Address.parse(address), self._hello, {}, self.feed.greet_peer)
+        self._scope_by_name[name] = anyio.CancelScope()
+        self._group.start_soon(self._run_peer, peer)
+        return peer
+
+    async def _run_peer(self, peer):
+        with self._scope_by_name[peer.name]:
+            await peer.run()
+
+    def _disconnect(self, peer):
+        self._scope_by_name.pop(peer.name).cancel()
+
+    async def _join_for_ever(self, name, consensus):
+        """Ask to become a voter whenever this member is none or hears no leader."""
+        while True:
+            if name not in consensus.members or consensus.is_forgotten:
+                await self._ask_to_join(name, consensus)
+            await anyio.sleep(JOIN_INTERVAL_S)
+
+    async def _ask_to_join(self, name, consensus):
+        known = consensus.members.address_by_name.values()
+        addresses = {*known, *self.settings.seed_addresses}
+        addresses.discard(str(self.settings.link_address))
+        request = JoinGroup(
+            name, str(self.settings.link_address), self.settings.is_first_start
+        )
+        for address in addresses:
+            leader = await self._join_at(address, request)
+            if leader and leader not in addresses:
+                await self._join_at(leader, request)
+
+    async def _join_at(self, address, request):
+        """Ask one process; returns the address of the leader as far as it knows."""
+        try:
+            link = await dial(Address.parse(address), self._hello, {})
+        except AlmonddealError as error:
+            log.info("could not ask %s to join, %s", address, error)
+            return None
+        reply = None
+        async with anyio.create_task_group() as group:
+            group.start_soon(link.run)
+            with anyio.move_on_after(JOIN_TIMEOUT_MS / 1000):
+                await link.ready.wait()
+                try:
+                    reply = await link.call(request, JOIN_TIMEOUT_MS)
+                except AlmonddealError as error:
+                    log.info("%s did not let this member join, %s", address, error)
+            group.cancel_scope.cancel()
+        return reply.leader_address if reply is not None else None
+
+    async def _compact_for_ever(self, consensus):
+        while True:
+            await anyio.sleep(COMPACT_INTERVAL_S)
+            await consensus.compact()
+
+
+async def _wait_for_stop():
+    with anyio.open_signal_receiver(SIGTERM, SIGINT, SIGHUP) as signals:
+        async for signal in signals:
+            if signal != SIGHUP:
+                return
+            decide(log, "keeps its settings on a reload")
--- /dev/null
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -0,0 +1,177 @@
+"""An entry instance without a disk: follows control, relays requests of callers."""
+
+import time
+from signal import SIGHUP, SIGINT, SIGTERM
+
+import anyio
+
+from almonddeal.announced.board import Board
+from almonddeal.publication.follower import Follower
+from almonddeal.publication.state import unpack
+from almonddeal.relay.gateway import serve_request
+from almonddeal.relay.load import LoadView
+from almonddeal.relay.metrics import RelayMetrics
+from almonddeal.relay.parts import RelayParts
+from almonddeal.relay.targets import TargetBook
+from almonddeal_common.codes import AlmonddealError
+from almonddeal_common.http import make_config, serve_http
+from almonddeal_common.logs import decide, get_logger
+from almonddeal_common.metrics import metrics_app
+from almonddeal_common.wire.gen.constants import PROTOCOL_VERSION
+from almonddeal_common.wire.gen.ttypes import Hello
+from almonddeal_common.wire.link import LOWEST_PROTOCOL_VERSION
+
+CLEAN_INTERVAL_S = 1.0
+LEAVE_ROTATION_S = 2.6  # the balancer asks once a second and needs two misses
+END_MARGIN_S = 0.5  # before the platform ends the process
+STOP_POLL_S = 0.05
+DEFAULT_IDLE_TIMEOUT_S = 60.0  # until a configuration sets it
+
+log = get_logger("entry")
+
+
+class EntryRole:
+    """One entry instance.
+
+    Parameters
+    ----------
+    settings : RoleSettings
+    parse : callable
+        ``parse(content)`` returns the `RoutingTable` of a configuration.
+    open_attempt : callable
+        Sends an `Attempt`; see `RelayParts`.
+
+    Attributes
+    ----------
+    table : RoutingTable or None
+        The configuration in force here.
+    is_stopping : bool
+        Whether callers should use another instance from now on.
+    """
+
+    def __init__(self, settings, parse, open_attempt):
+        self.settings = settings
+        self.table = None
+        self.is_stopping = False
+        self.http_config = make_config(settings.callers)
+        self.http_config.keep_alive_timeout = DEFAULT_IDLE_TIMEOUT_S
+        self._parse = parse
+        self._n_in_flight = 0
+        self._parts = RelayParts(
+            settings.instance,
+            settings.failure_domain,
+            TargetBook(),
+            LoadView(),
+            Board(),
+            open_attempt,
+            settings.retry_limits,
+            RelayMetrics(),
+        )
+        self._hello = Hello(
+            PROTOCOL_VERSION,
+            LOWEST_PROTOCOL_VERSION,
+            "entry",
+            settings.instance,
+            time.time_ns(),
+            settings.failure_domain,
+        )
+        self._follower = Follower(
+            settings, self._hello, self._take, self._version, self._parts.runs
+        )
+
+    @property
+    def is_ready(self):
+        """Whether new callers should come here."""
+        has_targets = bool(self._parts.targets.state_by_target)
+        return self.table is not None and has_targets and not self.is_stopping
+
+    def _version(self):
+        return self.table.version if self.table is not None else 0
+
+    def _take(self, update):
+        """Take what a control instance says."""
+        for record in update.targets:
+            self._parts.targets.take(record)
+        for run in update.runs:
+            self._parts.loads.take(run)
+        if update.content and update.version > self._version():
+            self._use(update.version, unpack(update.content))
+
+    def _use(self, version, content):
+        before = self._version()
+        try:
+            self.table = self._parse(content)
+        except AlmonddealError as error:
+            log.error("could not read version %d, %s", version, error)
+            return
+        self._parts.version = version
+        # Callers come back on connections that were idle for less than the limit.
+        self.http_config.keep_alive_timeout = self.table.limits.idle_timeout_ms / 1000
+        decide(log, "uses a configuration", version=version, before=before)
+
+    async def serve(self, request, reply):
+        """Serve one request; cancelled when its caller leaves."""
+        self._n_in_flight += 1
+        try:
+            await serve_request(request, self.table, self._parts, reply)
+        finally:
+            self._n_in_flight -= 1
+
+    # ---- running ---------------------------------------------------------------
+
+    async def run(self, callers_app, readiness_app):
+        """Run until told to stop, then finish what callers wait for.
+
+        Parameters
+        ----------
+        callers_app, readiness_app : callable
+            ASGI applications.
+        """
+        settings = self.settings
+        stop_callers = anyio.Event()
+        stop_readiness = anyio.Event()
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._follower.run)
+            group.start_soon(self._clean_for_ever)
+            group.start_soon(
+                serve_http,
+                callers_app,
+                settings.callers,
+                stop_callers,
+                None,
+                self.http_config,
+            )
+            group.start_soon(
+                serve_http, readiness_app, settings.readiness, stop_readiness
+            )
+            group.start_soon(serve_http, metrics_app, settings.metrics, stop_readiness)
+            decide(log, "starts", instance=settings.instance)
+            await self._wait_for_stop()
+            await self._drain(stop_callers)
+            stop_readiness.set()
+            decide(log, "stops", n_in_flight=self._n_in_flight)
+            group.cancel_scope.cancel()
+
+    async def _wait_for_stop(self):
+        with anyio.open_signal_receiver(SIGTERM, SIGINT, SIGHUP) as signals:
+            async for signal in signals:
+                if signal != SIGHUP:
+                    return
+                decide(log, "keeps its settings on a reload")
+
+    async def _drain(self, stop_callers):
+        """Leave the balancer's rotation, then finish what runs."""
+        self.is_stopping = True
+        decide(log, "drains", n_in_flight=self._n_in_flight)
+        left_s = self.settings.stop_timeout_s - END_MARGIN_S
+        with anyio.move_on_after(left_s):
+            await anyio.sleep(LEAVE_ROTATION_S)
+            stop_callers.set()
+            while self._n_in_flight:
+                await anyio.sleep(STOP_POLL_S)
+            await anyio.sleep(STOP_POLL_S)
+
+    async def _clean_for_ever(self):
+        while True:
+            await anyio.sleep(CLEAN_INTERVAL_S)
+            self._parts.loads.forget_old()
--- /dev/null
+++ b/packages/entry/src/almonddeal/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Where requests go by the published configuration."""
--- /dev/null
+++ b/packages/entry/src/almonddeal/routing/model.py
@@ -0,0 +1,251 @@
+"""Typed view of a published configuration: routes, services, customers, limits."""
+
+import random
+
+from almonddeal_common.codes import DOCUMENT_INVALID, AlmonddealError
+
+LOOKUP = "lookup"
+ORDER = "order"
+STREAM = "stream"
+KINDS = frozenset((LOOKUP, ORDER, STREAM))
+
+
+def _invalid(detail):
+    return AlmonddealError(DOCUMENT_INVALID, detail)
+
+
+class Route:
+    """Requests of one host below one path, and how they are served.
+
+    Parameters
+    ----------
+    name : str
+    host : str
+        In lower case, without a port.
+    prefix : str
+        Begins and ends with a slash.
+    kind : {"lookup", "order", "stream"}
+        Lookups may be repeated, orders run at most once, streams answer in events.
+    timeout_ms : float
+        Longest time that a request may be kept.
+    objective_ms : float
+        Time to the answer, or to the first event of a stream, that callers expect.
+    priority : int
+        0 is the most urgent.
+    weight_by_service : dict of str to float
+    max_attempts : int
+        Most targets that one request may be sent to.
+    is_public : bool
+        Whether requests need no key.
+    is_resumable : bool
+        Whether a stream may go on at another target.
+    max_gap_ms : float
+        Longest pause between events that callers accept.
+    """
+
+    __slots__ = (
+        "host",
+        "is_public",
+        "is_resumable",
+        "kind",
+        "max_attempts",
+        "max_gap_ms",
+        "name",
+        "objective_ms",
+        "prefix",
+        "priority",
+        "timeout_ms",
+        "weight_by_service",
+    )
+
+    def __init__(
+        self,
+        name,
+        host,
+        prefix,
+        kind,
+        timeout_ms,
+        objective_ms,
+        priority,
+        weight_by_service,
+        max_attempts,
+        is_public,
+        is_resumable,
+        max_gap_ms,
+    ):
+        self.name = name
+        self.host = host
+        self.prefix = prefix
+        self.kind = kind
+        self.timeout_ms = timeout_ms
+        self.objective_ms = objective_ms
+        self.priority = priority
+        self.weight_by_service = weight_by_service
+        self.max_attempts = max_attempts
+        self.is_public = is_public
+        self.is_resumable = is_resumable
+        self.max_gap_ms = max_gap_ms
+
+    def __repr__(self):
+        return f"Route({self.name!r}, {self.host!r}, {self.prefix!r})"
+
+    @property
+    def may_repeat(self):
+        """Whether a request may run more than once."""
+        return self.kind == LOOKUP or (self.kind == STREAM and self.is_resumable)
+
+    def pick_service(self, random_value):
+        """Return a service by the weights, for a number from 0 to 1."""
+        left = random_value * sum(self.weight_by_service.values())
+        for name, weight in self.weight_by_service.items():
+            left -= weight
+            if weight > 0 and left <= 0:
+                return name
+        return max(self.weight_by_service, key=self.weight_by_service.get)
+
+
+class EngineTraits:
+    """What is known of the engines of a service.
+
+    Parameters
+    ----------
+    n_slots : int
+        Requests that run at once.
+    n_cache_tokens : int
+        Tokens of prompts and output that fit in the memory of one engine.
+    keeps_copies : bool
+        Whether an engine can send the memory of a run to another one as it grows.
+    tokens_per_event : int
+    copy_lifetime_ms : float
+        How long a copy lasts after its run was lost.
+    """
+
+    __slots__ = (
+        "copy_lifetime_ms",
+        "keeps_copies",
+        "n_cache_tokens",
+        "n_slots",
+        "tokens_per_event",
+    )
+
+    def __init__(
+        self, n_slots, n_cache_tokens, keeps_copies, tokens_per_event, copy_lifetime_ms
+    ):
+        self.n_slots = n_slots
+        self.n_cache_tokens = n_cache_tokens
+        self.keeps_copies = keeps_copies
+        self.tokens_per_event = tokens_per_event
+        self.copy_lifetime_ms = copy_lifetime_ms
+
+
+class Service:
+    """Targets that serve the same requests.
+
+    Parameters
+    ----------
+    name : str
+    engine : EngineTraits or None
+        None for a plain service.
+    """
+
+    __slots__ = ("engine", "name")
+
+    def __init__(self, name, engine):
+        self.name = name
+        self.engine = engine
+
+
+class Customer:
+    """Whoever holds some of the keys."""
+
+    __slots__ = ("keys", "name", "priority")
+
+    def __init__(self, name, keys, priority):
+        self.name = name
+        self.keys = keys
+        self.priority = priority
+
+
+class RequestLimits:
+    """Bounds on what a caller may send: sizes in bytes, times in ms."""
+
+    __slots__ = ("header_timeout_ms", "idle_timeout_ms", "max_body", "max_header")
+
+    def __init__(self, max_header, max_body, header_timeout_ms, idle_timeout_ms):
+        self.max_header = max_header
+        self.max_body = max_body
+        self.header_timeout_ms = header_timeout_ms
+        self.idle_timeout_ms = idle_timeout_ms
+
+
+class RoutingTable:
+    """One version of the published configuration, checked as a whole.
+
+    Parameters
+    ----------
+    version : int
+    routes : list of Route
+    services : list of Service
+    customers : list of Customer or None
+        None if requests carry no keys.
+    limits : RequestLimits
+
+    Raises
+    ------
+    AlmonddealError
+        `DOCUMENT_INVALID` with what is wrong.
+    """
+
+    def __init__(self, version, routes, services, customers, limits):
+        self.version = version
+        self.limits = limits
+        self.service_by_name = {service.name: service for service in services}
+        self.needs_keys = customers is not None
+        self.customer_by_key = _customers_by_key(customers or [])
+        self._routes_by_host = {}
+        for route in routes:
+            self._add(route)
+        for same_host in self._routes_by_host.values():
+            same_host.sort(key=lambda route: -len(route.prefix))
+
+    def _add(self, route):
+        for name, weight in route.weight_by_service.items():
+            if name not in self.service_by_name:
+                raise _invalid(f"route {route.name} names the unknown service {name}")
+            if weight < 0:
+                raise _invalid(f"route {route.name} has a negative weight")
+        if sum(route.weight_by_service.values()) <= 0:
+            raise _invalid(f"the weights of route {route.name} add up to 0")
+        if route.timeout_ms <= 0:
+            raise _invalid(f"route {route.name} has no time")
+        if route.kind not in KINDS:
+            raise _invalid(f"route {route.name} is of no known kind")
+        if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
+            raise _invalid(f"the prefix of route {route.name} lacks a slash")
+        same_host = self._routes_by_host.setdefault(route.host, [])
+        if any(other.prefix == route.prefix for other in same_host):
+            raise _invalid(f"two routes at {route.host}{route.prefix}")
+        same_host.append(route)
+
+    def __repr__(self):
+        return f"<RoutingTable version {self.version}>"
+
+    def find_route(self, host, path):
+        """Return the route with the longest prefix of a path, or None."""
+        for route in self._routes_by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def pick_service(self, route):
+        """Return the `Service` that a request on a route goes to."""
+        return self.service_by_name[route.pick_service(random.random())]
+
+
+def _customers_by_key(customers):
+    customer_by_key = {}
+    for customer in customers:
+        for key in customer.keys:
+            if customer_by_key.setdefault(key, customer) is not customer:
+                raise _invalid(f"two customers share a key, one is {customer.name}")
+    return customer_by_key
--- /dev/null
+++ b/packages/entry/src/almonddeal/routing/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of this slice."""
