control: end peers that leave before their task goes on; tests of members

Ruled out: the disk and the election, both fine in the same logs. Change: peers are owned by a PeerSet; replication ends by its scope. Also: probes of silent engines before the first event, a shorter first election, no resume from a copy before the first event, imports without jsonschema.

--- a/packages/agent/src/almonddeal_agent/run.py
+++ b/packages/agent/src/almonddeal_agent/run.py
@@ -11,13 +11,13 @@
 from almonddeal_agent.engine import http_engine, make_client
 from almonddeal_agent.fencing import OrderGate
 from almonddeal_agent.metrics import AgentMetrics
+from almonddeal_common.address import Address
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.held.handlers import held_answer_handlers
 from almonddeal_common.held.store import AnswerStore
 from almonddeal_common.http import serve_http, wait_for_stop
 from almonddeal_common.logs import get_logger
 from almonddeal_common.metrics import metrics_app
-from almonddeal_common.settings import Address
 from almonddeal_common.wire.connect import Peer, listen, serve_links
 from almonddeal_common.wire.gen.constants import PROTOCOL_VERSION
 from almonddeal_common.wire.gen.ttypes import (
--- a/packages/common/src/almonddeal_common/settings.py
+++ b/packages/common/src/almonddeal_common/settings.py
@@ -7,28 +7,6 @@
 from almonddeal_common.codes import SETTINGS_INVALID
 
 
-class Address:
-    """A host number and port, written ``127.0.0.1:7000``."""
-
-    __slots__ = ("host", "port")
-
-    def __init__(self, host, port):
-        self.host = host
-        self.port = port
-
-    @classmethod
-    def parse(cls, text):
-        """Return the address written in `text`."""
-        host, _, port = text.rpartition(":")
-        return cls(host, int(port))
-
-    def __str__(self):
-        return f"{self.host}:{self.port}"
-
-    def __repr__(self):
-        return f"Address({self.host!r}, {self.port})"
-
-
 def read_settings(path, validator):
     """Return the settings in a file as a dict that passed the schema.
 
--- a/packages/common/src/almonddeal_common/tests/test_http.py
+++ b/packages/common/src/almonddeal_common/tests/test_http.py
@@ -12,9 +12,9 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import NameOID
 
+from almonddeal_common.address import Address
 from almonddeal_common.codes import AlmonddealError
 from almonddeal_common.http import make_config, serve_http
-from almonddeal_common.settings import Address
 
 PORT = 11_731
 
--- a/packages/common/src/almonddeal_common/wire/tests/test_link.py
+++ b/packages/common/src/almonddeal_common/wire/tests/test_link.py
@@ -7,8 +7,8 @@
 from thrift.Thrift import TType
 from thrift.transport.TTransport import TMemoryBuffer
 
+from almonddeal_common.address import Address
 from almonddeal_common.codes import OVERLOADED, AlmonddealError
-from almonddeal_common.settings import Address
 from almonddeal_common.wire import link as link_module
 from almonddeal_common.wire.codec import FrameReader, decode, encode, encode_frame
 from almonddeal_common.wire.connect import Peer, dial, serve_links
--- a/packages/entry/src/almonddeal/control/consensus.py
+++ b/packages/entry/src/almonddeal/control/consensus.py
@@ -44,6 +44,8 @@
 HEARTBEAT_MS = 150
 ELECTION_MIN_MS = 600
 ELECTION_MAX_MS = 1200
+FIRST_ELECTION_MIN_MS = 200
+FIRST_ELECTION_MAX_MS = 500
 TICK_MS = 80
 OWN_STALL_MS = 200
 CALL_TIMEOUT_MS = 500
@@ -115,7 +117,7 @@
         self._voted_for = store.meta.voted_for
         self._log = EntryLog(store.snapshot, store.entries)
         self._durable_index = self._log.last_index
-        self._members_index = 0
+        self.members_index = 0
         self.members = Members(dict.fromkeys([name, *peer_by_name], ""), 0)
         if connect is not None:
             self._restore_members()
@@ -129,7 +131,9 @@
         self.disk = anyio.Lock()
         self._last_heard_ms = monotonic_ms()
         self._n_lost_elections = 0
-        self._election_ms = self._random_election_ms()
+        # A process that starts has lost its leader with it, unless one makes itself
+        # heard; the others refuse their votes as long as they hear one.
+        self._election_ms = random.uniform(FIRST_ELECTION_MIN_MS, FIRST_ELECTION_MAX_MS)
         self._first_index_of_term = 0
         if store.snapshot.state:
             machine.restore(store.snapshot.state)
@@ -372,10 +376,12 @@
 
     async def _serve_peer(self, name, scope):
         with scope:
-            await self._replicate_to(name)
+            await self._replicate_to(name, scope)
 
-    async def _replicate_to(self, name):
-        while True:
+    async def _replicate_to(self, name, scope):
+        # A task that was about to go on learns of its cancellation only when it next
+        # waits; by then its peer is gone.
+        while not scope.cancel_called:
             if self.role != LEADER:
                 await self._changed.wait()
                 continue
@@ -393,7 +399,8 @@
                     await event.wait()
 
     def _peer_lags(self, name):
-        return self._next_by_name[name] <= self._log.last_index
+        next_index = self._next_by_name.get(name)
+        return next_index is not None and next_index <= self._log.last_index
 
     async def _send_to_peer(self, name, peer):
         term = self.term
@@ -452,7 +459,7 @@
             self.commit_index = index
             self._apply_committed()
             self._wake_peers()
-            if self.name not in self.members and index >= self._members_index:
+            if self.name not in self.members and index >= self.members_index:
                 log.info(
                     "leaves the group, members are %s", sorted(self.members.others(""))
                 )
@@ -465,7 +472,7 @@
         if self.members.address_by_name != members.address_by_name:
             log.info("members are %s by entry %d", sorted(members.others("")), index)
         self.members = members
-        self._members_index = index
+        self.members_index = index
         self._update_peers()
 
     def _restore_members(self):
@@ -481,7 +488,7 @@
 
     def _truncate_log(self, first):
         self._log.truncate_from(first)
-        if self._connect is not None and self._members_index >= first:
+        if self._connect is not None and self.members_index >= first:
             self._restore_members()
 
     def _update_peers(self):
@@ -516,7 +523,7 @@
 
     def _change_members(self, now_ms):
         """Append the next change of the members, one at a time."""
-        if self._connect is None or self._members_index > self.commit_index:
+        if self._connect is None or self.members_index > self.commit_index:
             return
         for name in [n for n in self._joining_by_name if n in self.members]:
             del self._joining_by_name[name]
--- /dev/null
+++ b/packages/entry/src/almonddeal/control/peers.py
@@ -0,0 +1,47 @@
+"""Links to the other members of a group whose members change."""
+
+import anyio
+
+from almonddeal_common.address import Address
+from almonddeal_common.wire.connect import Peer
+
+
+class PeerSet:
+    """Running peers by name; each keeps its own task until it is removed.
+
+    Parameters
+    ----------
+    hello : Hello
+        What this process says of itself.
+    group : anyio.abc.TaskGroup
+        Runs the peers.
+    on_ready : callable
+        Called with each new link once it is ready.
+
+    Attributes
+    ----------
+    peer_by_name : dict of str to Peer
+    """
+
+    def __init__(self, hello, group, on_ready):
+        self.peer_by_name = {}
+        self._hello = hello
+        self._group = group
+        self._on_ready = on_ready
+        self._scope_by_peer = {}
+
+    def connect(self, name, address):
+        """Return a new peer that dials an address until it is removed."""
+        peer = Peer(name, Address.parse(address), self._hello, {}, self._on_ready)
+        scope = self._scope_by_peer[peer] = anyio.CancelScope()
+        self._group.start_soon(_run, peer, scope)
+        return peer
+
+    def disconnect(self, peer):
+        """End a peer, also one whose task has not begun yet."""
+        self._scope_by_peer.pop(peer).cancel()
+
+
+async def _run(peer, scope):
+    with scope:
+        await peer.run()
--- /dev/null
+++ b/packages/entry/src/almonddeal/control/tests/changing_group.py
@@ -0,0 +1,188 @@
+"""A control group in one process whose members come, go and lose their disks."""
+
+import shutil
+
+import anyio
+
+from almonddeal.control.consensus import Consensus
+from almonddeal.control.identity import found_group, load_identity
+from almonddeal.control.storage import LogStore
+from almonddeal.control.tests.fakes import Crash
+from almonddeal.publication.state import Publication, pack
+from almonddeal_common.codes import LINK_LOST, NOT_LEADER, NOT_REACHED, AlmonddealError
+from almonddeal_common.wire.codec import decode, encode
+from almonddeal_common.wire.gen.ttypes import (
+    AppendLog,
+    Command,
+    InstallSnapshot,
+    JoinGroup,
+    PublishConfiguration,
+    Vote,
+)
+
+
+class AddressPeer:
+    """The way to whatever process runs at an address now."""
+
+    def __init__(self, group, source, name, address):
+        self.name = name
+        self._group = group
+        self._source = source
+        self._address = address
+
+    @property
+    def is_up(self):
+        return self._group.is_reachable(self._source, self._address)
+
+    async def call(self, message, timeout_ms):
+        if not self.is_up:
+            raise AlmonddealError(NOT_REACHED, self._address)
+        process = self._group.process_by_address[self._address]
+        copied = decode(type(message), encode(message))
+        with anyio.move_on_after(timeout_ms / 1000):
+            await anyio.sleep(0.001)
+            reply = await process.handler_by_type[type(message)](None, copied, None)
+            if not self.is_up:
+                raise AlmonddealError(LINK_LOST, self._address)
+            return reply
+        raise AlmonddealError(LINK_LOST, "no reply")
+
+
+class Process:
+    """One member with its disk, found or joining by its identity."""
+
+    def __init__(self, group, address, is_first_start):
+        folder = group.folder / address
+        self.address = address
+        self.name, is_founder = load_identity(
+            folder, address, group.seeds, is_first_start
+        )
+        self.machine = Publication()
+        self.store = LogStore(folder, group.end_process)
+        self.store.__enter__()
+        if is_founder:
+            found_group(self.store, group.seeds)
+        self.consensus = Consensus(
+            self.name,
+            {},
+            self.store,
+            self.machine,
+            connect=lambda name, at: AddressPeer(group, address, name, at),
+            disconnect=lambda peer: None,
+        )
+        self.handler_by_type = {
+            Vote: self.consensus.handle_vote,
+            AppendLog: self.consensus.handle_append,
+            InstallSnapshot: self.consensus.handle_snapshot,
+            JoinGroup: self.consensus.handle_join,
+        }
+        self.scope = anyio.CancelScope()
+        self._group = group
+        self._is_addition = is_first_start
+
+    async def run(self):
+        with self.scope:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.consensus.run)
+                tasks.start_soon(self._join)
+
+    async def _join(self):
+        request = JoinGroup(self.name, self.address, self._is_addition)
+        while True:
+            if self.name not in self.consensus.members or self.consensus.is_forgotten:
+                for address in list(self._group.process_by_address):
+                    if address != self.address:
+                        await self._ask(address, request)
+            await anyio.sleep(0.05)
+
+    async def _ask(self, address, request):
+        peer = AddressPeer(self._group, self.address, "", address)
+        try:
+            await peer.call(request, 300)
+        except AlmonddealError:
+            # Asked again in the next round.
+            return
+
+
+class ChangingGroup:
+    """Processes by address; the first ones found the group.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+    tasks : anyio.abc.TaskGroup
+    seeds : list of str
+    """
+
+    def __init__(self, folder, tasks, seeds):
+        self.folder = folder
+        self.seeds = seeds
+        self.process_by_address = {}
+        self.cut = set()
+        self._tasks = tasks
+
+    @staticmethod
+    def end_process(reason):
+        raise Crash(reason)
+
+    def is_reachable(self, source, address):
+        is_cut = source in self.cut or address in self.cut
+        return address in self.process_by_address and not is_cut
+
+    def start(self, address, is_first_start=False):
+        process = Process(self, address, is_first_start)
+        self.process_by_address[address] = process
+        self._tasks.start_soon(process.run)
+        return process
+
+    async def kill(self, address, wipe=False):
+        process = self.process_by_address.pop(address)
+        process.scope.cancel()
+        async with process.consensus.disk:
+            process.store.__exit__(None, None, None)
+        if wipe:
+            shutil.rmtree(self.folder / address)
+
+    def leader(self):
+        leaders = [p for p in self.process_by_address.values() if p.consensus.is_leader]
+        return max(leaders, key=lambda p: p.consensus.term, default=None)
+
+    async def publish(self, version):
+        """Have a version agreed on, at whoever leads."""
+        content = pack(b"version %d" % version)
+        command = Command(publish=PublishConfiguration(version, content, "test", 0))
+        with anyio.fail_after(20):
+            while True:
+                leader = self.leader()
+                try:
+                    if leader is None:
+                        raise AlmonddealError(NOT_LEADER, "nobody leads")
+                    result = await leader.consensus.propose(command, 1000)
+                    return result.publish
+                except AlmonddealError:
+                    await anyio.sleep(0.03)
+
+    async def wait_voters(self, addresses):
+        """Wait until exactly the processes at these addresses are the voters."""
+        with anyio.fail_after(20):
+            while True:
+                leader = self.leader()
+                wanted = {
+                    self.process_by_address[a].name
+                    for a in addresses
+                    if a in self.process_by_address
+                }
+                if leader is not None:
+                    members = leader.consensus.members
+                    is_committed = (
+                        leader.consensus.commit_index >= leader.consensus.members_index
+                    )
+                    if set(members.address_by_name) == wanted and is_committed:
+                        return members
+                await anyio.sleep(0.03)
+
+    async def wait_version(self, address, version):
+        """Wait until a process applied a version."""
+        with anyio.fail_after(20):
+            while self.process_by_address[address].machine.version < version:
+                await anyio.sleep(0.03)
--- a/packages/entry/src/almonddeal/publication/follower.py
+++ b/packages/entry/src/almonddeal/publication/follower.py
@@ -4,10 +4,10 @@
 
 import anyio
 
+from almonddeal_common.address import Address
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import AlmonddealError
 from almonddeal_common.logs import decide, get_logger
-from almonddeal_common.settings import Address
 from almonddeal_common.wire.connect import dial
 from almonddeal_common.wire.gen.ttypes import Follow, ShareRuns
 
--- a/packages/entry/src/almonddeal/relay/parts.py
+++ b/packages/entry/src/almonddeal/relay/parts.py
@@ -21,6 +21,8 @@
     open_attempt : callable
         ``open_attempt(attempt)`` sends it; an async context manager that gives a
         `TargetAnswer`, or raises `NOT_REACHED` if nothing was sent, or `LINK_LOST`.
+    is_alive : callable
+        ``is_alive(target)`` asks an announced target for a sign of life.
     retry_limits : RetryLimits
     metrics : RelayMetrics
     """
@@ -33,6 +35,7 @@
         loads,
         runs,
         open_attempt,
+        is_alive,
         retry_limits,
         metrics,
     ):
@@ -42,6 +45,7 @@
         self.loads = loads
         self.runs = runs
         self.open = open_attempt
+        self.is_alive = is_alive
         self.metrics = metrics
         self.version = 0
         self._retry_limits = retry_limits
--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -12,7 +12,12 @@
 from almonddeal.relay.choose import choose_backup, choose_engine
 from almonddeal.relay.events import EventReader
 from almonddeal.relay.requests import Attempt
-from almonddeal.relay.stall import first_event_limit_ms, gap_limit_ms
+from almonddeal.relay.stall import (
+    PROBE_INTERVAL_MS,
+    first_event_limit_ms,
+    first_probe_ms,
+    gap_limit_ms,
+)
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import (
     ATTEMPT_LOST,
@@ -263,7 +268,8 @@
     )
     if error is not None:
         _learn(stream, state, error, copy is not None)
-        if backup is not None and error.code not in _FREE:
+        # An engine that has not begun has nothing to copy yet.
+        if backup is not None and stream.is_begun and error.code not in _FREE:
             stream.copy = _Copy(backup, stream.request_id)
     return error
 
@@ -287,18 +293,36 @@
 
 async def _watch(stream, parts, state, attempt):
     """Run an attempt under a scope that a stall or the loss of the target ends."""
-    with anyio.CancelScope() as scope:
-        state.scopes.add(scope)
-        state.n_in_flight += 1
+    error = AlmonddealError(TARGET_STALLED, "no event came")
+    state.n_in_flight += 1
+    async with anyio.create_task_group() as group:
+        state.scopes.add(group.cancel_scope)
+        group.start_soon(_probe_until_begun, parts, state, stream.request_id)
         try:
-            await _relay(stream, parts, state, attempt, scope)
-            return None
-        except AlmonddealError as error:
-            return error
+            await _relay(stream, parts, state, attempt, group.cancel_scope)
+            error = None
+        except AlmonddealError as caught:
+            error = caught
         finally:
             state.n_in_flight -= 1
-            state.scopes.discard(scope)
-    return AlmonddealError(TARGET_STALLED, "no event came")
+            state.scopes.discard(group.cancel_scope)
+        group.cancel_scope.cancel()
+    return error
+
+
+async def _probe_until_begun(parts, state, request_id):
+    """Ask an engine that is silent for a sign of life, and end its attempts without."""
+    n_unread_tokens = parts.loads.load(state.record).n_unread_tokens
+    await anyio.sleep(first_probe_ms(n_unread_tokens) / 1000)
+    while True:
+        silence_ms = monotonic_ms() - state.last_heard_ms
+        if silence_ms >= PROBE_INTERVAL_MS:
+            if not await parts.is_alive(state.record):
+                state.avoid("gave no sign of life", request_id)
+                state.end_attempts()
+                return
+            state.hear()
+        await anyio.sleep(PROBE_INTERVAL_MS / 1000)
 
 
 def _set_limit(scope, limit_ms):
@@ -307,8 +331,15 @@
 
 async def _relay(stream, parts, state, attempt, scope):
     load = parts.loads.load(state.record)
-    first_limit_ms = first_event_limit_ms(load.n_unread_tokens)
-    _set_limit(scope, first_limit_ms)
+    generation = stream.admitted.request.generation
+    n_prompt_tokens = generation.n_prompt_tokens if generation is not None else 0
+    request = stream.admitted.request
+    waited_ms = monotonic_ms() - request.arrived_ms
+    objective_ms = stream.admitted.route.objective_ms - waited_ms
+    _set_limit(
+        scope,
+        first_event_limit_ms(load.n_unread_tokens, n_prompt_tokens, objective_ms),
+    )
     async with parts.open(attempt) as answer:
         if answer.is_not_run:
             code = NOT_REACHED if answer.is_other_target else TARGET_REFUSED
--- a/packages/entry/src/almonddeal/roles/control.py
+++ b/packages/entry/src/almonddeal/roles/control.py
@@ -11,16 +11,17 @@
 from almonddeal.control.client import ControlClient
 from almonddeal.control.consensus import Consensus
 from almonddeal.control.identity import found_group, load_identity
+from almonddeal.control.peers import PeerSet
 from almonddeal.control.storage import LogStore
 from almonddeal.publication.feed import Feed
 from almonddeal.publication.state import Publication, pack
+from almonddeal_common.address import Address
 from almonddeal_common.clock import wall_ms
 from almonddeal_common.codes import DATA_DAMAGED, NO_QUORUM, OK, AlmonddealError
 from almonddeal_common.http import serve_http
 from almonddeal_common.logs import decide, get_logger
 from almonddeal_common.metrics import metrics_app
-from almonddeal_common.settings import Address
-from almonddeal_common.wire.connect import Peer, dial, listen, serve_links
+from almonddeal_common.wire.connect import dial, listen, serve_links
 from almonddeal_common.wire.gen.constants import PROTOCOL_VERSION
 from almonddeal_common.wire.gen.ttypes import (
     AppendLog,
@@ -77,9 +78,6 @@
         self._parse = parse
         self._publication = Publication()
         self._registry = TargetRegistry()
-        self._peer_by_name = {}
-        self._scope_by_name = {}
-        self._group = None
 
     # ---- operators -------------------------------------------------------------
 
@@ -148,18 +146,9 @@
         settings = self.settings
         with ExitStack() as stack:
             listener = await listen(settings.link_address)
-            name, store, consensus = self._build(stack)
-            self.feed = Feed(
-                name,
-                self._publication,
-                self._registry,
-                self._control,
-                consensus,
-                self._peer_by_name,
-            )
             stop = anyio.Event()
             async with anyio.create_task_group() as group:
-                self._group = group
+                name, store, consensus = self._build(stack, group)
                 handlers = self._handlers(consensus)
                 group.start_soon(serve_links, listener, self._hello, handlers)
                 group.start_soon(consensus.run)
@@ -184,7 +173,7 @@
                 await anyio.sleep(STOP_S)
                 group.cancel_scope.cancel()
 
-    def _build(self, stack):
+    def _build(self, stack, group):
         settings = self.settings
         address = str(settings.link_address)
         name, is_founder = load_identity(
@@ -204,22 +193,34 @@
             time.time_ns(),
             settings.failure_domain,
         )
+        peers = PeerSet(self._hello, group, self._greet_peer)
         consensus = Consensus(
             name,
-            self._peer_by_name,
+            peers.peer_by_name,
             store,
             self._publication,
             self._notify_applied,
-            self._connect,
-            self._disconnect,
+            peers.connect,
+            peers.disconnect,
+        )
+        self._control = ControlClient(name, consensus, peers.peer_by_name, None)
+        self.feed = Feed(
+            name,
+            self._publication,
+            self._registry,
+            self._control,
+            consensus,
+            peers.peer_by_name,
         )
-        self._control = ControlClient(name, consensus, self._peer_by_name, None)
         return name, store, consensus
 
     def _notify_applied(self):
         if self.feed is not None:
             self.feed.notify_changed()
 
+    def _greet_peer(self, link):
+        self.feed.greet_peer(link)
+
     def _handlers(self, consensus):
         return {
             Vote: consensus.handle_vote,
@@ -235,19 +236,6 @@
 
     # ---- peers -----------------------------------------------------------------
 
-    def _connect(self, name, address):
-        peer = Peer(name, Address.parse(address), self._hello, {}, self.feed.greet_peer)
-        self._scope_by_name[name] = anyio.CancelScope()
-        self._group.start_soon(self._run_peer, peer)
-        return peer
-
-    async def _run_peer(self, peer):
-        with self._scope_by_name[peer.name]:
-            await peer.run()
-
-    def _disconnect(self, peer):
-        self._scope_by_name.pop(peer.name).cancel()
-
     async def _join_for_ever(self, name, consensus):
         """Ask to become a voter whenever this member is none or hears no leader."""
         while True:
--- a/packages/entry/src/almonddeal/roles/entry.py
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -24,7 +24,6 @@
 CLEAN_INTERVAL_S = 1.0
 LEAVE_ROTATION_S = 2.6  # the balancer asks once a second and needs two misses
 END_MARGIN_S = 0.5  # before the platform ends the process
-STOP_POLL_S = 0.05
 DEFAULT_IDLE_TIMEOUT_S = 60.0  # until a configuration sets it
 
 log = get_logger("entry")
@@ -38,8 +37,8 @@
     settings : RoleSettings
     parse : callable
         ``parse(content)`` returns the `RoutingTable` of a configuration.
-    open_attempt : callable
-        Sends an `Attempt`; see `RelayParts`.
+    open_attempt, is_alive : callable
+        Send an `Attempt`, and ask a target for a sign of life; see `RelayParts`.
 
     Attributes
     ----------
@@ -49,11 +48,12 @@
         Whether callers should use another instance from now on.
     """
 
-    def __init__(self, settings, parse, open_attempt):
+    def __init__(self, settings, parse, open_attempt, is_alive):
         self.settings = settings
         self.table = None
         self.is_stopping = False
         self.http_config = make_config(settings.callers)
+        self.http_config.graceful_timeout = settings.stop_timeout_s
         self.http_config.keep_alive_timeout = DEFAULT_IDLE_TIMEOUT_S
         self._parse = parse
         self._n_in_flight = 0
@@ -64,6 +64,7 @@
             LoadView(),
             Board(),
             open_attempt,
+            is_alive,
             settings.retry_limits,
             RelayMetrics(),
         )
@@ -129,17 +130,13 @@
         """
         settings = self.settings
         stop_callers = anyio.Event()
+        callers_ended = anyio.Event()
         stop_readiness = anyio.Event()
         async with anyio.create_task_group() as group:
             group.start_soon(self._follower.run)
             group.start_soon(self._clean_for_ever)
             group.start_soon(
-                serve_http,
-                callers_app,
-                settings.callers,
-                stop_callers,
-                None,
-                self.http_config,
+                self._serve_callers, callers_app, stop_callers, callers_ended
             )
             group.start_soon(
                 serve_http, readiness_app, settings.readiness, stop_readiness
@@ -147,11 +144,16 @@
             group.start_soon(serve_http, metrics_app, settings.metrics, stop_readiness)
             decide(log, "starts", instance=settings.instance)
             await self._wait_for_stop()
-            await self._drain(stop_callers)
+            await self._drain(stop_callers, callers_ended)
             stop_readiness.set()
             decide(log, "stops", n_in_flight=self._n_in_flight)
             group.cancel_scope.cancel()
 
+    async def _serve_callers(self, app, stop, ended):
+        address = self.settings.callers
+        await serve_http(app, address, stop, None, self.http_config)
+        ended.set()
+
     async def _wait_for_stop(self):
         with anyio.open_signal_receiver(SIGTERM, SIGINT, SIGHUP) as signals:
             async for signal in signals:
@@ -159,7 +161,7 @@
                     return
                 decide(log, "keeps its settings on a reload")
 
-    async def _drain(self, stop_callers):
+    async def _drain(self, stop_callers, callers_ended):
         """Leave the balancer's rotation, then finish what runs."""
         self.is_stopping = True
         decide(log, "drains", n_in_flight=self._n_in_flight)
@@ -167,9 +169,7 @@
         with anyio.move_on_after(left_s):
             await anyio.sleep(LEAVE_ROTATION_S)
             stop_callers.set()
-            while self._n_in_flight:
-                await anyio.sleep(STOP_POLL_S)
-            await anyio.sleep(STOP_POLL_S)
+            await callers_ended.wait()
 
     async def _clean_for_ever(self):
         while True:
--- a/packages/entry/src/almonddeal/settings.py
+++ b/packages/entry/src/almonddeal/settings.py
@@ -1,8 +1,9 @@
 """Settings of an entry instance, checked beyond their schema."""
 
+from almonddeal_common.address import Address
 from almonddeal_common.checks import CheckError, load_schema, raise_together
 from almonddeal_common.codes import SETTINGS_INVALID
-from almonddeal_common.settings import Address, read_settings
+from almonddeal_common.settings import read_settings
 
 SCHEMA = load_schema("almonddeal", "settings.schema.json")
 STOP_TIMEOUT_S = 30.0
--- a/packages/entry/src/almonddeal/targets/links.py
+++ b/packages/entry/src/almonddeal/targets/links.py
@@ -2,8 +2,8 @@
 
 import anyio
 
+from almonddeal_common.address import Address
 from almonddeal_common.codes import NOT_REACHED, AlmonddealError
-from almonddeal_common.settings import Address
 from almonddeal_common.wire.connect import dial
 
 CONNECT_TIMEOUT_S = 1.0
--- a/tools/almonddeal_tools/bench/claims.py
+++ b/tools/almonddeal_tools/bench/claims.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from almonddeal_common.settings import Address
+from almonddeal_common.address import Address
 from almonddeal_common.wire.connect import dial
 from almonddeal_common.wire.gen.constants import PROTOCOL_VERSION
 from almonddeal_common.wire.gen.ttypes import ClaimOrder, Command, Hello, Propose
