--- a/packages/entry/src/almonddeal/control/consensus.py
+++ b/packages/entry/src/almonddeal/control/consensus.py
@@ -130,6 +130,7 @@
         self._changed = anyio.Event()
         self.disk = anyio.Lock()
         self._last_heard_ms = monotonic_ms()
+        self._leader_heard_ms = float("-inf")
         self._n_lost_elections = 0
         # A process that starts has lost its leader with it, unless one makes itself
         # heard; the others refuse their votes as long as they hear one.
@@ -281,7 +282,7 @@
             self._log.last_term,
             self._log.last_index,
         )
-        silence_ms = monotonic_ms() - self._last_heard_ms
+        silence_ms = monotonic_ms() - self._leader_heard_ms
         hears_leader = self.role == LEADER or silence_ms < ELECTION_MIN_MS
         if message.pre:
             granted = up_to_date and not hears_leader and message.term > self.term
@@ -590,7 +591,7 @@
     async def _hear_leader(self, term, leader):
         await self._adopt_term(term)
         assert self.role != LEADER, f"two leaders in term {term}"
-        self._last_heard_ms = monotonic_ms()
+        self._last_heard_ms = self._leader_heard_ms = monotonic_ms()
         self._n_lost_elections = 0
         if self.leader != leader:
             log.info("follows %s in term %d", leader, term)
--- a/packages/entry/src/almonddeal/relay/gateway.py
+++ b/packages/entry/src/almonddeal/relay/gateway.py
@@ -1,5 +1,7 @@
 """The way of a request through an entry instance: route, customer, then the relay."""
 
+import anyio
+
 from almonddeal.relay.plain import relay_plain
 from almonddeal.relay.requests import Admitted
 from almonddeal.relay.streams import relay_stream
@@ -14,6 +16,10 @@
 from almonddeal_common.logs import decide, get_logger
 
 NOT_READY_RETRY_MS = 500  # a new process gets its configuration within this time
+NEW_PROCESS_MS = 5000  # four announcements of every target at the usual interval
+WAIT_SHARE = 0.25  # of a request's time; the rest is for serving it
+MAX_WAIT_MS = 1500.0  # one announcement of every target, and some more
+POLL_S = 0.02
 
 log = get_logger("relay")
 
@@ -45,7 +51,45 @@
     return Admitted(request, route, table.pick_service(route), customer)
 
 
-async def serve_request(request, table, parts, reply):
+async def wait_ready(request, parts, current_table):
+    """Wait a part of the request's time for what a new process does not have yet.
+
+    Parameters
+    ----------
+    request : CallerRequest
+    parts : RelayParts
+    current_table : callable
+        Returns the `RoutingTable` in force, or None.
+
+    Returns
+    -------
+    table : RoutingTable or None
+    """
+    timeout_ms = request.timeout_ms if request.timeout_ms is not None else MAX_WAIT_MS
+    limit_ms = min(MAX_WAIT_MS, WAIT_SHARE * timeout_ms)
+    if parts.age_ms > NEW_PROCESS_MS:
+        return current_table()
+    while not _has_targets(request, parts, current_table()):
+        if monotonic_ms() - request.arrived_ms > limit_ms:
+            break
+        await anyio.sleep(POLL_S)
+    waited_ms = monotonic_ms() - request.arrived_ms
+    if waited_ms > POLL_S * 1000:
+        decide(log, "waited", request=request.request_id, waited_ms=round(waited_ms))
+    return current_table()
+
+
+def _has_targets(request, parts, table):
+    """Tell whether targets for a request are known, or that it needs none."""
+    if table is None:
+        return False
+    route = table.find_route(request.host, request.path)
+    if route is None:
+        return True
+    return any(parts.targets.candidates(name) for name in route.weight_by_service)
+
+
+async def serve_request(request, current_table, parts, reply):
     """Serve one request to its end.
 
     Cancelling it means that the caller left: what it runs at targets is stopped.
@@ -53,13 +97,15 @@
     Parameters
     ----------
     request : CallerRequest
-    table : RoutingTable or None
+    current_table : callable
+        Returns the `RoutingTable` in force, or None.
     parts : RelayParts
     reply : object
         The caller's side: ``send_whole(status, headers, body)``, or ``start(status,
         headers)``, ``send(data)`` and ``finish()``, or ``refuse(refusal)``.
     """
     kind = "none"
+    table = await wait_ready(request, parts, current_table)
     try:
         admitted = admit(request, table)
         kind = admitted.route.kind
--- a/packages/entry/src/almonddeal/relay/parts.py
+++ b/packages/entry/src/almonddeal/relay/parts.py
@@ -1,6 +1,7 @@
 """What serving a request needs of its instance."""
 
 from almonddeal.limits.budget import RetryBudget
+from almonddeal_common.clock import monotonic_ms
 
 OWN_RATIO_SHARE = 0.6  # of the allowed ratio; the rest covers uneven shares of traffic
 INSTANCES_ASSUMED = 6  # that share the slack, while fewer are known
@@ -48,9 +49,15 @@
         self.is_alive = is_alive
         self.metrics = metrics
         self.version = 0
+        self._started_ms = monotonic_ms()
         self._retry_limits = retry_limits
         self._budget_by_service = {}
 
+    @property
+    def age_ms(self):
+        """Time in ms since this process started."""
+        return monotonic_ms() - self._started_ms
+
     def budget(self, service_name):
         """Return this instance's share of the retry budget of a service."""
         budget = self._budget_by_service.get(service_name)
--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -62,6 +62,7 @@
         "last_answer",
         "last_event_id",
         "last_sent_ms",
+        "left_by",
         "n_sends",
         "n_tries",
         "refused",
@@ -79,6 +80,7 @@
         self.copy = None
         self.run = None
         self.refused = set()
+        self.left_by = set()
         self.last_answer = None
         self.last_sent_ms = 0.0
         self.step = None
@@ -170,7 +172,9 @@
         return copy.state, copy
     traits = stream.admitted.service.engine
     service_name = stream.admitted.service.name
-    states = parts.targets.candidates(service_name, stream.refused)
+    states = parts.targets.candidates(service_name, stream.refused | stream.left_by)
+    if not states:
+        states = parts.targets.candidates(service_name, stream.refused)
     if traits is None:
         return (min(states, key=lambda s: s.n_in_flight) if states else None), None
     state = choose_engine(
@@ -225,7 +229,7 @@
         answer, body = stream.last_answer
         await stream.reply.send_whole(answer.status, answer.headers, body)
         return
-    if stream.n_sends == 0 or error.code == TARGET_REFUSED:
+    if stream.n_sends == 0:
         raise AlmonddealError(
             OVERLOADED, "no engine took the request", after_ms=RETRY_AFTER_MS
         )
@@ -250,6 +254,8 @@
     started_ms = monotonic_ms()
     stream.n_tries += 1
     error = await _watch(stream, parts, state, attempt)
+    if error is None or error.code not in _FREE:
+        stream.n_sends += 1
     decide(
         log,
         "ended an attempt",
@@ -267,6 +273,7 @@
         left_ms=round(stream.admitted.left_ms),
     )
     if error is not None:
+        stream.left_by.add(record.target)
         _learn(stream, state, error, copy is not None)
         # An engine that has not begun has nothing to copy yet.
         if backup is not None and stream.is_begun and error.code not in _FREE:
@@ -344,7 +351,6 @@
         if answer.is_not_run:
             code = NOT_REACHED if answer.is_other_target else TARGET_REFUSED
             raise AlmonddealError(code, f"status {answer.status}")
-        stream.n_sends += 1
         if not answer.is_success:
             body = b"".join([chunk async for chunk in answer.chunks])
             stream.last_answer = (answer, body)
--- /dev/null
+++ b/packages/entry/src/almonddeal/relay/tests/fakes.py
@@ -0,0 +1,299 @@
+"""Targets of the relay that behave as each test says, without a network."""
+
+from contextlib import asynccontextmanager
+
+import anyio
+
+from almonddeal.announced.board import Board
+from almonddeal.announced.records import READY
+from almonddeal.relay.load import LoadView
+from almonddeal.relay.parts import RelayParts
+from almonddeal.relay.requests import (
+    Admitted,
+    CallerRequest,
+    Generation,
+    TargetAnswer,
+)
+from almonddeal.relay.targets import TargetBook
+from almonddeal.roles.settings import RetryLimits
+from almonddeal.routing.model import (
+    LOOKUP,
+    STREAM,
+    EngineTraits,
+    RequestLimits,
+    Route,
+    RoutingTable,
+    Service,
+)
+from almonddeal_common.codes import LINK_LOST, NOT_REACHED, AlmonddealError
+from almonddeal_common.wire.gen.ttypes import AnnouncedTarget
+
+TRAITS = EngineTraits(64, 55_000, True, 6, 4000.0)
+SIGNED = [(b"x-signature", b"s")]
+
+
+class NoMetrics:
+    """Counts nothing."""
+
+    def note(self, kind, outcome, took_ms):
+        return None
+
+
+class FakeReply:
+    """Collects what a caller would receive."""
+
+    def __init__(self):
+        self.status = None
+        self.body = b""
+        self.refusal = None
+        self.is_complete = False
+
+    async def send_whole(self, status, headers, body):
+        self.status = status
+        self.body = body
+        self.is_complete = True
+
+    async def start(self, status, headers):
+        assert self.status is None, "two heads of one answer"
+        self.status = status
+
+    async def send(self, data):
+        self.body += data
+
+    async def finish(self):
+        self.is_complete = True
+
+    async def refuse(self, error):
+        self.refusal = error
+
+    @property
+    def event_ids(self):
+        lines = self.body.split(b"\n")
+        return [int(line[3:]) for line in lines if line.startswith(b"id:")]
+
+
+def record(target, domain="fd1", born_ms=1000, state=READY, service="s", slots=64):
+    number = int(target.rpartition("-")[2])
+    return AnnouncedTarget(
+        target,
+        service,
+        f"10.0.0.{number}:80",
+        domain,
+        "v1",
+        slots,
+        state,
+        born_ms,
+        1,
+        0,
+        0,
+    )
+
+
+def event(number):
+    """Return the bytes of one event."""
+    return b"id:%d\ndata: x\n\n" % number
+
+
+class Fleet:
+    """Targets by id, each a function that answers an attempt.
+
+    Parameters
+    ----------
+    behaviour_by_target : dict of str to callable
+        An async generator function of the attempt. It first yields a status, or raises;
+        then the chunks of the body. A `Respond` in place of the status says more.
+    domain_by_target : dict of str to str
+    """
+
+    def __init__(self, behaviour_by_target, domain_by_target=None):
+        self.behaviour_by_target = behaviour_by_target
+        self.attempts = []
+        self.n_open = 0
+        self.n_probes = 0
+        self.alive = set(behaviour_by_target)
+        self.book = TargetBook()
+        domains = domain_by_target or {}
+        for target in behaviour_by_target:
+            self.book.take(record(target, domains.get(target, "fd1")))
+        self.parts = RelayParts(
+            "entry-1",
+            "fd1",
+            self.book,
+            LoadView(),
+            Board(),
+            self.open,
+            self.is_alive,
+            RetryLimits(0.8, 10.0, 150.0),
+            NoMetrics(),
+        )
+
+    async def is_alive(self, target):
+        self.n_probes += 1
+        return target.target in self.alive
+
+    @asynccontextmanager
+    async def open(self, attempt):
+        self.attempts.append(attempt)
+        steps = self.behaviour_by_target[attempt.target.target](attempt)
+        self.n_open += 1
+        try:
+            head = await anext(steps)
+            respond = head if isinstance(head, Respond) else Respond(head)
+            yield TargetAnswer(
+                respond.status,
+                SIGNED,
+                respond.is_not_run,
+                respond.is_other_target,
+                respond.is_genuine,
+                False,
+                None,
+                steps,
+            )
+        finally:
+            self.n_open -= 1
+            await steps.aclose()
+
+    @property
+    def tried(self):
+        """Targets that were tried, in order, as a list."""
+        return [attempt.target.target for attempt in self.attempts]
+
+
+class Respond:
+    """The head of an answer."""
+
+    def __init__(
+        self, status, is_not_run=False, is_other_target=False, is_genuine=True
+    ):
+        self.status = status
+        self.is_not_run = is_not_run
+        self.is_other_target = is_other_target
+        self.is_genuine = is_genuine
+
+
+# ---- behaviours ------------------------------------------------------------------
+
+
+def answers(status=200, body=b"whole"):
+    """Return a behaviour: one whole answer."""
+
+    async def steps(attempt):
+        yield status
+        yield body
+
+    return steps
+
+
+def responds(respond):
+    """Return a behaviour: a head, and an empty body."""
+
+    async def steps(attempt):
+        yield respond
+
+    return steps
+
+
+def refuses():
+    """Return a behaviour: no place, and not run."""
+    return responds(Respond(503, is_not_run=True))
+
+
+async def unreachable(attempt):
+    """Let no connection be made."""
+    raise AlmonddealError(NOT_REACHED, "refused")
+    yield  # makes this a generator
+
+
+async def breaks(attempt):
+    """Break the connection after the request was sent."""
+    raise AlmonddealError(LINK_LOST, "reset")
+    yield  # makes this a generator
+
+
+async def hangs(attempt):
+    """Take the request and say nothing."""
+    await anyio.sleep(3600)
+    yield 200
+
+
+def streams(first, last, lose_at=None, hang_at=None, gap_s=0.002):
+    """Return a behaviour: events up to `last` after what the caller has.
+
+    Parameters
+    ----------
+    first, last : int
+    lose_at, hang_at : int, optional
+        Event after which the connection breaks, or nothing more comes.
+    gap_s : float
+    """
+
+    async def steps(attempt):
+        yield 200
+        start = first if attempt.last_event_id is None else attempt.last_event_id + 1
+        for number in range(start, last + 1):
+            await anyio.sleep(gap_s)
+            yield event(number)
+            if number == lose_at:
+                yield b"id:%d\nda" % (number + 1)
+                raise AlmonddealError(LINK_LOST, "reset within an event")
+            if number == hang_at:
+                await anyio.sleep(3600)
+
+    return steps
+
+
+# ---- requests --------------------------------------------------------------------
+
+
+def make_route(kind=LOOKUP, **changes):
+    """Return a route to service s."""
+    values = {
+        "name": "r",
+        "host": "h",
+        "prefix": "/a/",
+        "kind": kind,
+        "timeout_ms": 1000.0 if kind != STREAM else 10_000.0,
+        "objective_ms": 150.0 if kind != STREAM else 4500.0,
+        "priority": 1,
+        "weight_by_service": {"s": 1.0},
+        "max_attempts": 2 if kind != STREAM else 5,
+        "is_public": True,
+        "is_resumable": kind == STREAM,
+        "max_gap_ms": 700.0,
+    }
+    return Route(**{**values, **changes})
+
+
+def make_table(route, traits=None):
+    """Return a routing table with one route."""
+    limits = RequestLimits(16384, 4194304, 3000.0, 15000.0)
+    return RoutingTable(3, [route], [Service("s", traits)], None, limits)
+
+
+def make_request(timeout_ms=1000.0, generation=None, last_event_id=None):
+    """Return a request on that route."""
+    return CallerRequest(
+        "req1",
+        "GET",
+        "h",
+        "/a/b",
+        b"/a/b",
+        [],
+        b"",
+        timeout_ms,
+        None,
+        last_event_id,
+        generation,
+    )
+
+
+def admit_plain(route, timeout_ms=1000.0):
+    """Return an admitted request of a plain service."""
+    return Admitted(make_request(timeout_ms), route, Service("s", None), None)
+
+
+def admit_stream(route=None, timeout_ms=10_000.0, last_event_id=None, n_prompt=1000):
+    """Return an admitted request for an answer in events."""
+    generation = Generation(n_prompt, 100, "print1")
+    request = make_request(timeout_ms, generation, last_event_id)
+    return Admitted(request, route or make_route(STREAM), Service("s", TRAITS), None)
--- /dev/null
+++ b/packages/entry/src/almonddeal/relay/tests/test_streams.py
@@ -0,0 +1,280 @@
+"""Tests of answers in events over engines that die, hang, refuse and lie.
+
+The load pattern is the one of a failure domain whose engines vanish within answers.
+"""
+
+import anyio
+import pytest
+
+from almonddeal.relay.streams import relay_stream
+from almonddeal.relay.tests.fakes import (
+    FakeReply,
+    Fleet,
+    Respond,
+    admit_stream,
+    answers,
+    breaks,
+    event,
+    hangs,
+    make_route,
+    refuses,
+    responds,
+    streams,
+    unreachable,
+)
+from almonddeal.routing.model import STREAM
+from almonddeal_common.codes import (
+    ATTEMPT_LOST,
+    DEADLINE,
+    NO_TARGET,
+    OVERLOADED,
+    AlmonddealError,
+)
+from almonddeal_common.wire.gen.ttypes import Run
+
+LAST = 20
+TWO_DOMAINS = {"i-1": "fd1", "i-2": "fd2"}
+
+
+def relay(fleet, admitted=None, reply=None):
+    """Relay one answer; returns the reply."""
+
+    async def main():
+        used = reply or FakeReply()
+        with anyio.fail_after(30):
+            await relay_stream(admitted or admit_stream(), fleet.parts, used)
+        return used
+
+    return anyio.run(main)
+
+
+def refusal(fleet, admitted=None):
+    with pytest.raises(AlmonddealError) as caught:
+        relay(fleet, admitted)
+    return caught.value
+
+
+def whole(reply):
+    """Tell whether each event came once and in order, and then the end."""
+    return reply.is_complete and reply.event_ids == list(range(1, LAST + 1))
+
+
+class TestStreams:
+    def test_whole_answer_of_one_engine(self):
+        assert whole(relay(Fleet({"i-1": streams(1, LAST)})))
+
+    def test_lost_answer_goes_on_at_the_copy(self):
+        fleet = Fleet(
+            {"i-1": streams(1, LAST, lose_at=7), "i-2": streams(1, LAST)}, TWO_DOMAINS
+        )
+        fleet.parts.loads.take(_busy_run("i-2"))
+        assert whole(relay(fleet))
+        first, second = fleet.attempts
+        assert first.backup_address == second.target.address
+        assert second.copy_of == "req1"
+        assert second.last_event_id == 7
+
+    def test_half_an_event_never_reaches_the_caller(self):
+        fleet = Fleet(
+            {"i-1": streams(1, LAST, lose_at=7), "i-2": streams(1, LAST)}, TWO_DOMAINS
+        )
+        reply = relay(fleet)
+        assert b"da" not in reply.body.replace(b"data", b"")
+
+    def test_silent_engine_is_left_within_half_of_the_pause_allowed(self):
+        async def main():
+            fleet = Fleet(
+                {"i-1": streams(1, LAST, hang_at=7), "i-2": streams(1, LAST)},
+                TWO_DOMAINS,
+            )
+            fleet.parts.loads.take(_busy_run("i-2"))
+            started = anyio.current_time()
+            reply = FakeReply()
+            await relay_stream(admit_stream(), fleet.parts, reply)
+            assert whole(reply)
+            assert anyio.current_time() - started < 0.35 + 0.3
+            assert fleet.n_open == 0
+
+        anyio.run(main)
+
+    def test_copy_that_is_gone_costs_one_refusal(self):
+        fleet = Fleet(
+            {
+                "i-1": streams(1, LAST, lose_at=7),
+                "i-2": _refuses_copies(),
+                "i-3": streams(1, LAST),
+            },
+            {"i-1": "fd1", "i-2": "fd2", "i-3": "fd1"},
+        )
+        fleet.parts.loads.take(_busy_run("i-2"))
+        fleet.parts.loads.take(_busy_run("i-3"))
+        assert whole(relay(fleet))
+
+    def test_several_losses_in_a_row(self):
+        fleet = Fleet(
+            {
+                "i-1": streams(1, LAST, lose_at=5),
+                "i-2": streams(1, LAST, lose_at=9),
+                "i-3": streams(1, LAST, lose_at=14),
+                "i-4": streams(1, LAST),
+            },
+            {"i-1": "fd1", "i-2": "fd2", "i-3": "fd3", "i-4": "fd2"},
+        )
+        reply = relay(fleet)
+        assert reply.event_ids == sorted(set(reply.event_ids))
+        assert reply.event_ids[0] == 1
+
+    def test_engine_that_dies_before_its_first_event_is_replaced(self):
+        fleet = Fleet({"i-1": breaks, "i-2": streams(1, LAST)}, TWO_DOMAINS)
+        fleet.parts.loads.take(_busy_run("i-2"))
+        assert whole(relay(fleet))
+        assert [a.copy_of for a in fleet.attempts] == [None, None]
+
+    def test_silent_engine_before_the_first_event_is_probed_and_left(self):
+        fleet = Fleet({"i-1": hangs, "i-2": streams(1, LAST)}, TWO_DOMAINS)
+        fleet.alive = {"i-2"}
+        fleet.parts.loads.take(_busy_run("i-2"))
+        assert whole(relay(fleet, admit_stream(n_prompt=100)))
+        assert fleet.n_probes == 1
+
+    def test_slow_reader_is_no_stall(self):
+        class SlowReply(FakeReply):
+            async def send(self, data):
+                await anyio.sleep(0.4 if self.body else 0)
+                await super().send(data)
+
+        fleet = Fleet({"i-1": streams(1, 3)}, TWO_DOMAINS)
+        reply = relay(fleet, reply=SlowReply())
+        assert reply.event_ids == [1, 2, 3]
+        assert fleet.tried == ["i-1"]
+
+    def test_repeated_events_of_a_resumed_answer_are_dropped(self):
+        async def repeats(attempt):
+            yield 200
+            for number in range(1, LAST + 1):
+                yield event(number)
+
+        fleet = Fleet({"i-1": streams(1, LAST, lose_at=7), "i-2": repeats}, TWO_DOMAINS)
+        fleet.parts.loads.take(_busy_run("i-2"))
+        assert whole(relay(fleet))
+
+    def test_missing_event_is_a_loss(self):
+        async def skips(attempt):
+            yield 200
+            for number in (1, 2, 3, 5, 6):
+                yield event(number)
+
+        fleet = Fleet({"i-1": skips, "i-2": streams(1, LAST)}, TWO_DOMAINS)
+        fleet.parts.loads.take(_busy_run("i-2"))
+        assert whole(relay(fleet))
+
+    def test_answer_that_cannot_go_on_is_cut_off(self):
+        fleet = Fleet({"i-1": streams(1, LAST, lose_at=7)})
+        route = make_route(STREAM, is_resumable=False)
+        reply = relay(fleet, admit_stream(route))
+        assert not reply.is_complete
+        assert reply.event_ids == list(range(1, 8))
+
+    def test_begun_answer_is_cut_off_at_its_deadline(self):
+        fleet = Fleet({"i-1": streams(1, 1000, gap_s=0.02)})
+        reply = relay(fleet, admit_stream(timeout_ms=300.0))
+        assert reply.event_ids
+        assert not reply.is_complete
+
+    def test_caller_that_has_events_gets_only_the_rest(self):
+        fleet = Fleet({"i-1": streams(1, LAST)})
+        reply = relay(fleet, admit_stream(last_event_id=12))
+        assert reply.event_ids == list(range(13, LAST + 1))
+        assert fleet.attempts[0].last_event_id == 12
+
+    def test_resumed_answer_uses_the_copy_of_a_lost_instances_run(self):
+        fleet = Fleet({"i-1": streams(1, LAST), "i-2": streams(1, LAST)}, TWO_DOMAINS)
+        lost = _busy_run("i-1")
+        lost.backup, lost.backup_born_ms = "i-2", 1000
+        lost.fingerprint = "print1"
+        fleet.parts.loads.take(lost)
+        reply = relay(fleet, admit_stream(last_event_id=12))
+        assert reply.event_ids == list(range(13, LAST + 1))
+        assert fleet.attempts[0].target.target == "i-2"
+        assert fleet.attempts[0].copy_of == lost.request
+
+    def test_run_is_reported_from_its_start_to_its_end(self):
+        fleet = Fleet({"i-1": streams(1, LAST)})
+        relay(fleet)
+        (run,) = fleet.parts.runs.values()
+        assert run.is_ended
+        assert fleet.parts.loads.load(fleet.book.get("i-1").record).n_runs == 0
+
+    def test_cancelled_answer_stops_its_engine(self):
+        async def main():
+            fleet = Fleet({"i-1": streams(1, 1000, gap_s=0.01)})
+            with anyio.move_on_after(0.1):
+                await relay_stream(admit_stream(), fleet.parts, FakeReply())
+            assert fleet.n_open == 0
+            (run,) = fleet.parts.runs.values()
+            assert run.is_ended
+
+        anyio.run(main)
+
+
+class TestRefusals:
+    def test_no_engine(self):
+        error = refusal(Fleet({}))
+        assert error.code == NO_TARGET
+        assert error.after_ms > 0
+
+    def test_all_engines_refuse(self):
+        fleet = Fleet({"i-1": refuses(), "i-2": refuses()})
+        error = refusal(fleet)
+        assert error.code == OVERLOADED
+        assert sorted(fleet.tried) == ["i-1", "i-2"]
+
+    def test_unreachable_engines_are_not_sent_to(self):
+        fleet = Fleet({"i-1": unreachable, "i-2": streams(1, LAST)})
+        for _ in range(6):
+            assert whole(relay(fleet))
+        assert fleet.tried.count("i-1") <= 1
+
+    def test_failure_of_an_engine_is_passed_on(self):
+        fleet = Fleet({"i-1": answers(500, b"bad"), "i-2": answers(500, b"bad")})
+        reply = relay(fleet)
+        assert (reply.status, reply.body) == (500, b"bad")
+
+    def test_stream_that_may_not_repeat_is_sent_once(self):
+        fleet = Fleet({"i-1": breaks, "i-2": breaks})
+        error = refusal(fleet, admit_stream(make_route(STREAM, is_resumable=False)))
+        assert error.code == ATTEMPT_LOST
+        assert len(fleet.attempts) == 1
+
+    def test_silence_ends_at_the_deadline(self):
+        fleet = Fleet({"i-1": hangs})
+        error = refusal(fleet, admit_stream(timeout_ms=150.0))
+        assert error.code == DEADLINE
+
+    def test_unsigned_stream_is_not_passed_on(self):
+        fleet = Fleet({"i-1": responds(Respond(200, is_genuine=False))})
+        assert refusal(fleet).code in (ATTEMPT_LOST, OVERLOADED)
+
+
+def _busy_run(target):
+    """Return a run elsewhere that makes an engine the second choice."""
+    return Run(
+        f"other-{target}",
+        "entry-2",
+        target,
+        1000,
+        6000,
+        5000,
+        False,
+        "",
+        "other",
+        0,
+        "",
+    )
+
+
+def _refuses_copies():
+    async def steps(attempt):
+        yield Respond(503, is_not_run=True)
+
+    return steps
--- a/packages/entry/src/almonddeal/roles/control.py
+++ b/packages/entry/src/almonddeal/roles/control.py
@@ -18,7 +18,7 @@
 from almonddeal_common.address import Address
 from almonddeal_common.clock import wall_ms
 from almonddeal_common.codes import DATA_DAMAGED, NO_QUORUM, OK, AlmonddealError
-from almonddeal_common.http import serve_http
+from almonddeal_common.http import make_config, serve_http
 from almonddeal_common.logs import decide, get_logger
 from almonddeal_common.metrics import metrics_app
 from almonddeal_common.wire.connect import dial, listen, serve_links
@@ -146,7 +146,6 @@
         settings = self.settings
         with ExitStack() as stack:
             listener = await listen(settings.link_address)
-            stop = anyio.Event()
             async with anyio.create_task_group() as group:
                 name, store, consensus = self._build(stack, group)
                 handlers = self._handlers(consensus)
@@ -157,8 +156,6 @@
                 group.start_soon(self._control.keep_fresh)
                 group.start_soon(self._registry.watch_silence)
                 group.start_soon(self.feed.watch_freshness)
-                group.start_soon(serve_http, app, settings.control, stop)
-                group.start_soon(serve_http, metrics_app, settings.metrics, stop)
                 decide(
                     log,
                     "starts",
@@ -167,12 +164,22 @@
                     index=consensus.applied_index,
                     n_entries=len(store.entries),
                 )
-                await _wait_for_stop()
+                await self._serve(app)
                 decide(log, "stops", name=name)
-                stop.set()
-                await anyio.sleep(STOP_S)
                 group.cancel_scope.cancel()
 
+    async def _serve(self, app):
+        """Serve operators, targets and metrics until told to stop."""
+        settings = self.settings
+        stop = anyio.Event()
+        config = make_config(settings.control)
+        config.graceful_timeout = STOP_S
+        async with anyio.create_task_group() as servers:
+            servers.start_soon(serve_http, app, settings.control, stop, None, config)
+            servers.start_soon(serve_http, metrics_app, settings.metrics, stop)
+            await _wait_for_stop()
+            stop.set()
+
     def _build(self, stack, group):
         settings = self.settings
         address = str(settings.link_address)
--- a/packages/entry/src/almonddeal/roles/entry.py
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -53,7 +53,9 @@
         self.table = None
         self.is_stopping = False
         self.http_config = make_config(settings.callers)
-        self.http_config.graceful_timeout = settings.stop_timeout_s
+        self.http_config.graceful_timeout = max(
+            0.0, settings.stop_timeout_s - LEAVE_ROTATION_S - END_MARGIN_S
+        )
         self.http_config.keep_alive_timeout = DEFAULT_IDLE_TIMEOUT_S
         self._parse = parse
         self._n_in_flight = 0
@@ -114,7 +116,7 @@
         """Serve one request; cancelled when its caller leaves."""
         self._n_in_flight += 1
         try:
-            await serve_request(request, self.table, self._parts, reply)
+            await serve_request(request, lambda: self.table, self._parts, reply)
         finally:
             self._n_in_flight -= 1
 
@@ -129,25 +131,32 @@
             ASGI applications.
         """
         settings = self.settings
-        stop_callers = anyio.Event()
-        callers_ended = anyio.Event()
-        stop_readiness = anyio.Event()
         async with anyio.create_task_group() as group:
             group.start_soon(self._follower.run)
             group.start_soon(self._clean_for_ever)
-            group.start_soon(
+            decide(log, "starts", instance=settings.instance)
+            await self._serve(callers_app, readiness_app)
+            decide(log, "stops", n_in_flight=self._n_in_flight)
+            group.cancel_scope.cancel()
+
+    async def _serve(self, callers_app, readiness_app):
+        """Serve until told to stop and what runs has ended."""
+        settings = self.settings
+        stop_callers = anyio.Event()
+        callers_ended = anyio.Event()
+        stop_others = anyio.Event()
+        async with anyio.create_task_group() as servers:
+            servers.start_soon(
                 self._serve_callers, callers_app, stop_callers, callers_ended
             )
-            group.start_soon(
-                serve_http, readiness_app, settings.readiness, stop_readiness
+            servers.start_soon(
+                serve_http, readiness_app, settings.readiness, stop_others
             )
-            group.start_soon(serve_http, metrics_app, settings.metrics, stop_readiness)
-            decide(log, "starts", instance=settings.instance)
+            servers.start_soon(serve_http, metrics_app, settings.metrics, stop_others)
             await self._wait_for_stop()
-            await self._drain(stop_callers, callers_ended)
-            stop_readiness.set()
-            decide(log, "stops", n_in_flight=self._n_in_flight)
-            group.cancel_scope.cancel()
+            await self._drain(stop_callers)
+            await callers_ended.wait()
+            stop_others.set()
 
     async def _serve_callers(self, app, stop, ended):
         address = self.settings.callers
@@ -161,15 +170,12 @@
                     return
                 decide(log, "keeps its settings on a reload")
 
-    async def _drain(self, stop_callers, callers_ended):
-        """Leave the balancer's rotation, then finish what runs."""
+    async def _drain(self, stop_callers):
+        """Leave the balancer's rotation, then let what runs come to its end."""
         self.is_stopping = True
         decide(log, "drains", n_in_flight=self._n_in_flight)
-        left_s = self.settings.stop_timeout_s - END_MARGIN_S
-        with anyio.move_on_after(left_s):
-            await anyio.sleep(LEAVE_ROTATION_S)
-            stop_callers.set()
-            await callers_ended.wait()
+        await anyio.sleep(LEAVE_ROTATION_S)
+        stop_callers.set()
 
     async def _clean_for_ever(self):
         while True:
