relay: replace a run's lost backup; leave a domain whose targets vanish

Ruled out: stalls seen too late (all at 281 ms). Change: a task of each attempt watches the backup and has the engine send its memory to another one; two lost targets of a domain put the rest of it last for a second; a share of the retry budget is there from the start; a target that nothing is known of is thought as good as the best.

--- a/packages/entry/src/almonddeal/limits/budget.py
+++ b/packages/entry/src/almonddeal/limits/budget.py
@@ -13,14 +13,16 @@
         Retries for each first try.
     max_saved : float
         Most retries that can be saved up.
+    saved : float, optional
+        Retries that are saved up from the start; a fifth of the most if not given.
     """
 
     __slots__ = ("_max_saved", "_ratio", "_saved")
 
-    def __init__(self, ratio=RATIO, max_saved=MAX_SAVED):
+    def __init__(self, ratio=RATIO, max_saved=MAX_SAVED, saved=None):
         self._ratio = ratio
         self._max_saved = max_saved
-        self._saved = max_saved / 5
+        self._saved = max_saved / 5 if saved is None else saved
 
     @property
     def saved(self):
--- a/packages/entry/src/almonddeal/relay/choose.py
+++ b/packages/entry/src/almonddeal/relay/choose.py
@@ -1,5 +1,6 @@
 """Choice of a target: plain services by expected time, engines by work and memory."""
 
+from almonddeal.relay.targets import PRIOR_LATENCY_MS
 from almonddeal_common.clock import monotonic_ms
 
 FAILURE_COST_MS = 400.0  # time that a failed lookup loses, most of its deadline
@@ -8,6 +9,7 @@
 RUN_COST_MS = 60.0  # what one more run slows an engine's tokens over an answer
 OTHER_DOMAIN_ENGINE_COST_MS = 80.0  # bytes of a prompt and its answer
 MEMORY_SHARE = 0.92  # engines preempt when their memory is full
+SEEN_WEIGHT = 0.5  # of latencies that are compared with each other
 LOAD_AGE_LIMIT_MS = 500.0  # older reports of load say nothing
 JITTER_MS = 25.0  # keeps instances that know the same from choosing the same
 
@@ -24,9 +26,12 @@
         Returns a number from 0 to 1.
     """
     now_ms = monotonic_ms()
+    seen = [s.latency_ms for s in states if s.latency_weight(now_ms) > SEEN_WEIGHT]
+    # A target that nothing is known of is thought to be as good as the best one.
+    prior_ms = min(seen, default=PRIOR_LATENCY_MS)
 
     def cost_ms(state):
-        latency_ms = state.expected_latency_ms(now_ms)
+        latency_ms = state.expected_latency_ms(now_ms, prior_ms)
         n_slots = max(1, state.record.n_slots)
         busy = n_busy(state, now_ms) / n_slots
         failures = state.failure_rate(now_ms) * FAILURE_COST_MS
--- a/packages/entry/src/almonddeal/relay/parts.py
+++ b/packages/entry/src/almonddeal/relay/parts.py
@@ -7,6 +7,32 @@
 INSTANCES_ASSUMED = 6  # that share the slack, while fewer are known
 
 
+class TargetCalls:
+    """What can be asked of targets, as functions.
+
+    Parameters
+    ----------
+    open : callable
+        ``open(attempt)`` sends it; an async context manager that gives a
+        `TargetAnswer`, or raises `NOT_REACHED` if nothing was sent, or `LINK_LOST`.
+    is_alive : callable
+        ``is_alive(target)`` asks an announced target for a sign of life.
+    send_copy : callable
+        ``send_copy(target, request_id, address)`` has an engine send the memory of a
+        run to the one at an address; returns the id of the copy, or None.
+    free_copy : callable
+        ``free_copy(target, copy_id)`` frees such a copy.
+    """
+
+    __slots__ = ("free_copy", "is_alive", "open", "send_copy")
+
+    def __init__(self, open, is_alive, send_copy, free_copy):
+        self.open = open
+        self.is_alive = is_alive
+        self.send_copy = send_copy
+        self.free_copy = free_copy
+
+
 class RelayParts:
     """Parts that all requests of an instance share.
 
@@ -19,11 +45,7 @@
     loads : LoadView
     runs : Board
         Own runs, as other instances hear of them.
-    open_attempt : callable
-        ``open_attempt(attempt)`` sends it; an async context manager that gives a
-        `TargetAnswer`, or raises `NOT_REACHED` if nothing was sent, or `LINK_LOST`.
-    is_alive : callable
-        ``is_alive(target)`` asks an announced target for a sign of life.
+    calls : TargetCalls
     retry_limits : RetryLimits
     metrics : RelayMetrics
     """
@@ -35,8 +57,7 @@
         targets,
         loads,
         runs,
-        open_attempt,
-        is_alive,
+        calls,
         retry_limits,
         metrics,
     ):
@@ -45,8 +66,10 @@
         self.targets = targets
         self.loads = loads
         self.runs = runs
-        self.open = open_attempt
-        self.is_alive = is_alive
+        self.open = calls.open
+        self.is_alive = calls.is_alive
+        self.send_copy = calls.send_copy
+        self.free_copy = calls.free_copy
         self.metrics = metrics
         self.version = 0
         self._started_ms = monotonic_ms()
@@ -63,9 +86,9 @@
         budget = self._budget_by_service.get(service_name)
         if budget is None:
             limits = self._retry_limits
-            budget = self._budget_by_service[service_name] = RetryBudget(
-                limits.ratio * OWN_RATIO_SHARE, limits.slack / INSTANCES_ASSUMED
-            )
+            share = limits.slack / INSTANCES_ASSUMED
+            budget = RetryBudget(limits.ratio * OWN_RATIO_SHARE, share, share)
+            self._budget_by_service[service_name] = budget
         return budget
 
     def report(self, run):
--- a/packages/entry/src/almonddeal/relay/plain.py
+++ b/packages/entry/src/almonddeal/relay/plain.py
@@ -156,7 +156,7 @@
             outcome = await _receive(admitted, parts, state)
     finally:
         state.n_in_flight -= 1
-    _learn(admitted, state, outcome, monotonic_ms() - started_ms)
+    _learn(admitted, parts, state, outcome, monotonic_ms() - started_ms)
     decide(
         log,
         "sent a request",
@@ -183,20 +183,20 @@
     return _Outcome(answer, body)
 
 
-def _learn(admitted, state, outcome, took_ms):
+def _learn(admitted, parts, state, outcome, took_ms):
     request_id = admitted.request.request_id
     if outcome.error is not None:
         state.rate(True, took_ms)
         if outcome.error.code == NOT_REACHED:
-            state.avoid("could not be reached", request_id)
+            parts.targets.avoid(state, "could not be reached", request_id)
         elif outcome.error.code == LINK_LOST:
-            state.lose_connection(request_id)
+            parts.targets.lose_connection(state, request_id)
         return
     answer = outcome.answer
     if answer.load is not None:
         state.load = answer.load
         state.load_ms = monotonic_ms()
     if answer.is_other_target:
-        state.avoid("another target has its address", request_id)
+        parts.targets.avoid(state, "another target has its address", request_id)
     elif not answer.is_not_run:
         state.rate(answer.status >= 500, took_ms)
--- a/packages/entry/src/almonddeal/relay/requests.py
+++ b/packages/entry/src/almonddeal/relay/requests.py
@@ -128,8 +128,8 @@
     target : AnnouncedTarget
     backup_address : str or None
         Engine that shall receive a copy of the run's memory as it grows.
-    copy_of : str or None
-        Request whose run's memory the target keeps a copy of and goes on from.
+    copy : Copy or None
+        Memory of the run that the target keeps and goes on from.
     last_event_id : int or None
         Event after which the target shall go on.
     """
@@ -137,7 +137,7 @@
     __slots__ = (
         "admitted",
         "backup_address",
-        "copy_of",
+        "copy",
         "last_event_id",
         "target",
     )
@@ -147,13 +147,13 @@
         admitted,
         target,
         backup_address=None,
-        copy_of=None,
+        copy=None,
         last_event_id=None,
     ):
         self.admitted = admitted
         self.target = target
         self.backup_address = backup_address
-        self.copy_of = copy_of
+        self.copy = copy
         self.last_event_id = last_event_id
 
 
--- a/packages/entry/src/almonddeal/relay/targets.py
+++ b/packages/entry/src/almonddeal/relay/targets.py
@@ -2,16 +2,18 @@
 
 import math
 
-from almonddeal.announced.records import DRAINING, GONE, READY, SILENT, is_newer
+from almonddeal.announced.records import DRAINING, GONE, READY, is_newer
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.logs import decide, get_logger
 
 AVOID_MIN_MS = 400  # first pause after a target could not be reached
 AVOID_MAX_MS = 8000
 PRIOR_LATENCY_MS = 50.0  # of a target that nothing is known of
-EVIDENCE_HALF_LIFE_MS = 3000.0  # how fast evidence against a target loses its weight
+EVIDENCE_DECAY_MS = 3000.0  # how fast evidence against a target loses its weight
 EVIDENCE_GAIN = 0.25
 LOST_AGAIN_WITHIN_MS = 400  # two lost connections within this time are no accident
+DOMAIN_LOST_TARGETS = 2  # of a service and domain, after which the others are suspect
+DOMAIN_LOST_MS = 1000  # how long they are
 
 log = get_logger("targets")
 
@@ -32,6 +34,8 @@
         Of attempts that end when the target is lost.
     last_heard_ms : float
         When bytes of any answer came last.
+    since_ms : float
+        When its present life became known here.
     """
 
     __slots__ = (
@@ -47,6 +51,7 @@
         "n_in_flight",
         "record",
         "scopes",
+        "since_ms",
     )
 
     def __init__(self, record):
@@ -61,31 +66,35 @@
 
     def reset(self):
         """Forget evidence, for a target that started anew."""
+        self.since_ms = monotonic_ms()
         self.latency_ms = PRIOR_LATENCY_MS
         self.avoid_until_ms = 0.0
         self.load = None
         self.load_ms = 0.0
         self._failure_rate = 0.0
-        self._rated_ms = 0.0
+        self._rated_ms = float("-inf")
         self._n_lost = 0
         self._lost_ms = 0.0
 
     def failure_rate(self, now_ms):
         """Return the smoothed share of failures; it fades when nothing is seen."""
         age_ms = now_ms - self._rated_ms
-        return self._failure_rate * math.exp(-age_ms / EVIDENCE_HALF_LIFE_MS)
+        return self._failure_rate * math.exp(-age_ms / EVIDENCE_DECAY_MS)
 
-    def expected_latency_ms(self, now_ms):
-        """Return the smoothed latency; it fades towards the prior."""
-        age_ms = now_ms - self._rated_ms
-        weight = math.exp(-age_ms / EVIDENCE_HALF_LIFE_MS)
-        return weight * self.latency_ms + (1 - weight) * PRIOR_LATENCY_MS
+    def latency_weight(self, now_ms):
+        """Return how much the smoothed latency still counts, from 0 to 1."""
+        return math.exp(-(now_ms - self._rated_ms) / EVIDENCE_DECAY_MS)
+
+    def expected_latency_ms(self, now_ms, prior_ms):
+        """Return the smoothed latency; it fades towards the one that others have."""
+        weight = self.latency_weight(now_ms)
+        return weight * self.latency_ms + (1 - weight) * prior_ms
 
     def rate(self, is_failure, latency_ms):
         """Note the outcome of one request."""
         now_ms = monotonic_ms()
         failures = self.failure_rate(now_ms)
-        self.latency_ms = self.expected_latency_ms(now_ms)
+        self.latency_ms = self.expected_latency_ms(now_ms, latency_ms)
         self.latency_ms += EVIDENCE_GAIN * (latency_ms - self.latency_ms)
         self._failure_rate = failures + EVIDENCE_GAIN * (int(is_failure) - failures)
         self._rated_ms = now_ms
@@ -96,29 +105,18 @@
         """Note that bytes came."""
         self.last_heard_ms = monotonic_ms()
 
-    def avoid(self, reason, request_id):
-        """Use the target only if there is no other, longer each time in a row."""
-        now_ms = monotonic_ms()
-        if now_ms < self.avoid_until_ms:
-            return
+    def pause(self, now_ms):
+        """Set the target aside, longer each time in a row; returns the pause in ms."""
         pause_ms = min(AVOID_MAX_MS, AVOID_MIN_MS * 2**self._n_lost)
         self._n_lost = min(self._n_lost + 1, 8)
         self.avoid_until_ms = now_ms + pause_ms
-        decide(
-            log,
-            "sets a target aside",
-            target=self.record.target,
-            reason=reason,
-            request=request_id,
-            pause_ms=round(pause_ms),
-        )
+        return pause_ms
 
-    def lose_connection(self, request_id):
-        """Note a broken connection; a second one soon after sets the target aside."""
-        now_ms = monotonic_ms()
-        if now_ms - self._lost_ms < LOST_AGAIN_WITHIN_MS:
-            self.avoid("connections broke", request_id)
+    def is_lost_again(self, now_ms):
+        """Note a broken connection; tells whether another one broke just before."""
+        is_again = now_ms - self._lost_ms < LOST_AGAIN_WITHIN_MS
         self._lost_ms = now_ms
+        return is_again
 
     def end_attempts(self):
         """Cancel the attempts of this instance at the target."""
@@ -132,6 +130,7 @@
     def __init__(self):
         self.state_by_target = {}
         self._target_by_address = {}
+        self._lost_by_domain = {}
 
     def take(self, record):
         """Merge a record; returns whether it was news."""
@@ -164,13 +163,17 @@
         """Return the state of a target, or None."""
         return self.state_by_target.get(target)
 
-    def is_usable(self, state):
-        """Tell whether new work may go to a target at all."""
+    def is_reachable(self, state):
+        """Tell whether a target is there, also one that takes nothing new."""
         record = state.record
-        if record.state in (DRAINING, GONE):
+        if record.state == GONE:
             return False
         return self._target_by_address.get(record.address) == record.target
 
+    def is_usable(self, state):
+        """Tell whether new work may go to a target at all."""
+        return self.is_reachable(state) and state.record.state != DRAINING
+
     def candidates(self, service_name, excluded=()):
         """Return the states of targets for new work of a service, as a list.
 
@@ -189,12 +192,48 @@
             for state in usable
             if state.record.state == READY and state.avoid_until_ms <= now_ms
         ]
-        return good or usable
-
-    def misdirect(self, state, request_id):
-        """Note that another target answers at a target's address."""
-        state.avoid("another target has its address", request_id)
-        if state.record.state != SILENT:
-            record = state.record
-            state.avoid_until_ms = monotonic_ms() + AVOID_MAX_MS
-            log.info("%s is not at %s any more", record.target, record.address)
+        sound = [state for state in good if not self._is_domain_lost(state, now_ms)]
+        return sound or good or usable
+
+    # ---- evidence --------------------------------------------------------------
+
+    def avoid(self, state, reason, request_id):
+        """Use a target only if there is no other, for a while."""
+        now_ms = monotonic_ms()
+        if now_ms < state.avoid_until_ms:
+            return
+        pause_ms = state.pause(now_ms)
+        self._note_lost(state, now_ms)
+        decide(
+            log,
+            "sets a target aside",
+            target=state.record.target,
+            reason=reason,
+            request=request_id,
+            pause_ms=round(pause_ms),
+        )
+
+    def lose_connection(self, state, request_id):
+        """Note a broken connection; a second one soon after sets the target aside."""
+        if state.is_lost_again(monotonic_ms()):
+            self.avoid(state, "connections broke", request_id)
+
+    def _note_lost(self, state, now_ms):
+        key = (state.record.service_name, state.record.failure_domain)
+        lost = self._lost_by_domain.setdefault(key, {})
+        lost[state.record.target] = now_ms
+        for target, lost_ms in list(lost.items()):
+            if now_ms - lost_ms > DOMAIN_LOST_MS:
+                del lost[target]
+
+    def _is_domain_lost(self, state, now_ms):
+        """Tell whether other targets of the domain were lost just now.
+
+        One that started since then is not meant.
+        """
+        key = (state.record.service_name, state.record.failure_domain)
+        lost = self._lost_by_domain.get(key, {})
+        recent = [ms for ms in lost.values() if now_ms - ms <= DOMAIN_LOST_MS]
+        if len(recent) < DOMAIN_LOST_TARGETS:
+            return False
+        return state.since_ms < min(recent)
--- a/packages/entry/src/almonddeal/relay/tests/fakes.py
+++ b/packages/entry/src/almonddeal/relay/tests/fakes.py
@@ -7,7 +7,7 @@
 from almonddeal.announced.board import Board
 from almonddeal.announced.records import READY
 from almonddeal.relay.load import LoadView
-from almonddeal.relay.parts import RelayParts
+from almonddeal.relay.parts import RelayParts, TargetCalls
 from almonddeal.relay.requests import (
     Admitted,
     CallerRequest,
@@ -110,6 +110,8 @@
         self.attempts = []
         self.n_open = 0
         self.n_probes = 0
+        self.copies = []
+        self.freed = []
         self.alive = set(behaviour_by_target)
         self.book = TargetBook()
         domains = domain_by_target or {}
@@ -121,8 +123,7 @@
             self.book,
             LoadView(),
             Board(),
-            self.open,
-            self.is_alive,
+            TargetCalls(self.open, self.is_alive, self.send_copy, self.free_copy),
             RetryLimits(0.8, 10.0, 150.0),
             NoMetrics(),
         )
@@ -131,6 +132,13 @@
         self.n_probes += 1
         return target.target in self.alive
 
+    async def send_copy(self, target, request_id, address):
+        self.copies.append((target.target, address))
+        return f"copy-{len(self.copies)}"
+
+    async def free_copy(self, target, copy_id):
+        self.freed.append(copy_id)
+
     @asynccontextmanager
     async def open(self, attempt):
         self.attempts.append(attempt)
--- a/packages/entry/src/almonddeal/relay/tests/test_plain.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_plain.py
@@ -125,7 +125,7 @@
         for _ in range(200):
             refusal(fleet, make_route(LOOKUP))
         n_again = len(fleet.attempts) - 200
-        assert n_again <= 0.8 * 200 + 150 / 5
+        assert n_again <= 0.8 * 200 + 150 / 6
 
     def test_no_target_is_said_at_once(self):
         fleet = Fleet({})
--- a/packages/entry/src/almonddeal/relay/tests/test_streams.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_streams.py
@@ -17,6 +17,7 @@
     event,
     hangs,
     make_route,
+    record,
     refuses,
     responds,
     streams,
@@ -71,7 +72,10 @@
         assert whole(relay(fleet))
         first, second = fleet.attempts
         assert first.backup_address == second.target.address
-        assert second.copy_of == "req1"
+        assert (second.copy.address, second.copy.copy_id) == (
+            second.target.address,
+            "req1",
+        )
         assert second.last_event_id == 7
 
     def test_half_an_event_never_reaches_the_caller(self):
@@ -128,7 +132,7 @@
         fleet = Fleet({"i-1": breaks, "i-2": streams(1, LAST)}, TWO_DOMAINS)
         fleet.parts.loads.take(_busy_run("i-2"))
         assert whole(relay(fleet))
-        assert [a.copy_of for a in fleet.attempts] == [None, None]
+        assert [a.copy for a in fleet.attempts] == [None, None]
 
     def test_silent_engine_before_the_first_event_is_probed_and_left(self):
         fleet = Fleet({"i-1": hangs, "i-2": streams(1, LAST)}, TWO_DOMAINS)
@@ -196,7 +200,57 @@
         reply = relay(fleet, admit_stream(last_event_id=12))
         assert reply.event_ids == list(range(13, LAST + 1))
         assert fleet.attempts[0].target.target == "i-2"
-        assert fleet.attempts[0].copy_of == lost.request
+        assert fleet.attempts[0].copy.copy_id == lost.request
+
+    def test_lost_backup_is_replaced_while_the_answer_goes_on(self):
+        fleet = Fleet(
+            {
+                "i-1": streams(1, 200, lose_at=40, gap_s=0.01),
+                "i-2": streams(1, 200),
+                "i-3": streams(1, 200),
+            },
+            {"i-1": "fd1", "i-2": "fd2", "i-3": "fd3"},
+        )
+        for target in ("i-2", "i-3"):
+            fleet.parts.loads.take(_busy_run(target))
+
+        async def main():
+            reply = FakeReply()
+            async with anyio.create_task_group() as group:
+                group.start_soon(relay_stream, admit_stream(), fleet.parts, reply)
+                await anyio.sleep(0.05)
+                named = fleet.attempts[0].backup_address
+                lost = next(
+                    s
+                    for s in fleet.book.state_by_target.values()
+                    if s.record.address == named
+                )
+                fleet.book.avoid(lost, "could not be reached", "other")
+            return reply, lost.record.target
+
+        reply, lost = anyio.run(main)
+        assert reply.event_ids == list(range(1, 201))
+        first, second = fleet.attempts
+        assert second.target.target not in ("i-1", lost)
+        assert second.copy.address == first.target.address
+        assert second.copy.copy_id.startswith("copy-")
+
+    def test_copy_that_was_not_needed_is_freed(self):
+        fleet = Fleet(
+            {"i-1": streams(1, 60, gap_s=0.01), "i-2": streams(1, 60)}, TWO_DOMAINS
+        )
+        fleet.parts.loads.take(_busy_run("i-2"))
+
+        async def main():
+            async with anyio.create_task_group() as group:
+                group.start_soon(relay_stream, admit_stream(), fleet.parts, FakeReply())
+                await anyio.sleep(0.05)
+                state = fleet.book.get("i-2")
+                state.record = record("i-2", "fd2", born_ms=2000)
+
+        anyio.run(main)
+        assert fleet.copies
+        assert fleet.freed == [f"copy-{len(fleet.copies)}"]
 
     def test_run_is_reported_from_its_start_to_its_end(self):
         fleet = Fleet({"i-1": streams(1, LAST)})
--- a/packages/entry/src/almonddeal/roles/entry.py
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -37,8 +37,8 @@
     settings : RoleSettings
     parse : callable
         ``parse(content)`` returns the `RoutingTable` of a configuration.
-    open_attempt, is_alive : callable
-        Send an `Attempt`, and ask a target for a sign of life; see `RelayParts`.
+    calls : TargetCalls
+        What can be asked of targets.
 
     Attributes
     ----------
@@ -48,7 +48,7 @@
         Whether callers should use another instance from now on.
     """
 
-    def __init__(self, settings, parse, open_attempt, is_alive):
+    def __init__(self, settings, parse, calls):
         self.settings = settings
         self.table = None
         self.is_stopping = False
@@ -65,8 +65,7 @@
             TargetBook(),
             LoadView(),
             Board(),
-            open_attempt,
-            is_alive,
+            calls,
             settings.retry_limits,
             RelayMetrics(),
         )
