--- a/packages/entry/src/almonddeal/control/consensus.py
+++ b/packages/entry/src/almonddeal/control/consensus.py
@@ -190,7 +190,10 @@
             elif now_ms - self._last_heard_ms > self.election_timeout_ms:
                 self._last_heard_ms = now_ms
                 self.election_timeout_ms = self._random_election_ms()
-                await self._campaign()
+                try:
+                    await self._campaign()
+                except AlmonddealError as error:
+                    log.error("cannot stand for election, %s", error)
 
     def _check_quorum(self, now_ms):
         if now_ms - self._confirmed_ms() > ELECTION_MAX_MS:
@@ -221,10 +224,10 @@
         """Enter a higher term as a follower, durably."""
         if term <= self.term:
             return
+        await self._on_disk(self._store.save_meta, term, "")
         self.term = term
         self._voted_for = ""
         self._follow(None)
-        await self._on_disk(self._store.save_meta, term, "")
 
     # ---- elections -------------------------------------------------------------
 
@@ -233,11 +236,11 @@
         if not await self._collect_votes(self.term + 1, pre=True):
             return
         async with self.disk:
+            await self._on_disk(self._store.save_meta, self.term + 1, self.name)
             self.term += 1
             self._voted_for = self.name
             self.role = CANDIDATE
             self.leader = None
-            await self._on_disk(self._store.save_meta, self.term, self.name)
         term = self.term
         won = await self._collect_votes(term, pre=False)
         if won and self.term == term and self.role == CANDIDATE:
@@ -255,11 +258,12 @@
             request = Vote(term, self.name, last_index, last_term, pre, name)
             try:
                 reply = await peer.call(request, CALL_TIMEOUT_MS)
-            except AlmonddealError:
+                if reply.term > self.term and not reply.granted:
+                    async with self.disk:
+                        await self._adopt_term(reply.term)
+            except AlmonddealError as error:
+                log.info("no vote of %s, %s", name, error)
                 return
-            if reply.term > self.term and not reply.granted:
-                async with self.disk:
-                    await self._adopt_term(reply.term)
             if reply.granted:
                 n_granted += 1
                 if n_granted >= self.quorum:
@@ -294,9 +298,9 @@
             free = self._voted_for in ("", message.candidate)
             granted = message.term == self.term and up_to_date and free
             if granted:
+                await self._on_disk(self._store.save_meta, self.term, message.candidate)
                 self._voted_for = message.candidate
                 self._last_heard_ms = monotonic_ms()
-                await self._on_disk(self._store.save_meta, self.term, message.candidate)
         return VoteReply(self.term, granted)
 
     def _lead(self):
@@ -693,7 +697,11 @@
             )
             after = self._log.since(index + 1)
             durable = [e for e in after if e.index <= self._durable_index]
-            await self._on_disk(self._store.save_snapshot, snapshot, durable)
+            try:
+                await self._on_disk(self._store.save_snapshot, snapshot, durable)
+            except AlmonddealError as error:
+                log.error("keeps its log as it is, %s", error)
+                return
             self._log.compact(snapshot)
             log.info("kept a snapshot at entry %d", index)
 
--- a/packages/entry/src/almonddeal/control/storage.py
+++ b/packages/entry/src/almonddeal/control/storage.py
@@ -9,6 +9,7 @@
 import os
 import struct
 import zlib
+from contextlib import contextmanager
 from pathlib import Path
 
 from almonddeal_common.codes import DATA_DAMAGED, STORAGE_FULL, AlmonddealError
@@ -17,6 +18,7 @@
 from almonddeal_common.wire.gen.ttypes import LogEntry, Meta, Snapshot
 
 FORMAT_VERSION = 1
+FULL_ERRORS = (errno.ENOSPC, errno.EDQUOT)
 LOG_MAGIC = b"ALMDLOG1"
 RECORD_MAGIC = b"\xa1\xd5"
 # magic, CRC of the rest, length of the payload, bytes of this file known to be synced
@@ -198,12 +200,12 @@
     def _create_log(self, entries):
         path = self._folder / "log"
         temporary = path.with_suffix(".tmp")
-        self._offset_by_index = {}
+        offset_by_index = {}
         size = len(LOG_MAGIC)
         with open(temporary, "wb") as file:
             file.write(LOG_MAGIC)
             for entry in entries:
-                self._offset_by_index[entry.index] = size
+                offset_by_index[entry.index] = size
                 record = _pack_record(encode(entry), 0)
                 file.write(record)
                 size += len(record)
@@ -214,6 +216,7 @@
         if self._file is not None:
             self._file.close()
         self._file = open(path, "r+b")
+        self._offset_by_index = offset_by_index
         self._size = self._n_synced = size
 
     def _sync(self, file):
@@ -243,7 +246,7 @@
             self._file.flush()
         except OSError as error:
             self._undo_write(entries)
-            if error.errno in (errno.ENOSPC, errno.EDQUOT):
+            if error.errno in FULL_ERRORS:
                 raise AlmonddealError(STORAGE_FULL, "the log cannot grow") from None
             self._end_process(f"write of the log failed: {error}")
         self._sync(self._file)
@@ -270,18 +273,36 @@
             del self._offset_by_index[later]
 
     def save_meta(self, term, voted_for):
-        """Keep the term and the vote durably."""
-        self.meta = Meta(FORMAT_VERSION, term, voted_for)
-        self._write_or_end("meta", encode(self.meta))
+        """Keep the term and the vote durably.
+
+        Raises
+        ------
+        AlmonddealError
+            `STORAGE_FULL`; those kept before still hold.
+        """
+        meta = Meta(FORMAT_VERSION, term, voted_for)
+        with self._ends_unless_full("meta"):
+            write_file(self._folder / "meta", encode(meta))
+        self.meta = meta
 
     def save_snapshot(self, snapshot, entries_after):
-        """Keep a snapshot and a log that holds only the entries after it."""
-        self.snapshot = snapshot
-        self._write_or_end("snapshot", encode(snapshot))
-        self._create_log(entries_after)
+        """Keep a snapshot and a log that holds only the entries after it.
+
+        Raises
+        ------
+        AlmonddealError
+            `STORAGE_FULL`; the log is then as it was before.
+        """
+        with self._ends_unless_full("snapshot"):
+            write_file(self._folder / "snapshot", encode(snapshot))
+            self.snapshot = snapshot
+            self._create_log(entries_after)
 
-    def _write_or_end(self, name, payload):
+    @contextmanager
+    def _ends_unless_full(self, name):
         try:
-            write_file(self._folder / name, payload)
+            yield
         except OSError as error:
+            if error.errno in FULL_ERRORS:
+                raise AlmonddealError(STORAGE_FULL, f"{name} has no room") from None
             self._end_process(f"write of {name} failed: {error}")
--- a/packages/entry/src/almonddeal/control/tests/test_storage.py
+++ b/packages/entry/src/almonddeal/control/tests/test_storage.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from almonddeal.control import storage
 from almonddeal.control.storage import LogStore
 from almonddeal_common.codes import AlmonddealError
 from almonddeal_common.wire.gen.ttypes import LogEntry, Snapshot
@@ -122,3 +123,28 @@
             LogStore(tmp_path, end_process),
         ):
             pass
+
+    def test_full_disk_keeps_term_and_vote(self, tmp_path, monkeypatch):
+        with LogStore(tmp_path, end_process) as store:
+            store.save_meta(3, "x")
+            monkeypatch.setattr(storage, "write_file", refuse_writes)
+            with pytest.raises(AlmonddealError, match="STORAGE_FULL"):
+                store.save_meta(4, "y")
+            assert (store.meta.term, store.meta.voted_for) == (3, "x")
+
+    def test_full_disk_keeps_the_log_of_a_snapshot_that_failed(
+        self, tmp_path, monkeypatch
+    ):
+        with LogStore(tmp_path, end_process) as store:
+            store.append(entries(1, 3))
+            with monkeypatch.context() as patched:
+                patched.setattr(storage, "write_file", refuse_writes)
+                with pytest.raises(AlmonddealError, match="STORAGE_FULL"):
+                    store.save_snapshot(Snapshot(1, 2, 1, b"x"), entries(3, 1))
+            store.truncate_from(3)
+            store.append(entries(3, 1))
+        assert indices(tmp_path) == [1, 2, 3]
+
+
+def refuse_writes(path, payload):
+    raise OSError(errno.ENOSPC, "no space left")
