roles: reload settings, metrics of control and of resumes

Cause: a reload kept the old control instances; metrics of control were missing. Change: SIGHUP, and an entry instance out of touch, read the settings again; counters and histograms of publications, announcements and resumes.

--- /dev/null
+++ b/packages/entry/src/almonddeal/publication/metrics.py
@@ -0,0 +1,38 @@
+"""Counters and latencies of a control instance."""
+
+from almonddeal_common.metrics import Counter, Gauge, Histogram
+
+LATENCY_BUCKETS_MS = [5, 10, 20, 50, 100, 200, 500, 1000, 2000]
+
+
+class ControlMetrics:
+    """Publications and announcements by outcome, and how long publications took."""
+
+    def __init__(self):
+        self._n_publications = Counter(
+            "almonddeal_publications_total", "Configurations received, by outcome."
+        )
+        self._publish_ms = Histogram(
+            "almonddeal_publish_ms",
+            "Time from a configuration to its acknowledgement, in ms.",
+            buckets=LATENCY_BUCKETS_MS,
+        )
+        self._n_announcements = Counter(
+            "almonddeal_announcements_total", "Words of targets received, by outcome."
+        )
+        self._n_followers = Gauge(
+            "almonddeal_followers", "Instances that follow this one."
+        )
+
+    def note_publication(self, outcome, took_ms):
+        """Count one configuration that was received."""
+        self._n_publications.inc({"outcome": outcome})
+        self._publish_ms.observe({"outcome": outcome}, took_ms)
+
+    def note_announcement(self, outcome):
+        """Count one word of a target."""
+        self._n_announcements.inc({"outcome": outcome})
+
+    def set_followers(self, n_followers):
+        """Note how many instances follow this one now."""
+        self._n_followers.set({}, n_followers)
--- a/packages/entry/src/almonddeal/relay/metrics.py
+++ b/packages/entry/src/almonddeal/relay/metrics.py
@@ -17,6 +17,15 @@
             "Time from the whole request to the end of its answer, in ms.",
             buckets=LATENCY_BUCKETS_MS,
         )
+        self._pause_ms = Histogram(
+            "almonddeal_relay_resume_ms",
+            "Pause that a caller sees when an answer goes on elsewhere, in ms.",
+            buckets=LATENCY_BUCKETS_MS,
+        )
+
+    def note_resume(self, pause_ms):
+        """Note an answer that goes on after a loss."""
+        self._pause_ms.observe({}, pause_ms)
 
     def note(self, kind, outcome, took_ms):
         """Count one request that ended."""
--- a/packages/entry/src/almonddeal/relay/run_reports.py
+++ b/packages/entry/src/almonddeal/relay/run_reports.py
@@ -41,6 +41,8 @@
         last_event_id=stream.last_event_id,
         pause_ms=round(monotonic_ms() - since_ms),
     )
+    if stream.is_begun:
+        parts.metrics.note_resume(monotonic_ms() - since_ms)
     run = stream.run
     if run is not None and run.n_unread_tokens:
         stream.run = _copy_run(run, is_ended=False)
--- a/packages/entry/src/almonddeal/relay/tests/fakes.py
+++ b/packages/entry/src/almonddeal/relay/tests/fakes.py
@@ -38,6 +38,9 @@
     def note(self, kind, outcome, took_ms):
         return None
 
+    def note_resume(self, pause_ms):
+        return None
+
 
 class FakeReply:
     """Collects what a caller would receive."""
--- a/packages/entry/src/almonddeal/roles/control.py
+++ b/packages/entry/src/almonddeal/roles/control.py
@@ -14,9 +14,11 @@
 from almonddeal.control.peers import PeerSet
 from almonddeal.control.storage import LogStore
 from almonddeal.publication.feed import Feed
+from almonddeal.publication.metrics import ControlMetrics
 from almonddeal.publication.state import Publication, pack
+from almonddeal.roles.reload import reload_settings
 from almonddeal_common.address import Address
-from almonddeal_common.clock import wall_ms
+from almonddeal_common.clock import monotonic_ms, wall_ms
 from almonddeal_common.codes import DATA_DAMAGED, NO_QUORUM, OK, AlmonddealError
 from almonddeal_common.http import make_config, serve_http
 from almonddeal_common.logs import decide, get_logger
@@ -66,14 +68,18 @@
     parse : callable
         ``parse(content)`` returns the `RoutingTable` of a configuration or raises
         `DOCUMENT_INVALID`.
+    load_settings : callable
+        Returns the settings as they are written now.
 
     Attributes
     ----------
     feed : Feed
     """
 
-    def __init__(self, settings, parse):
+    def __init__(self, settings, parse, load_settings):
         self.settings = settings
+        self._load_settings = load_settings
+        self._metrics = ControlMetrics()
         self.feed = None
         self._parse = parse
         self._publication = Publication()
@@ -82,6 +88,20 @@
     # ---- operators -------------------------------------------------------------
 
     async def publish(self, content, origin):
+        """Check a configuration and have it agreed on; see `_publish`."""
+        started_ms = monotonic_ms()
+        outcome = "error"
+        try:
+            result = await self._publish(content, origin)
+            outcome = "stored" if result.is_stored else "overtaken"
+            return result
+        except AlmonddealError as error:
+            outcome = error.code.name
+            raise
+        finally:
+            self._metrics.note_publication(outcome, monotonic_ms() - started_ms)
+
+    async def _publish(self, content, origin):
         """Check a configuration and have it agreed on.
 
         Parameters
@@ -126,7 +146,9 @@
 
     async def announce(self, record, origin):
         """Take a target's word; tells whether a majority of the group knows it."""
-        return await self.feed.take_target(record, origin)
+        is_known = await self.feed.take_target(record, origin)
+        self._metrics.note_announcement("acknowledged" if is_known else "not shared")
+        return is_known
 
     async def leave(self, target, born_ms, origin):
         """Note that a target left; tells whether a majority of the group knows it."""
@@ -177,7 +199,7 @@
         async with anyio.create_task_group() as servers:
             servers.start_soon(serve_http, app, settings.control, stop, None, config)
             servers.start_soon(serve_http, metrics_app, settings.metrics, stop)
-            await _wait_for_stop()
+            await self._wait_for_stop()
             stop.set()
 
     def _build(self, stack, group):
@@ -241,6 +263,14 @@
             ShareRuns: self.feed.handle_runs,
         }
 
+    async def _wait_for_stop(self):
+        with anyio.open_signal_receiver(SIGTERM, SIGINT, SIGHUP) as signals:
+            async for signal in signals:
+                if signal != SIGHUP:
+                    return
+                decide(log, "reloads its settings")
+                reload_settings(self.settings, self._load_settings)
+
     # ---- peers -----------------------------------------------------------------
 
     async def _join_for_ever(self, name, consensus):
@@ -284,12 +314,5 @@
     async def _compact_for_ever(self, consensus):
         while True:
             await anyio.sleep(COMPACT_INTERVAL_S)
+            self._metrics.set_followers(self.feed.n_followers)
             await consensus.compact()
-
-
-async def _wait_for_stop():
-    with anyio.open_signal_receiver(SIGTERM, SIGINT, SIGHUP) as signals:
-        async for signal in signals:
-            if signal != SIGHUP:
-                return
-            decide(log, "keeps its settings on a reload")
--- a/packages/entry/src/almonddeal/roles/entry.py
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -13,6 +13,7 @@
 from almonddeal.relay.metrics import RelayMetrics
 from almonddeal.relay.parts import RelayParts
 from almonddeal.relay.targets import TargetBook
+from almonddeal.roles.reload import reload_settings
 from almonddeal_common.codes import AlmonddealError
 from almonddeal_common.http import make_config, serve_http
 from almonddeal_common.logs import decide, get_logger
@@ -39,6 +40,8 @@
         ``parse(content)`` returns the `RoutingTable` of a configuration.
     calls : TargetCalls
         What can be asked of targets.
+    load_settings : callable
+        Returns the settings as they are written now.
 
     Attributes
     ----------
@@ -48,8 +51,9 @@
         Whether callers should use another instance from now on.
     """
 
-    def __init__(self, settings, parse, calls):
+    def __init__(self, settings, parse, calls, load_settings):
         self.settings = settings
+        self._load_settings = load_settings
         self.table = None
         self.is_stopping = False
         self.http_config = make_config(settings.callers)
@@ -167,7 +171,8 @@
             async for signal in signals:
                 if signal != SIGHUP:
                     return
-                decide(log, "keeps its settings on a reload")
+                decide(log, "reloads its settings")
+                reload_settings(self.settings, self._load_settings)
 
     async def _drain(self, stop_callers):
         """Leave the balancer's rotation, then let what runs come to its end."""
@@ -180,3 +185,6 @@
         while True:
             await anyio.sleep(CLEAN_INTERVAL_S)
             self._parts.loads.forget_old()
+            if not self._follower.is_connected:
+                # The settings may have changed without a signal.
+                reload_settings(self.settings, self._load_settings)
