relay: rate a refusal like a failure

Ruled out: full targets, the others were idle. Change: a refusal counts as evidence against a target. The new test fails before.

--- a/packages/entry/src/almonddeal/relay/plain.py
+++ b/packages/entry/src/almonddeal/relay/plain.py
@@ -198,5 +198,6 @@
         state.load_ms = monotonic_ms()
     if answer.is_other_target:
         parts.targets.avoid(state, "another target has its address", request_id)
-    elif not answer.is_not_run:
-        state.rate(answer.status >= 500, took_ms)
+    else:
+        # A target that refuses while others have room is no better than one that fails.
+        state.rate(answer.is_not_run or answer.status >= 500, took_ms)
--- a/packages/entry/src/almonddeal/relay/tests/test_plain.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_plain.py
@@ -147,3 +147,14 @@
         for _ in range(30):
             relay(fleet, make_route(LOOKUP))
         assert fleet.tried.count("i-1") <= 2
+
+    def test_refusing_target_gets_less(self):
+        fleet = Fleet({"i-1": refuses(), "i-2": answers(), "i-3": answers()})
+        route = make_route(ORDER, max_attempts=1)
+        n_refused = 0
+        for _ in range(60):
+            try:
+                relay(fleet, route)
+            except AlmonddealError:
+                n_refused += 1
+        assert n_refused <= 60 * 0.2
