relay: resume at the engine that still keeps the prompt

Change: an answer that goes on without a known copy asks the engines which of them keeps the request's own part of the prompt, and goes there. The two new tests fail before.

--- a/packages/entry/src/almonddeal/relay/parts.py
+++ b/packages/entry/src/almonddeal/relay/parts.py
@@ -22,15 +22,19 @@
         run to the one at an address; returns the id of the copy, or None.
     free_copy : callable
         ``free_copy(target, copy_id)`` frees such a copy.
+    list_cached : callable
+        ``list_cached(target)`` returns the ids of the parts of prompts that an engine
+        keeps, as a set; empty if it cannot be asked.
     """
 
-    __slots__ = ("free_copy", "is_alive", "open", "send_copy")
+    __slots__ = ("free_copy", "is_alive", "list_cached", "open", "send_copy")
 
-    def __init__(self, open, is_alive, send_copy, free_copy):
+    def __init__(self, open, is_alive, send_copy, free_copy, list_cached):
         self.open = open
         self.is_alive = is_alive
         self.send_copy = send_copy
         self.free_copy = free_copy
+        self.list_cached = list_cached
 
 
 class RelayParts:
@@ -70,6 +74,7 @@
         self.is_alive = calls.is_alive
         self.send_copy = calls.send_copy
         self.free_copy = calls.free_copy
+        self.list_cached = calls.list_cached
         self.metrics = metrics
         self.version = 0
         self._started_ms = monotonic_ms()
--- a/packages/entry/src/almonddeal/relay/requests.py
+++ b/packages/entry/src/almonddeal/relay/requests.py
@@ -13,14 +13,17 @@
         Most tokens that it may generate.
     fingerprint : str
         Same for two requests for the same answer, else different.
+    last_part : str or None
+        Id of the last part of the prompt, which belongs to this request or session.
     """
 
-    __slots__ = ("fingerprint", "n_output_tokens", "n_prompt_tokens")
+    __slots__ = ("fingerprint", "last_part", "n_output_tokens", "n_prompt_tokens")
 
-    def __init__(self, n_prompt_tokens, n_output_tokens, fingerprint):
+    def __init__(self, n_prompt_tokens, n_output_tokens, fingerprint, last_part=None):
         self.n_prompt_tokens = n_prompt_tokens
         self.n_output_tokens = n_output_tokens
         self.fingerprint = fingerprint
+        self.last_part = last_part
 
 
 class CallerRequest:
--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -10,6 +10,7 @@
 import anyio
 
 from almonddeal.relay.attempts import run_attempt
+from almonddeal.relay.cached import find_cached
 from almonddeal.relay.choose import choose_engine
 from almonddeal.relay.run_reports import end_run
 from almonddeal.relay.stream_state import Copy, Stream
@@ -64,7 +65,7 @@
 async def _serve(stream, parts):
     _adopt_copy(stream, parts)
     while not stream.is_ended:
-        state, copy = _next_target(stream, parts)
+        state, copy = await _next_target(stream, parts)
         if state is None:
             if not stream.is_begun:
                 _refuse(stream, parts)
@@ -99,18 +100,21 @@
     )
 
 
-def _next_target(stream, parts):
+async def _next_target(stream, parts):
     """Return the next target and the copy that it goes on from, if any."""
     copy, stream.copy = stream.copy, None
     if copy is not None and copy.is_sound(parts.targets, monotonic_ms()):
         return copy.state, copy
     traits = stream.admitted.service.engine
     service_name = stream.admitted.service.name
-    states = parts.targets.candidates(service_name, stream.refused | stream.left_by)
-    if not states:
-        states = parts.targets.candidates(service_name, stream.refused)
+    possible = parts.targets.candidates(service_name, stream.refused)
+    states = [s for s in possible if s.record.target not in stream.left_by] or possible
     if traits is None:
         return (min(states, key=lambda s: s.n_in_flight) if states else None), None
+    if stream.last_event_id is not None:
+        state = await find_cached(stream, parts, possible)
+        if state is not None:
+            return state, None
     state = choose_engine(
         states, parts.loads, stream.n_tokens, traits, parts.domain, random.random
     )
--- a/packages/entry/src/almonddeal/relay/tests/fakes.py
+++ b/packages/entry/src/almonddeal/relay/tests/fakes.py
@@ -114,6 +114,7 @@
         self.n_open = 0
         self.n_probes = 0
         self.copies = []
+        self.cached_by_target = {}
         self.freed = []
         self.alive = set(behaviour_by_target)
         self.book = TargetBook()
@@ -126,7 +127,13 @@
             self.book,
             LoadView(),
             Board(),
-            TargetCalls(self.open, self.is_alive, self.send_copy, self.free_copy),
+            TargetCalls(
+                self.open,
+                self.is_alive,
+                self.send_copy,
+                self.free_copy,
+                self.list_cached,
+            ),
             RetryLimits(0.8, 10.0, 150.0),
             NoMetrics(),
         )
@@ -135,6 +142,9 @@
         self.n_probes += 1
         return target.target in self.alive
 
+    async def list_cached(self, target):
+        return self.cached_by_target.get(target.target, set())
+
     async def send_copy(self, target, request_id, address):
         self.copies.append((target.target, address))
         return f"copy-{len(self.copies)}"
@@ -305,6 +315,6 @@
 
 def admit_stream(route=None, timeout_ms=10_000.0, last_event_id=None, n_prompt=1000):
     """Return an admitted request for an answer in events."""
-    generation = Generation(n_prompt, 100, "print1")
+    generation = Generation(n_prompt, 100, "print1", "part1")
     request = make_request(timeout_ms, generation, last_event_id)
     return Admitted(request, route or make_route(STREAM), Service("s", TRAITS), None)
--- a/packages/entry/src/almonddeal/relay/tests/test_streams.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_streams.py
@@ -252,6 +252,29 @@
         assert fleet.copies
         assert fleet.freed == [f"copy-{len(fleet.copies)}"]
 
+    def test_resumed_answer_goes_to_the_engine_that_keeps_its_prompt(self):
+        fleet = Fleet({f"i-{n}": streams(1, LAST) for n in range(1, 6)})
+        fleet.cached_by_target = {"i-4": {"part1", "part9"}, "i-2": {"part9"}}
+        for target in ("i-4",):
+            fleet.parts.loads.take(_busy_run(target))
+        reply = relay(fleet, admit_stream(last_event_id=12))
+        assert reply.event_ids == list(range(13, LAST + 1))
+        assert fleet.tried == ["i-4"]
+
+    def test_reset_answer_without_a_copy_goes_back_to_the_engine_that_read_it(self):
+        fleet = Fleet(
+            {
+                "i-1": streams(1, LAST, lose_at=7),
+                "i-2": streams(1, LAST),
+                "i-3": streams(1, LAST),
+            }
+        )
+        fleet.cached_by_target = {"i-1": {"part1"}}
+        for target in ("i-2", "i-3"):
+            fleet.parts.loads.take(_busy_run(target))
+        relay(fleet)
+        assert fleet.tried[:2] == ["i-1", "i-1"]
+
     def test_run_is_reported_from_its_start_to_its_end(self):
         fleet = Fleet({"i-1": streams(1, LAST)})
         relay(fleet)
