relay: hand over answers that a stop cuts, with the place of their copies

Change: a run that is cut off is reported with its copy; a stop cuts a second before the grace time ends; a copy that a move made is told by its own id. The new test fails before.

--- a/idl/almonddeal.thrift
+++ b/idl/almonddeal.thrift
@@ -243,7 +243,8 @@
 struct Run {
   1: string request, 2: string instance, 3: string target, 4: i64 born_ms
   5: i32 n_tokens, 6: i32 n_unread_tokens, 7: bool is_ended, 8: string backup
-  9: string fingerprint, 10: i64 backup_born_ms, 11: string attempt
+  9: string fingerprint, 10: i64 backup_born_ms, 11: bool is_cut
+  12: string copy_address, 13: string copy_id
 }
 struct ShareRuns { 1: list<Run> runs, 2: bool is_relayed }
 struct Follow { 1: i64 have_version, 2: string instance }
--- a/packages/common/src/almonddeal_common/wire/gen/ttypes.py
+++ b/packages/common/src/almonddeal_common/wire/gen/ttypes.py
@@ -6360,7 +6360,9 @@
      - backup
      - fingerprint
      - backup_born_ms
-     - attempt
+     - is_cut
+     - copy_address
+     - copy_id
 
     """
 
@@ -6375,11 +6377,13 @@
         'backup',
         'fingerprint',
         'backup_born_ms',
-        'attempt',
+        'is_cut',
+        'copy_address',
+        'copy_id',
     )
 
 
-    def __init__(self, request=None, instance=None, target=None, born_ms=None, n_tokens=None, n_unread_tokens=None, is_ended=None, backup=None, fingerprint=None, backup_born_ms=None, attempt=None,):
+    def __init__(self, request=None, instance=None, target=None, born_ms=None, n_tokens=None, n_unread_tokens=None, is_ended=None, backup=None, fingerprint=None, backup_born_ms=None, is_cut=None, copy_address=None, copy_id=None,):
         self.request = request
         self.instance = instance
         self.target = target
@@ -6390,7 +6394,9 @@
         self.backup = backup
         self.fingerprint = fingerprint
         self.backup_born_ms = backup_born_ms
-        self.attempt = attempt
+        self.is_cut = is_cut
+        self.copy_address = copy_address
+        self.copy_id = copy_id
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -6452,8 +6458,18 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
+                if ftype == TType.BOOL:
+                    self.is_cut = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
                 if ftype == TType.STRING:
-                    self.attempt = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.copy_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRING:
+                    self.copy_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             else:
@@ -6506,9 +6522,17 @@
             oprot.writeFieldBegin('backup_born_ms', TType.I64, 10)
             oprot.writeI64(self.backup_born_ms)
             oprot.writeFieldEnd()
-        if self.attempt is not None:
-            oprot.writeFieldBegin('attempt', TType.STRING, 11)
-            oprot.writeString(self.attempt.encode('utf-8') if sys.version_info[0] == 2 else self.attempt)
+        if self.is_cut is not None:
+            oprot.writeFieldBegin('is_cut', TType.BOOL, 11)
+            oprot.writeBool(self.is_cut)
+            oprot.writeFieldEnd()
+        if self.copy_address is not None:
+            oprot.writeFieldBegin('copy_address', TType.STRING, 12)
+            oprot.writeString(self.copy_address.encode('utf-8') if sys.version_info[0] == 2 else self.copy_address)
+            oprot.writeFieldEnd()
+        if self.copy_id is not None:
+            oprot.writeFieldBegin('copy_id', TType.STRING, 13)
+            oprot.writeString(self.copy_id.encode('utf-8') if sys.version_info[0] == 2 else self.copy_id)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -7349,7 +7373,9 @@
     (8, TType.STRING, 'backup', 'UTF8', None, ),  # 8
     (9, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 9
     (10, TType.I64, 'backup_born_ms', None, None, ),  # 10
-    (11, TType.STRING, 'attempt', 'UTF8', None, ),  # 11
+    (11, TType.BOOL, 'is_cut', None, None, ),  # 11
+    (12, TType.STRING, 'copy_address', 'UTF8', None, ),  # 12
+    (13, TType.STRING, 'copy_id', 'UTF8', None, ),  # 13
 )
 all_structs.append(ShareRuns)
 ShareRuns.thrift_spec = (
--- a/packages/entry/src/almonddeal/relay/attempts.py
+++ b/packages/entry/src/almonddeal/relay/attempts.py
@@ -43,7 +43,6 @@
     """
     record = state.record
     backup = pick_backup(stream, parts, record)
-    begin_run(stream, parts, record, backup, copy is not None)
     attempt = Attempt(
         stream.admitted,
         record,
@@ -53,6 +52,7 @@
     )
     if backup is not None:
         stream.copy = Copy(backup, backup.record.address, stream.request_id)
+    begin_run(stream, parts, record, copy is not None)
     started_ms = monotonic_ms()
     stream.n_tries += 1
     error = await _watch(stream, parts, state, attempt)
--- a/packages/entry/src/almonddeal/relay/copies.py
+++ b/packages/entry/src/almonddeal/relay/copies.py
@@ -10,7 +10,7 @@
 import anyio
 
 from almonddeal.relay.choose import choose_backup
-from almonddeal.relay.run_reports import note_backup
+from almonddeal.relay.run_reports import note_copy
 from almonddeal.relay.stream_state import Copy
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.logs import decide, get_logger
@@ -73,6 +73,7 @@
         return
     is_new = stream.copy is None or stream.copy.state is not state
     stream.copy = Copy(state, record.address, copy_id)
+    note_copy(stream, parts)
     if is_new:
         decide(
             log,
@@ -81,7 +82,6 @@
             target=record.target,
             backup=state.record.target,
         )
-        note_backup(stream, parts, stream.copy)
 
 
 async def free_copy(stream, parts, record):
--- a/packages/entry/src/almonddeal/relay/load.py
+++ b/packages/entry/src/almonddeal/relay/load.py
@@ -47,6 +47,7 @@
         self._run_by_request = {}
         self._taken_ms_by_request = {}
         self._load_by_target = {}
+        self._cut_by_fingerprint = {}
 
     def take(self, run):
         """Note the newest state of a run."""
@@ -58,6 +59,8 @@
             self._run_by_request[run.request] = run
             self._taken_ms_by_request[run.request] = monotonic_ms()
             self._count(run, 1)
+        elif run.is_cut and run.backup:
+            self._cut_by_fingerprint[run.fingerprint] = (run, monotonic_ms())
 
     def _count(self, run, sign):
         load = self._load(run.target, run.born_ms)
@@ -79,15 +82,18 @@
         return self._load_by_target.get((record.target, record.born_ms), EMPTY_LOAD)
 
     def find_run(self, fingerprint):
-        """Return a run for the same answer, or None."""
+        """Return a run for the same answer that was lost or cut off, or None."""
         for run in self._run_by_request.values():
             if run.fingerprint == fingerprint:
                 return run
-        return None
+        return self._cut_by_fingerprint.get(fingerprint, (None, 0.0))[0]
 
     def forget_old(self):
         """Drop runs whose end was never reported, and loads of nothing."""
         now_ms = monotonic_ms()
+        for fingerprint, (_, cut_ms) in list(self._cut_by_fingerprint.items()):
+            if now_ms - cut_ms > FORGET_RUN_MS:
+                del self._cut_by_fingerprint[fingerprint]
         for request, taken_ms in list(self._taken_ms_by_request.items()):
             if now_ms - taken_ms > FORGET_RUN_MS:
                 self._count(self._run_by_request.pop(request), -1)
--- a/packages/entry/src/almonddeal/relay/run_reports.py
+++ b/packages/entry/src/almonddeal/relay/run_reports.py
@@ -1,4 +1,4 @@
-"""Reports of own runs, from which all instances see the load of each engine."""
+"""Reports of own runs, from which all instances see load and the place of copies."""
 
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.logs import decide, get_logger
@@ -7,31 +7,30 @@
 log = get_logger("relay")
 
 
-def begin_run(stream, parts, record, backup, resumes_copy):
-    """Report that an engine was given the run."""
+def begin_run(stream, parts, record, resumes_copy):
+    """Report that an engine was given the run.
+
+    Parameters
+    ----------
+    stream : Stream
+        Its copy is the one that the engine is to make.
+    parts : RelayParts
+    record : AnnouncedTarget
+    resumes_copy : bool
+        Whether the engine has the prompt already.
+    """
     generation = stream.admitted.request.generation
     if generation is None:
         return
-    stream.run = Run(
-        stream.request_id,
-        parts.instance,
-        record.target,
-        record.born_ms,
-        stream.n_tokens,
-        0 if resumes_copy else generation.n_prompt_tokens,
-        False,
-        backup.record.target if backup is not None else "",
-        generation.fingerprint,
-        backup.record.born_ms if backup is not None else 0,
-        "",
-    )
-    parts.report(stream.run)
+    n_unread_tokens = 0 if resumes_copy else generation.n_prompt_tokens
+    _report(stream, parts, record.target, record.born_ms, n_unread_tokens)
 
 
 def note_first(stream, parts, state):
     """Report that an engine has read the prompt and sent its first event."""
     request = stream.admitted.request
     since_ms = stream.last_sent_ms if stream.is_begun else request.arrived_ms
+    pause_ms = monotonic_ms() - since_ms
     decide(
         log,
         "goes on after a loss" if stream.is_begun else "begins an answer",
@@ -39,44 +38,48 @@
         target=state.record.target,
         n_tries=stream.n_tries,
         last_event_id=stream.last_event_id,
-        pause_ms=round(monotonic_ms() - since_ms),
+        pause_ms=round(pause_ms),
     )
     if stream.is_begun:
-        parts.metrics.note_resume(monotonic_ms() - since_ms)
+        parts.metrics.note_resume(pause_ms)
     run = stream.run
     if run is not None and run.n_unread_tokens:
-        stream.run = _copy_run(run, is_ended=False)
-        parts.report(stream.run)
+        _report(stream, parts, run.target, run.born_ms, 0)
 
 
-def note_backup(stream, parts, copy):
+def note_copy(stream, parts):
     """Report where the run's memory lies beside its engine now."""
     run = stream.run
-    if run is None:
-        return
-    stream.run = _copy_run(run, is_ended=False)
-    stream.run.backup = copy.state.record.target
-    stream.run.backup_born_ms = copy.state.record.born_ms
-    parts.report(stream.run)
+    if run is not None:
+        _report(stream, parts, run.target, run.born_ms, run.n_unread_tokens)
 
 
 def end_run(stream, parts):
-    """Report that the run has ended."""
-    if stream.run is not None:
-        parts.report(_copy_run(stream.run, is_ended=True))
+    """Report that the run has ended, or was cut off with a copy left."""
+    run = stream.run
+    if run is not None:
+        is_cut = stream.is_begun and not stream.is_ended
+        _report(stream, parts, run.target, run.born_ms, 0, True, is_cut)
 
 
-def _copy_run(run, is_ended):
-    return Run(
-        run.request,
-        run.instance,
-        run.target,
-        run.born_ms,
-        run.n_tokens,
-        0,
+def _report(
+    stream, parts, target, born_ms, n_unread_tokens, is_ended=False, is_cut=False
+):
+    copy = stream.copy
+    keeper = copy.state.record if copy is not None else None
+    stream.run = Run(
+        stream.request_id,
+        parts.instance,
+        target,
+        born_ms,
+        stream.n_tokens,
+        n_unread_tokens,
         is_ended,
-        run.backup,
-        run.fingerprint,
-        run.backup_born_ms,
-        run.attempt,
+        keeper.target if copy is not None else "",
+        stream.admitted.request.generation.fingerprint,
+        keeper.born_ms if copy is not None else 0,
+        is_cut,
+        copy.address if copy is not None else "",
+        copy.copy_id if copy is not None else "",
     )
+    parts.report(stream.run)
--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -90,7 +90,7 @@
     state = parts.targets.get(run.backup)
     if state is None or state.record.born_ms != run.backup_born_ms:
         return
-    stream.copy = Copy(state, state.record.address, run.request)
+    stream.copy = Copy(state, run.copy_address, run.copy_id)
     decide(
         log,
         "knows the copy of a resumed answer",
--- a/packages/entry/src/almonddeal/relay/tests/test_streams.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_streams.py
@@ -195,6 +195,7 @@
         fleet = Fleet({"i-1": streams(1, LAST), "i-2": streams(1, LAST)}, TWO_DOMAINS)
         lost = _busy_run("i-1")
         lost.backup, lost.backup_born_ms = "i-2", 1000
+        lost.copy_address, lost.copy_id = "10.0.0.2:80", lost.request
         lost.fingerprint = "print1"
         fleet.parts.loads.take(lost)
         reply = relay(fleet, admit_stream(last_event_id=12))
@@ -282,6 +283,29 @@
         assert run.is_ended
         assert fleet.parts.loads.load(fleet.book.get("i-1").record).n_runs == 0
 
+    def test_answer_that_is_cut_off_is_handed_over_with_its_copy(self):
+        first = Fleet(
+            {"i-1": streams(1, 200, gap_s=0.01), "i-2": streams(1, 200)}, TWO_DOMAINS
+        )
+        first.parts.loads.take(_busy_run("i-2"))
+        reply = FakeReply()
+
+        async def main():
+            with anyio.move_on_after(0.15):
+                await relay_stream(admit_stream(), first.parts, reply)
+
+        anyio.run(main)
+        (run,) = first.parts.runs.values()
+        assert run.is_ended
+        assert run.is_cut
+        second = Fleet({"i-1": streams(1, 200), "i-2": streams(1, 200)}, TWO_DOMAINS)
+        second.parts.loads.take(run)
+        assert second.parts.loads.load(second.book.get("i-1").record).n_runs == 0
+        last = reply.event_ids[-1]
+        rest = relay(second, admit_stream(last_event_id=last))
+        assert reply.event_ids + rest.event_ids == list(range(1, 201))
+        assert second.attempts[0].copy.copy_id == "req1"
+
     def test_cancelled_answer_stops_its_engine(self):
         async def main():
             fleet = Fleet({"i-1": streams(1, 1000, gap_s=0.01)})
@@ -346,6 +370,8 @@
         "",
         "other",
         0,
+        False,
+        "",
         "",
     )
 
--- a/packages/entry/src/almonddeal/roles/entry.py
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -24,7 +24,8 @@
 
 CLEAN_INTERVAL_S = 1.0
 LEAVE_ROTATION_S = 2.6  # the balancer asks once a second and needs two misses
-END_MARGIN_S = 0.5  # before the platform ends the process
+END_MARGIN_S = 1.0  # for the last answers to be cut and handed over
+HAND_OVER_S = 0.1  # in which others hear where the memory of cut answers lies
 DEFAULT_IDLE_TIMEOUT_S = 60.0  # until a configuration sets it
 
 log = get_logger("entry")
@@ -159,6 +160,7 @@
             await self._wait_for_stop()
             await self._drain(stop_callers)
             await callers_ended.wait()
+            await anyio.sleep(HAND_OVER_S)
             stop_others.set()
 
     async def _serve_callers(self, app, stop, ended):
