--- a/idl/almonddeal.thrift
+++ b/idl/almonddeal.thrift
@@ -177,6 +177,7 @@
 struct AppendLogReply { 1: i64 term, 2: bool ok, 3: i64 match_index }
 struct InstallSnapshot {
   1: i64 term, 2: string leader, 3: Snapshot snapshot, 4: string recipient
+  5: i64 offset, 6: i64 n_bytes
 }
 struct JoinGroup { 1: string name, 2: string address, 3: bool is_addition }
 struct JoinGroupReply { 1: i32 code, 2: string leader_address, 3: bool is_voter }
--- a/packages/common/src/almonddeal_common/wire/gen/ttypes.py
+++ b/packages/common/src/almonddeal_common/wire/gen/ttypes.py
@@ -4086,6 +4086,8 @@
      - leader
      - snapshot
      - recipient
+     - offset
+     - n_bytes
 
     """
 
@@ -4094,14 +4096,18 @@
         'leader',
         'snapshot',
         'recipient',
+        'offset',
+        'n_bytes',
     )
 
 
-    def __init__(self, term=None, leader=None, snapshot=None, recipient=None,):
+    def __init__(self, term=None, leader=None, snapshot=None, recipient=None, offset=None, n_bytes=None,):
         self.term = term
         self.leader = leader
         self.snapshot = snapshot
         self.recipient = recipient
+        self.offset = offset
+        self.n_bytes = n_bytes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4133,6 +4139,16 @@
                     self.recipient = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.n_bytes = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4159,6 +4175,14 @@
             oprot.writeFieldBegin('recipient', TType.STRING, 4)
             oprot.writeString(self.recipient.encode('utf-8') if sys.version_info[0] == 2 else self.recipient)
             oprot.writeFieldEnd()
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 5)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
+        if self.n_bytes is not None:
+            oprot.writeFieldBegin('n_bytes', TType.I64, 6)
+            oprot.writeI64(self.n_bytes)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -7195,6 +7219,8 @@
     (2, TType.STRING, 'leader', 'UTF8', None, ),  # 2
     (3, TType.STRUCT, 'snapshot', [Snapshot, None], None, ),  # 3
     (4, TType.STRING, 'recipient', 'UTF8', None, ),  # 4
+    (5, TType.I64, 'offset', None, None, ),  # 5
+    (6, TType.I64, 'n_bytes', None, None, ),  # 6
 )
 all_structs.append(JoinGroup)
 JoinGroup.thrift_spec = (
--- a/packages/entry/src/almonddeal/control/consensus.py
+++ b/packages/entry/src/almonddeal/control/consensus.py
@@ -16,6 +16,7 @@
 
 from almonddeal.control.entries import EntryLog
 from almonddeal.control.members import Joining, Members, next_members
+from almonddeal.control.snapshots import SnapshotAssembly, snapshot_pieces
 from almonddeal.control.waiters import Waiters
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import (
@@ -32,7 +33,6 @@
     AppendLog,
     AppendLogReply,
     Command,
-    InstallSnapshot,
     JoinGroupReply,
     LogEntry,
     MemberSet,
@@ -49,11 +49,14 @@
 TICK_MS = 80
 OWN_STALL_MS = 200
 CALL_TIMEOUT_MS = 500
-SNAPSHOT_TIMEOUT_MS = 10_000
+PIECE_TIMEOUT_MS = 2000
 SNAPSHOT_EVERY_ENTRIES = 4096
 STORAGE_FULL_PAUSE_MS = 5000
 MAX_LOST_ELECTIONS = 2
 MAX_ENTRIES_A_CALL = 512
+MAX_BYTES_A_CALL = 128 * 1024
+DISK_STALL_MS = 1000  # a sync takes milliseconds, on a slow disk a tenth of a second
+DISK_STALL_PAUSE_MS = 5000
 
 FOLLOWER = "follower"
 CANDIDATE = "candidate"
@@ -114,6 +117,8 @@
         self._scope_by_name = {}
         self._joining_by_name = {}
         self._group = None
+        self._assembly = SnapshotAssembly()
+        self._write_since_ms = None
         self._voted_for = store.meta.voted_for
         self._log = EntryLog(store.snapshot, store.entries)
         self._durable_index = self._log.last_index
@@ -184,8 +189,9 @@
             last_ms = now_ms
             if self.role == LEADER:
                 self._check_quorum(now_ms)
+                self._check_disk(now_ms)
                 self._change_members(now_ms)
-            elif self.name not in self.members:
+            elif self.name not in self.members or self._write_since_ms is not None:
                 self._last_heard_ms = now_ms
             elif now_ms - self._last_heard_ms > self.election_timeout_ms:
                 self._last_heard_ms = now_ms
@@ -200,6 +206,14 @@
             log.warning("leader of term %d lost its quorum", self.term)
             self._follow(None)
 
+    def _check_disk(self, now_ms):
+        """Leave the lead to a member whose disk works."""
+        since_ms = self._write_since_ms
+        if since_ms is not None and now_ms - since_ms > DISK_STALL_MS:
+            log.warning("stops leading, a write takes %.0f ms", now_ms - since_ms)
+            self._last_heard_ms = now_ms + DISK_STALL_PAUSE_MS
+            self._follow(None)
+
     def _confirmed_ms(self):
         """Latest time at which a majority is known to have followed this leader."""
         voters = self.members.others(self.name)
@@ -364,12 +378,15 @@
                 entries = self._log.since(first)
                 if not entries:
                     continue
+                self._write_since_ms = monotonic_ms()
                 try:
                     await self._on_disk(self._store.append, entries)
                 except AlmonddealError as error:
                     log.error("refuses to lead, %s", error)
                     self._drop_unwritten(first)
                     continue
+                finally:
+                    self._write_since_ms = None
                 self._durable_index = entries[-1].index
             self._advance_commit()
 
@@ -414,8 +431,7 @@
         started_ms = monotonic_ms()
         next_index = self._next_by_name[name]
         if next_index < self._log.first_index:
-            message = InstallSnapshot(term, self.name, self._log.snapshot, name)
-            reply = await peer.call(message, SNAPSHOT_TIMEOUT_MS)
+            reply = await self._send_snapshot(name, peer)
         else:
             message = self._append_message(next_index, name)
             reply = await peer.call(message, CALL_TIMEOUT_MS)
@@ -428,8 +444,17 @@
         self._confirmed_ms_by_name[name] = started_ms
         self._note_reply(name, reply)
 
+    async def _send_snapshot(self, name, peer):
+        """Send all pieces; returns the reply to the last one, or to one refused."""
+        messages = snapshot_pieces(self.term, self.name, self._log.snapshot, name)
+        for message in messages:
+            reply = await peer.call(message, PIECE_TIMEOUT_MS)
+            if not reply.ok or reply.term > self.term:
+                break
+        return reply
+
     def _append_message(self, next_index, name):
-        entries = self._log.since(next_index, MAX_ENTRIES_A_CALL)
+        entries = self._entries_for_call(next_index)
         prev_index = next_index - 1
         return AppendLog(
             self.term,
@@ -441,6 +466,15 @@
             name,
         )
 
+    def _entries_for_call(self, next_index):
+        entries = self._log.since(next_index, MAX_ENTRIES_A_CALL)
+        n_bytes = 0
+        for position, entry in enumerate(entries):
+            n_bytes += len(entry.command)
+            if position and n_bytes > MAX_BYTES_A_CALL:
+                return entries[:position]
+        return entries
+
     def _note_reply(self, name, reply):
         if reply.ok:
             self._match_by_name[name] = max(
@@ -647,7 +681,9 @@
             if message.term < self.term:
                 return AppendLogReply(self.term, False, 0)
             await self._hear_leader(message.term, message.leader)
-            snapshot = message.snapshot
+            is_in_order, snapshot = self._assembly.add(message)
+            if snapshot is None:
+                return AppendLogReply(self.term, is_in_order, 0)
             if snapshot.index > self.commit_index:
                 await self._on_disk(self._store.save_snapshot, snapshot, [])
                 self._log = EntryLog(snapshot, [])
--- a/packages/entry/src/almonddeal/limits/budget.py
+++ b/packages/entry/src/almonddeal/limits/budget.py
@@ -29,6 +29,11 @@
         """Retries that may be made now."""
         return self._saved
 
+    def limit(self, max_saved):
+        """Change the most retries that can be saved up."""
+        self._max_saved = max_saved
+        self._saved = min(self._saved, max_saved)
+
     def earn(self):
         """Note a first try."""
         self._saved = min(self._max_saved, self._saved + self._ratio)
--- a/packages/entry/src/almonddeal/relay/load.py
+++ b/packages/entry/src/almonddeal/relay/load.py
@@ -48,9 +48,11 @@
         self._taken_ms_by_request = {}
         self._load_by_target = {}
         self._cut_by_fingerprint = {}
+        self._seen_ms_by_instance = {}
 
     def take(self, run):
         """Note the newest state of a run."""
+        self._seen_ms_by_instance[run.instance] = monotonic_ms()
         known = self._run_by_request.pop(run.request, None)
         self._taken_ms_by_request.pop(run.request, None)
         if known is not None:
@@ -77,6 +79,11 @@
             self._load_by_target[key] = TargetLoad()
         return self._load_by_target[key]
 
+    @property
+    def n_instances(self):
+        """Number of instances whose runs were seen lately."""
+        return len(self._seen_ms_by_instance)
+
     def load(self, record):
         """Return the `TargetLoad` of an announced target."""
         return self._load_by_target.get((record.target, record.born_ms), EMPTY_LOAD)
@@ -91,6 +98,9 @@
     def forget_old(self):
         """Drop runs whose end was never reported, and loads of nothing."""
         now_ms = monotonic_ms()
+        for instance, seen_ms in list(self._seen_ms_by_instance.items()):
+            if now_ms - seen_ms > FORGET_RUN_MS:
+                del self._seen_ms_by_instance[instance]
         for fingerprint, (_, cut_ms) in list(self._cut_by_fingerprint.items()):
             if now_ms - cut_ms > FORGET_RUN_MS:
                 del self._cut_by_fingerprint[fingerprint]
--- a/packages/entry/src/almonddeal/relay/parts.py
+++ b/packages/entry/src/almonddeal/relay/parts.py
@@ -90,12 +90,21 @@
         """Return this instance's share of the retry budget of a service."""
         budget = self._budget_by_service.get(service_name)
         if budget is None:
-            limits = self._retry_limits
-            share = limits.slack / INSTANCES_ASSUMED
-            budget = RetryBudget(limits.ratio * OWN_RATIO_SHARE, share, share)
+            share = self._slack_share()
+            ratio = self._retry_limits.ratio * OWN_RATIO_SHARE
+            budget = RetryBudget(ratio, share, share)
             self._budget_by_service[service_name] = budget
         return budget
 
+    def _slack_share(self):
+        n_instances = max(INSTANCES_ASSUMED, self.loads.n_instances)
+        return self._retry_limits.slack / n_instances
+
+    def adjust_budgets(self):
+        """Fit this instance's share of the slack to the number of instances seen."""
+        for budget in self._budget_by_service.values():
+            budget.limit(self._slack_share())
+
     def report(self, run):
         """Note a change of an own run here and for all other instances."""
         self.loads.take(run)
--- /dev/null
+++ b/packages/entry/src/almonddeal/relay/tests/test_load.py
@@ -0,0 +1,149 @@
+"""Tests of the load view, the choice of engines, and shares of the retry budget."""
+
+import pytest
+
+from almonddeal.relay import load as load_module
+from almonddeal.relay.choose import MEMORY_SHARE, choose_backup, choose_engine
+from almonddeal.relay.load import LoadView
+from almonddeal.relay.targets import DOMAIN_LOST_TARGETS, TargetBook
+from almonddeal.relay.tests.fakes import TRAITS, Fleet, record, streams
+from almonddeal_common.wire.gen.ttypes import Run
+
+
+def run(request="r1", target="i-1", instance="entry-1", **changes):
+    values = {
+        "request": request,
+        "instance": instance,
+        "target": target,
+        "born_ms": 1000,
+        "n_tokens": 6000,
+        "n_unread_tokens": 5000,
+        "is_ended": False,
+        "backup": "",
+        "fingerprint": request,
+        "backup_born_ms": 0,
+        "is_cut": False,
+    }
+    return Run(**{**values, **changes})
+
+
+def book(domain_by_target):
+    targets = TargetBook()
+    for target, domain in domain_by_target.items():
+        targets.take(record(target, domain))
+    return targets
+
+
+def choose(targets, loads, n_tokens=6000, excluded=()):
+    states = targets.candidates("s", excluded)
+    return choose_engine(states, loads, n_tokens, TRAITS, "fd1", lambda: 0.5)
+
+
+class TestLoadView:
+    def test_sums_follow_a_run_from_start_to_end(self):
+        loads = LoadView()
+        loads.take(run(backup="i-2", backup_born_ms=1000))
+        load = loads.load(record("i-1"))
+        assert (load.n_runs, load.n_unread_tokens, load.n_used_tokens) == (
+            1,
+            5000,
+            6000,
+        )
+        assert loads.load(record("i-2")).n_copy_tokens == 6000
+        loads.take(run(n_unread_tokens=0))
+        assert loads.load(record("i-1")).n_unread_tokens == 0
+        assert loads.load(record("i-2")).n_copy_tokens == 0
+        loads.take(run(is_ended=True))
+        assert loads.load(record("i-1")).n_runs == 0
+
+    def test_run_at_an_earlier_life_is_no_load_of_the_next(self):
+        loads = LoadView()
+        loads.take(run())
+        assert loads.load(record("i-1", born_ms=2000)).n_runs == 0
+
+    def test_run_whose_end_was_never_told_is_forgotten(self, monkeypatch):
+        loads = LoadView()
+        loads.take(run())
+        monkeypatch.setattr(load_module, "FORGET_RUN_MS", -1.0)
+        loads.forget_old()
+        assert loads.load(record("i-1")).n_runs == 0
+        assert loads.n_instances == 0
+
+
+class TestChooseEngine:
+    """Pattern: long prompts that arrive while others are read and generated."""
+
+    def test_prompts_go_where_none_is_read(self):
+        targets = book({"i-1": "fd1", "i-2": "fd1", "i-3": "fd1"})
+        loads = LoadView()
+        loads.take(run("r1", "i-1"))
+        loads.take(run("r2", "i-2", n_unread_tokens=0))
+        assert choose(targets, loads).record.target == "i-3"
+        loads.take(run("r3", "i-3"))
+        assert choose(targets, loads).record.target == "i-2"
+
+    def test_a_burst_is_spread_evenly(self):
+        targets = book({f"i-{n}": f"fd{n % 3 + 1}" for n in range(1, 13)})
+        loads = LoadView()
+        for number in range(24):
+            target = choose(targets, loads).record.target
+            loads.take(run(f"r{number}", target))
+        n_runs = [loads.load(s.record).n_runs for s in targets.state_by_target.values()]
+        assert sorted(n_runs) == [2] * 12
+
+    def test_full_memory_is_no_choice(self):
+        targets = book({"i-1": "fd1"})
+        loads = LoadView()
+        room = int(MEMORY_SHARE * TRAITS.n_cache_tokens)
+        loads.take(run(n_tokens=room - 100))
+        assert choose(targets, loads, n_tokens=101) is None
+        assert choose(targets, loads, n_tokens=100) is not None
+
+    def test_backup_lies_in_another_domain(self):
+        targets = book({"i-1": "fd1", "i-2": "fd1", "i-3": "fd2"})
+        states = targets.candidates("s")
+        chosen = choose_backup(
+            states, record("i-1"), LoadView(), 6000, TRAITS, lambda: 0.5
+        )
+        assert chosen.record.target == "i-3"
+
+
+class TestLostDomain:
+    """Pattern: all engines of one failure domain vanish at the same moment."""
+
+    def lose(self, targets, names):
+        for name in names:
+            targets.avoid(targets.get(name), "is silent", "r")
+
+    def test_rest_of_a_domain_comes_last_once_two_are_lost(self):
+        domains = {f"i-{n}": "fd1" for n in range(1, 5)}
+        targets = book({**domains, "i-5": "fd2"})
+        self.lose(targets, ["i-1"])
+        assert len(targets.candidates("s")) == 4
+        self.lose(targets, ["i-2"])
+        assert DOMAIN_LOST_TARGETS == 2
+        assert [s.record.target for s in targets.candidates("s")] == ["i-5"]
+
+    def test_suspects_are_used_if_nothing_else_is_left(self):
+        targets = book({f"i-{n}": "fd1" for n in range(1, 5)})
+        self.lose(targets, ["i-1", "i-2"])
+        found = sorted(s.record.target for s in targets.candidates("s"))
+        assert found == ["i-3", "i-4"]
+
+    def test_target_that_started_since_is_no_suspect(self):
+        targets = book({**{f"i-{n}": "fd1" for n in range(1, 4)}, "i-9": "fd2"})
+        self.lose(targets, ["i-1", "i-2"])
+        targets.take(record("i-7", "fd1", born_ms=5000))
+        found = sorted(s.record.target for s in targets.candidates("s"))
+        assert found == ["i-7", "i-9"]
+
+
+class TestBudgetShares:
+    @pytest.mark.parametrize(("n_instances", "share"), [(1, 25.0), (30, 5.0)])
+    def test_slack_is_shared_by_the_instances_seen(self, n_instances, share):
+        parts = Fleet({"i-1": streams(1, 2)}).parts
+        budget = parts.budget("s")
+        for number in range(n_instances):
+            parts.loads.take(run(f"r{number}", instance=f"entry-{number}"))
+        parts.adjust_budgets()
+        assert budget.saved == share
--- a/packages/entry/src/almonddeal/roles/entry.py
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -187,6 +187,7 @@
         while True:
             await anyio.sleep(CLEAN_INTERVAL_S)
             self._parts.loads.forget_old()
+            self._parts.adjust_budgets()
             if not self._follower.is_connected:
                 # The settings may have changed without a signal.
                 reload_settings(self.settings, self._load_settings)
