control: split the consensus by duty

Change: elections, leading, following and membership are parts of their own; constants stand in one place with their sources. No behaviour changes.

--- a/packages/entry/src/almonddeal/cli/data.py
+++ b/packages/entry/src/almonddeal/cli/data.py
@@ -4,7 +4,7 @@
 
 import click
 
-from almonddeal.control.consensus import KIND_COMMAND
+from almonddeal.control.constants import KIND_COMMAND
 from almonddeal.control.state import ControlState
 from almonddeal.control.storage import LogStore
 from almonddeal_common.codes import DATA_DAMAGED, AlmonddealError
--- a/packages/entry/src/almonddeal/control/tests/test_members.py
+++ b/packages/entry/src/almonddeal/control/tests/test_members.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 
-from almonddeal.control.consensus import ELECTION_MIN_MS
+from almonddeal.control.constants import ELECTION_MIN_MS
 from almonddeal.control.identity import first_name, load_identity
 from almonddeal.control.members import (
     REMOVE_AFTER_SILENCE_MS,
