--- a/packages/entry/src/almonddeal/control/tests/changing_group.py
+++ b/packages/entry/src/almonddeal/control/tests/changing_group.py
@@ -20,6 +20,8 @@
     Vote,
 )
 
+SEEDS = ["a:1", "b:1", "c:1"]
+
 
 class AddressPeer:
     """The way to whatever process runs at an address now."""
@@ -186,3 +188,17 @@
         with anyio.fail_after(20):
             while self.process_by_address[address].machine.version < version:
                 await anyio.sleep(0.03)
+
+
+def run_group(folder, test):
+    """Run a test with a group that three processes have founded."""
+
+    async def main():
+        async with anyio.create_task_group() as tasks:
+            group = ChangingGroup(folder, tasks, SEEDS)
+            for address in SEEDS:
+                group.start(address, is_first_start=True)
+            await test(group)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
--- a/packages/entry/src/almonddeal/control/tests/test_members.py
+++ b/packages/entry/src/almonddeal/control/tests/test_members.py
@@ -12,24 +12,10 @@
     next_members,
 )
 from almonddeal.control.peers import PeerSet
-from almonddeal.control.tests.changing_group import ChangingGroup
+from almonddeal.control.tests.changing_group import SEEDS, run_group
 from almonddeal_common.codes import AlmonddealError
 from almonddeal_common.wire.gen.ttypes import AppendLog, Hello, Vote
 
-SEEDS = ["a:1", "b:1", "c:1"]
-
-
-def run(folder, test):
-    async def main():
-        async with anyio.create_task_group() as tasks:
-            group = ChangingGroup(folder, tasks, SEEDS)
-            for address in SEEDS:
-                group.start(address, is_first_start=True)
-            await test(group)
-            tasks.cancel_scope.cancel()
-
-    anyio.run(main)
-
 
 def three():
     return Members({"x": "a:1", "y": "b:1", "z": "c:1"}, 3)
@@ -108,7 +94,7 @@
             for address in SEEDS:
                 await group.wait_version(address, 7)
 
-        run(tmp_path, test)
+        run_group(tmp_path, test)
 
     def test_process_that_lost_its_disk_joins_under_a_new_name(self, tmp_path):
         async def test(group):
@@ -121,7 +107,7 @@
             assert new in members
             await group.wait_version("b:1", 7)
 
-        run(tmp_path, test)
+        run_group(tmp_path, test)
 
     def test_wiped_process_does_not_answer_as_its_old_self(self, tmp_path):
         async def test(group):
@@ -136,7 +122,7 @@
             with pytest.raises(AlmonddealError):
                 await process.handle_append(None, message, None)
 
-        run(tmp_path, test)
+        run_group(tmp_path, test)
 
     def test_wiped_process_alone_never_leads(self, tmp_path):
         async def test(group):
@@ -148,7 +134,7 @@
             await anyio.sleep(2.5)
             assert group.leader() is None
 
-        run(tmp_path, test)
+        run_group(tmp_path, test)
 
     def test_member_that_hears_a_leader_gives_it_the_usual_time(self, tmp_path):
         async def test(group):
@@ -167,7 +153,7 @@
                     is_leader = process.consensus.is_leader
                     assert is_leader or timeout_ms >= ELECTION_MIN_MS
 
-        run(tmp_path, test)
+        run_group(tmp_path, test)
 
     def test_acknowledged_version_survives_a_lost_disk_and_a_restart(self, tmp_path):
         async def test(group):
@@ -181,7 +167,7 @@
             for address in SEEDS:
                 await group.wait_version(address, 7)
 
-        run(tmp_path, test)
+        run_group(tmp_path, test)
 
     def test_replacement_at_another_address_takes_a_lost_members_place(self, tmp_path):
         async def test(group):
@@ -193,7 +179,7 @@
             await group.publish(9)
             await group.wait_version("d:1", 9)
 
-        run(tmp_path, test)
+        run_group(tmp_path, test)
 
     def test_second_loss_after_a_replacement_keeps_the_group(self, tmp_path):
         async def test(group):
@@ -204,7 +190,7 @@
             await group.kill("b:1")
             assert (await group.publish(9)).is_stored
 
-        run(tmp_path, test)
+        run_group(tmp_path, test)
 
     def test_more_control_instances_than_seeds_all_vote(self, tmp_path):
         async def test(group):
@@ -216,7 +202,7 @@
             await group.kill("b:1")
             assert (await group.publish(9)).is_stored
 
-        run(tmp_path, test)
+        run_group(tmp_path, test)
 
     def test_removed_member_that_comes_back_joins_again(self, tmp_path):
         async def test(group):
@@ -229,7 +215,7 @@
             await group.publish(9)
             await group.wait_version("a:1", 9)
 
-        run(tmp_path, test)
+        run_group(tmp_path, test)
 
 
 class TestPeerSet:
--- a/packages/entry/src/almonddeal/control/tests/test_snapshots.py
+++ b/packages/entry/src/almonddeal/control/tests/test_snapshots.py
@@ -7,10 +7,9 @@
 
 from almonddeal.control import snapshots
 from almonddeal.control.snapshots import SnapshotAssembly, snapshot_pieces
-from almonddeal.control.tests.changing_group import ChangingGroup
+from almonddeal.control.tests.changing_group import run_group
 from almonddeal_common.wire.gen.ttypes import MemberSet, Snapshot
 
-SEEDS = ["a:1", "b:1", "c:1"]
 MEMBERS = MemberSet({"x": "a:1"}, 1)
 
 
@@ -53,18 +52,6 @@
         assert SnapshotAssembly().add(message)[1].state == b"x" * 50
 
 
-def run(folder, test):
-    async def main():
-        async with anyio.create_task_group() as tasks:
-            group = ChangingGroup(folder, tasks, SEEDS)
-            for address in SEEDS:
-                group.start(address, is_first_start=True)
-            await test(group)
-            tasks.cancel_scope.cancel()
-
-    anyio.run(main)
-
-
 class TestGroup:
     def test_joining_member_gets_a_snapshot_in_pieces(self, tmp_path, monkeypatch):
         monkeypatch.setattr("almonddeal.control.consensus.SNAPSHOT_EVERY_ENTRIES", 5)
@@ -79,7 +66,7 @@
             group.start("d:1")
             await group.wait_version("d:1", 20)
 
-        run(tmp_path, test)
+        run_group(tmp_path, test)
 
     def test_leader_with_a_stalled_disk_leaves_the_lead(self, tmp_path):
         async def test(group):
@@ -98,4 +85,4 @@
             stalled.store.append = append
             await group.wait_version(stalled.address, 2)
 
-        run(tmp_path, test)
+        run_group(tmp_path, test)
--- a/packages/entry/src/almonddeal/relay/stall.py
+++ b/packages/entry/src/almonddeal/relay/stall.py
@@ -1,6 +1,7 @@
 """When a silent engine is given up: limits on the wait for the next event."""
 
-PREFILL_TOKENS_PER_MS = 5.0  # published speed of the engines
+from almonddeal.relay.choose import PREFILL_TOKENS_PER_MS
+
 FIRST_EVENT_MARGIN_MS = 700.0  # queueing, and reading between tokens of other runs
 FIRST_EVENT_SLACK = 1.6  # prompts that are read at the same time share the engine
 BEGIN_ELSEWHERE_MS = 500.0  # from a send to the first event, without reading
