publication: a lost control instance no longer keeps followers from the others

Its log: it reached live instances and left them at once, since the failure domain of a dead one stayed unknown and might have been nearer. Ruled out: the feed of the live ones (other followers were up to date), the time to notice the loss (1.5 s). Change: lost instances count as known, come last for 5 s, and are dialled for 0.4 s.

--- a/packages/common/src/almonddeal_common/wire/connect.py
+++ b/packages/common/src/almonddeal_common/wire/connect.py
@@ -135,16 +135,25 @@
         return link
 
 
-async def dial(address, hello, handler_by_type):
+async def dial(address, hello, handler_by_type, timeout_s=CONNECT_TIMEOUT_S):
     """Return a new `Link` to an address; the caller runs it.
 
+    Parameters
+    ----------
+    address : Address
+    hello : Hello
+        What this process says of itself.
+    handler_by_type : dict
+        Handlers for what the other side calls.
+    timeout_s : float
+
     Raises
     ------
     AlmonddealError
         `NOT_REACHED` if no connection can be made.
     """
     try:
-        with anyio.fail_after(CONNECT_TIMEOUT_S):
+        with anyio.fail_after(timeout_s):
             stream = await connect_tcp(address.host, address.port)
     except (OSError, TimeoutError) as error:
         raise AlmonddealError(NOT_REACHED, f"{address}: {error}") from None
--- a/packages/entry/src/almonddeal/publication/follower.py
+++ b/packages/entry/src/almonddeal/publication/follower.py
@@ -14,6 +14,8 @@
 OUT_OF_TOUCH_MS = (
     700  # how long a control instance may be out of touch before it is left
 )
+CONNECT_TIMEOUT_S = 0.4  # two lost instances are passed by within a second
+LOST_MS = 5000  # how long a lost instance is tried after the others
 RETRY_S = 0.15
 SEND_INTERVAL_S = 0.005  # changes of runs within this time travel together
 
@@ -43,6 +45,7 @@
         self._runs = runs
         self._members = []
         self._domain_by_address = {}
+        self._lost_ms_by_address = {}
         self._stale_since_ms = None
         self.link = None
 
@@ -52,11 +55,17 @@
         return self.link is not None and self._stale_since_ms is None
 
     def _addresses(self):
-        """Return the control instances to try, nearest first."""
+        """Return the control instances to try: nearest first, lost ones last."""
         known = list(dict.fromkeys([*self._members, *self._settings.seed_addresses]))
         random.shuffle(known)
         own = self._settings.failure_domain
-        return sorted(known, key=lambda a: self._domain_by_address.get(a, own) != own)
+        lost_before_ms = monotonic_ms() - LOST_MS
+
+        def rank(address):
+            is_lost = self._lost_ms_by_address.get(address, 0.0) > lost_before_ms
+            return is_lost, self._domain_by_address.get(address, own) != own
+
+        return sorted(known, key=rank)
 
     async def run(self):
         """Follow for ever."""
@@ -67,8 +76,11 @@
 
     async def _try(self, address):
         try:
-            link = await dial(Address.parse(address), self._hello, {})
+            link = await dial(
+                Address.parse(address), self._hello, {}, CONNECT_TIMEOUT_S
+            )
         except AlmonddealError as error:
+            self._lost_ms_by_address[address] = monotonic_ms()
             log.info("could not follow %s, %s", address, error)
             return
         async with anyio.create_task_group() as group:
@@ -76,6 +88,7 @@
             try:
                 await self._follow(link, address, group)
             except AlmonddealError as error:
+                self._lost_ms_by_address[address] = monotonic_ms()
                 log.info("stops following %s, %s", address, error)
             self.link = None
             group.cancel_scope.cancel()
@@ -90,6 +103,7 @@
             await link.ready.wait()
         domain = link.peer.failure_domain if link.peer else None
         self._domain_by_address[address] = domain
+        self._lost_ms_by_address.pop(address, None)
         if domain != self._settings.failure_domain and self._is_any_unknown():
             # Its failure domain is known now; nearer ones are tried before it.
             return
@@ -102,7 +116,8 @@
 
     def _is_any_unknown(self):
         known = {*self._members, *self._settings.seed_addresses}
-        return any(address not in self._domain_by_address for address in known)
+        answered_or_lost = {*self._domain_by_address, *self._lost_ms_by_address}
+        return not known <= answered_or_lost
 
     def _take(self, update, link, address, group):
         if self.link is None:
