platform: keep to the limit of headers that is in force

Cause: the server library bounds only heads that are not complete yet; 20,000 bytes of headers were served under a limit of 16,384.

--- a/packages/common/src/almonddeal_common/codes.py
+++ b/packages/common/src/almonddeal_common/codes.py
@@ -76,6 +76,7 @@
 KEY_REUSED = _code(105, "KEY_REUSED", 422, 15, NO, UNSAFE, "The idempotency key belongs to an order with another body.")
 KEY_MISSING = _code(106, "KEY_MISSING", 400, 16, NO, SAFE, "An order needs an Idempotency-Key header.")
 REQUEST_EXISTS = _code(107, "REQUEST_EXISTS", 409, 17, NO, UNSAFE, "The request id belongs to an answer to another body.")
+HEADERS_TOO_LARGE = _code(108, "HEADERS_TOO_LARGE", 431, 18, NO, SAFE, "The headers are larger than the limit.")
 
 RATE_LIMITED = _code(200, "RATE_LIMITED", 429, 20, NO, SAFE, "The customer sends more requests a second than its limit.")
 TOO_MANY_STREAMS = _code(201, "TOO_MANY_STREAMS", 429, 21, NO, SAFE, "The customer has as many answers in flight as its limit.")
--- a/packages/entry/src/almonddeal/roles/entry.py
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -112,8 +112,10 @@
             log.error("could not read version %d, %s", version, error)
             return
         self._parts.version = version
+        limits = self.table.limits
         # Callers come back on connections that were idle for less than the limit.
-        self.http_config.keep_alive_timeout = self.table.limits.idle_timeout_ms / 1000
+        self.http_config.keep_alive_timeout = limits.idle_timeout_ms / 1000
+        self.http_config.h11_max_incomplete_size = limits.max_header
         decide(log, "uses a configuration", version=version, before=before)
 
     async def serve(self, request, reply):
