control: founders that end before they wrote their members found the group again

Change: the identity holds the founders, and the first members are written from it until the store has some. The new test fails before (members stay empty) and passes.

--- a/packages/entry/src/almonddeal/control/identity.py
+++ b/packages/entry/src/almonddeal/control/identity.py
@@ -34,30 +34,35 @@
     Returns
     -------
     name : str
-    is_founder : bool
-        Whether this is a first member that has just got its name.
+    founders : list of str
+        Link addresses of the first members, if this is one of them.
     """
     folder = Path(folder)
     folder.mkdir(parents=True, exist_ok=True)
     path = folder / FILE_NAME
     payload = read_file(path)
     if payload is not None:
-        return payload.decode(), False
+        name, *founders = payload.decode().split(",")
+        return name, founders
     is_founder = is_first_start and address in seed_addresses
     name = first_name(address) if is_founder else f"{address}#{secrets.token_hex(6)}"
-    write_file(path, name.encode())
+    founders = list(seed_addresses) if is_founder else []
+    # Name and founders become durable together: a process that ends before it wrote the
+    # first members writes them when it starts again.
+    write_file(path, ",".join([name, *founders]).encode())
     log.info("takes the name %s on an empty disk", name)
-    return name, is_founder
+    return name, founders
 
 
-def found_group(store, seed_addresses):
-    """Write the first members into the store of one of them.
+def found_group(store, founders):
+    """Write the first members into the store of one of them, unless it has members.
 
     All founders write the same, so that they are one group whoever leads it first.
     """
+    if not founders or store.snapshot.members is not None:
+        return
     members = Members(
-        {first_name(address): address for address in seed_addresses},
-        len(seed_addresses),
+        {first_name(address): address for address in founders}, len(founders)
     )
     snapshot = Snapshot(store.snapshot.format, 0, 0, b"", members.to_wire())
     store.save_snapshot(snapshot, [])
--- a/packages/entry/src/almonddeal/control/tests/changing_group.py
+++ b/packages/entry/src/almonddeal/control/tests/changing_group.py
@@ -56,14 +56,13 @@
     def __init__(self, group, address, is_first_start):
         folder = group.folder / address
         self.address = address
-        self.name, is_founder = load_identity(
+        self.name, founders = load_identity(
             folder, address, group.seeds, is_first_start
         )
         self.machine = Publication()
         self.store = LogStore(folder, group.end_process)
         self.store.__enter__()
-        if is_founder:
-            found_group(self.store, group.seeds)
+        found_group(self.store, founders)
         self.consensus = Consensus(
             self.name,
             {},
--- a/packages/entry/src/almonddeal/control/tests/test_members.py
+++ b/packages/entry/src/almonddeal/control/tests/test_members.py
@@ -69,20 +69,20 @@
 
 class TestIdentity:
     def test_founders_know_each_others_names(self, tmp_path):
-        name, is_founder = load_identity(tmp_path, "b:1", SEEDS, True)
-        assert (name, is_founder) == (first_name("b:1"), True)
+        name, founders = load_identity(tmp_path, "b:1", SEEDS, True)
+        assert (name, founders) == (first_name("b:1"), SEEDS)
 
     def test_name_lasts_as_long_as_the_disk(self, tmp_path):
         first, _ = load_identity(tmp_path / "x", "b:1", SEEDS, True)
-        again, is_founder = load_identity(tmp_path / "x", "b:1", SEEDS, False)
+        again, founders = load_identity(tmp_path / "x", "b:1", ["z:1"], False)
         wiped, _ = load_identity(tmp_path / "y", "b:1", SEEDS, False)
         assert again == first
-        assert not is_founder
+        assert founders == SEEDS
         assert wiped != first
 
     def test_process_beyond_the_seeds_founds_nothing(self, tmp_path):
-        name, is_founder = load_identity(tmp_path, "d:1", SEEDS, True)
-        assert not is_founder
+        name, founders = load_identity(tmp_path, "d:1", SEEDS, True)
+        assert founders == []
         assert name != first_name("d:1")
 
 
@@ -96,6 +96,20 @@
 
         run_group(tmp_path, test)
 
+    def test_founders_that_ended_before_they_wrote_the_members(self, tmp_path):
+        async def test(group):
+            for address in SEEDS:
+                await group.kill(address)
+                (tmp_path / address / "snapshot").unlink()
+                (tmp_path / address / "log").unlink()
+                (tmp_path / address / "meta").unlink(missing_ok=True)
+            for address in SEEDS:
+                group.start(address, is_first_start=False)
+            await group.wait_voters(SEEDS)
+            assert (await group.publish(7)).version_in_force == 7
+
+        run_group(tmp_path, test)
+
     def test_process_that_lost_its_disk_joins_under_a_new_name(self, tmp_path):
         async def test(group):
             await group.publish(7)
@@ -188,7 +202,7 @@
             group.start("d:1")
             await group.wait_voters(["b:1", "c:1", "d:1"])
             await group.kill("b:1")
-            assert (await group.publish(9)).is_stored
+            assert (await group.publish(9)).version_in_force == 9
 
         run_group(tmp_path, test)
 
@@ -200,7 +214,7 @@
             assert members.quorum == 3
             await group.kill("a:1")
             await group.kill("b:1")
-            assert (await group.publish(9)).is_stored
+            assert (await group.publish(9)).version_in_force == 9
 
         run_group(tmp_path, test)
 
--- a/packages/entry/src/almonddeal/roles/control.py
+++ b/packages/entry/src/almonddeal/roles/control.py
@@ -205,15 +205,14 @@
     def _build(self, stack, group):
         settings = self.settings
         address = str(settings.link_address)
-        name, is_founder = load_identity(
+        name, founders = load_identity(
             settings.data_folder,
             address,
             settings.seed_addresses,
             settings.is_first_start,
         )
         store = stack.enter_context(LogStore(settings.data_folder, end_process))
-        if is_founder:
-            found_group(store, settings.seed_addresses)
+        found_group(store, founders)
         self._hello = Hello(
             PROTOCOL_VERSION,
             LOWEST_PROTOCOL_VERSION,
