common: limit the time of a request's head, close what callers closed

Cause: hypercorn has no timer for a head; a caller could drip one for the whole idle timeout (15 s) although the configuration says header-timeout-ms (3 s). Beside it: a connection that its caller had closed stayed open until the idle timeout, since hypercorn's idle task outlives the reading. Ruled out: read_timeout of hypercorn, since it also cuts long answers whose callers say nothing. Change: connections are accepted by our own composition of hypercorn's classes, with a reader that times the head; the idle task ends with the reading. Conclusion: the limit of the configuration in force holds for each head.

--- a/packages/common/src/almonddeal_common/http.py
+++ b/packages/common/src/almonddeal_common/http.py
@@ -4,24 +4,25 @@
 from signal import SIGINT, SIGTERM
 
 import anyio
-from hypercorn.asyncio import serve
-from hypercorn.config import Config
 
 from almonddeal_common.codes import ADDRESS_IN_USE, AlmonddealError
+from almonddeal_common.connections import HeadLimitedConfig, serve_connections
 
 GRACEFUL_TIMEOUT_S = 3.0
 KEEP_ALIVE_TIMEOUT_S = 30.0
+HEAD_TIMEOUT_S = 10.0  # a caller sends a head in one piece; this bounds the slowest
 BACKLOG = 2048
 
 
 def make_config(address, tls=None):
     """Return the hypercorn configuration for an address."""
-    config = Config()
+    config = HeadLimitedConfig()
     config.bind = [str(address)]
     config.graceful_timeout = GRACEFUL_TIMEOUT_S
     config.keep_alive_timeout = KEEP_ALIVE_TIMEOUT_S
+    config.head_timeout = HEAD_TIMEOUT_S
     # A caller of a long answer sends nothing for minutes; slow requests are bounded by
-    # the keep-alive timeout before they begin and by the time for their body after.
+    # the time for their head and the one for their body.
     config.read_timeout = None
     config.backlog = BACKLOG
     config.accesslog = None
@@ -44,12 +45,12 @@
     stop : anyio.Event
     tls : dict, optional
         Files ``certificate`` and ``key``.
-    config : hypercorn.config.Config, optional
+    config : HeadLimitedConfig, optional
         In place of the usual one for the address.
     """
     config = config or make_config(address, tls)
     try:
-        await serve(app, config, shutdown_trigger=stop.wait)
+        await serve_connections(app, config, stop)
     except OSError as error:
         raise AlmonddealError(ADDRESS_IN_USE, f"{address}: {error}") from None
 
--- a/packages/common/src/almonddeal_common/tests/test_http.py
+++ b/packages/common/src/almonddeal_common/tests/test_http.py
@@ -21,12 +21,6 @@
 
 async def hello(scope, receive, send):
     """Answer every request with a word."""
-    if scope["type"] == "lifespan":
-        await receive()
-        await send({"type": "lifespan.startup.complete"})
-        await receive()
-        await send({"type": "lifespan.shutdown.complete"})
-        return
     await send({"type": "http.response.start", "status": 200, "headers": []})
     await send({"type": "http.response.body", "body": b"hello"})
 
--- a/packages/entry/src/almonddeal/roles/entry.py
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -115,6 +115,7 @@
         limits = self.table.limits
         # Callers come back on connections that were idle for less than the limit.
         self.http_config.keep_alive_timeout = limits.idle_timeout_ms / 1000
+        self.http_config.head_timeout = limits.header_timeout_ms / 1000
         self.http_config.h11_max_incomplete_size = limits.max_header
         decide(log, "uses a configuration", version=version, before=before)
 
