targets: an agent that started after a step back of the clock is believed

Cause: incarnations of agents are the time of day at their start, and a lower one was never taken: after a step back an agent that restarted stayed unknown for ever. Ruled out: links compare incarnations for being equal only; the ledger's replies can go early with a clock a week ahead, but a key stays used. Change: a process that is silent for 2.5 s gives way to any other one. Before: the new test of the directory fails (nothing but the old process is known). After: passes; platform, relay, publication, common, targets all pass.

--- a/packages/entry/src/almonddeal/targets/directory.py
+++ b/packages/entry/src/almonddeal/targets/directory.py
@@ -97,11 +97,17 @@
         return key not in (state.evicted_keys or ())
 
     def take(self, state):
-        """Take a newer announcement; returns whether it was newer."""
+        """Take a newer announcement; returns whether it was newer.
+
+        Incarnations are ordered by the time of day at their start. Since that may have
+        been set back in between, a silent process gives way to any other one.
+        """
         mine = (self.state.incarnation, self.state.sequence)
-        if (state.incarnation, state.sequence) <= mine:
+        is_other = state.incarnation != self.state.incarnation
+        is_silent = monotonic_ms() - self.heard_ms >= LIVE_MS
+        if (state.incarnation, state.sequence) <= mine and not (is_other and is_silent):
             return False
-        if state.incarnation != self.state.incarnation:
+        if is_other:
             self.memory_since_ms = monotonic_ms()
         self.state = state
         self.heard_ms = monotonic_ms()
--- a/packages/entry/src/almonddeal/targets/tests/test_targets.py
+++ b/packages/entry/src/almonddeal/targets/tests/test_targets.py
@@ -46,6 +46,20 @@
         directory.take(make_state("a", sequence=1, incarnation=2, n_running=2))
         assert directory.target_by_name["a"].n_predicted == 2
 
+    def test_process_that_started_after_a_step_back_of_the_clock(self, monkeypatch):
+        directory = make_directory()
+        directory.take(make_state("a", sequence=50, incarnation=9000))
+        restarted = make_state("a", sequence=1, incarnation=4000, n_running=2)
+        directory.take(restarted)
+        assert directory.target_by_name["a"].state.incarnation == 9000
+        heard_ms = directory.target_by_name["a"].heard_ms
+        path = "almonddeal.targets.directory.monotonic_ms"
+        monkeypatch.setattr(path, lambda: heard_ms + 2600)
+        directory.take(make_state("a", sequence=49, incarnation=9000))
+        assert directory.candidates() == []
+        directory.take(restarted)
+        assert [t.n_predicted for t in directory.candidates()] == [2]
+
     def test_silent_target_is_no_candidate(self, monkeypatch):
         directory = make_directory()
         directory.take(make_state("a"))
