control: compare logs for a vote under the lock of the disk

Cause: a voter compared the candidate's log with its own, then waited for its disk. An entry of the leader that was being written meanwhile was not in the comparison: the voter acknowledged it, the leader committed it, and the vote went to a candidate that lacked it. Change: the comparison is made after the lock was taken.

--- a/packages/entry/src/almonddeal/control/elections.py
+++ b/packages/entry/src/almonddeal/control/elections.py
@@ -131,25 +131,29 @@
     async def handle_vote(self, link, message, emit):
         """Answer a candidate."""
         self._check_recipient(message.recipient)
-        up_to_date = (message.last_term, message.last_index) >= (
-            self._log.last_term,
-            self._log.last_index,
-        )
         silence_ms = monotonic_ms() - self._leader_heard_ms
         hears_leader = self.role == LEADER or silence_ms < ELECTION_MIN_MS
         if message.pre:
-            granted = up_to_date and not hears_leader and message.term > self.term
+            granted = not hears_leader and message.term > self.term
+            granted = granted and self._is_up_to_date(message)
             return VoteReply(self.term, granted)
         async with self.disk:
             await self._adopt_term(message.term)
             free = self._voted_for in ("", message.candidate)
-            granted = message.term == self.term and up_to_date and free
+            granted = message.term == self.term and free
+            # An entry may have been written while this waited for the disk.
+            granted = granted and self._is_up_to_date(message)
             if granted:
                 await self._on_disk(self._store.save_meta, self.term, message.candidate)
                 self._voted_for = message.candidate
                 self._last_heard_ms = monotonic_ms()
         return VoteReply(self.term, granted)
 
+    def _is_up_to_date(self, vote):
+        """Tell whether a candidate's log holds all that this one does."""
+        mine = (self._log.last_term, self._log.last_index)
+        return (vote.last_term, vote.last_index) >= mine
+
     def _lead(self):
         log.info("leads term %d", self.term)
         self.role = LEADER
--- a/packages/entry/src/almonddeal/control/tests/fakes.py
+++ b/packages/entry/src/almonddeal/control/tests/fakes.py
@@ -2,6 +2,7 @@
 
 import random
 import shutil
+import time
 from pathlib import Path
 
 import anyio
@@ -69,6 +70,8 @@
         self.machine = ControlState()
         self.store = LogStore(group.folder / name, group.end_process)
         self.store.__enter__()
+        for call in ("append", "truncate_from", "save_meta"):
+            setattr(self.store, call, group.delayed(getattr(self.store, call)))
         peers = {
             other: FakePeer(group, name, other)
             for other in group.names
@@ -95,9 +98,19 @@
 
 
 class FakeGroup:
-    """A control group whose members can be killed, cut off and held up."""
-
-    def __init__(self, folder, tasks, seed, n_members=3):
+    """A control group whose members can be killed, cut off and held up.
+
+    Parameters
+    ----------
+    folder : path-like
+    tasks : anyio.abc.TaskGroup
+    seed : int
+    n_members : int
+    max_disk_s : float
+        Most that a write to a disk takes beyond what it takes here.
+    """
+
+    def __init__(self, folder, tasks, seed, n_members=3, max_disk_s=0.0):
         self.folder = Path(folder)
         self.names = [f"entry{n}" for n in range(n_members)]
         self.member_by_name = {}
@@ -107,6 +120,16 @@
         self.leader_by_term = {}
         self.applied_by_index = {}
         self._tasks = tasks
+        self._max_disk_s = max_disk_s
+
+    def delayed(self, call):
+        """Return a call to a disk that takes a random time, in its worker thread."""
+
+        def slow(*args):
+            time.sleep(self.random.uniform(0.0, self._max_disk_s))
+            return call(*args)
+
+        return slow
 
     @staticmethod
     def end_process(reason):
--- a/packages/entry/src/almonddeal/control/tests/test_consensus.py
+++ b/packages/entry/src/almonddeal/control/tests/test_consensus.py
@@ -2,19 +2,22 @@
 
 import anyio
 import pytest
+from anyio.lowlevel import checkpoint
 
+from almonddeal.control.constants import KIND_BARRIER
 from almonddeal.control.tests.fakes import FakeGroup, change
 from almonddeal_common.codes import AlmonddealError, error_from_wire
-from almonddeal_common.wire.gen.ttypes import Vote
+from almonddeal_common.wire.gen.ttypes import AppendLog, LogEntry, Vote
 
 N_SEEDS = 3
 N_FAULTS = 12
+N_SLOW_SEEDS = 8
 
 
-def run(folder, seed, test):
+def run(folder, seed, test, max_disk_s=0.0):
     async def main():
         async with anyio.create_task_group() as tasks:
-            group = FakeGroup(folder, tasks, seed)
+            group = FakeGroup(folder, tasks, seed, max_disk_s=max_disk_s)
             group.start_all()
             await test(group)
             tasks.cancel_scope.cancel()
@@ -22,6 +25,12 @@
     anyio.run(main)
 
 
+async def run_others():
+    """Let all tasks run until they wait for something."""
+    for _ in range(10):
+        await checkpoint()
+
+
 async def wait_leader(group, other_than=None):
     with anyio.fail_after(20):
         while True:
@@ -114,6 +123,33 @@
 
         run(tmp_path, 6, test)
 
+    def test_entry_written_while_a_vote_waits_counts_in_the_vote(self, tmp_path):
+        # Regression: tujenge-badges trouble-2, seed 702775887835. A voter compared
+        # the logs, then waited for the disk, where the leader's first entry was just
+        # being written; the vote for a candidate without it undid a committed entry.
+        async def test(group):
+            for name in ("entry1", "entry2"):
+                await group.kill(name)
+            voter = group.member_by_name["entry0"].consensus
+            term = voter.term + 5
+            entry = LogEntry(term, 1, KIND_BARRIER, b"")
+            append = AppendLog(term, "entry1", 0, 0, [entry], 0)
+            replies = {}
+
+            async def take(key, handler, message):
+                replies[key] = await handler(None, message, None)
+
+            vote = Vote(term + 1, "entry2", 0, 0, False)
+            async with anyio.create_task_group() as tasks, voter.disk:
+                tasks.start_soon(take, "append", voter.handle_append, append)
+                await run_others()
+                tasks.start_soon(take, "vote", voter.handle_vote, vote)
+                await run_others()
+            assert replies["append"].ok
+            assert not replies["vote"].granted
+
+        run(tmp_path, 7, test)
+
     def test_leader_that_is_cut_off_cannot_confirm_itself(self, tmp_path):
         async def test(group):
             leader = await wait_leader(group)
@@ -143,8 +179,20 @@
 
         run(tmp_path, 4, test)
 
+    @pytest.mark.parametrize("seed", range(N_SLOW_SEEDS))
+    def test_members_that_start_together_on_slow_disks(self, tmp_path, seed):
+        async def test(group):
+            for number in range(5):
+                await submit(group, change(f"e{number}", number))
+            assert await settled_versions(group) == [5, 5, 5]
+
+        run(tmp_path, 300 + seed, test, max_disk_s=0.08)
+
+    @pytest.mark.parametrize("max_disk_s", [0.0, 0.05])
     @pytest.mark.parametrize("seed", range(N_SEEDS))
-    def test_history_of_changes_is_that_of_a_single_copy(self, tmp_path, seed):
+    def test_history_of_changes_is_that_of_a_single_copy(
+        self, tmp_path, seed, max_disk_s
+    ):
         async def test(group):
             history = []
             async with anyio.create_task_group() as clients:
@@ -160,7 +208,7 @@
             assert len(set(versions)) == 1
             check_history(history, versions[0])
 
-        run(tmp_path, 100 + seed, test)
+        run(tmp_path, 100 + seed, test, max_disk_s)
 
 
 class Operation:
--- a/tools/almonddeal_tools/engine.py
+++ b/tools/almonddeal_tools/engine.py
@@ -27,13 +27,26 @@
 from almonddeal_tools.slots import PrioritySlots
 
 CACHE_BLOCK = 64
+ENGINE_BITS = 3  # of a nonce; the numbers of a fleet's engines differ in them
 MAX_CACHE_BLOCKS = 4096
 
 
+def draw_nonce(engine_number):
+    """Return a nonce that no other engine of a small fleet draws.
+
+    Parameters
+    ----------
+    engine_number : int
+        Different for the engines of a fleet; its lowest bits end the nonce.
+    """
+    drawn = random.getrandbits(NONCE_BITS - ENGINE_BITS)
+    return drawn << ENGINE_BITS | engine_number % (1 << ENGINE_BITS)
+
+
 class Attempt:
     """One running stream."""
 
-    def __init__(self, body):
+    def __init__(self, body, engine_number):
         self.request = body["request"]
         self.attempt = body["attempt"]
         self.model = body["model"]
@@ -47,7 +60,7 @@
         self.context = context_digest(
             self.model, self.version, self.prompt, settings_json
         )
-        self.nonce = random.getrandbits(NONCE_BITS)
+        self.nonce = draw_nonce(engine_number)
         self.n_computed = 0
         self.n_prefill = 0
         self.is_cancelled = False
@@ -129,6 +142,7 @@
 
     def __init__(self, options):
         self.options = options
+        self.number = options["number"]
         self.models = [list(pair) for pair in options["models"]]
         self.running = set()
         self.n_waiting = 0
@@ -243,7 +257,7 @@
 
     async def _generate(self, request):
         engine = self._engine
-        attempt = Attempt(await request.json())
+        attempt = Attempt(await request.json(), engine.number)
         if engine.is_refusing:
             return JSONResponse({"error": "refusing"}, 503)
         if not engine.serves(attempt.model, attempt.version):
@@ -317,6 +331,7 @@
 
 
 DEFAULTS = {
+    "number": 0,
     "slots": 64,
     "token_ms": 5.0,
     "batch_ms": 0.05,
--- a/tools/almonddeal_tools/fleet.py
+++ b/tools/almonddeal_tools/fleet.py
@@ -195,7 +195,7 @@
                 "--listen",
                 address,
                 "--options",
-                json.dumps(self.engine_options),
+                json.dumps({**self.engine_options, "number": number}),
             ],
         )
         target = {"name": f"engine{number}", "kind": "engine", "address": address}
