common: connections cut at the end of a stop end without an error line

Change: connections are cancelled by their scopes. Before: the new test finds an ERROR record. After: none; the other tests pass.

--- a/packages/common/src/almonddeal_common/connections.py
+++ b/packages/common/src/almonddeal_common/connections.py
@@ -15,6 +15,8 @@
 
 from almonddeal_common.logs import get_logger
 
+CANCEL_TIMEOUT_S = 0.5  # for connections to close once they were cancelled
+
 log = get_logger("http")
 
 
@@ -93,14 +95,16 @@
     loop = asyncio.get_running_loop()
     wrapped = wrap_app(app, config.wsgi_max_body_size, "asgi")
     context = WorkerContext(None)
-    tasks = set()
+    scope_by_task = {}
 
     async def accept(reader, writer):
         task = asyncio.current_task()
-        tasks.add(task)
-        task.add_done_callback(tasks.discard)
         limited = _HeadLimitedReader(reader, config)
-        await _Connection(wrapped, loop, config, context, {}, limited, writer)
+        try:
+            with anyio.CancelScope() as scope_by_task[task]:
+                await _Connection(wrapped, loop, config, context, {}, limited, writer)
+        finally:
+            del scope_by_task[task]
 
     sockets = config.create_sockets()
     servers = [
@@ -125,7 +129,12 @@
         for server in servers:
             server.close()
         with anyio.CancelScope(shield=True):
-            if tasks:
-                await asyncio.wait(tasks, timeout=config.graceful_timeout)
-        for task in list(tasks):
-            task.cancel()
+            await _wait_tasks(scope_by_task, config.graceful_timeout)
+            for scope in scope_by_task.values():
+                scope.cancel()
+            await _wait_tasks(scope_by_task, CANCEL_TIMEOUT_S)
+
+
+async def _wait_tasks(tasks, timeout_s):
+    if tasks:
+        await asyncio.wait(list(tasks), timeout=timeout_s)
--- a/packages/common/src/almonddeal_common/tests/test_connections.py
+++ b/packages/common/src/almonddeal_common/tests/test_connections.py
@@ -1,6 +1,7 @@
 """Tests of limits on slow requests, on connections that real sockets make."""
 
 import socket
+from contextlib import suppress
 from functools import partial
 
 import anyio
@@ -63,6 +64,15 @@
     return received
 
 
+async def read_all(connection):
+    """Return the bytes up to the end of a connection."""
+    received = b""
+    with suppress(anyio.EndOfStream):
+        while True:
+            received += await connection.receive()
+    return received
+
+
 class TestSlowRequests:
     def test_head_that_stops_midway_is_closed(self):
         async def test(connection):
@@ -132,6 +142,30 @@
 
         anyio.run(main)
 
+    def test_answer_that_never_ends_is_cut_without_an_error(self, caplog):
+        async def endless(scope, receive, send):
+            started.set()
+            await anyio.sleep(3600)
+
+        async def main():
+            stop = anyio.Event()
+            config = make_config(ADDRESS)
+            config.graceful_timeout = 0.1
+            with anyio.fail_after(20):
+                async with anyio.create_task_group() as group:
+                    serve = partial(serve_http, config=config)
+                    group.start_soon(serve, endless, ADDRESS, stop)
+                    async with await connect() as connection:
+                        await connection.send(HEAD + b"body")
+                        await started.wait()
+                        stop.set()
+                        received = await read_all(connection)
+            assert received.startswith(b"HTTP/1.1 500") or not received
+
+        started = anyio.Event()
+        anyio.run(main)
+        assert [r for r in caplog.records if r.levelname == "ERROR"] == []
+
     def test_nobody_listens_after_the_stop(self):
         async def main():
             stop = anyio.Event()
