--- a/packages/entry/src/almonddeal/relay/tests/test_load.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_load.py
@@ -111,8 +111,13 @@
 class TestLostDomain:
     """Pattern: all engines of one failure domain vanish at the same moment."""
 
+    @pytest.fixture(autouse=True)
+    def _clock(self, virtual_time):
+        self._virtual_time = virtual_time
+
     def lose(self, targets, names):
         for name in names:
+            self._virtual_time.now_s += 0.01
             targets.avoid(targets.get(name), "is silent", "r")
 
     def test_rest_of_a_domain_comes_last_once_two_are_lost(self):
--- a/packages/entry/src/almonddeal/relay/tests/test_plain.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_plain.py
@@ -1,6 +1,5 @@
 """Tests of lookups and orders over targets that fail in every way."""
 
-import anyio
 import pytest
 
 from almonddeal.relay.plain import relay_plain
@@ -26,6 +25,7 @@
     SERVICE_FAILED,
     AlmonddealError,
 )
+from almonddeal_common.virtual_time import run_in_virtual_time
 
 
 def relay(fleet, route, timeout_ms=1000.0):
@@ -36,7 +36,7 @@
         await relay_plain(admit_plain(route, timeout_ms), fleet.parts, reply)
         return reply
 
-    return anyio.run(main)
+    return run_in_virtual_time(main)
 
 
 def refusal(fleet, route, timeout_ms=1000.0):
--- a/packages/entry/src/almonddeal/relay/tests/test_streams.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_streams.py
@@ -32,6 +32,7 @@
     OVERLOADED,
     AlmonddealError,
 )
+from almonddeal_common.virtual_time import run_in_virtual_time
 from almonddeal_common.wire.gen.ttypes import Run
 
 LAST = 20
@@ -47,7 +48,7 @@
             await relay_stream(admitted or admit_stream(), fleet.parts, used)
         return used
 
-    return anyio.run(main)
+    return run_in_virtual_time(main)
 
 
 def refusal(fleet, admitted=None):
@@ -100,7 +101,7 @@
             assert whole(reply)
             assert fleet.n_open == 0
 
-        anyio.run(main)
+        run_in_virtual_time(main)
 
     def test_copy_that_is_gone_costs_one_refusal(self):
         fleet = Fleet(
@@ -230,7 +231,7 @@
                 fleet.book.avoid(lost, "could not be reached", "other")
             return reply, lost.record.target
 
-        reply, lost = anyio.run(main)
+        reply, lost = run_in_virtual_time(main)
         assert reply.event_ids == list(range(1, 201))
         first, second = fleet.attempts
         assert second.target.target not in ("i-1", lost)
@@ -250,7 +251,7 @@
                 state = fleet.book.get("i-2")
                 state.record = record("i-2", "fd2", born_ms=2000)
 
-        anyio.run(main)
+        run_in_virtual_time(main)
         assert fleet.copies
         assert fleet.freed == [f"copy-{len(fleet.copies)}"]
 
@@ -295,7 +296,7 @@
             with anyio.move_on_after(0.15):
                 await relay_stream(admit_stream(), first.parts, reply)
 
-        anyio.run(main)
+        run_in_virtual_time(main)
         (run,) = first.parts.runs.values()
         assert run.is_ended
         assert run.is_cut
@@ -316,7 +317,7 @@
             (run,) = fleet.parts.runs.values()
             assert run.is_ended
 
-        anyio.run(main)
+        run_in_virtual_time(main)
 
 
 class TestRefusals:
