--- a/packages/entry/src/almonddeal/relay/choose.py
+++ b/packages/entry/src/almonddeal/relay/choose.py
@@ -99,3 +99,24 @@
         and state.record.target != target.target
     ]
     return choose_engine(elsewhere, load_view, n_tokens, traits, "", random_value)
+
+
+class Choices:
+    """The decisions on where work goes, as functions.
+
+    Parameters
+    ----------
+    plain : callable
+        Like `choose_plain`.
+    engine : callable
+        Like `choose_engine`.
+    backup : callable
+        Like `choose_backup`.
+    """
+
+    __slots__ = ("backup", "engine", "plain")
+
+    def __init__(self, plain=choose_plain, engine=choose_engine, backup=choose_backup):
+        self.plain = plain
+        self.engine = engine
+        self.backup = backup
--- a/packages/entry/src/almonddeal/relay/copies.py
+++ b/packages/entry/src/almonddeal/relay/copies.py
@@ -9,7 +9,6 @@
 
 import anyio
 
-from almonddeal.relay.choose import choose_backup
 from almonddeal.relay.run_reports import note_copy
 from almonddeal.relay.stream_state import Copy
 from almonddeal_common.clock import monotonic_ms
@@ -37,7 +36,7 @@
     if not stream.admitted.route.may_repeat:
         return None
     states = parts.targets.candidates(stream.admitted.service.name)
-    return choose_backup(
+    return parts.choices.backup(
         states, record, parts.loads, stream.n_tokens, traits, random.random
     )
 
--- a/packages/entry/src/almonddeal/relay/parts.py
+++ b/packages/entry/src/almonddeal/relay/parts.py
@@ -1,6 +1,7 @@
 """What serving a request needs of its instance."""
 
 from almonddeal.limits.budget import RetryBudget
+from almonddeal.relay.choose import Choices
 from almonddeal_common.clock import monotonic_ms
 
 OWN_RATIO_SHARE = 0.6  # of the allowed ratio; the rest covers uneven shares of traffic
@@ -52,6 +53,8 @@
     calls : TargetCalls
     retry_limits : RetryLimits
     metrics : RelayMetrics
+    choices : Choices, optional
+        In place of the usual ones, for experiments.
     """
 
     def __init__(
@@ -64,6 +67,7 @@
         calls,
         retry_limits,
         metrics,
+        choices=None,
     ):
         self.instance = instance
         self.domain = domain
@@ -76,6 +80,7 @@
         self.free_copy = calls.free_copy
         self.list_cached = calls.list_cached
         self.metrics = metrics
+        self.choices = choices or Choices()
         self.version = 0
         self._started_ms = monotonic_ms()
         self._retry_limits = retry_limits
--- a/packages/entry/src/almonddeal/relay/plain.py
+++ b/packages/entry/src/almonddeal/relay/plain.py
@@ -4,7 +4,6 @@
 
 import anyio
 
-from almonddeal.relay.choose import choose_plain
 from almonddeal.relay.requests import Attempt
 from almonddeal.routing.model import ORDER
 from almonddeal_common.clock import monotonic_ms
@@ -100,7 +99,7 @@
 
 def _next_target(admitted, parts, tried):
     states = parts.targets.candidates(admitted.service.name, tried)
-    return choose_plain(states, parts.domain, random.random)
+    return parts.choices.plain(states, parts.domain, random.random)
 
 
 def _is_free(outcome):
--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -11,7 +11,6 @@
 
 from almonddeal.relay.attempts import run_attempt
 from almonddeal.relay.cached import find_cached
-from almonddeal.relay.choose import choose_engine
 from almonddeal.relay.run_reports import end_run
 from almonddeal.relay.stream_state import Copy, Stream
 from almonddeal_common.clock import monotonic_ms
@@ -115,7 +114,7 @@
         state = await find_cached(stream, parts, possible)
         if state is not None:
             return state, None
-    state = choose_engine(
+    state = parts.choices.engine(
         states, parts.loads, stream.n_tokens, traits, parts.domain, random.random
     )
     return state, None
--- /dev/null
+++ b/tools/almonddeal_tools/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Simulated engines and services, and experiments on where work goes."""
--- /dev/null
+++ b/tools/almonddeal_tools/lab/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the simulation, and of decisions under named loads."""
