relay: choose engines by the pace at which they read

Cause (lab, pattern slow-engines): an engine at a quarter of its speed was given as many prompts as the others; each was late, since the published speed was taken for all. Ruled out: asking engines (their reports say nothing of speed, and cost a probe).

--- a/packages/entry/src/almonddeal/relay/choose.py
+++ b/packages/entry/src/almonddeal/relay/choose.py
@@ -5,7 +5,6 @@
 
 FAILURE_COST_MS = 400.0  # time that a failed lookup loses, most of its deadline
 OTHER_DOMAIN_COST_MS = 4.0  # a round trip between failure domains, and its bytes
-PREFILL_TOKENS_PER_MS = 5.0  # published speed of the engines
 RUN_COST_MS = 60.0  # what one more run slows an engine's tokens over an answer
 OTHER_DOMAIN_ENGINE_COST_MS = 80.0  # bytes of a prompt and its answer
 MEMORY_SHARE = 0.92  # engines preempt when their memory is full
@@ -80,7 +79,8 @@
         load = load_view.load(state.record)
         distance = state.record.failure_domain != domain
         return (
-            load.n_unread_tokens / PREFILL_TOKENS_PER_MS
+            (load.n_unread_tokens + n_tokens)
+            * load_view.reading_ms_per_token(state.record)
             + load.n_runs * RUN_COST_MS
             + load.n_copy_tokens / traits.n_cache_tokens * RUN_COST_MS
             + OTHER_DOMAIN_ENGINE_COST_MS * distance
--- a/packages/entry/src/almonddeal/relay/load.py
+++ b/packages/entry/src/almonddeal/relay/load.py
@@ -1,5 +1,6 @@
 """The load of engines: runs of all instances, as far as they are known here."""
 
+from almonddeal.relay.pace import ReadingPace
 from almonddeal_common.clock import monotonic_ms
 
 FORGET_RUN_MS = 30_000  # longer than any route lets a request run
@@ -17,11 +18,21 @@
         Tokens of prompts that are still to be read.
     n_copy_tokens : int
         Tokens of copies that are kept for runs at other targets.
+    reading_by_request : dict of str to tuple
+        When each prompt that is being read was given to the target, in ms, and how
+        many tokens were to be read up to its end then.
     """
 
-    __slots__ = ("n_copy_tokens", "n_runs", "n_tokens", "n_unread_tokens")
+    __slots__ = (
+        "n_copy_tokens",
+        "n_runs",
+        "n_tokens",
+        "n_unread_tokens",
+        "reading_by_request",
+    )
 
     def __init__(self):
+        self.reading_by_request = {}
         self.n_runs = 0
         self.n_tokens = 0
         self.n_unread_tokens = 0
@@ -44,6 +55,7 @@
     """
 
     def __init__(self):
+        self._pace = ReadingPace()
         self._run_by_request = {}
         self._taken_ms_by_request = {}
         self._load_by_target = {}
@@ -57,6 +69,7 @@
         self._taken_ms_by_request.pop(run.request, None)
         if known is not None:
             self._count(known, -1)
+            self._note_reading(known, run)
         if not run.is_ended:
             self._run_by_request[run.request] = run
             self._taken_ms_by_request[run.request] = monotonic_ms()
@@ -69,10 +82,45 @@
         load.n_runs += sign
         load.n_tokens += sign * run.n_tokens
         load.n_unread_tokens += sign * run.n_unread_tokens
+        if sign > 0 and run.n_unread_tokens:
+            reading = (monotonic_ms(), load.n_unread_tokens)
+            load.reading_by_request.setdefault(run.request, reading)
         if run.backup:
             copy = self._load(run.backup, run.backup_born_ms)
             copy.n_copy_tokens += sign * run.n_tokens
 
+    def _note_reading(self, known, run):
+        """Learn the pace of a target from a prompt that it has read."""
+        is_same = (known.target, known.born_ms) == (run.target, run.born_ms)
+        if is_same and run.n_unread_tokens and not run.is_ended:
+            return
+        load = self._load(known.target, known.born_ms)
+        reading = load.reading_by_request.pop(known.request, None)
+        if reading is None:
+            return
+        since_ms, n_tokens = reading
+        key = (known.target, known.born_ms)
+        ms_per_token = (monotonic_ms() - since_ms) / n_tokens
+        was_read = is_same and not run.is_ended
+        # A reading that was given up tells only that it would have taken longer.
+        if was_read or ms_per_token > self._pace.ms_per_token(key):
+            self._pace.note(key, ms_per_token)
+
+    def reading_ms_per_token(self, record):
+        """Return how long a target is thought to take for a token of a prompt, in ms.
+
+        A prompt that is read for longer than usual tells before its end.
+        """
+        now_ms = monotonic_ms()
+        readings = self.load(record).reading_by_request.values()
+        so_far = [(now_ms - since_ms) / n_tokens for since_ms, n_tokens in readings]
+        return max([self._pace.ms_per_token((record.target, record.born_ms)), *so_far])
+
+    @property
+    def usual_ms_per_token(self):
+        """Time in ms that targets usually take for a token of a prompt."""
+        return self._pace.usual_ms_per_token
+
     def _load(self, target, born_ms):
         key = (target, born_ms)
         if key not in self._load_by_target:
@@ -106,8 +154,12 @@
                 del self._cut_by_fingerprint[fingerprint]
         for request, taken_ms in list(self._taken_ms_by_request.items()):
             if now_ms - taken_ms > FORGET_RUN_MS:
-                self._count(self._run_by_request.pop(request), -1)
+                run = self._run_by_request.pop(request)
+                self._count(run, -1)
+                load = self._load(run.target, run.born_ms)
+                load.reading_by_request.pop(request, None)
                 del self._taken_ms_by_request[request]
+        self._pace.forget_old()
         for key, load in list(self._load_by_target.items()):
             if not load.n_runs and not load.n_copy_tokens:
                 del self._load_by_target[key]
--- a/packages/entry/src/almonddeal/relay/stall.py
+++ b/packages/entry/src/almonddeal/relay/stall.py
@@ -1,6 +1,6 @@
 """When a silent engine is given up: limits on the wait for the next event."""
 
-from almonddeal.relay.choose import PREFILL_TOKENS_PER_MS
+from almonddeal.relay.pace import PUBLISHED_MS_PER_TOKEN
 
 FIRST_EVENT_MARGIN_MS = 700.0  # queueing, and reading between tokens of other runs
 FIRST_EVENT_SLACK = 1.6  # prompts that are read at the same time share the engine
@@ -27,15 +27,15 @@
     objective_ms : float
         Time to the first event that callers expect, from now.
     """
-    reading_ms = n_unread_tokens / PREFILL_TOKENS_PER_MS
-    elsewhere_ms = n_prompt_tokens / PREFILL_TOKENS_PER_MS + BEGIN_ELSEWHERE_MS
+    reading_ms = n_unread_tokens * PUBLISHED_MS_PER_TOKEN
+    elsewhere_ms = n_prompt_tokens * PUBLISHED_MS_PER_TOKEN + BEGIN_ELSEWHERE_MS
     usual_ms = FIRST_EVENT_SLACK * reading_ms + FIRST_EVENT_MARGIN_MS
     return max(usual_ms, objective_ms - elsewhere_ms)
 
 
 def first_probe_ms(n_unread_tokens):
     """Return after how long without an event an engine is asked for a sign of life."""
-    reading_ms = n_unread_tokens / PREFILL_TOKENS_PER_MS
+    reading_ms = n_unread_tokens * PUBLISHED_MS_PER_TOKEN
     return PROBE_SLACK * reading_ms + PROBE_MARGIN_MS
 
 
--- a/packages/entry/src/almonddeal/relay/tests/test_load.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_load.py
@@ -5,6 +5,7 @@
 from almonddeal.relay import load as load_module
 from almonddeal.relay.choose import MEMORY_SHARE, choose_backup, choose_engine
 from almonddeal.relay.load import LoadView
+from almonddeal.relay.pace import PUBLISHED_MS_PER_TOKEN
 from almonddeal.relay.targets import DOMAIN_LOST_TARGETS, TargetBook
 from almonddeal.relay.tests.fakes import TRAITS, Fleet, record, streams
 from almonddeal_common.wire.gen.ttypes import Run
@@ -152,3 +153,72 @@
             parts.loads.take(run(f"r{number}", instance=f"entry-{number}"))
         parts.adjust_budgets()
         assert budget.saved == share
+
+
+class TestSlowEngine:
+    """Pattern: an engine works at a quarter of its speed, and reports nothing of it."""
+
+    @pytest.fixture(autouse=True)
+    def _clock(self, virtual_time):
+        self._virtual_time = virtual_time
+
+    def read(self, loads, request, target, took_s):
+        """Have a target read a prompt of 5000 tokens, then end its run."""
+        loads.take(run(request, target))
+        self._virtual_time.now_s += took_s
+        loads.take(run(request, target, n_unread_tokens=0))
+        loads.take(run(request, target, n_unread_tokens=0, is_ended=True))
+
+    def test_slow_reading_sends_the_next_prompt_elsewhere(self):
+        targets, loads = book({"i-1": "fd1", "i-2": "fd1"}), LoadView()
+        self.read(loads, "r1", "i-1", 4.0)
+        self.read(loads, "r2", "i-2", 1.0)
+        for number in range(5):
+            assert choose(targets, loads).record.target == "i-2"
+            loads.take(run(f"s{number}", "i-2", n_unread_tokens=0))
+
+    def test_reading_that_lasts_tells_before_its_end(self):
+        targets, loads = book({"i-1": "fd1", "i-2": "fd1"}), LoadView()
+        loads.take(run("r1", "i-1"))
+        loads.take(run("r2", "i-2"))
+        loads.take(run("r3", "i-2"))
+        assert choose(targets, loads).record.target == "i-1"
+        self._virtual_time.now_s += 4.0
+        loads.take(run("r2", "i-2", n_unread_tokens=0))
+        loads.take(run("r3", "i-2", n_unread_tokens=0))
+        assert choose(targets, loads).record.target == "i-2"
+
+    def test_reading_that_was_given_up_counts_as_slow(self):
+        targets, loads = book({"i-1": "fd1", "i-2": "fd1"}), LoadView()
+        loads.take(run("r1", "i-1"))
+        self._virtual_time.now_s += 3.0
+        loads.take(run("r1", "i-2"))
+        loads.take(run("r1", "i-2", is_ended=True))
+        assert choose(targets, loads).record.target == "i-2"
+
+    def test_run_that_ends_unread_early_tells_nothing(self):
+        loads = LoadView()
+        before = loads.reading_ms_per_token(record("i-1"))
+        loads.take(run("r1", "i-1"))
+        self._virtual_time.now_s += 0.1
+        loads.take(run("r1", "i-1", is_ended=True))
+        assert loads.reading_ms_per_token(record("i-1")) == before
+
+    def test_it_is_tried_again_after_a_while(self):
+        loads = LoadView()
+        self.read(loads, "r1", "i-1", 4.0)
+        slow = loads.reading_ms_per_token(record("i-1"))
+        self._virtual_time.now_s += 60.0
+        assert loads.reading_ms_per_token(record("i-1")) < slow / 1.5
+
+    def test_slow_readings_do_not_change_what_is_usual(self):
+        loads = LoadView()
+        for number in range(20):
+            self.read(loads, f"r{number}", "i-1", 4.0)
+        assert loads.usual_ms_per_token == PUBLISHED_MS_PER_TOKEN
+
+    def test_next_process_at_the_engine_is_not_thought_slow(self):
+        loads = LoadView()
+        self.read(loads, "r1", "i-1", 4.0)
+        reborn = record("i-1", born_ms=9000)
+        assert loads.reading_ms_per_token(reborn) == loads.usual_ms_per_token
--- a/tools/almonddeal_tools/lab/engine.py
+++ b/tools/almonddeal_tools/lab/engine.py
@@ -247,7 +247,10 @@
             backup_address,
             self.speed.tokens_per_event,
         )
-        if copy_id is not None or self._fits(run):
+        if copy_id is not None:
+            # Published: admitted first; what its copy lacks is read first, too.
+            self._runs.insert(0, run)
+        elif self._fits(run):
             self._runs.append(run)
         else:
             self._waiting.append(run)
