--- /dev/null
+++ b/packages/entry/src/almonddeal/relay/admission.py
@@ -0,0 +1,178 @@
+"""Which answers begin, which ones wait for an engine, and which are refused.
+
+An answer waits only while it can still begin within its objective, or briefly when
+that has passed. Otherwise it is refused at once and told when an engine will probably
+have room. Nothing here sends or receives.
+"""
+
+from almonddeal.relay.choose import MEMORY_SHARE
+from almonddeal_common.clock import monotonic_ms
+
+ON_TIME_SHARE = 0.75  # of the objective that a forecast may fill; it errs by a quarter
+LATE_MEMORY_SHARE = 0.5  # of an engine; the rest is for answers that can be on time
+LATE_WAIT_MS = 1500.0  # for answers that are late anyway, about one reading
+LEAST_RETRY_MS = 250.0  # in which a few engines read a prompt to its end
+MOST_RETRY_MS = 10_000.0  # a longer forecast says nothing
+
+
+class Wish:
+    """What an answer needs of an engine, at one moment.
+
+    Parameters
+    ----------
+    n_prompt_tokens : int
+    n_tokens : int
+        Tokens of the prompt and the longest output.
+    objective_left_ms : float
+        Time left in which its first event is on time; negative if it is late.
+    left_ms : float
+        Time left for the whole answer.
+    """
+
+    __slots__ = ("left_ms", "n_prompt_tokens", "n_tokens", "objective_left_ms")
+
+    def __init__(self, n_prompt_tokens, n_tokens, objective_left_ms, left_ms):
+        self.n_prompt_tokens = n_prompt_tokens
+        self.n_tokens = n_tokens
+        self.objective_left_ms = objective_left_ms
+        self.left_ms = left_ms
+
+
+def first_event_ms(load_view, record, n_prompt_tokens):
+    """Return how long an engine would take from now to an answer's first event, in ms.
+
+    Parameters
+    ----------
+    load_view : LoadView
+    record : AnnouncedTarget
+    n_prompt_tokens : int
+    """
+    n_tokens = load_view.load(record).n_unread_tokens + n_prompt_tokens
+    return n_tokens * load_view.reading_ms_per_token(record)
+
+
+def possible_engines(states, load_view, wish, traits):
+    """Return the engines at which an answer may begin now, as a list.
+
+    Those that begin it on time; for one that is late anyway, those that read nothing
+    for others and have memory left for answers that can be on time.
+
+    Parameters
+    ----------
+    states : list of TargetState
+    load_view : LoadView
+    wish : Wish
+    traits : EngineTraits
+    """
+    n_prompt_tokens = wish.n_prompt_tokens
+    on_time = [
+        state
+        for state in states
+        if first_event_ms(load_view, state.record, n_prompt_tokens)
+        <= ON_TIME_SHARE * wish.objective_left_ms
+    ]
+    if on_time:
+        return on_time
+    room = LATE_MEMORY_SHARE * traits.n_cache_tokens
+    loads = [(state, load_view.load(state.record)) for state in states]
+    return [
+        state
+        for state, load in loads
+        if not load.n_unread_tokens and load.n_used_tokens + wish.n_tokens <= room
+    ]
+
+
+def expected_wait_ms(states, load_view, wish, traits, n_ahead):
+    """Return how long an answer will probably wait for an engine, in ms.
+
+    Parameters
+    ----------
+    states : list of TargetState
+    load_view : LoadView
+    wish : Wish
+    traits : EngineTraits
+    n_ahead : int
+        Answers that wait and come before this one.
+
+    Returns
+    -------
+    wait_ms : float
+        Infinite if there is no engine.
+    """
+    if not states:
+        return float("inf")
+    room = MEMORY_SHARE * traits.n_cache_tokens
+    times_ms = sorted(_free_in_ms(s, load_view, wish, room) for s in states)
+    n_rounds, place = divmod(n_ahead, len(times_ms))
+    return times_ms[place] + n_rounds * load_view.run_ms / 2
+
+
+def _free_in_ms(state, load_view, wish, room):
+    """Return in how long an engine could begin an answer on time, in ms."""
+    load = load_view.load(state.record)
+    first_ms = first_event_ms(load_view, state.record, wish.n_prompt_tokens)
+    reading_ms = first_ms - max(0.0, ON_TIME_SHARE * wish.objective_left_ms)
+    has_room = (
+        load.n_used_tokens + wish.n_tokens <= room
+        and load.n_runs < state.record.n_slots
+    )
+    if has_room or not load.begun_ms_by_request:
+        return max(0.0, reading_ms)
+    oldest_ms = next(iter(load.begun_ms_by_request.values()))
+    left_ms = load_view.run_ms - (monotonic_ms() - oldest_ms)
+    return max(0.0, reading_ms, left_ms)
+
+
+def longest_wait_ms(load_view, wish):
+    """Return how long an answer may wait from now, in ms.
+
+    As long as it could then still begin on time at an engine that reads nothing else;
+    a late one for a short time, if enough is left to run it.
+    """
+    reading_ms = wish.n_prompt_tokens * load_view.usual_ms_per_token
+    on_time_ms = ON_TIME_SHARE * wish.objective_left_ms - reading_ms
+    if on_time_ms > 0:
+        return on_time_ms
+    return min(LATE_WAIT_MS, max(0.0, wish.left_ms - load_view.run_ms))
+
+
+class Returns:
+    """When refused callers were told to come back, so that they do not come at once."""
+
+    __slots__ = ("_promised_ms",)
+
+    def __init__(self):
+        self._promised_ms = 0.0
+
+    def after_ms(self, wait_ms, spacing_ms):
+        """Return in how long the next refused caller should come back, in ms.
+
+        Parameters
+        ----------
+        wait_ms : float
+            When there will probably be room, from now.
+        spacing_ms : float
+            Time in which the fleet takes in one answer for each instance.
+        """
+        now_ms = monotonic_ms()
+        wait_ms = min(MOST_RETRY_MS, max(LEAST_RETRY_MS, wait_ms))
+        self._promised_ms = max(now_ms + wait_ms, self._promised_ms + spacing_ms)
+        self._promised_ms = min(self._promised_ms, now_ms + MOST_RETRY_MS)
+        return self._promised_ms - now_ms
+
+
+def spacing_ms(states, load_view, wish, traits):
+    """Return the time in ms in which each instance can have one answer begun.
+
+    Parameters
+    ----------
+    states : list of TargetState
+    load_view : LoadView
+    wish : Wish
+    traits : EngineTraits
+    """
+    n_engines = max(1, len(states))
+    reading_ms = wish.n_prompt_tokens * load_view.usual_ms_per_token / n_engines
+    room = MEMORY_SHARE * traits.n_cache_tokens * n_engines
+    memory_ms = load_view.run_ms * wish.n_tokens / room
+    return max(reading_ms, memory_ms) * max(1, load_view.n_instances)
--- a/packages/entry/src/almonddeal/relay/attempts.py
+++ b/packages/entry/src/almonddeal/relay/attempts.py
@@ -114,7 +114,9 @@
 async def _probe_while_silent(parts, state, request_id):
     """Ask an engine that is silent for a sign of life, and end its attempts without."""
     n_unread_tokens = parts.loads.load(state.record).n_unread_tokens
-    await anyio.sleep(first_probe_ms(n_unread_tokens) / 1000)
+    await anyio.sleep(
+        first_probe_ms(n_unread_tokens, parts.loads.usual_ms_per_token) / 1000
+    )
     while True:
         silence_ms = monotonic_ms() - state.last_heard_ms
         if silence_ms >= PROBE_INTERVAL_MS:
@@ -138,6 +140,7 @@
     return first_event_limit_ms(
         parts.loads.load(state.record).n_unread_tokens,
         n_prompt_tokens,
+        parts.loads.usual_ms_per_token,
         stream.admitted.route.objective_ms - waited_ms,
     )
 
--- a/packages/entry/src/almonddeal/relay/choose.py
+++ b/packages/entry/src/almonddeal/relay/choose.py
@@ -8,6 +8,7 @@
 RUN_COST_MS = 60.0  # what one more run slows an engine's tokens over an answer
 OTHER_DOMAIN_ENGINE_COST_MS = 80.0  # bytes of a prompt and its answer
 MEMORY_SHARE = 0.92  # engines preempt when their memory is full
+BACKUP_MEMORY_SHARE = 0.75  # above it memory goes to answers, not to copies of others
 SEEN_WEIGHT = 0.5  # of latencies that are compared with each other
 LOAD_AGE_LIMIT_MS = 500.0  # older reports of load say nothing
 JITTER_MS = 25.0  # keeps instances that know the same from choosing the same
@@ -49,7 +50,15 @@
     return max(state.n_in_flight, reported)
 
 
-def choose_engine(states, load_view, n_tokens, traits, domain, random_value):
+def choose_engine(
+    states,
+    load_view,
+    n_tokens,
+    traits,
+    domain,
+    random_value,
+    memory_share=MEMORY_SHARE,
+):
     """Return the engine that will begin and finish an answer soonest, or None.
 
     Parameters
@@ -61,13 +70,15 @@
     traits : EngineTraits
     domain : str
     random_value : callable
+    memory_share : float
+        Of an engine's memory that may be used.
 
     Returns
     -------
     state : TargetState or None
         None if no engine has room.
     """
-    room = MEMORY_SHARE * traits.n_cache_tokens
+    room = memory_share * traits.n_cache_tokens
 
     def has_room(state):
         load = load_view.load(state.record)
@@ -98,7 +109,9 @@
         if state.record.failure_domain != target.failure_domain
         and state.record.target != target.target
     ]
-    return choose_engine(elsewhere, load_view, n_tokens, traits, "", random_value)
+    return choose_engine(
+        elsewhere, load_view, n_tokens, traits, "", random_value, BACKUP_MEMORY_SHARE
+    )
 
 
 class Choices:
--- a/packages/entry/src/almonddeal/relay/load.py
+++ b/packages/entry/src/almonddeal/relay/load.py
@@ -4,6 +4,8 @@
 from almonddeal_common.clock import monotonic_ms
 
 FORGET_RUN_MS = 30_000  # longer than any route lets a request run
+FIRST_RUN_MS = 8000.0  # a run's time before any was seen: 800 tokens of 10 ms
+RUN_GAIN = 0.1  # weight of a new run in the usual time of one
 
 
 class TargetLoad:
@@ -18,12 +20,15 @@
         Tokens of prompts that are still to be read.
     n_copy_tokens : int
         Tokens of copies that are kept for runs at other targets.
+    begun_ms_by_request : dict of str to float
+        When each run at the target became known, the oldest one first.
     reading_by_request : dict of str to tuple
         When each prompt that is being read was given to the target, in ms, and how
         many tokens were to be read up to its end then.
     """
 
     __slots__ = (
+        "begun_ms_by_request",
         "n_copy_tokens",
         "n_runs",
         "n_tokens",
@@ -32,6 +37,7 @@
     )
 
     def __init__(self):
+        self.begun_ms_by_request = {}
         self.reading_by_request = {}
         self.n_runs = 0
         self.n_tokens = 0
@@ -52,9 +58,15 @@
 
     A target that started anew has a load of its own: targets are told apart by id and
     start.
+
+    Attributes
+    ----------
+    run_ms : float
+        Usual time of a run from its begin at a target to its end.
     """
 
     def __init__(self):
+        self.run_ms = FIRST_RUN_MS
         self._pace = ReadingPace()
         self._run_by_request = {}
         self._taken_ms_by_request = {}
@@ -70,6 +82,7 @@
         if known is not None:
             self._count(known, -1)
             self._note_reading(known, run)
+            self._note_run(known, run)
         if not run.is_ended:
             self._run_by_request[run.request] = run
             self._taken_ms_by_request[run.request] = monotonic_ms()
@@ -82,6 +95,8 @@
         load.n_runs += sign
         load.n_tokens += sign * run.n_tokens
         load.n_unread_tokens += sign * run.n_unread_tokens
+        if sign > 0:
+            load.begun_ms_by_request.setdefault(run.request, monotonic_ms())
         if sign > 0 and run.n_unread_tokens:
             reading = (monotonic_ms(), load.n_unread_tokens)
             load.reading_by_request.setdefault(run.request, reading)
@@ -106,6 +121,17 @@
         if was_read or ms_per_token > self._pace.ms_per_token(key):
             self._pace.note(key, ms_per_token)
 
+    def _note_run(self, known, run):
+        """Learn how long runs take from one that ended, or moved."""
+        is_same = (known.target, known.born_ms) == (run.target, run.born_ms)
+        if is_same and not run.is_ended:
+            return
+        load = self._load(known.target, known.born_ms)
+        begun_ms = load.begun_ms_by_request.pop(known.request, None)
+        is_whole = is_same and not run.is_cut and not known.n_unread_tokens
+        if begun_ms is not None and is_whole:
+            self.run_ms += RUN_GAIN * (monotonic_ms() - begun_ms - self.run_ms)
+
     def reading_ms_per_token(self, record):
         """Return how long a target is thought to take for a token of a prompt, in ms.
 
@@ -158,6 +184,7 @@
                 self._count(run, -1)
                 load = self._load(run.target, run.born_ms)
                 load.reading_by_request.pop(request, None)
+                load.begun_ms_by_request.pop(request, None)
                 del self._taken_ms_by_request[request]
         self._pace.forget_old()
         for key, load in list(self._load_by_target.items()):
--- a/packages/entry/src/almonddeal/relay/parts.py
+++ b/packages/entry/src/almonddeal/relay/parts.py
@@ -1,7 +1,10 @@
 """What serving a request needs of its instance."""
 
+import random
+
 from almonddeal.limits.budget import RetryBudget
 from almonddeal.relay.choose import Choices
+from almonddeal.relay.waiting import WaitingRoom
 from almonddeal_common.clock import monotonic_ms
 
 OWN_RATIO_SHARE = 0.6  # of the allowed ratio; the rest covers uneven shares of traffic
@@ -85,6 +88,7 @@
         self._started_ms = monotonic_ms()
         self._retry_limits = retry_limits
         self._budget_by_service = {}
+        self._waiting_room_by_service = {}
 
     @property
     def age_ms(self):
@@ -101,6 +105,21 @@
             self._budget_by_service[service_name] = budget
         return budget
 
+    def waiting_room(self, service_name):
+        """Return the room in which answers wait for engines of a service."""
+        return self._waiting_room_by_service.setdefault(service_name, WaitingRoom())
+
+    def choose_engine(self, states, admitted, n_tokens):
+        """Return the state of the engine for an answer, or None."""
+        return self.choices.engine(
+            states,
+            self.loads,
+            n_tokens,
+            admitted.service.engine,
+            self.domain,
+            random.random,
+        )
+
     def _slack_share(self):
         n_instances = max(INSTANCES_ASSUMED, self.loads.n_instances)
         return self._retry_limits.slack / n_instances
@@ -113,4 +132,7 @@
     def report(self, run):
         """Note a change of an own run here and for all other instances."""
         self.loads.take(run)
+        if run.is_ended:
+            for room in self._waiting_room_by_service.values():
+                room.wake()
         self.runs.put(run.request, run)
--- a/packages/entry/src/almonddeal/relay/stall.py
+++ b/packages/entry/src/almonddeal/relay/stall.py
@@ -1,7 +1,5 @@
 """When a silent engine is given up: limits on the wait for the next event."""
 
-from almonddeal.relay.pace import PUBLISHED_MS_PER_TOKEN
-
 FIRST_EVENT_MARGIN_MS = 700.0  # queueing, and reading between tokens of other runs
 FIRST_EVENT_SLACK = 1.6  # prompts that are read at the same time share the engine
 BEGIN_ELSEWHERE_MS = 500.0  # from a send to the first event, without reading
@@ -12,7 +10,7 @@
 MIN_GAP_MS = 220.0  # an event's tokens, each behind a chunk of another prompt
 
 
-def first_event_limit_ms(n_unread_tokens, n_prompt_tokens, objective_ms):
+def first_event_limit_ms(n_unread_tokens, n_prompt_tokens, ms_per_token, objective_ms):
     """Return how long the first event may take after the send, in ms.
 
     An engine is given up when another one could still keep the objective, and not
@@ -24,18 +22,20 @@
         Tokens of prompts that the engine still reads, this one included.
     n_prompt_tokens : int
         Tokens of this prompt.
+    ms_per_token : float
+        Usual time for a token of a prompt.
     objective_ms : float
         Time to the first event that callers expect, from now.
     """
-    reading_ms = n_unread_tokens * PUBLISHED_MS_PER_TOKEN
-    elsewhere_ms = n_prompt_tokens * PUBLISHED_MS_PER_TOKEN + BEGIN_ELSEWHERE_MS
+    reading_ms = n_unread_tokens * ms_per_token
+    elsewhere_ms = n_prompt_tokens * ms_per_token + BEGIN_ELSEWHERE_MS
     usual_ms = FIRST_EVENT_SLACK * reading_ms + FIRST_EVENT_MARGIN_MS
     return max(usual_ms, objective_ms - elsewhere_ms)
 
 
-def first_probe_ms(n_unread_tokens):
+def first_probe_ms(n_unread_tokens, ms_per_token):
     """Return after how long without an event an engine is asked for a sign of life."""
-    reading_ms = n_unread_tokens * PUBLISHED_MS_PER_TOKEN
+    reading_ms = n_unread_tokens * ms_per_token
     return PROBE_SLACK * reading_ms + PROBE_MARGIN_MS
 
 
--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -5,14 +5,13 @@
 from the last event that the caller has.
 """
 
-import random
-
 import anyio
 
 from almonddeal.relay.attempts import run_attempt
 from almonddeal.relay.cached import find_cached
 from almonddeal.relay.run_reports import end_run
 from almonddeal.relay.stream_state import Copy, Stream
+from almonddeal.relay.waiting import wait_for_engine
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import (
     ATTEMPT_LOST,
@@ -67,7 +66,9 @@
         state, copy = await _next_target(stream, parts)
         if state is None:
             if not stream.is_begun:
-                _refuse(stream, parts)
+                raise AlmonddealError(
+                    NO_TARGET, "no target is known", after_ms=RETRY_AFTER_MS
+                )
             await anyio.sleep(NO_ROOM_PAUSE_S)
             continue
         error = await run_attempt(stream, parts, state, copy)
@@ -100,40 +101,28 @@
 
 
 async def _next_target(stream, parts):
-    """Return the next target and the copy that it goes on from, if any."""
+    """Return the next target and the copy that it goes on from, if any.
+
+    Raises
+    ------
+    AlmonddealError
+        If the answer has not begun, and no engine takes it.
+    """
     copy, stream.copy = stream.copy, None
     if copy is not None and copy.is_sound(parts.targets, monotonic_ms()):
         return copy.state, copy
-    traits = stream.admitted.service.engine
-    service_name = stream.admitted.service.name
-    possible = parts.targets.candidates(service_name, stream.refused)
+    service = stream.admitted.service
+    possible = parts.targets.candidates(service.name, stream.refused)
     states = [s for s in possible if s.record.target not in stream.left_by] or possible
-    if traits is None:
+    if service.engine is None:
         return (min(states, key=lambda s: s.n_in_flight) if states else None), None
     if stream.last_event_id is not None:
         state = await find_cached(stream, parts, possible)
         if state is not None:
             return state, None
-    state = parts.choices.engine(
-        states, parts.loads, stream.n_tokens, traits, parts.domain, random.random
-    )
-    return state, None
-
-
-def _refuse(stream, parts):
-    known = parts.targets.candidates(stream.admitted.service.name)
-    decide(
-        log,
-        "refuses an answer",
-        request=stream.request_id,
-        n_targets=len(known),
-        n_refused=len(stream.refused),
-    )
-    if not known:
-        raise AlmonddealError(
-            NO_TARGET, "no engine of the service is known", after_ms=RETRY_AFTER_MS
-        )
-    raise AlmonddealError(OVERLOADED, "no engine has room", after_ms=RETRY_AFTER_MS)
+    if not stream.is_begun:
+        return await wait_for_engine(stream, parts), None
+    return parts.choose_engine(states, stream.admitted, stream.n_tokens), None
 
 
 def _may_go_on(stream, parts, error):
--- /dev/null
+++ b/packages/entry/src/almonddeal/relay/waiting.py
@@ -0,0 +1,185 @@
+"""Answers that wait for an engine at this instance, in the order of their turns."""
+
+from bisect import insort
+from contextlib import contextmanager
+
+import anyio
+
+from almonddeal.relay.admission import (
+    Returns,
+    Wish,
+    expected_wait_ms,
+    longest_wait_ms,
+    possible_engines,
+    spacing_ms,
+)
+from almonddeal_common.clock import monotonic_ms
+from almonddeal_common.codes import NO_TARGET, OVERLOADED, AlmonddealError
+from almonddeal_common.logs import decide, get_logger
+
+POLL_S = 0.05  # a run elsewhere may have ended without a word yet
+NO_ENGINE_RETRY_MS = 1000.0  # about the interval of announcements
+
+log = get_logger("relay")
+
+
+class Ticket:
+    """The place of one answer; the least one has its turn first."""
+
+    __slots__ = ("_key",)
+
+    def __init__(self, key):
+        self._key = key
+
+    def __lt__(self, other):
+        return self._key < other._key
+
+
+class WaitingRoom:
+    """The answers that wait for engines of one service."""
+
+    def __init__(self):
+        self.returns = Returns()
+        self._tickets = []
+        self._n_taken = 0
+        self._changed = anyio.Event()
+
+    @contextmanager
+    def ticket(self, is_late, priority, due_ms):
+        """Give a place among those that wait.
+
+        Late answers come after those that can be on time, less urgent ones after more
+        urgent ones, and the one that is due first goes first.
+        """
+        self._n_taken += 1
+        ticket = Ticket((is_late, priority, due_ms, self._n_taken))
+        insort(self._tickets, ticket)
+        try:
+            yield ticket
+        finally:
+            self._tickets.remove(ticket)
+            self.wake()
+
+    def n_ahead(self, ticket):
+        """Return how many have their turn before a ticket."""
+        return self._tickets.index(ticket)
+
+    def wake(self):
+        """Have those that wait look again."""
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    async def wait(self, limit_s):
+        """Wait for a change, at most for a time."""
+        with anyio.move_on_after(limit_s):
+            await self._changed.wait()
+
+
+def _make_wish(stream):
+    request = stream.admitted.request
+    generation = request.generation
+    waited_ms = monotonic_ms() - request.arrived_ms
+    return Wish(
+        generation.n_prompt_tokens if generation is not None else 0,
+        stream.n_tokens,
+        stream.admitted.route.objective_ms - waited_ms,
+        stream.admitted.left_ms,
+    )
+
+
+async def wait_for_engine(stream, parts):
+    """Return the state of the engine at which an answer begins now.
+
+    Parameters
+    ----------
+    stream : Stream
+    parts : RelayParts
+
+    Raises
+    ------
+    AlmonddealError
+        `OVERLOADED` or `NO_TARGET`, each with the time to come back.
+    """
+    room = parts.waiting_room(stream.admitted.service.name)
+    wish = _make_wish(stream)
+    limit_ms = monotonic_ms() + longest_wait_ms(parts.loads, wish)
+    is_late = is_late_anyway(wish, parts.loads)
+    due_ms = stream.admitted.request.arrived_ms + stream.admitted.route.objective_ms
+    has_waited = False
+    with room.ticket(is_late, stream.admitted.priority, due_ms) as ticket:
+        while True:
+            n_ahead = room.n_ahead(ticket)
+            states = _usable_states(stream, parts)
+            wish = _make_wish(stream)
+            state = _choose(stream, parts, states, wish) if not n_ahead else None
+            if state is not None:
+                return state
+            wait_ms = _expect_wait(stream, parts, states, wish, n_ahead)
+            if monotonic_ms() + wait_ms > limit_ms:
+                _refuse(stream, parts, room, states, wish, wait_ms)
+            if not has_waited:
+                has_waited = True
+                _log_wait(stream, n_ahead, len(states), wait_ms)
+            await room.wait(POLL_S)
+
+
+def is_late_anyway(wish, load_view):
+    """Tell whether an answer could not even begin on time at an idle engine."""
+    reading_ms = wish.n_prompt_tokens * load_view.usual_ms_per_token
+    return reading_ms > wish.objective_left_ms
+
+
+def _usable_states(stream, parts):
+    name = stream.admitted.service.name
+    possible = parts.targets.candidates(name, stream.refused)
+    fresh = [s for s in possible if s.record.target not in stream.left_by]
+    return fresh or possible
+
+
+def _choose(stream, parts, states, wish):
+    traits = stream.admitted.service.engine
+    possible = possible_engines(states, parts.loads, wish, traits)
+    return parts.choose_engine(possible, stream.admitted, stream.n_tokens)
+
+
+def _expect_wait(stream, parts, states, wish, n_ahead):
+    # The others' queues are not known here; they see the same engines as this one.
+    n_ahead *= max(1, parts.loads.n_instances)
+    traits = stream.admitted.service.engine
+    return expected_wait_ms(states, parts.loads, wish, traits, n_ahead)
+
+
+def _log_wait(stream, n_ahead, n_engines, wait_ms):
+    decide(
+        log,
+        "waits for an engine",
+        request=stream.request_id,
+        n_ahead=n_ahead,
+        n_engines=n_engines,
+        expected_ms=round(wait_ms),
+        left_ms=round(stream.admitted.left_ms),
+    )
+
+
+def _refuse(stream, parts, room, states, wish, wait_ms):
+    traits = stream.admitted.service.engine
+    if not parts.targets.candidates(stream.admitted.service.name):
+        error = AlmonddealError(
+            NO_TARGET, "no engine of the service is known", after_ms=NO_ENGINE_RETRY_MS
+        )
+    else:
+        after_ms = room.returns.after_ms(
+            wait_ms, spacing_ms(states, parts.loads, wish, traits)
+        )
+        error = AlmonddealError(OVERLOADED, "no engine has room", after_ms=after_ms)
+    decide(
+        log,
+        "refuses an answer",
+        request=stream.request_id,
+        n_engines=len(states),
+        n_refused=len(stream.refused),
+        expected_ms=round(min(wait_ms, 1e9)),
+        objective_left_ms=round(wish.objective_left_ms),
+        after_ms=round(error.after_ms),
+    )
+    raise error
--- a/tools/almonddeal_tools/lab/fleet.py
+++ b/tools/almonddeal_tools/lab/fleet.py
@@ -240,10 +240,11 @@
         return engine.target == target.target
 
     async def _send_copy(self, target, request_id, address):
-        engine = await self._reach(target.address, PROBE_TIMEOUT_S)
-        if engine.send_copy(request_id, address):
-            return request_id
-        return None
+        try:
+            engine = await self._reach(target.address, PROBE_TIMEOUT_S)
+        except AlmonddealError:
+            return None
+        return request_id if engine.send_copy(request_id, address) else None
 
     async def _free_copy(self, target, copy_id):
         for engine in self.engine_by_address.values():
