--- a/packages/entry/src/almonddeal/relay/admission.py
+++ b/packages/entry/src/almonddeal/relay/admission.py
@@ -102,25 +102,33 @@
     if not states:
         return float("inf")
     room = MEMORY_SHARE * traits.n_cache_tokens
-    times_ms = sorted(_free_in_ms(s, load_view, wish, room) for s in states)
+    times_ms = sorted(
+        time_ms
+        for state in states
+        for time_ms in _places_in_ms(state, load_view, wish, room)
+    )
     n_rounds, place = divmod(n_ahead, len(times_ms))
-    return times_ms[place] + n_rounds * load_view.run_ms / 2
+    return times_ms[place] + n_rounds * load_view.run_ms
+
 
+def _places_in_ms(state, load_view, wish, room):
+    """Return in how long each place of an engine can take an answer, as a list, in ms.
 
-def _free_in_ms(state, load_view, wish, room):
-    """Return in how long an engine could begin an answer on time, in ms."""
+    A place is free memory, or that of a run, which will end.
+    """
     load = load_view.load(state.record)
     first_ms = first_event_ms(load_view, state.record, wish.n_prompt_tokens)
-    reading_ms = first_ms - max(0.0, ON_TIME_SHARE * wish.objective_left_ms)
-    has_room = (
-        load.n_used_tokens + wish.n_tokens <= room
-        and load.n_runs < state.record.n_slots
-    )
-    if has_room or not load.begun_ms_by_request:
-        return max(0.0, reading_ms)
-    oldest_ms = next(iter(load.begun_ms_by_request.values()))
-    left_ms = load_view.run_ms - (monotonic_ms() - oldest_ms)
-    return max(0.0, reading_ms, left_ms)
+    reading_ms = max(0.0, first_ms - ON_TIME_SHARE * max(0.0, wish.objective_left_ms))
+    n_free = int((room - load.n_used_tokens) // max(1, wish.n_tokens))
+    n_free = max(0, min(n_free, state.record.n_slots - load.n_runs))
+    now_ms = monotonic_ms()
+    own_ms = wish.n_prompt_tokens * load_view.reading_ms_per_token(state.record)
+    free = [reading_ms + number * own_ms for number in range(n_free)]
+    taken = [
+        max(reading_ms, load_view.run_ms - (now_ms - begun_ms))
+        for begun_ms in load.begun_ms_by_request.values()
+    ]
+    return free + taken or [reading_ms]
 
 
 def longest_wait_ms(load_view, wish):
--- a/packages/entry/src/almonddeal/relay/load.py
+++ b/packages/entry/src/almonddeal/relay/load.py
@@ -5,6 +5,7 @@
 
 FORGET_RUN_MS = 30_000  # longer than any route lets a request run
 FIRST_RUN_MS = 8000.0  # a run's time before any was seen: 800 tokens of 10 ms
+SLOW_RATIO = 1.7  # prompts that are read beside others take up to this much longer
 RUN_GAIN = 0.1  # weight of a new run in the usual time of one
 
 
@@ -135,12 +136,15 @@
     def reading_ms_per_token(self, record):
         """Return how long a target is thought to take for a token of a prompt, in ms.
 
-        A prompt that is read for longer than usual tells before its end.
+        A prompt that is read for longer than usual tells before its end. Differences
+        that a shared batch explains count as none.
         """
         now_ms = monotonic_ms()
         readings = self.load(record).reading_by_request.values()
         so_far = [(now_ms - since_ms) / n_tokens for since_ms, n_tokens in readings]
-        return max([self._pace.ms_per_token((record.target, record.born_ms)), *so_far])
+        seen = max([self._pace.ms_per_token((record.target, record.born_ms)), *so_far])
+        usual = self._pace.usual_ms_per_token
+        return seen if seen > SLOW_RATIO * usual else usual
 
     @property
     def usual_ms_per_token(self):
