relay: a lost domain has its other engines asked for a sign of life at once

Ruled out: shorter timers, since reading takes 1 to 3 s on a sound engine. Change: two engines of a domain that were set aside, or a run that another instance moved away, have the attempts there ask for a sign of life at once.

--- a/packages/entry/src/almonddeal/relay/attempts.py
+++ b/packages/entry/src/almonddeal/relay/attempts.py
@@ -8,6 +8,7 @@
 from almonddeal.relay.run_reports import begin_run, note_first
 from almonddeal.relay.stall import (
     PROBE_INTERVAL_MS,
+    SUSPECT_SILENCE_MS,
     first_event_limit_ms,
     first_probe_ms,
     gap_limit_ms,
@@ -114,18 +115,26 @@
 async def _probe_while_silent(parts, state, request_id):
     """Ask an engine that is silent for a sign of life, and end its attempts without."""
     n_unread_tokens = parts.loads.load(state.record).n_unread_tokens
-    await anyio.sleep(
-        first_probe_ms(n_unread_tokens, parts.loads.usual_ms_per_token) / 1000
-    )
+    first_ms = first_probe_ms(n_unread_tokens, parts.loads.usual_ms_per_token)
+    is_suspected = await _wait_suspected(state, first_ms)
     while True:
         silence_ms = monotonic_ms() - state.last_heard_ms
-        if silence_ms >= PROBE_INTERVAL_MS:
+        least_ms = SUSPECT_SILENCE_MS if is_suspected else PROBE_INTERVAL_MS
+        if silence_ms >= least_ms:
             if not await parts.is_alive(state.record):
                 parts.targets.avoid(state, "gave no sign of life", request_id)
                 state.end_attempts()
                 return
             state.hear()
-        await anyio.sleep(PROBE_INTERVAL_MS / 1000)
+        is_suspected = await _wait_suspected(state, PROBE_INTERVAL_MS)
+
+
+async def _wait_suspected(state, limit_ms):
+    """Wait for a time; returns early, and True, if the target is suspected."""
+    with anyio.move_on_after(limit_ms / 1000):
+        await state.suspected.wait()
+        return True
+    return False
 
 
 def _set_limit(scope, limit_ms):
--- a/packages/entry/src/almonddeal/relay/load.py
+++ b/packages/entry/src/almonddeal/relay/load.py
@@ -75,6 +75,19 @@
         self._cut_by_fingerprint = {}
         self._seen_ms_by_instance = {}
 
+    def left_target(self, run):
+        """Return the target, and its start, that a run was moved away from, or None.
+
+        Parameters
+        ----------
+        run : Run
+            News that was not taken yet.
+        """
+        known = self._run_by_request.get(run.request)
+        if known is None or run.is_ended or known.target == run.target:
+            return None
+        return known.target, known.born_ms
+
     def take(self, run):
         """Note the newest state of a run."""
         self._seen_ms_by_instance[run.instance] = monotonic_ms()
--- a/packages/entry/src/almonddeal/relay/parts.py
+++ b/packages/entry/src/almonddeal/relay/parts.py
@@ -129,6 +129,13 @@
         for budget in self._budget_by_service.values():
             budget.limit(self._slack_share())
 
+    def hear_run(self, run):
+        """Take what another instance says of a run."""
+        left = self.loads.left_target(run)
+        self.loads.take(run)
+        if left is not None:
+            self.targets.suspect(*left)
+
     def report(self, run):
         """Note a change of an own run here and for all other instances."""
         self.loads.take(run)
--- a/packages/entry/src/almonddeal/relay/stall.py
+++ b/packages/entry/src/almonddeal/relay/stall.py
@@ -6,6 +6,7 @@
 PROBE_SLACK = 1.25  # a probe costs far less than reading a prompt again
 PROBE_MARGIN_MS = 150.0
 PROBE_INTERVAL_MS = 600.0
+SUSPECT_SILENCE_MS = 50.0  # of an engine whose neighbours were lost just now
 GAP_SHARE = 0.4  # of the longest pause allowed; the rest is for going on elsewhere
 MIN_GAP_MS = 220.0  # an event's tokens, each behind a chunk of another prompt
 
--- a/packages/entry/src/almonddeal/relay/targets.py
+++ b/packages/entry/src/almonddeal/relay/targets.py
@@ -2,6 +2,8 @@
 
 import math
 
+import anyio
+
 from almonddeal.announced.records import DRAINING, GONE, READY, is_newer
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.logs import decide, get_logger
@@ -36,6 +38,8 @@
         When bytes of any answer came last.
     since_ms : float
         When its present life became known here.
+    suspected : anyio.Event
+        Set when there is reason to ask it for a sign of life at once.
     """
 
     __slots__ = (
@@ -52,11 +56,13 @@
         "record",
         "scopes",
         "since_ms",
+        "suspected",
     )
 
     def __init__(self, record):
         self.record = record
         self.scopes = set()
+        self.suspected = anyio.Event()
         self.n_in_flight = 0
         self.last_heard_ms = 0.0
         self.reset()
@@ -118,6 +124,11 @@
         self._lost_ms = now_ms
         return is_again
 
+    def suspect(self):
+        """Have its attempts ask it for a sign of life."""
+        self.suspected.set()
+        self.suspected = anyio.Event()
+
     def end_attempts(self):
         """Cancel the attempts of this instance at the target."""
         for scope in list(self.scopes):
@@ -225,6 +236,23 @@
         for target, lost_ms in list(lost.items()):
             if now_ms - lost_ms > DOMAIN_LOST_MS:
                 del lost[target]
+        if len(lost) >= DOMAIN_LOST_TARGETS:
+            self._suspect_domain(*key)
+
+    def _suspect_domain(self, service_name, failure_domain):
+        for state in self.state_by_target.values():
+            record = state.record
+            if (record.service_name, record.failure_domain) == (
+                service_name,
+                failure_domain,
+            ):
+                state.suspect()
+
+    def suspect(self, target, born_ms):
+        """Note that another instance left a target midway."""
+        state = self.state_by_target.get(target)
+        if state is not None and state.record.born_ms == born_ms:
+            state.suspect()
 
     def _is_domain_lost(self, state, now_ms):
         """Tell whether other targets of the domain were lost just now.
--- a/packages/entry/src/almonddeal/relay/tests/test_streams.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_streams.py
@@ -320,6 +320,83 @@
         run_in_virtual_time(main)
 
 
+class TestLostDomain:
+    """Pattern: a failure domain falls silent while its engines still read prompts."""
+
+    def fleet(self):
+        fleet = Fleet(
+            {"i-1": hangs, "i-2": hangs, "i-3": hangs, "i-4": streams(1, LAST)},
+            {"i-1": "fd1", "i-2": "fd1", "i-3": "fd1", "i-4": "fd2"},
+        )
+        fleet.parts.loads.take(_busy_run("i-4"))
+        for number in (2, 3):
+            loaded = _busy_run(f"i-{number}")
+            loaded.request = f"other-{number}"
+            fleet.parts.loads.take(loaded)
+        return fleet
+
+    def took_s(self, fleet, happen):
+        """Return how long an answer takes, begun at i-1 while something happens."""
+
+        async def later():
+            await anyio.sleep(0.3)
+            happen()
+
+        async def main():
+            reply = FakeReply()
+            before_s = anyio.current_time()
+            async with anyio.create_task_group() as group:
+                group.start_soon(later)
+                await relay_stream(admit_stream(n_prompt=5000), fleet.parts, reply)
+            assert whole(reply)
+            return anyio.current_time() - before_s
+
+        took_s = run_in_virtual_time(main)
+        assert fleet.tried == ["i-1", "i-4"]
+        return took_s
+
+    def test_loss_of_two_neighbours_has_the_others_asked_at_once(self):
+        fleet = self.fleet()
+        fleet.alive = {"i-4"}
+
+        def happen():
+            for target in ("i-2", "i-3"):
+                fleet.book.avoid(fleet.book.get(target), "is silent", "r")
+
+        assert self.took_s(fleet, happen) < 0.5
+
+    def test_run_that_another_instance_moved_has_the_engine_asked_at_once(self):
+        fleet = self.fleet()
+        fleet.alive = {"i-4"}
+
+        def happen():
+            for target, is_ended in (("i-1", False), ("i-4", False), ("i-4", True)):
+                moved = _busy_run(target)
+                moved.request = "moved"
+                moved.is_ended = is_ended
+                fleet.parts.hear_run(moved)
+
+        assert self.took_s(fleet, happen) < 0.5
+
+    def test_engine_that_answers_is_kept(self):
+        fleet = self.fleet()
+        fleet.behaviour_by_target["i-1"] = streams(1, LAST, gap_s=0.04)
+
+        async def main():
+            reply = FakeReply()
+            async with anyio.create_task_group() as group:
+                admitted = admit_stream(n_prompt=5000)
+                group.start_soon(relay_stream, admitted, fleet.parts, reply)
+                await anyio.sleep(0.01)
+                for _ in range(5):
+                    await anyio.sleep(0.1)
+                    fleet.book.suspect("i-1", 1000)
+            return reply
+
+        assert whole(run_in_virtual_time(main))
+        assert fleet.tried == ["i-1"]
+
+
 class TestRefusals:
     def test_no_engine(self):
         error = refusal(Fleet({}))
@@ -334,8 +411,14 @@
 
     def test_unreachable_engines_are_not_sent_to(self):
         fleet = Fleet({"i-1": unreachable, "i-2": streams(1, LAST)})
-        for _ in range(6):
-            assert whole(relay(fleet))
+
+        async def main():
+            for _ in range(6):
+                reply = FakeReply()
+                await relay_stream(admit_stream(), fleet.parts, reply)
+                assert whole(reply)
+
+        run_in_virtual_time(main)
         assert fleet.tried.count("i-1") <= 1
 
     def test_failure_of_an_engine_is_passed_on(self):
--- a/tools/almonddeal_tools/lab/fleet.py
+++ b/tools/almonddeal_tools/lab/fleet.py
@@ -194,7 +194,7 @@
         await anyio.sleep(WORD_S)
         for other, instance in enumerate(self.instances):
             if other != number:
-                instance.loads.take(run)
+                instance.hear_run(run)
 
     # ---- calls of the relay ------------------------------------------------------
 
