relay: an answer that an engine lost is never said not to have run, and waits longer

Cause: found by a new test. When the last engine with room lost an answer before its first event, the refusal for want of room (503, a promise) followed, although the engine may have run it. The engine's own failure (500) was replaced in the same way. Change: after a send the answer ends with the engine's failure or 502; before that it takes any engine and waits as long as enough is left to run it. Before: both tests fail (503; 503 in place of 500).

--- a/packages/entry/src/almonddeal/relay/admission.py
+++ b/packages/entry/src/almonddeal/relay/admission.py
@@ -27,11 +27,22 @@
         Time left in which its first event is on time; negative if it is late.
     left_ms : float
         Time left for the whole answer.
+    was_sent : bool
+        Whether an engine lost it, so that it cannot be refused any more.
     """
 
-    __slots__ = ("left_ms", "n_prompt_tokens", "n_tokens", "objective_left_ms")
+    __slots__ = (
+        "left_ms",
+        "n_prompt_tokens",
+        "n_tokens",
+        "objective_left_ms",
+        "was_sent",
+    )
 
-    def __init__(self, n_prompt_tokens, n_tokens, objective_left_ms, left_ms):
+    def __init__(
+        self, n_prompt_tokens, n_tokens, objective_left_ms, left_ms, was_sent=False
+    ):
+        self.was_sent = was_sent
         self.n_prompt_tokens = n_prompt_tokens
         self.n_tokens = n_tokens
         self.objective_left_ms = objective_left_ms
@@ -55,7 +66,8 @@
     """Return the engines at which an answer may begin now, as a list.
 
     Those that begin it on time; for one that is late anyway, those that read nothing
-    for others and have memory left for answers that can be on time.
+    for others and have memory left for answers that can be on time. One that an engine
+    lost may begin anywhere.
 
     Parameters
     ----------
@@ -71,8 +83,8 @@
         if first_event_ms(load_view, state.record, n_prompt_tokens)
         <= ON_TIME_SHARE * wish.objective_left_ms
     ]
-    if on_time:
-        return on_time
+    if on_time or wish.was_sent:
+        return on_time or states
     room = LATE_MEMORY_SHARE * traits.n_cache_tokens
     loads = [(state, load_view.load(state.record)) for state in states]
     return [
@@ -135,10 +147,13 @@
     """Return how long an answer may wait from now, in ms.
 
     As long as it could then still begin on time at an engine that reads nothing else;
-    a late one for a short time, if enough is left to run it.
+    a late one for a short time, if enough is left to run it; one that an engine lost as
+    long as enough is left.
     """
     reading_ms = wish.n_prompt_tokens * load_view.usual_ms_per_token
     on_time_ms = ON_TIME_SHARE * wish.objective_left_ms - reading_ms
+    if wish.was_sent:
+        return max(on_time_ms, wish.left_ms - load_view.run_ms, 0.0)
     if on_time_ms > 0:
         return on_time_ms
     return min(LATE_WAIT_MS, max(0.0, wish.left_ms - load_view.run_ms))
@@ -166,7 +181,7 @@
         wait_ms = min(MOST_RETRY_MS, max(LEAST_RETRY_MS, wait_ms))
         self._promised_ms = max(now_ms + wait_ms, self._promised_ms + spacing_ms)
         self._promised_ms = min(self._promised_ms, now_ms + MOST_RETRY_MS)
-        return self._promised_ms - now_ms
+        return round(self._promised_ms - now_ms)
 
 
 def spacing_ms(states, load_view, wish, traits):
--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -63,12 +63,14 @@
 async def _serve(stream, parts):
     _adopt_copy(stream, parts)
     while not stream.is_ended:
-        state, copy = await _next_target(stream, parts)
+        try:
+            state, copy = await _next_target(stream, parts)
+        except AlmonddealError as error:
+            if not stream.n_sends:
+                raise
+            await _give_up(stream, error)
+            return
         if state is None:
-            if not stream.is_begun:
-                raise AlmonddealError(
-                    NO_TARGET, "no target is known", after_ms=RETRY_AFTER_MS
-                )
             await anyio.sleep(NO_ROOM_PAUSE_S)
             continue
         error = await run_attempt(stream, parts, state, copy)
@@ -115,7 +117,7 @@
     possible = parts.targets.candidates(service.name, stream.refused)
     states = [s for s in possible if s.record.target not in stream.left_by] or possible
     if service.engine is None:
-        return (min(states, key=lambda s: s.n_in_flight) if states else None), None
+        return _least_used(stream, states), None
     if stream.last_event_id is not None:
         state = await find_cached(stream, parts, possible)
         if state is not None:
@@ -125,6 +127,12 @@
     return parts.choose_engine(states, stream.admitted, stream.n_tokens), None
 
 
+def _least_used(stream, states):
+    if not states and not stream.is_begun:
+        raise AlmonddealError(NO_TARGET, "no target is known", after_ms=RETRY_AFTER_MS)
+    return min(states, key=lambda s: s.n_in_flight, default=None)
+
+
 def _may_go_on(stream, parts, error):
     """Tell whether an answer may be tried again after an attempt failed."""
     is_free = error.code in (NOT_REACHED, TARGET_REFUSED)
--- a/packages/entry/src/almonddeal/relay/tests/test_streams.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_streams.py
@@ -329,10 +329,10 @@
             {"i-1": "fd1", "i-2": "fd1", "i-3": "fd1", "i-4": "fd2"},
         )
         fleet.parts.loads.take(_busy_run("i-4"))
-        for number in (2, 3):
+        for number in (2, 3, 2, 3):
             loaded = _busy_run(f"i-{number}")
-            loaded.request = f"other-{number}"
-            fleet.parts.loads.take(loaded)
+            loaded.request = f"other-{len(fleet.parts.runs)}"
+            fleet.parts.report(loaded)
         return fleet
 
     def took_s(self, fleet, happen):
--- a/packages/entry/src/almonddeal/relay/tests/test_waiting.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_waiting.py
@@ -32,7 +32,13 @@
 )
 from almonddeal.relay.waiting import WaitingRoom
 from almonddeal.routing.model import STREAM
-from almonddeal_common.codes import NO_TARGET, OVERLOADED, AlmonddealError
+from almonddeal_common.codes import (
+    ATTEMPT_LOST,
+    LINK_LOST,
+    NO_TARGET,
+    OVERLOADED,
+    AlmonddealError,
+)
 from almonddeal_common.virtual_time import run_in_virtual_time
 from almonddeal_common.wire.gen.ttypes import Run
 
@@ -116,6 +122,14 @@
         fill(loads, "i-1")
         assert expected_wait_ms(states, loads, wish(), TRAITS, 0) == 0.0
 
+    def test_answer_that_an_engine_lost_takes_any_engine_and_waits_longer(self):
+        states, loads = engines("i-1"), LoadView()
+        loads.take(run("r1", "i-1", n_unread_tokens=5000))
+        lost = Wish(5000, 6000, -100.0, 15_000.0, was_sent=True)
+        assert possible_engines(states, loads, lost, TRAITS) == states
+        late = wish(objective_left_ms=-100.0, left_ms=15_000.0)
+        assert longest_wait_ms(loads, lost) > 2 * longest_wait_ms(loads, late)
+
     def test_no_engine_is_waited_for_when_none_is_known(self):
         wait_ms = expected_wait_ms([], LoadView(), wish(), TRAITS, 0)
         assert wait_ms == float("inf")
@@ -285,6 +299,42 @@
         run_in_virtual_time(main)
         assert order == [0, 3]
 
+    def test_answer_that_may_have_run_is_not_said_to_have_not(self):
+        async def breaks_and_fills(attempt):
+            fill(fleet.parts.loads, "i-1")
+            raise AlmonddealError(LINK_LOST, "reset")
+            yield  # makes this a generator
+
+        fleet = Fleet({"i-1": breaks_and_fills})
+
+        async def main():
+            with pytest.raises(AlmonddealError) as caught:
+                admitted = admit_stream(n_prompt=5000)
+                await relay_stream(admitted, fleet.parts, FakeReply())
+            return caught.value
+
+        error = run_in_virtual_time(main)
+        assert len(fleet.attempts) == 1
+        assert error.code == ATTEMPT_LOST
+        assert error.code.http_status == 502
+        assert error.after_ms is None
+
+    def test_failure_of_an_engine_is_passed_on_when_no_other_has_room(self):
+        async def fails_and_fills(attempt):
+            fill(fleet.parts.loads, "i-1")
+            yield 500
+            yield b"why"
+
+        fleet = Fleet({"i-1": fails_and_fills})
+
+        async def main():
+            reply = FakeReply()
+            await relay_stream(admit_stream(n_prompt=5000), fleet.parts, reply)
+            return reply
+
+        reply = run_in_virtual_time(main)
+        assert (reply.status, reply.body) == (500, b"why")
+
     def test_no_known_engine_is_said_at_once(self):
         async def main():
             before_s = anyio.current_time()
--- a/packages/entry/src/almonddeal/relay/waiting.py
+++ b/packages/entry/src/almonddeal/relay/waiting.py
@@ -14,7 +14,7 @@
     spacing_ms,
 )
 from almonddeal_common.clock import monotonic_ms
-from almonddeal_common.codes import NO_TARGET, OVERLOADED, AlmonddealError
+from almonddeal_common.codes import ATTEMPT_LOST, NO_TARGET, OVERLOADED, AlmonddealError
 from almonddeal_common.logs import decide, get_logger
 
 POLL_S = 0.05  # a run elsewhere may have ended without a word yet
@@ -84,6 +84,7 @@
         stream.n_tokens,
         stream.admitted.route.objective_ms - waited_ms,
         stream.admitted.left_ms,
+        bool(stream.n_sends),
     )
 
 
@@ -98,12 +99,13 @@
     Raises
     ------
     AlmonddealError
-        `OVERLOADED` or `NO_TARGET`, each with the time to come back.
+        `OVERLOADED` or `NO_TARGET`, each with the time to come back; `ATTEMPT_LOST` if
+        the answer may have run already.
     """
     room = parts.waiting_room(stream.admitted.service.name)
     wish = _make_wish(stream)
     limit_ms = monotonic_ms() + longest_wait_ms(parts.loads, wish)
-    is_late = is_late_anyway(wish, parts.loads)
+    is_late = is_late_anyway(wish, parts.loads) and not wish.was_sent
     due_ms = stream.admitted.request.arrived_ms + stream.admitted.route.objective_ms
     has_waited = False
     with room.ticket(is_late, stream.admitted.priority, due_ms) as ticket:
@@ -163,7 +165,10 @@
 
 def _refuse(stream, parts, room, states, wish, wait_ms):
     traits = stream.admitted.service.engine
-    if not parts.targets.candidates(stream.admitted.service.name):
+    if stream.n_sends:
+        # An engine that was given up may have run it, so nothing can be promised.
+        error = AlmonddealError(ATTEMPT_LOST, "no engine has room after a loss")
+    elif not parts.targets.candidates(stream.admitted.service.name):
         error = AlmonddealError(
             NO_TARGET, "no engine of the service is known", after_ms=NO_ENGINE_RETRY_MS
         )
@@ -178,8 +183,10 @@
         request=stream.request_id,
         n_engines=len(states),
         n_refused=len(stream.refused),
+        n_sends=stream.n_sends,
+        code=error.code.name,
         expected_ms=round(min(wait_ms, 1e9)),
         objective_left_ms=round(wish.objective_left_ms),
-        after_ms=round(error.after_ms),
+        after_ms=error.after_ms,
     )
     raise error
