--- a/tools/almonddeal_tools/lab/tests/test_patterns.py
+++ b/tools/almonddeal_tools/lab/tests/test_patterns.py
@@ -20,10 +20,10 @@
     """Give a function that plays a pattern under a policy once."""
     summary_by_key = {}
 
-    def play_once(pattern, policy="product"):
-        key = (pattern, policy)
+    def play_once(pattern, policy="product", n_seeds=1):
+        key = (pattern, policy, n_seeds)
         if key not in summary_by_key:
-            summary_by_key[key] = play_all(pattern, policy, 1)
+            summary_by_key[key] = play_all(pattern, policy, n_seeds)
         return summary_by_key[key]
 
     return play_once
@@ -59,10 +59,14 @@
         shared = played("thin-traffic").share("is_on_time")
         assert shared > played("thin-traffic", "no-words").share("is_on_time")
 
-    @pytest.mark.parametrize("pattern", [*LOSSES, "slow-engines"])
-    def test_work_and_memory_beat_any_engine(self, played, pattern):
-        chosen = played(pattern).share("is_on_time")
-        assert chosen > played(pattern, "any").share("is_on_time")
+    @pytest.mark.parametrize(
+        ("pattern", "n_seeds"),
+        [("domain-dark", 1), ("domain-reset", 1), ("slow-engines", 2)],
+    )
+    def test_work_and_memory_beat_any_engine(self, played, pattern, n_seeds):
+        # One seed of slow engines has too few prompts on them to tell policies apart.
+        chosen = played(pattern, n_seeds=n_seeds).share("is_on_time")
+        assert chosen > played(pattern, "any", n_seeds).share("is_on_time")
 
     def test_refusing_serves_more_on_time_under_overload(self, played):
         product = played("overload").share("is_on_time")
