answers: a takeover follows the newer description that a holder gives

Cause: an instance that was cut off kept a copy of an older epoch. A takeover asks entry instances first and took that copy for the newest one; its holders answered with a newer epoch, and the search began again at the same old copy, for good: HOLDERS_UNREACHABLE, "the answer is contended", though a majority of the newer holders lived. Ruled out: two live owners racing; each step raised the epoch by one only, no further. Change: what a holder says goes before what the search found; a refused epoch is raised over the highest that was promised. Before: the new test fails with that error.

--- a/packages/entry/src/almonddeal/answers/ownership.py
+++ b/packages/entry/src/almonddeal/answers/ownership.py
@@ -142,9 +142,9 @@
         AlmonddealError
             `ANSWER_UNKNOWN`, `ANSWER_EVICTED` or `HOLDERS_UNREACHABLE`.
         """
+        latest = await self._find_latest(request)
         for _ in range(MAX_TRIES):
-            latest = await self._find_latest(request)
-            answer = await self._try_take(request, latest, n_copies)
+            answer, latest = await self._try_take(request, latest, n_copies)
             if answer is not None:
                 return answer
             await anyio.sleep(BACKOFF_S * random.uniform(0.5, 2.0))
@@ -175,20 +175,25 @@
                 yield names[start : start + FIND_BATCH]
 
     async def _try_take(self, request, latest, n_copies):
+        """Try once; returns the answer or None, and what to go by the next time."""
         epoch = self._next_epoch(latest.promised_epoch)
         replies = await self._ask(latest.holders, Fence(request, epoch, False))
         promises = {n: r for n, r in replies.items() if r.code == OK.number and r.found}
         newest = max([latest, *replies.values()], key=lambda r: r.accepted_epoch or 0)
         if newest.accepted_epoch > latest.accepted_epoch:
-            return None
+            # The answer has moved on: its newer description names other holders.
+            return None, newest
         if len(promises) < majority(latest.holders):
             if any(r.code == OWNERSHIP_LOST.number for r in replies.values()):
-                return None
+                promised = max(r.promised_epoch or 0 for r in replies.values())
+                latest.promised_epoch = max(latest.promised_epoch, promised)
+                return None, latest
             n_held = len(promises)
             detail = f"{n_held} of {len(latest.holders)} holders have the answer"
             raise AlmonddealError(HOLDERS_UNREACHABLE, detail)
         best = max(promises.values(), key=_completeness)
-        return await self._continue_from(best, epoch, latest.holders, n_copies)
+        answer = await self._continue_from(best, epoch, latest.holders, n_copies)
+        return answer, latest
 
     async def _continue_from(self, best, epoch, previous_holders, n_copies):
         holders = self._choose_holders(best.spec.request, n_copies)
--- a/packages/entry/src/almonddeal/answers/tests/test_ownership.py
+++ b/packages/entry/src/almonddeal/answers/tests/test_ownership.py
@@ -191,6 +191,32 @@
 
         run(test)
 
+    def test_old_copy_leads_to_the_newer_one_among_its_holders(self):
+        # Regression: soak with seed 63. An instance that was cut off kept a copy of an
+        # older epoch; asked first, it hid the newer one for good ("contended").
+        async def test(net, group):
+            first = FakeEntry(net, "entry0", group)
+            answer = await first.ownership.create(make_spec(), 3, True)
+            write(first, answer, 0, 5)
+            await settle()
+            for name in ENTRIES + AGENTS:
+                net.cut("entry0", name)
+            second = FakeEntry(net, "entry1", group)
+            taken = await second.ownership.take_over("kite:r1", 3)
+            write(second, taken, 5, 2)
+            await settle()
+            assert taken.n_deliverable == 7
+            assert "entry0" not in taken.holders
+            net.heal()
+            for name in ENTRIES + AGENTS:
+                net.cut("entry1", name)
+            net.restart("entry2")
+            third = FakeEntry(net, "entry2", group)
+            again = await third.ownership.take_over("kite:r1", 3)
+            assert again.tokens == [0, 1, 2, 3, 4, 5, 6]
+
+        run(test)
+
     def test_nothing_is_committed_by_new_holders_alone(self):
         async def test(net, group):
             entry = FakeEntry(net, "entry0", group)
