relay: turns by urgency and time alone; prompts beyond an engine's memory

Cause, read in the diff: the class of late answers in the queue held only prompts too long for their objective, so under steady load these came after all others. A prompt larger than an engine's memory waited for room that could not come, then heard when to return; one that might outgrow an empty engine never began. Change: no such class; the first is refused at once without a time, the second counts as a whole engine.

--- a/packages/entry/src/almonddeal/relay/admission.py
+++ b/packages/entry/src/almonddeal/relay/admission.py
@@ -125,11 +125,7 @@
     """
     load = load_view.load(state.record)
     first_ms = first_event_ms(load_view, state.record, wish.n_prompt_tokens)
-    usual_ms = wish.n_prompt_tokens * load_view.usual_ms_per_token
-    limit_ms = max(
-        ON_TIME_SHARE * wish.objective_left_ms, LATE_READING_RATIO * usual_ms
-    )
-    reading_ms = max(0.0, first_ms - limit_ms)
+    reading_ms = max(0.0, first_ms - _first_event_limit_ms(load_view, wish))
     n_free = int((room - load.n_used_tokens) // max(1, wish.n_tokens))
     n_free = max(0, min(n_free, state.record.n_slots - load.n_runs))
     now_ms = monotonic_ms()
--- a/packages/entry/src/almonddeal/relay/choose.py
+++ b/packages/entry/src/almonddeal/relay/choose.py
@@ -89,6 +89,7 @@
     def cost_ms(state):
         load = load_view.load(state.record)
         distance = state.record.failure_domain != domain
+        # The output counts like a prompt: what reads slowly generates slowly, too.
         return (
             (load.n_unread_tokens + n_tokens)
             * load_view.reading_ms_per_token(state.record)
--- a/packages/entry/src/almonddeal/relay/parts.py
+++ b/packages/entry/src/almonddeal/relay/parts.py
@@ -132,14 +132,17 @@
     def hear_run(self, run):
         """Take what another instance says of a run."""
         left = self.loads.left_target(run)
-        self.loads.take(run)
+        self._take_run(run)
         if left is not None:
             self.targets.suspect(*left)
 
     def report(self, run):
         """Note a change of an own run here and for all other instances."""
+        self._take_run(run)
+        self.runs.put(run.request, run)
+
+    def _take_run(self, run):
         self.loads.take(run)
         if run.is_ended:
             for room in self._waiting_room_by_service.values():
                 room.wake()
-        self.runs.put(run.request, run)
--- a/packages/entry/src/almonddeal/relay/stream_state.py
+++ b/packages/entry/src/almonddeal/relay/stream_state.py
@@ -96,8 +96,10 @@
 
     @property
     def n_tokens(self):
-        """Most tokens that the run takes in memory."""
+        """Most tokens that the run takes in memory, never more than an engine has."""
         generation = self.admitted.request.generation
         if generation is None:
             return 0
-        return generation.n_prompt_tokens + generation.n_output_tokens
+        n_tokens = generation.n_prompt_tokens + generation.n_output_tokens
+        traits = self.admitted.service.engine
+        return n_tokens if traits is None else min(n_tokens, traits.n_cache_tokens)
--- a/packages/entry/src/almonddeal/relay/waiting.py
+++ b/packages/entry/src/almonddeal/relay/waiting.py
@@ -45,14 +45,14 @@
         self._changed = anyio.Event()
 
     @contextmanager
-    def ticket(self, is_late, priority, due_ms):
+    def ticket(self, priority, due_ms):
         """Give a place among those that wait.
 
-        Late answers come after those that can be on time, less urgent ones after more
-        urgent ones, and the one that is due first goes first.
+        Less urgent answers come after more urgent ones; the one that is due first goes
+        first.
         """
         self._n_taken += 1
-        ticket = Ticket((is_late, priority, due_ms, self._n_taken))
+        ticket = Ticket((priority, due_ms, self._n_taken))
         insort(self._tickets, ticket)
         try:
             yield ticket
@@ -99,16 +99,18 @@
     Raises
     ------
     AlmonddealError
-        `OVERLOADED` or `NO_TARGET`, each with the time to come back; `ATTEMPT_LOST` if
-        the answer may have run already.
+        `OVERLOADED` or `NO_TARGET`, with the time to come back unless no engine is
+        large enough; `ATTEMPT_LOST` if the answer may have run already.
     """
     room = parts.waiting_room(stream.admitted.service.name)
     wish = _make_wish(stream)
+    if wish.n_prompt_tokens > stream.admitted.service.engine.n_cache_tokens:
+        # Without a time to come back: no engine will ever take it.
+        raise AlmonddealError(NO_TARGET, "no engine is large enough for the prompt")
     limit_ms = monotonic_ms() + longest_wait_ms(parts.loads, wish)
-    is_late = is_late_anyway(wish, parts.loads) and not wish.was_sent
     due_ms = stream.admitted.request.arrived_ms + stream.admitted.route.objective_ms
     has_waited = False
-    with room.ticket(is_late, stream.admitted.priority, due_ms) as ticket:
+    with room.ticket(stream.admitted.priority, due_ms) as ticket:
         while True:
             n_ahead = room.n_ahead(ticket)
             states = _usable_states(stream, parts)
@@ -125,12 +127,6 @@
             await room.wait(POLL_S)
 
 
-def is_late_anyway(wish, load_view):
-    """Tell whether an answer could not even begin on time at an idle engine."""
-    reading_ms = wish.n_prompt_tokens * load_view.usual_ms_per_token
-    return reading_ms > wish.objective_left_ms
-
-
 def _usable_states(stream, parts):
     name = stream.admitted.service.name
     possible = parts.targets.candidates(name, stream.refused)
