relay: the usual terms of the field; a caller's last event reaches plain targets

Cause, read in the diff: Wish, WaitingRoom, Returns, hear_run and _tell_run were words of our own; the header Last-Event-Id was dropped on routes without events, where it is the caller's and passed on like others. Change: Demand, AdmissionQueue, RetrySchedule, take_remote_run, _share_run; the header is passed on.

--- a/packages/entry/src/almonddeal/relay/admission.py
+++ b/packages/entry/src/almonddeal/relay/admission.py
@@ -15,7 +15,7 @@
 MOST_RETRY_MS = 10_000.0  # a longer forecast says nothing
 
 
-class Wish:
+class Demand:
     """What an answer needs of an engine, at one moment.
 
     Parameters
@@ -62,7 +62,7 @@
     return n_tokens * load_view.reading_ms_per_token(record)
 
 
-def possible_engines(states, load_view, wish):
+def possible_engines(states, load_view, demand):
     """Return the engines at which an answer may begin now, as a list.
 
     Those that begin it on time; for one that is late anyway, those that read little for
@@ -72,31 +72,31 @@
     ----------
     states : list of TargetState
     load_view : LoadView
-    wish : Wish
+    demand : Demand
     """
-    limit_ms = _first_event_limit_ms(load_view, wish)
+    limit_ms = _first_event_limit_ms(load_view, demand)
     possible = [
         state
         for state in states
-        if first_event_ms(load_view, state.record, wish.n_prompt_tokens) <= limit_ms
+        if first_event_ms(load_view, state.record, demand.n_prompt_tokens) <= limit_ms
     ]
-    return states if wish.was_sent and not possible else possible
+    return states if demand.was_sent and not possible else possible
 
 
-def _first_event_limit_ms(load_view, wish):
+def _first_event_limit_ms(load_view, demand):
     """Return in how long an engine should send the first event, in ms."""
-    own_ms = wish.n_prompt_tokens * load_view.usual_ms_per_token
-    return max(ON_TIME_SHARE * wish.objective_left_ms, LATE_READING_RATIO * own_ms)
+    own_ms = demand.n_prompt_tokens * load_view.usual_ms_per_token
+    return max(ON_TIME_SHARE * demand.objective_left_ms, LATE_READING_RATIO * own_ms)
 
 
-def expected_wait_ms(states, load_view, wish, traits, n_ahead):
+def expected_wait_ms(states, load_view, demand, traits, n_ahead):
     """Return how long an answer will probably wait for an engine, in ms.
 
     Parameters
     ----------
     states : list of TargetState
     load_view : LoadView
-    wish : Wish
+    demand : Demand
     traits : EngineTraits
     n_ahead : int
         Answers that wait and come before this one.
@@ -112,24 +112,24 @@
     times_ms = sorted(
         time_ms
         for state in states
-        for time_ms in _places_in_ms(state, load_view, wish, room)
+        for time_ms in _places_in_ms(state, load_view, demand, room)
     )
     n_rounds, place = divmod(n_ahead, len(times_ms))
     return times_ms[place] + n_rounds * load_view.run_ms
 
 
-def _places_in_ms(state, load_view, wish, room):
+def _places_in_ms(state, load_view, demand, room):
     """Return in how long each place of an engine can take an answer, as a list, in ms.
 
     A place is free memory, or that of a run, which will end.
     """
     load = load_view.load(state.record)
-    first_ms = first_event_ms(load_view, state.record, wish.n_prompt_tokens)
-    reading_ms = max(0.0, first_ms - _first_event_limit_ms(load_view, wish))
-    n_free = int((room - load.n_used_tokens) // max(1, wish.n_tokens))
+    first_ms = first_event_ms(load_view, state.record, demand.n_prompt_tokens)
+    reading_ms = max(0.0, first_ms - _first_event_limit_ms(load_view, demand))
+    n_free = int((room - load.n_used_tokens) // max(1, demand.n_tokens))
     n_free = max(0, min(n_free, state.record.n_slots - load.n_runs))
     now_ms = monotonic_ms()
-    own_ms = wish.n_prompt_tokens * load_view.reading_ms_per_token(state.record)
+    own_ms = demand.n_prompt_tokens * load_view.reading_ms_per_token(state.record)
     free = [reading_ms + number * own_ms for number in range(n_free)]
     taken = [
         max(reading_ms, load_view.run_ms - (now_ms - begun_ms))
@@ -138,23 +138,23 @@
     return free + taken or [reading_ms]
 
 
-def longest_wait_ms(load_view, wish):
+def longest_wait_ms(load_view, demand):
     """Return how long an answer may wait from now, in ms.
 
     As long as it could then still begin on time at an engine that reads nothing else;
     a late one for a short time, if enough is left to run it; one that an engine lost as
     long as enough is left.
     """
-    reading_ms = wish.n_prompt_tokens * load_view.usual_ms_per_token
-    on_time_ms = ON_TIME_SHARE * wish.objective_left_ms - reading_ms
-    if wish.was_sent:
-        return max(on_time_ms, wish.left_ms - load_view.run_ms, 0.0)
+    reading_ms = demand.n_prompt_tokens * load_view.usual_ms_per_token
+    on_time_ms = ON_TIME_SHARE * demand.objective_left_ms - reading_ms
+    if demand.was_sent:
+        return max(on_time_ms, demand.left_ms - load_view.run_ms, 0.0)
     if on_time_ms > 0:
         return on_time_ms
-    return min(LATE_WAIT_MS, max(0.0, wish.left_ms - load_view.run_ms))
+    return min(LATE_WAIT_MS, max(0.0, demand.left_ms - load_view.run_ms))
 
 
-class Returns:
+class RetrySchedule:
     """When refused callers were told to come back, so that they do not come at once."""
 
     __slots__ = ("_promised_ms",)
@@ -179,18 +179,18 @@
         return round(self._promised_ms - now_ms)
 
 
-def spacing_ms(states, load_view, wish, traits):
+def spacing_ms(states, load_view, demand, traits):
     """Return the time in ms in which each instance can have one answer begun.
 
     Parameters
     ----------
     states : list of TargetState
     load_view : LoadView
-    wish : Wish
+    demand : Demand
     traits : EngineTraits
     """
     n_engines = max(1, len(states))
-    reading_ms = wish.n_prompt_tokens * load_view.usual_ms_per_token / n_engines
+    reading_ms = demand.n_prompt_tokens * load_view.usual_ms_per_token / n_engines
     room = MEMORY_SHARE * traits.n_cache_tokens * n_engines
-    memory_ms = load_view.run_ms * wish.n_tokens / room
+    memory_ms = load_view.run_ms * demand.n_tokens / room
     return max(reading_ms, memory_ms) * max(1, load_view.n_instances)
--- a/packages/entry/src/almonddeal/relay/waiting.py
+++ b/packages/entry/src/almonddeal/relay/admission_queue.py
@@ -6,8 +6,8 @@
 import anyio
 
 from almonddeal.relay.admission import (
-    Returns,
-    Wish,
+    Demand,
+    RetrySchedule,
     expected_wait_ms,
     longest_wait_ms,
     possible_engines,
@@ -35,11 +35,11 @@
         return self._key < other._key
 
 
-class WaitingRoom:
+class AdmissionQueue:
     """The answers that wait for engines of one service."""
 
     def __init__(self):
-        self.returns = Returns()
+        self.retry_schedule = RetrySchedule()
         self._tickets = []
         self._n_taken = 0
         self._changed = anyio.Event()
@@ -75,11 +75,11 @@
             await self._changed.wait()
 
 
-def _make_wish(stream):
+def _make_demand(stream):
     request = stream.admitted.request
     generation = request.generation
     waited_ms = monotonic_ms() - request.arrived_ms
-    return Wish(
+    return Demand(
         generation.n_prompt_tokens if generation is not None else 0,
         stream.n_tokens,
         stream.admitted.route.objective_ms - waited_ms,
@@ -102,29 +102,29 @@
         `OVERLOADED` or `NO_TARGET`, with the time to come back unless no engine is
         large enough; `ATTEMPT_LOST` if the answer may have run already.
     """
-    room = parts.waiting_room(stream.admitted.service.name)
-    wish = _make_wish(stream)
-    if wish.n_prompt_tokens > stream.admitted.service.engine.n_cache_tokens:
+    queue = parts.admission_queue(stream.admitted.service.name)
+    demand = _make_demand(stream)
+    if demand.n_prompt_tokens > stream.admitted.service.engine.n_cache_tokens:
         # Without a time to come back: no engine will ever take it.
         raise AlmonddealError(NO_TARGET, "no engine is large enough for the prompt")
-    limit_ms = monotonic_ms() + longest_wait_ms(parts.loads, wish)
+    limit_ms = monotonic_ms() + longest_wait_ms(parts.loads, demand)
     due_ms = stream.admitted.request.arrived_ms + stream.admitted.route.objective_ms
     has_waited = False
-    with room.ticket(stream.admitted.priority, due_ms) as ticket:
+    with queue.ticket(stream.admitted.priority, due_ms) as ticket:
         while True:
-            n_ahead = room.n_ahead(ticket)
+            n_ahead = queue.n_ahead(ticket)
             states = _usable_states(stream, parts)
-            wish = _make_wish(stream)
-            state = _choose(stream, parts, states, wish) if not n_ahead else None
+            demand = _make_demand(stream)
+            state = _choose(stream, parts, states, demand) if not n_ahead else None
             if state is not None:
                 return state
-            wait_ms = _expect_wait(stream, parts, states, wish, n_ahead)
+            wait_ms = _expect_wait(stream, parts, states, demand, n_ahead)
             if monotonic_ms() + wait_ms > limit_ms:
-                _refuse(stream, parts, room, states, wish, wait_ms)
+                _refuse(stream, parts, queue, states, demand, wait_ms)
             if not has_waited:
                 has_waited = True
                 _log_wait(stream, n_ahead, len(states), wait_ms)
-            await room.wait(POLL_S)
+            await queue.wait(POLL_S)
 
 
 def _usable_states(stream, parts):
@@ -134,16 +134,16 @@
     return fresh or possible
 
 
-def _choose(stream, parts, states, wish):
-    possible = possible_engines(states, parts.loads, wish)
+def _choose(stream, parts, states, demand):
+    possible = possible_engines(states, parts.loads, demand)
     return parts.choose_engine(possible, stream.admitted, stream.n_tokens)
 
 
-def _expect_wait(stream, parts, states, wish, n_ahead):
+def _expect_wait(stream, parts, states, demand, n_ahead):
     # The others' queues are not known here; they see the same engines as this one.
     n_ahead *= max(1, parts.loads.n_instances)
     traits = stream.admitted.service.engine
-    return expected_wait_ms(states, parts.loads, wish, traits, n_ahead)
+    return expected_wait_ms(states, parts.loads, demand, traits, n_ahead)
 
 
 def _log_wait(stream, n_ahead, n_engines, wait_ms):
@@ -158,7 +158,7 @@
     )
 
 
-def _refuse(stream, parts, room, states, wish, wait_ms):
+def _refuse(stream, parts, queue, states, demand, wait_ms):
     traits = stream.admitted.service.engine
     if stream.n_sends:
         # An engine that was given up may have run it, so nothing can be promised.
@@ -168,8 +168,8 @@
             NO_TARGET, "no engine of the service is known", after_ms=NO_ENGINE_RETRY_MS
         )
     else:
-        after_ms = room.returns.after_ms(
-            wait_ms, spacing_ms(states, parts.loads, wish, traits)
+        after_ms = queue.retry_schedule.after_ms(
+            wait_ms, spacing_ms(states, parts.loads, demand, traits)
         )
         error = AlmonddealError(OVERLOADED, "no engine has room", after_ms=after_ms)
     decide(
@@ -181,7 +181,7 @@
         n_sends=stream.n_sends,
         code=error.code.name,
         expected_ms=round(min(wait_ms, 1e9)),
-        objective_left_ms=round(wish.objective_left_ms),
+        objective_left_ms=round(demand.objective_left_ms),
         after_ms=error.after_ms,
     )
     raise error
--- a/packages/entry/src/almonddeal/relay/parts.py
+++ b/packages/entry/src/almonddeal/relay/parts.py
@@ -3,8 +3,8 @@
 import random
 
 from almonddeal.limits.budget import RetryBudget
+from almonddeal.relay.admission_queue import AdmissionQueue
 from almonddeal.relay.choose import Choices
-from almonddeal.relay.waiting import WaitingRoom
 from almonddeal_common.clock import monotonic_ms
 
 OWN_RATIO_SHARE = 0.6  # of the allowed ratio; the rest covers uneven shares of traffic
@@ -88,7 +88,7 @@
         self._started_ms = monotonic_ms()
         self._retry_limits = retry_limits
         self._budget_by_service = {}
-        self._waiting_room_by_service = {}
+        self._admission_queue_by_service = {}
 
     @property
     def age_ms(self):
@@ -105,9 +105,11 @@
             self._budget_by_service[service_name] = budget
         return budget
 
-    def waiting_room(self, service_name):
-        """Return the room in which answers wait for engines of a service."""
-        return self._waiting_room_by_service.setdefault(service_name, WaitingRoom())
+    def admission_queue(self, service_name):
+        """Return the queue of answers for engines of a service."""
+        return self._admission_queue_by_service.setdefault(
+            service_name, AdmissionQueue()
+        )
 
     def choose_engine(self, states, admitted, n_tokens):
         """Return the state of the engine for an answer, or None."""
@@ -129,7 +131,7 @@
         for budget in self._budget_by_service.values():
             budget.limit(self._slack_share())
 
-    def hear_run(self, run):
+    def take_remote_run(self, run):
         """Take what another instance says of a run."""
         left = self.loads.left_target(run)
         self._take_run(run)
@@ -144,5 +146,5 @@
     def _take_run(self, run):
         self.loads.take(run)
         if run.is_ended:
-            for room in self._waiting_room_by_service.values():
-                room.wake()
+            for queue in self._admission_queue_by_service.values():
+                queue.wake()
--- a/packages/entry/src/almonddeal/relay/plain.py
+++ b/packages/entry/src/almonddeal/relay/plain.py
@@ -172,8 +172,10 @@
 
 
 async def _receive(admitted, parts, state):
+    last_event_id = admitted.request.last_event_id
+    attempt = Attempt(admitted, state.record, last_event_id=last_event_id)
     try:
-        async with parts.open(Attempt(admitted, state.record)) as answer:
+        async with parts.open(attempt) as answer:
             body = b"".join([chunk async for chunk in answer.chunks])
     except AlmonddealError as error:
         return _Outcome(error=error)
--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -7,11 +7,11 @@
 
 import anyio
 
+from almonddeal.relay.admission_queue import wait_for_engine
 from almonddeal.relay.attempts import run_attempt
 from almonddeal.relay.cached import find_cached
 from almonddeal.relay.run_reports import end_run
 from almonddeal.relay.stream_state import Copy, Stream
-from almonddeal.relay.waiting import wait_for_engine
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import (
     ATTEMPT_LOST,
--- a/packages/entry/src/almonddeal/relay/tests/test_admission.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_admission.py
@@ -5,8 +5,8 @@
 from almonddeal.relay.admission import (
     LEAST_RETRY_MS,
     MOST_RETRY_MS,
-    Returns,
-    Wish,
+    Demand,
+    RetrySchedule,
     expected_wait_ms,
     longest_wait_ms,
     possible_engines,
@@ -31,8 +31,8 @@
     return book.candidates("s")
 
 
-def wish(objective_left_ms=OBJECTIVE_MS, left_ms=25_000.0):
-    return Wish(5000, 6000, objective_left_ms, left_ms)
+def demand(objective_left_ms=OBJECTIVE_MS, left_ms=25_000.0):
+    return Demand(5000, 6000, objective_left_ms, left_ms)
 
 
 class TestAdmission:
@@ -42,21 +42,21 @@
         states, loads = engines("i-1", "i-2"), LoadView()
         for number in range(4):
             loads.take(make_run(f"r{number}", "i-1", n_unread_tokens=5000))
-        possible = possible_engines(states, loads, wish())
+        possible = possible_engines(states, loads, demand())
         assert [s.record.target for s in possible] == ["i-2"]
 
     def test_late_answer_takes_only_an_engine_that_reads_little(self):
         states, loads = engines("i-1", "i-2"), LoadView()
         loads.take(make_run("r1", "i-1", n_unread_tokens=5000))
         loads.take(make_run("r2", "i-2", n_unread_tokens=500))
-        late = wish(objective_left_ms=-100.0)
+        late = demand(objective_left_ms=-100.0)
         possible = possible_engines(states, loads, late)
         assert [s.record.target for s in possible] == ["i-2"]
 
     def test_prompt_too_long_for_its_objective_is_treated_like_others(self):
         states, loads = engines("i-1", "i-2"), LoadView()
         fill_engine(loads, "i-1", 4)
-        long_prompt = Wish(20_000, 21_000, OBJECTIVE_MS, 25_000.0)
+        long_prompt = Demand(20_000, 21_000, OBJECTIVE_MS, 25_000.0)
         possible = possible_engines(states, loads, long_prompt)
         assert len(possible) == 2
         assert longest_wait_ms(loads, long_prompt) >= 3000.0
@@ -67,7 +67,7 @@
         virtual_time.now_s += 3.0
         fill_engine(loads, "i-2")
         waits_ms = [
-            expected_wait_ms(states, loads, wish(), TRAITS, n_ahead)
+            expected_wait_ms(states, loads, demand(), TRAITS, n_ahead)
             for n_ahead in (0, 8, 9, 18)
         ]
         assert waits_ms[0] == waits_ms[1] == pytest.approx(loads.run_ms - 3000.0)
@@ -77,28 +77,28 @@
     def test_no_wait_beside_an_idle_engine(self):
         states, loads = engines("i-1", "i-2"), LoadView()
         fill_engine(loads, "i-1")
-        assert expected_wait_ms(states, loads, wish(), TRAITS, 0) == 0.0
+        assert expected_wait_ms(states, loads, demand(), TRAITS, 0) == 0.0
 
     def test_answer_that_an_engine_lost_takes_any_engine_and_waits_longer(self):
         states, loads = engines("i-1"), LoadView()
         loads.take(make_run("r1", "i-1", n_unread_tokens=5000))
-        lost = Wish(5000, 6000, -100.0, 15_000.0, was_sent=True)
+        lost = Demand(5000, 6000, -100.0, 15_000.0, was_sent=True)
         assert possible_engines(states, loads, lost) == states
-        late = wish(objective_left_ms=-100.0, left_ms=15_000.0)
+        late = demand(objective_left_ms=-100.0, left_ms=15_000.0)
         assert longest_wait_ms(loads, lost) > 2 * longest_wait_ms(loads, late)
 
     def test_no_engine_is_waited_for_when_none_is_known(self):
-        wait_ms = expected_wait_ms([], LoadView(), wish(), TRAITS, 0)
+        wait_ms = expected_wait_ms([], LoadView(), demand(), TRAITS, 0)
         assert wait_ms == float("inf")
 
     def test_longest_wait_leaves_time_to_read_the_prompt(self):
         loads = LoadView()
         reading_ms = 5000 * loads.usual_ms_per_token
-        wait_ms = longest_wait_ms(loads, wish())
+        wait_ms = longest_wait_ms(loads, demand())
         assert 0 < wait_ms <= OBJECTIVE_MS - reading_ms
 
     def test_answer_without_time_to_run_does_not_wait(self):
-        late = wish(objective_left_ms=-1.0, left_ms=2000.0)
+        late = demand(objective_left_ms=-1.0, left_ms=2000.0)
         assert longest_wait_ms(LoadView(), late) == 0.0
 
     def test_usual_time_of_a_run_is_learned(self, virtual_time):
@@ -111,26 +111,26 @@
         assert 2000.0 <= loads.run_ms < before / 2
 
 
-class TestReturns:
+class TestRetrySchedule:
     """Pattern: callers that were refused together come back together."""
 
     def test_each_is_told_a_later_time(self):
-        returns = Returns()
-        times = [returns.after_ms(1000.0, 300.0) for _ in range(5)]
+        schedule = RetrySchedule()
+        times = [schedule.after_ms(1000.0, 300.0) for _ in range(5)]
         assert times == pytest.approx([1000.0, 1300.0, 1600.0, 1900.0, 2200.0])
 
     def test_times_are_bounded(self):
-        returns = Returns()
-        assert returns.after_ms(0.0, 1.0) == LEAST_RETRY_MS
+        schedule = RetrySchedule()
+        assert schedule.after_ms(0.0, 1.0) == LEAST_RETRY_MS
         for _ in range(100):
-            last_ms = returns.after_ms(float("inf"), 500.0)
+            last_ms = schedule.after_ms(float("inf"), 500.0)
         assert last_ms == MOST_RETRY_MS
 
     def test_spacing_grows_with_instances_and_falls_with_engines(self):
         loads = LoadView()
-        few = spacing_ms(engines("i-1"), loads, wish(), TRAITS)
-        more = spacing_ms(engines("i-1", "i-2"), loads, wish(), TRAITS)
+        few = spacing_ms(engines("i-1"), loads, demand(), TRAITS)
+        more = spacing_ms(engines("i-1", "i-2"), loads, demand(), TRAITS)
         assert more == pytest.approx(few / 2)
         for number in range(3):
             loads.take(make_run(f"r{number}", "i-1", instance=f"entry-{number}"))
-        assert spacing_ms(engines("i-1"), loads, wish(), TRAITS) > 2 * few
+        assert spacing_ms(engines("i-1"), loads, demand(), TRAITS) > 2 * few
--- a/packages/entry/src/almonddeal/relay/tests/test_waiting.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_admission_queue.py
@@ -6,7 +6,8 @@
 import anyio
 import pytest
 
-from almonddeal.relay import waiting
+from almonddeal.relay import admission_queue
+from almonddeal.relay.admission_queue import AdmissionQueue
 from almonddeal.relay.streams import relay_stream
 from almonddeal.relay.tests.fakes import (
     TRAITS,
@@ -18,7 +19,6 @@
     make_run,
     streams,
 )
-from almonddeal.relay.waiting import WaitingRoom
 from almonddeal.routing.model import STREAM
 from almonddeal_common.codes import (
     ATTEMPT_LOST,
@@ -32,13 +32,13 @@
 OBJECTIVE_MS = 4500.0
 
 
-class TestWaitingRoom:
+class TestAdmissionQueue:
     def order(self, keys):
         """Return the places of tickets with given keys, as a list."""
-        room = WaitingRoom()
+        queue = AdmissionQueue()
         with ExitStack() as stack:
-            tickets = [stack.enter_context(room.ticket(*key)) for key in keys]
-            return [room.n_ahead(ticket) for ticket in tickets]
+            tickets = [stack.enter_context(queue.ticket(*key)) for key in keys]
+            return [queue.n_ahead(ticket) for ticket in tickets]
 
     def test_urgent_ones_then_those_due_first(self):
         keys = [(1, 50.0), (0, 90.0), (1, 40.0)]
@@ -232,14 +232,14 @@
         fill_engine(fleet.parts.loads, "i-2", 2)
 
         async def main():
-            room = fleet.parts.waiting_room("s")
+            queue = fleet.parts.admission_queue("s")
             reply = FakeReply()
             with anyio.fail_after(5.0):
                 admitted = admit_stream()
                 async with anyio.create_task_group() as group:
                     group.start_soon(relay_stream, admitted, fleet.parts, reply)
                     await anyio.sleep(0.004)
-                    with room.ticket(0, 0.0):
+                    with queue.ticket(0, 0.0):
                         while not reply.is_complete:
                             await anyio.sleep(0.01)
             return reply
@@ -269,10 +269,10 @@
                 await self.free(fleet, 1.0, n_runs=chance.randrange(8))
 
         run_in_virtual_time(main)
-        room = fleet.parts.waiting_room("s")
-        with room.ticket(0, 0.0) as ticket:
-            assert room.n_ahead(ticket) == 0
+        queue = fleet.parts.admission_queue("s")
+        with queue.ticket(0, 0.0) as ticket:
+            assert queue.n_ahead(ticket) == 0
         assert fleet.n_open == 0
 
     def test_poll_is_short_beside_a_reading(self):
-        assert waiting.POLL_S < 0.2
+        assert admission_queue.POLL_S < 0.2
--- a/packages/entry/src/almonddeal/relay/tests/test_losses.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_losses.py
@@ -75,7 +75,7 @@
                 moved = make_run(f"other-{target}", target)
                 moved.request = "moved"
                 moved.is_ended = is_ended
-                fleet.parts.hear_run(moved)
+                fleet.parts.take_remote_run(moved)
 
         assert self.took_s(fleet, happen) < 0.5
 
--- a/packages/entry/src/almonddeal/roles/entry.py
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -100,7 +100,7 @@
         for record in update.targets:
             self._parts.targets.take(record)
         for run in update.runs:
-            self._parts.hear_run(run)
+            self._parts.take_remote_run(run)
         if update.content and update.version > self._version():
             self._use(update.version, unpack(update.content))
 
--- a/tools/almonddeal_tools/lab/fleet.py
+++ b/tools/almonddeal_tools/lab/fleet.py
@@ -108,7 +108,7 @@
             domain,
             TargetBook(),
             LoadView(),
-            SharedRuns(partial(self._tell_run, number)),
+            SharedRuns(partial(self._share_run, number)),
             TargetCalls(
                 self._open,
                 self._is_alive,
@@ -177,15 +177,15 @@
 
     # ---- what instances hear -----------------------------------------------------
 
-    def _tell_run(self, number, run):
+    def _share_run(self, number, run):
         if self._shares_runs:
-            self._group.start_soon(self._bring_run, number, run)
+            self._group.start_soon(self._deliver_run, number, run)
 
-    async def _bring_run(self, number, run):
+    async def _deliver_run(self, number, run):
         await anyio.sleep(WORD_S)
         for other, instance in enumerate(self.instances):
             if other != number:
-                instance.hear_run(run)
+                instance.take_remote_run(run)
 
     # ---- calls of the relay ------------------------------------------------------
 
