control: a handler that outlives its member starts no peer

Cause: four tests of TestGroup failed now and then. (1) Both test groups ran a handler in the task of its caller, so a killed process kept serving: its handler waited for the disk lock that the kill held and then wrote to the closed store (ValueError: seek of closed file). (2) A handler in the middle of a disk write outlives the tasks of its member, stores a membership change and starts a peer in a task group that has ended (RuntimeError). The product meets (2) at a stop: a thread that writes is not cancelled, so the handler goes on to the next await. It does not meet (1): its store closes after the group of all handlers. Ruled out: load alone; both are shown by tests that need none.

--- a/packages/entry/src/almonddeal/control/tests/changing_group.py
+++ b/packages/entry/src/almonddeal/control/tests/changing_group.py
@@ -7,7 +7,7 @@
 from almonddeal.control.consensus import Consensus
 from almonddeal.control.identity import load_identity, store_initial_members
 from almonddeal.control.storage import LogStore
-from almonddeal.control.tests.fakes import ProcessEnded
+from almonddeal.control.tests.fakes import HandlerCalls, ProcessEnded
 from almonddeal.publication.state import Publication, compress_content
 from almonddeal_common.codes import LINK_LOST, NOT_LEADER, NOT_REACHED, AlmonddealError
 from almonddeal_common.wire.codec import decode, encode
@@ -43,7 +43,8 @@
         copied = decode(type(message), encode(message))
         with anyio.move_on_after(timeout_ms / 1000):
             await anyio.sleep(0.001)
-            reply = await process.handler_by_type[type(message)](None, copied, None)
+            handler = process.handler_by_type[type(message)]
+            reply = await process.handler_calls.run(handler, copied)
             if not self.is_up:
                 raise AlmonddealError(LINK_LOST, self._address)
             return reply
@@ -77,6 +78,7 @@
             InstallSnapshot: self.consensus.handle_snapshot,
             JoinGroup: self.consensus.handle_join,
         }
+        self.handler_calls = HandlerCalls()
         self.scope = anyio.CancelScope()
         self._group = group
         # A process of the first start beyond the seeds enlarges the group; a later one
@@ -142,6 +144,7 @@
     async def kill(self, address, wipe=False):
         process = self.process_by_address.pop(address)
         process.scope.cancel()
+        process.handler_calls.end()
         async with process.consensus.disk_lock:
             process.store.__exit__(None, None, None)
         if wipe:
--- a/packages/entry/src/almonddeal/control/tests/fakes.py
+++ b/packages/entry/src/almonddeal/control/tests/fakes.py
@@ -25,6 +25,32 @@
     """Raised in place of the end of a process."""
 
 
+class HandlerCalls:
+    """Handlers that run in one process on behalf of callers; they end with it."""
+
+    def __init__(self):
+        self._scopes = set()
+        self._is_ended = False
+
+    async def run(self, handler, message):
+        """Return the reply of a handler; raise `LINK_LOST` if the process ends first."""
+        if self._is_ended:
+            raise AlmonddealError(LINK_LOST, "the process has ended")
+        with anyio.CancelScope() as scope:
+            self._scopes.add(scope)
+            try:
+                return await handler(None, message, None)
+            finally:
+                self._scopes.discard(scope)
+        raise AlmonddealError(LINK_LOST, "the process ended during the call")
+
+    def end(self):
+        """Cancel the handlers that run and refuse new calls."""
+        self._is_ended = True
+        for scope in list(self._scopes):
+            scope.cancel()
+
+
 class FakePeer:
     """Link from one member to another, with random delays."""
 
@@ -46,7 +72,7 @@
                 raise AlmonddealError(NOT_REACHED, self._recipient)
             handler = member.handler_by_type[type(message)]
             copied = decode(type(message), encode(message))
-            reply = await handler(None, copied, None)
+            reply = await member.handler_calls.run(handler, copied)
             if self._group.member_by_name.get(self._recipient) is not member:
                 raise AlmonddealError(LINK_LOST, "restarted")
             await self._deliver(self._recipient, self._source)
@@ -87,6 +113,7 @@
             AppendLog: self.consensus.handle_append,
             InstallSnapshot: self.consensus.handle_snapshot,
         }
+        self.handler_calls = HandlerCalls()
         self.scope = anyio.CancelScope()
 
     async def run(self):
@@ -176,6 +203,7 @@
         if member is None:
             return
         member.scope.cancel()
+        member.handler_calls.end()
         # A disk operation in a worker thread outlives the cancellation of its task.
         async with member.consensus.disk_lock:
             member.store.__exit__(None, None, None)
--- a/packages/entry/src/almonddeal/control/tests/test_members.py
+++ b/packages/entry/src/almonddeal/control/tests/test_members.py
@@ -3,8 +3,13 @@
 import anyio
 import pytest
 
-from almonddeal.control.constants import ELECTION_TIMEOUT_MIN_MS
-from almonddeal.control.identity import initial_voter_name, load_identity
+from almonddeal.control.consensus import Consensus
+from almonddeal.control.constants import ELECTION_TIMEOUT_MIN_MS, KIND_MEMBERS
+from almonddeal.control.identity import (
+    initial_voter_name,
+    load_identity,
+    store_initial_members,
+)
 from almonddeal.control.members import (
     REMOVE_AFTER_SILENCE_MS,
     JoinRequest,
@@ -12,9 +17,13 @@
     next_members,
 )
 from almonddeal.control.peers import PeerSet
-from almonddeal.control.tests.changing_group import SEEDS, run_group
-from almonddeal_common.codes import AlmonddealError
-from almonddeal_common.wire.gen.ttypes import AppendLog, Hello, Vote
+from almonddeal.control.storage import LogStore
+from almonddeal.control.tests.changing_group import SEEDS, AddressPeer, run_group
+from almonddeal.control.tests.fakes import FakeGroup, FakePeer
+from almonddeal.publication.state import Publication
+from almonddeal_common.codes import LINK_LOST, AlmonddealError
+from almonddeal_common.wire.codec import encode
+from almonddeal_common.wire.gen.ttypes import AppendLog, Hello, LogEntry, Vote
 
 
 def three_voters():
@@ -256,6 +265,102 @@
         run_group(tmp_path, test)
 
 
+class TestEndOfProcess:
+    """Calls of other members that a process is serving when it ends."""
+
+    def test_member_change_stored_after_the_end_connects_no_peer(self, tmp_path):
+        # At a stop, a handler whose disk write is in progress finishes after the
+        # tasks of the member have ended.
+        connected_names = []
+        own_name = initial_voter_name("a:1")
+        leader_name = initial_voter_name("b:1")
+
+        def connect(name, address):
+            connected_names.append(name)
+
+        async def main(store):
+            consensus = Consensus(
+                own_name, {}, store, Publication(), None, connect, lambda peer: None
+            )
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(consensus.run)
+                await anyio.sleep(0.02)
+                tasks.cancel_scope.cancel()
+            connected_names.clear()
+            joined = consensus.members.with_voter(JoinRequest("w", "d:1", False))
+            entry = LogEntry(1, 1, KIND_MEMBERS, encode(joined.to_wire()))
+            message = AppendLog(1, leader_name, 0, 0, [entry], 0, own_name)
+            reply = await consensus.handle_append(None, message, None)
+            assert reply.ok
+            assert "w" in consensus.members
+
+        with LogStore(tmp_path, pytest.fail) as store:
+            store_initial_members(store, SEEDS)
+            anyio.run(main, store)
+        assert connected_names == []
+
+    def test_call_in_progress_ends_with_its_process(self, tmp_path):
+        async def test(group):
+            await group.publish(7)
+            process = group.process_by_address["b:1"]
+            message = Vote(99, "x", 99, 99, False, process.name)
+            await _kill_during_call(
+                process.consensus,
+                AddressPeer(group, "a:1", process.name, "b:1"),
+                message,
+                lambda: group.kill("b:1"),
+            )
+
+        run_group(tmp_path, test)
+
+    def test_call_in_progress_ends_with_its_member(self, tmp_path):
+        async def main():
+            async with anyio.create_task_group() as tasks:
+                group = FakeGroup(tmp_path, tasks, 0)
+                group.start_all()
+                member = group.member_by_name["entry1"]
+                await _kill_during_call(
+                    member.consensus,
+                    FakePeer(group, "entry0", "entry1"),
+                    Vote(99, "x", 99, 99, False, "entry1"),
+                    lambda: group.kill("entry1"),
+                )
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+
+    def test_call_after_the_end_of_a_process_is_not_served(self, tmp_path):
+        async def test(group):
+            process = group.process_by_address["b:1"]
+            peer = AddressPeer(group, "a:1", process.name, "b:1")
+            async with anyio.create_task_group() as calls:
+                calls.start_soon(
+                    _expect_lost_link, peer, Vote(99, "x", 99, 99, False, process.name)
+                )
+                # The call is on its way, not yet at the process.
+                await anyio.lowlevel.checkpoint()
+                await group.kill("b:1")
+            assert process.consensus.term < 99
+
+        run_group(tmp_path, test)
+
+
+async def _expect_lost_link(peer, message):
+    with pytest.raises(AlmonddealError) as error_info:
+        await peer.call(message, 2000)
+    assert error_info.value.code == LINK_LOST
+
+
+async def _kill_during_call(consensus, peer, message, kill):
+    """Kill a process while a handler of it waits for the disk."""
+    async with anyio.create_task_group() as calls:
+        async with consensus.disk_lock:
+            calls.start_soon(_expect_lost_link, peer, message)
+            await anyio.sleep(0.02)
+            calls.start_soon(kill)
+            await anyio.sleep(0.02)
+
+
 class TestPeerSet:
     def test_peer_is_disconnected_before_its_task_starts(self):
         async def main():
