answers: a caller counts as waiting until its response is sent

Cause: the number of waiting callers fell to 0 between the wait for the first event and the first iteration of the response. A customer without grace (disconnect_grace_ms 0) whose answer was cleaned in that gap had its generation stopped; the caller then got keep-alive comments for ever, or no head for 60 s. A second gap: a caller that attached while a cancelled generation was still ending joined it. Ruled out: replication (holders had all positions), the engine stand-in. Change: the count is entered before the first await after create or attach and left with the response; a stopped generation is forgotten at once.

--- a/packages/entry/src/almonddeal/answers/service.py
+++ b/packages/entry/src/almonddeal/answers/service.py
@@ -228,7 +228,6 @@
         async with self._lock_for(key):
             task = self._task_by_key.get(key)
             if task is not None and self._can_reuse(task):
-                self._resume_task(key, task)
                 return task.answer
             copies = customer.resume.copies
             answer = await self._ownership.take_over(key, copies)
@@ -243,10 +242,6 @@
             task.generation_scope is not None or task.answer.is_ended
         )
 
-    def _resume_task(self, key, task):
-        if task.generation_scope is None and not task.answer.is_ended:
-            self._start(key, task)
-
     def _lock_for(self, key):
         lock = self._lock_by_key.get(key)
         if lock is None:
@@ -349,7 +344,12 @@
                 task.generation_scope.cancel()
 
     def count_caller(self, answer):
-        """Return a context manager that counts a caller as waiting for an answer."""
+        """Return a context manager that counts a caller as waiting for an answer.
+
+        A caller enters it before its first await after `create_or_attach` or `attach`
+        and leaves it when its response has been sent: the generation of an answer
+        without callers may be stopped at any await.
+        """
         return _CallerCount(self, answer)
 
     def record_caller_change(self, answer):
@@ -377,6 +377,9 @@
         if task.generation_scope is not None:
             if idle_ms > grace_ms:
                 task.generation_scope.cancel()
+                # The generation ends only at its next await. A caller that attaches
+                # before then must take the answer over.
+                task.generation_scope = None
         elif task.answer.is_ended or task.answer.error is not None:
             if idle_ms > CLEAN_INTERVAL_S * 1000:
                 del self._task_by_key[key]
--- a/packages/entry/src/almonddeal/callers/app.py
+++ b/packages/entry/src/almonddeal/callers/app.py
@@ -5,6 +5,8 @@
 forwards calls to plain services.
 """
 
+from contextlib import ExitStack
+
 import anyio
 from starlette.applications import Starlette
 from starlette.requests import ClientDisconnect
@@ -19,7 +21,12 @@
     parse_last_event_id,
     read_body,
 )
-from almonddeal.callers.streams import Delivery, stream_response, whole_response
+from almonddeal.callers.streams import (
+    CountedResponse,
+    Delivery,
+    stream_response,
+    whole_response,
+)
 from almonddeal.orders.lookups import run_lookup
 from almonddeal.orders.runner import order_id
 from almonddeal_common.clock import monotonic_ms
@@ -101,7 +108,10 @@
     async def _respond(self, request, delivery, is_streamed):
         service = self._entry.answers
         respond = stream_response if is_streamed else whole_response
-        return await _run_until_disconnect(request, respond(service, delivery))
+        with ExitStack() as stack:
+            stack.enter_context(service.count_caller(delivery.answer))
+            response = await _run_until_disconnect(request, respond(service, delivery))
+            return CountedResponse(response, stack.pop_all())
 
     async def _attach(self, request):
         customer = self._find_customer(request)
--- a/packages/entry/src/almonddeal/callers/errors.py
+++ b/packages/entry/src/almonddeal/callers/errors.py
@@ -2,11 +2,14 @@
 
 import json
 
-from starlette.responses import JSONResponse
+from starlette.requests import ClientDisconnect
+from starlette.responses import JSONResponse, Response
 
 from almonddeal_common.codes import INTERNAL, AlmonddealError
 from almonddeal_common.logs import get_logger
 
+CLIENT_CLOSED_REQUEST = 499  # nobody receives this response
+
 log = get_logger("callers")
 
 
@@ -26,8 +29,8 @@
 def with_error_responses(endpoint):
     """Return a Starlette endpoint that converts errors to responses.
 
-    An `AlmonddealError` becomes its own response, any other exception is logged and
-    becomes `INTERNAL`.
+    An `AlmonddealError` becomes its own response. A caller that disconnects is no
+    error. Any other exception is logged and becomes `INTERNAL`.
     """
 
     async def wrapped(request):
@@ -35,6 +38,9 @@
             return await endpoint(request)
         except AlmonddealError as error:
             return error_response(error)
+        except ClientDisconnect:
+            log.info("caller of %s disconnected before the response", request.url.path)
+            return Response(status_code=CLIENT_CLOSED_REQUEST)
         except Exception:
             log.exception("unexpected error while serving %s", request.url.path)
             return error_response(AlmonddealError(INTERNAL, "see the log"))
--- a/packages/entry/src/almonddeal/callers/streams.py
+++ b/packages/entry/src/almonddeal/callers/streams.py
@@ -98,6 +98,27 @@
         return CompletionFormatter(self.request_id, self.answer.spec, self.is_chat)
 
 
+class CountedResponse:
+    """ASGI response whose caller counts as waiting for the answer until it is sent.
+
+    Parameters
+    ----------
+    response : starlette.responses.Response
+    caller_count : context manager
+        Entered already; left when the response has been sent or has failed.
+    """
+
+    __slots__ = ("_caller_count", "_response")
+
+    def __init__(self, response, caller_count):
+        self._response = response
+        self._caller_count = caller_count
+
+    async def __call__(self, scope, receive, send):
+        with self._caller_count:
+            await self._response(scope, receive, send)
+
+
 async def whole_response(service, delivery):
     """Wait for the end of the answer and return it as one response.
 
@@ -107,8 +128,7 @@
         If the answer failed or finished with an error, or at the deadline.
     """
     answer = delivery.answer
-    with service.count_caller(answer):
-        await AnswerWaiter(service, answer, delivery.deadline_ms).wait_ended()
+    await AnswerWaiter(service, answer, delivery.deadline_ms).wait_ended()
     error = end_error(answer)
     if error is not None:
         raise error
@@ -131,39 +151,35 @@
     """
     answer = delivery.answer
     waiter = AnswerWaiter(service, answer, delivery.deadline_ms)
-    with service.count_caller(answer):
-        await waiter.wait_beyond(delivery.n_seen)
-    events = _events(
-        service, answer, delivery.make_formatter(), delivery.n_seen, waiter
-    )
+    await waiter.wait_beyond(delivery.n_seen)
+    events = _events(answer, delivery.make_formatter(), delivery.n_seen, waiter)
     headers = {"x-request-id": delivery.request_id, **STREAM_HEADERS}
     return StreamingResponse(events, media_type="text/event-stream", headers=headers)
 
 
-async def _events(service, answer, formatter, n_seen, waiter):
+async def _events(answer, formatter, n_seen, waiter):
     sent_ms = monotonic_ms()
-    with service.count_caller(answer):
-        while True:
-            n_ready = answer.n_deliverable
-            if n_ready > n_seen:
-                sent_ms = monotonic_ms()
-                yield _token_events(answer, formatter, n_seen, n_ready)
-                n_seen = n_ready
-            elif answer.is_ended:
-                yield _final_events(answer, formatter)
-                return
-            elif answer.error is not None:
-                yield error_event(answer.error)
+    while True:
+        n_ready = answer.n_deliverable
+        if n_ready > n_seen:
+            sent_ms = monotonic_ms()
+            yield _token_events(answer, formatter, n_seen, n_ready)
+            n_seen = n_ready
+        elif answer.is_ended:
+            yield _final_events(answer, formatter)
+            return
+        elif answer.error is not None:
+            yield error_event(answer.error)
+            return
+        else:
+            try:
+                await waiter.wait_progress()
+            except AlmonddealError as error:
+                yield error_event(error)
                 return
-            else:
-                try:
-                    await waiter.wait_progress()
-                except AlmonddealError as error:
-                    yield error_event(error)
-                    return
-                if monotonic_ms() - sent_ms > KEEP_ALIVE_INTERVAL_MS:
-                    sent_ms = monotonic_ms()
-                    yield KEEP_ALIVE_COMMENT
+            if monotonic_ms() - sent_ms > KEEP_ALIVE_INTERVAL_MS:
+                sent_ms = monotonic_ms()
+                yield KEEP_ALIVE_COMMENT
 
 
 def _token_events(answer, formatter, n_seen, n_ready):
--- /dev/null
+++ b/packages/entry/src/almonddeal/callers/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the caller interface."""
