relay: bytes without end from a target end with its own attempt

Comments counted as progress of a stream. A response without the request's id counted as authentic. Ruled out: heads (h11 limits them to 100 KB; interim responses end with the attempt's time).

--- a/packages/entry/src/almonddeal/relay/attempts.py
+++ b/packages/entry/src/almonddeal/relay/attempts.py
@@ -14,6 +14,7 @@
     first_probe_delay_ms,
 )
 from almonddeal.relay.stream_state import KvCopy
+from almonddeal_common.bodies import BodyTooLargeError, read_limited
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import (
     ATTEMPT_LOST,
@@ -26,6 +27,7 @@
 from almonddeal_common.logs import decide, get_logger
 
 NOT_RUN_CODES = (NOT_REACHED, TARGET_REFUSED)
+MAX_ERROR_BODY_BYTES = 1024 * 1024
 
 log = get_logger("relay")
 
@@ -173,14 +175,22 @@
             code = NOT_REACHED if response.is_misdirected else TARGET_REFUSED
             raise AlmonddealError(code, f"status {response.status}")
         if not response.is_success:
-            body = b"".join([chunk async for chunk in response.chunks])
-            stream.error_response = (response, body)
+            await _read_error_response(stream, response)
             raise AlmonddealError(ATTEMPT_LOST, f"status {response.status}")
         if not response.is_authentic:
             raise AlmonddealError(LINK_LOST, "not the target's answer")
         await _forward_events(stream, context, engine, response, scope)
 
 
+async def _read_error_response(stream, response):
+    """Read the body of an error response, to forward it if no engine succeeds."""
+    try:
+        body = await read_limited(response.chunks, MAX_ERROR_BODY_BYTES)
+    except BodyTooLargeError as error:
+        raise AlmonddealError(LINK_LOST, f"error response: {error}") from None
+    stream.error_response = (response, body)
+
+
 async def _forward_events(stream, context, engine, response, scope):
     reader = EventReader()
     gap_timeout_ms = event_gap_timeout_ms(stream.admitted.route.max_gap_ms)
@@ -189,6 +199,12 @@
         events = reader.feed(chunk)
         if not events:
             continue
+        if all(event.is_comment for event in events):
+            # Comments do not show that the engine still generates.
+            deadline = scope.deadline
+            await _send_events(stream, response, events, scope)
+            scope.deadline = deadline
+            continue
         engine.record_activity()
         if not has_event:
             has_event = True
@@ -217,6 +233,8 @@
     scope.deadline = float("inf")
     await _start_response(stream, response)
     await stream.writer.send(b"".join(event.raw for event in new_events))
+    if all(event.is_comment for event in new_events):
+        return
     stream.last_sent_ms = monotonic_ms()
 
 
--- a/packages/entry/src/almonddeal/relay/events.py
+++ b/packages/entry/src/almonddeal/relay/events.py
@@ -1,5 +1,9 @@
 """Parsing of a server-sent event stream into complete events."""
 
+from almonddeal_common.codes import LINK_LOST, AlmonddealError
+
+MAX_EVENT_BYTES = 1024 * 1024
+
 
 class Event:
     """One event: its raw bytes with the blank line, and its id if that is numeric."""
@@ -10,6 +14,11 @@
         self.raw = raw
         self.event_id = _parse_event_id(raw)
 
+    @property
+    def is_comment(self):
+        """Whether there is nothing but comment lines, as in a keep-alive."""
+        return all(line.startswith(b":") for line in self.raw.splitlines() if line)
+
 
 def _parse_event_id(raw):
     for line in raw.splitlines():
@@ -33,12 +42,21 @@
         return bool(self._buffer)
 
     def feed(self, data):
-        """Append received bytes; returns the events that they complete, as a list."""
+        """Append received bytes; returns the events that they complete, as a list.
+
+        Raises
+        ------
+        AlmonddealError
+            `LINK_LOST` if an event does not end within `MAX_EVENT_BYTES`.
+        """
         self._buffer += data
         events = []
         while True:
             end = self._first_event_end()
             if end is None:
+                if len(self._buffer) > MAX_EVENT_BYTES:
+                    detail = f"an event has more than {MAX_EVENT_BYTES} bytes"
+                    raise AlmonddealError(LINK_LOST, detail)
                 return events
             events.append(Event(self._buffer[:end]))
             self._buffer = self._buffer[end:]
--- a/packages/entry/src/almonddeal/relay/plain.py
+++ b/packages/entry/src/almonddeal/relay/plain.py
@@ -6,6 +6,7 @@
 
 from almonddeal.relay.requests import Attempt
 from almonddeal.routing.model import ORDER
+from almonddeal_common.bodies import BodyTooLargeError, read_limited
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import (
     DEADLINE,
@@ -23,6 +24,7 @@
 LOOKUP_TIMEOUT_SHARE = 0.4  # of the time left, for an attempt that is not the last
 MAX_UNREACHED = 4  # retries after reaching no target, not counted in max_attempts
 MIN_LEFT_MS = 15.0  # no target responds within less
+MAX_BODY_BYTES = 4 * 1024 * 1024  # of a response, which is kept whole until its end
 
 log = get_logger("relay")
 
@@ -187,9 +189,11 @@
     attempt = Attempt(admitted, target.announcement, last_event_id=last_event_id)
     try:
         async with context.open_attempt(attempt) as response:
-            body = b"".join([chunk async for chunk in response.chunks])
+            body = await read_limited(response.chunks, MAX_BODY_BYTES)
     except AlmonddealError as error:
         return _Outcome(error=error)
+    except BodyTooLargeError as error:
+        return _Outcome(error=AlmonddealError(LINK_LOST, f"response body: {error}"))
     if response.is_success and not response.is_authentic:
         return _Outcome(error=AlmonddealError(LINK_LOST, "not the target's answer"))
     return _Outcome(response, body)
--- a/packages/entry/src/almonddeal/relay/requests.py
+++ b/packages/entry/src/almonddeal/relay/requests.py
@@ -187,7 +187,7 @@
         Whether the address belongs to another target now.
     is_authentic : bool
         Whether the response has a signature header, whose value is not verified, and
-        does not carry the id of another request.
+        the id of the request.
     is_leaving : bool
         Whether the target closes its connections.
     reported_counts : tuple of int or None
