agent: no reply of a target ends the process or outlasts its time

Cause: an order's reply over 8 MiB raised in a task of the agent's group, which ended the process; time limits were per read, so a byte now and then never ended a call; engine lines, reports and cache events were read without a limit; an order to load weights had no limit at all; a connection that timed out counted as lost, though nothing was sent. Change: bounded bodies, one time limit a call, any failure of a call becomes a reply with an unknown outcome, malformed streams lose their attempt only.

--- a/packages/agent/src/almonddeal_agent/calls.py
+++ b/packages/agent/src/almonddeal_agent/calls.py
@@ -9,18 +9,20 @@
 import anyio
 import httpx
 
+from almonddeal_common.bodies import read_limited
 from almonddeal_common.codes import (
     NO,
     NOT_REACHED,
     OK,
     ORDER_OUTCOME_UNKNOWN,
-    AlmonddealError,
+    UNKNOWN,
 )
 from almonddeal_common.logs import get_logger
 from almonddeal_common.wire.gen.ttypes import ServiceReply
 
 MAX_KEPT_ORDERS = 10_000
 MAX_REPLY_BYTES = 8 * 1024 * 1024
+CONNECT_TIMEOUT_S = 1.0
 HOP_BY_HOP_HEADERS = frozenset(
     ("connection", "content-length", "host", "keep-alive", "transfer-encoding")
 )
@@ -102,33 +104,39 @@
         return True
 
     async def _send(self, call):
-        headers = {
-            k: v for k, v in call.headers.items() if k.lower() not in HOP_BY_HOP_HEADERS
-        }
+        """Send a call to the service; whatever the service does, there is a reply."""
         try:
-            response = await self._client.request(
-                call.method,
-                self._base_url + call.path,
-                headers=headers,
-                content=call.body,
-                timeout=httpx.Timeout(call.timeout_ms / 1000, connect=1.0),
-            )
-        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            # The service may send a byte now and then, so the time limit is for all.
+            with anyio.fail_after(call.timeout_ms / 1000):
+                return await self._exchange(call)
+        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
             return ServiceReply(
-                code=NOT_REACHED.number, was_run="no", detail=f"service: {error}"
+                code=NOT_REACHED.number, was_run=NO, detail=f"service: {error!r}"
             )
-        except httpx.HTTPError as error:
+        except Exception as error:
+            # Not only HTTP errors: the service chooses the bytes, and an order whose
+            # task failed would leave its callers without a reply.
             log.warning("call to the service failed, outcome unknown: %r", error)
             return ServiceReply(
-                code=ORDER_OUTCOME_UNKNOWN.number, was_run="unknown", detail=repr(error)
+                code=ORDER_OUTCOME_UNKNOWN.number, was_run=UNKNOWN, detail=repr(error)
             )
-        return _make_reply(response)
 
-
-def _make_reply(response):
+    async def _exchange(self, call):
+        headers = {
+            k: v for k, v in call.headers.items() if k.lower() not in HOP_BY_HOP_HEADERS
+        }
+        async with self._client.stream(
+            call.method,
+            self._base_url + call.path,
+            headers=headers,
+            content=call.body,
+            timeout=httpx.Timeout(None, connect=CONNECT_TIMEOUT_S),
+        ) as response:
+            body = await read_limited(response.aiter_bytes(), MAX_REPLY_BYTES)
+            return _make_reply(response, body)
+
+
+def _make_reply(response, body):
     headers = {k: v for k, v in response.headers.items() if k not in HOP_BY_HOP_HEADERS}
     headers.pop("content-encoding", None)
-    body = response.content
-    if len(body) > MAX_REPLY_BYTES:
-        raise AlmonddealError(ORDER_OUTCOME_UNKNOWN, "the reply is too large to keep")
     return ServiceReply(response.status_code, headers, body, OK.number, "yes", "")
--- a/packages/agent/src/almonddeal_agent/engine.py
+++ b/packages/agent/src/almonddeal_agent/engine.py
@@ -8,18 +8,27 @@
 import anyio
 import httpx
 
+from almonddeal_common.bodies import read_limited
 from almonddeal_common.codes import (
     ATTEMPT_LOST,
     STALE_FENCE,
     TARGET_REFUSED,
     AlmonddealError,
 )
+from almonddeal_common.logs import get_logger
 from almonddeal_common.wire.gen.ttypes import Load, ModelState
 
 POLL_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 1.0
 CANCEL_TIMEOUT_S = 0.5
+TARGET_ORDER_TIMEOUT_S = 600.0  # weights of a large model load for minutes
+MAX_LINE_BYTES = 1024 * 1024  # of a stream; a token has some dozens of bytes
+MAX_QUERY_BYTES = 4 * 1024 * 1024
 MAX_CONNECTIONS = 1024
+# What the parsing of bytes raises that are no valid message of the engine.
+MALFORMED = (ValueError, TypeError, AttributeError, KeyError)
+
+log = get_logger("engine")
 
 
 class Token:
@@ -107,8 +116,8 @@
         is_complete = False
         try:
             response = await client.send(request, stream=True)
-        except httpx.ConnectError as error:
-            raise AlmonddealError(TARGET_REFUSED, f"engine: {error}") from None
+        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
+            raise AlmonddealError(TARGET_REFUSED, f"engine: {error!r}") from None
         except httpx.HTTPError as error:
             raise AlmonddealError(ATTEMPT_LOST, f"engine: {error!r}") from None
         try:
@@ -120,7 +129,7 @@
                 yield tokens
                 if is_complete:
                     return
-        except httpx.HTTPError as error:
+        except (httpx.HTTPError, *MALFORMED) as error:
             raise AlmonddealError(ATTEMPT_LOST, f"engine: {error!r}") from None
         finally:
             with anyio.move_on_after(CANCEL_TIMEOUT_S, shield=True):
@@ -128,25 +137,32 @@
         if not is_complete:
             raise AlmonddealError(ATTEMPT_LOST, "engine closed the stream early")
 
+    async def query(method, path, **content):
+        """Send a query; return the status and the bounded body of the response."""
+        async with client.stream(method, base_url + path, **content) as response:
+            body = await read_limited(response.aiter_bytes(), MAX_QUERY_BYTES)
+            return response.status_code, body
+
     async def report():
         with anyio.fail_after(POLL_TIMEOUT_S):
-            response = await client.get(f"{base_url}/load")
-        return _parse_report(response.json())
+            _, body = await query("GET", "/load")
+        return _parse_report(json.loads(body))
 
     async def cancel(start):
         body = {"request": start.spec.request, "attempt": start.attempt}
         with anyio.move_on_after(CANCEL_TIMEOUT_S, shield=True):
             try:
-                await client.post(f"{base_url}/cancel", json=body)
-            except httpx.HTTPError:
-                return
+                await query("POST", "/cancel", json=body)
+            except (httpx.HTTPError, ValueError) as error:
+                # The engine also sees that the connection of the stream was closed.
+                log.info("engine did not confirm a cancellation: %r", error)
 
     async def cache_events(since):
         with anyio.fail_after(POLL_TIMEOUT_S):
-            response = await client.get(f"{base_url}/events", params={"since": since})
+            _, body = await query("GET", "/events", params={"since": since})
         return [
             CacheEvent(e["number"], e["kind"], bytes.fromhex(e["key"]))
-            for e in response.json()
+            for e in json.loads(body)
         ]
 
     async def send_target_order(target_order):
@@ -158,14 +174,14 @@
             "role": target_order.role,
         }
         try:
-            response = await client.post(f"{base_url}/order", json=body)
-        except httpx.HTTPError as error:
+            with anyio.fail_after(TARGET_ORDER_TIMEOUT_S):
+                status, _ = await query("POST", "/order", json=body)
+        except (httpx.HTTPError, TimeoutError, ValueError) as error:
             raise AlmonddealError(TARGET_REFUSED, f"engine: {error!r}") from None
-        if response.status_code == 409:
+        if status == 409:
             raise AlmonddealError(STALE_FENCE, "the engine refused the number")
-        if response.status_code != 200:
-            detail = f"engine answered {response.status_code}"
-            raise AlmonddealError(TARGET_REFUSED, detail)
+        if status != 200:
+            raise AlmonddealError(TARGET_REFUSED, f"engine answered {status}")
 
     return EngineInterface(generate, cancel, report, cache_events, send_target_order)
 
@@ -193,6 +209,8 @@
     rest = b""
     async for data in response.aiter_bytes():
         *lines, rest = (rest + data).split(b"\n")
+        if len(rest) > MAX_LINE_BYTES:
+            raise ValueError(f"a line has more than {MAX_LINE_BYTES} bytes")
         tokens = [_parse_token(line) for line in lines if line]
         if tokens:
             yield tokens
--- /dev/null
+++ b/packages/agent/src/almonddeal_agent/tests/test_calls.py
@@ -0,0 +1,108 @@
+"""Tests of calls to a service that answers too much, too slowly or not at all."""
+
+import time
+
+import anyio
+import pytest
+
+from almonddeal_agent.admission import Admission
+from almonddeal_agent.calls import MAX_REPLY_BYTES, CallForwarder
+from almonddeal_agent.engine import make_client
+from almonddeal_agent.tests.raw_target import RawTarget
+from almonddeal_common.address import Address
+from almonddeal_common.codes import NOT_REACHED, OK, ORDER_OUTCOME_UNKNOWN
+from almonddeal_common.wire.gen.ttypes import AnnounceReply, OrderQuery, ServiceCall
+
+OK_HEAD = b"HTTP/1.1 200 OK\r\n"
+
+
+def make_call(is_order=True, timeout_ms=1000):
+    return ServiceCall(
+        method="POST",
+        path="/orders",
+        headers={},
+        body=b"x",
+        timeout_ms=timeout_ms,
+        order="o1" if is_order else "",
+        is_order=is_order,
+    )
+
+
+def forward(target, *calls, address=None):
+    """Forward calls one after the other; returns their replies and the last query's."""
+    replies = []
+
+    async def main():
+        admission = Admission()
+        admission.apply_announce_reply(AnnounceReply(1, 0, False, 0, True), 0.0)
+        with anyio.fail_after(20):
+            async with make_client() as client, target.serve() as group:
+                forwarder = CallForwarder(
+                    client, address or target.address, admission, group
+                )
+                for call in calls:
+                    replies.append(await forwarder.handle_call(None, call, None))
+                if calls[-1].is_order:
+                    query = OrderQuery(calls[-1].order)
+                    replies.append(await forwarder.handle_query(None, query, None))
+                assert admission.n_in_flight == 0
+
+    anyio.run(main)
+    return replies
+
+
+ENDLESS = [
+    pytest.param(
+        OK_HEAD + b"Content-Length: %d\r\n\r\n" % (2 * MAX_REPLY_BYTES),
+        b"x" * 65_536,
+        id="large reply",
+    ),
+    pytest.param(OK_HEAD + b"\r\n", b"x" * 65_536, id="reply without end"),
+    pytest.param(OK_HEAD, b"a: %s\r\n" % (b"y" * 4000), id="head without end"),
+    pytest.param(b"", b"\x00\xff" * 4096, id="no HTTP"),
+]
+
+
+class TestReplies:
+    @pytest.mark.parametrize(("start", "piece"), ENDLESS)
+    def test_order_with_an_unusable_reply_has_an_unknown_outcome(self, start, piece):
+        # The error ended the task group of the agent, and with it the process.
+        target = RawTarget(start, piece)
+        reply, queried = forward(target, make_call(timeout_ms=10_000))
+        assert (reply.code, reply.was_run) == (ORDER_OUTCOME_UNKNOWN.number, "unknown")
+        assert queried.code == ORDER_OUTCOME_UNKNOWN.number
+        assert target.n_sent_bytes < 4 * MAX_REPLY_BYTES
+
+    @pytest.mark.parametrize(("start", "piece"), ENDLESS)
+    def test_repeated_order_is_not_sent_again(self, start, piece):
+        target = RawTarget(start, piece)
+        forward(target, make_call(timeout_ms=10_000), make_call(timeout_ms=10_000))
+        assert len(target.heads) == 1
+
+    @pytest.mark.parametrize("is_order", [True, False])
+    @pytest.mark.parametrize(
+        ("start", "piece"),
+        [
+            pytest.param(OK_HEAD + b"\r\n", b"x", id="byte now and then"),
+            pytest.param(OK_HEAD, b"a: b\r\n", id="slow head"),
+            pytest.param(b"", b"", id="silence"),
+        ],
+    )
+    def test_slow_reply_ends_with_the_timeout_of_the_call(self, start, piece, is_order):
+        target = RawTarget(start, piece, interval_s=0.05)
+        started_s = time.monotonic()
+        replies = forward(target, make_call(is_order, timeout_ms=400))
+        assert time.monotonic() - started_s < 3.0
+        assert replies[0].code == ORDER_OUTCOME_UNKNOWN.number
+
+    def test_complete_reply_is_returned(self):
+        target = RawTarget(OK_HEAD + b"Content-Length: 2\r\n\r\nok")
+        reply, queried = forward(target, make_call())
+        assert (reply.code, reply.status, reply.body) == (OK.number, 200, b"ok")
+        assert queried.body == b"ok"
+
+    def test_order_that_was_not_sent_was_not_run(self):
+        target = RawTarget(b"")
+        address = Address("127.0.0.1", 9)
+        reply = forward(target, make_call(), address=address)[0]
+        assert (reply.code, reply.was_run) == (NOT_REACHED.number, "no")
