control, wire, rollout: one bad message, target or write costs only itself

Cause, each shown by a test that fails first: - wire: an exception of an inline handler, a body that cannot be decoded or a first message that is no handshake left the task of its link and ended the process; a link closed here told its calls no reason. - rollout: a vanished target or an unexpected error ended the task group of all steps. - storage: when the folder could not be synced after the log was replaced, later entries went to the old file, which had no name any more: acknowledged entries were gone at the next start. Found by filling the disk at each sync in turn. Ruled out as faults: a vote stored though it was refused for lack of space.

--- a/packages/common/src/almonddeal_common/http.py
+++ b/packages/common/src/almonddeal_common/http.py
@@ -1,5 +1,6 @@
 """HTTP serving of ASGI applications with hypercorn."""
 
+import errno
 import logging
 from signal import SIGINT, SIGTERM
 
@@ -12,6 +13,7 @@
 KEEP_ALIVE_TIMEOUT_S = 30.0
 HEAD_TIMEOUT_S = 10.0  # clients send a head at once; this bounds slow ones
 BACKLOG = 2048
+BIND_ERRNOS = (errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EACCES)
 
 
 def make_config(address, tls=None):
@@ -56,6 +58,8 @@
     try:
         await serve_connections(app, config, stop)
     except OSError as error:
+        if error.errno not in BIND_ERRNOS:
+            raise
         raise AlmonddealError(ADDRESS_IN_USE, f"{address}: {error}") from None
 
 
--- a/packages/common/src/almonddeal_common/wire/link.py
+++ b/packages/common/src/almonddeal_common/wire/link.py
@@ -162,6 +162,11 @@
             self._closed_reason = "connection broken"
         except* AlmonddealError as group:
             self._closed_reason = str(group.exceptions[0])
+        except* Exception as group:
+            # Such as a handshake that cannot be decoded. The peer chooses the bytes, so
+            # an error ends this link and not the process.
+            log.exception("link failed", exc_info=group)
+            self._closed_reason = f"failed: {group.exceptions[0]!r}"
         finally:
             self._set_closed()
             with anyio.CancelScope(shield=True):
@@ -213,7 +218,7 @@
         if frame.phase == Phase.CALL:
             handler = self._handler_by_type.get(frame.type)
             if handler is not None and not iscoroutinefunction(handler):
-                self._send(Phase.REPLY, frame.call_id, handler(frame.message()))
+                self._handle_call_inline(frame, handler)
             else:
                 self._group.start_soon(self._handle_call, frame)
         elif frame.phase == Phase.NOTICE:
@@ -226,11 +231,31 @@
         else:
             self._dispatch_result(frame)
 
+    def _handle_call_inline(self, frame, handler):
+        try:
+            self._send(Phase.REPLY, frame.call_id, handler(frame.message()))
+        except Exception as error:
+            self._send_fault(frame, error)
+
+    def _send_fault(self, frame, error):
+        """Reply to a call with the error of its handler, and log unexpected ones."""
+        if isinstance(error, AlmonddealError):
+            fault = Fault(error.code.number, error.detail)
+        else:
+            log.error("handler of message kind %s failed", frame.kind, exc_info=error)
+            fault = Fault(INTERNAL.number, "handler failed")
+        self._send(Phase.FAULT, frame.call_id, fault)
+
     def _dispatch_result(self, frame):
         call = self._call_by_id.get(frame.call_id)
         if call is None:
             return
-        message = frame.message()
+        try:
+            message = frame.message()
+        except Exception as error:
+            log.error("reply of kind %s is malformed: %r", frame.kind, error)
+            call.complete(error=AlmonddealError(LINK_LOST, "malformed reply"))
+            return
         if frame.phase == Phase.ITEM:
             call.items.append(message)
             call.changed.set()
@@ -250,14 +275,8 @@
             try:
                 reply = await self._run_handler(frame, emit)
                 self._send(Phase.REPLY, call_id, reply or Ok())
-            except AlmonddealError as error:
-                fault = Fault(error.code.number, error.detail)
-                self._send(Phase.FAULT, call_id, fault)
-            except Exception:
-                log.exception("handler of message kind %s failed", frame.kind)
-                self._send(
-                    Phase.FAULT, call_id, Fault(INTERNAL.number, "handler failed")
-                )
+            except Exception as error:
+                self._send_fault(frame, error)
             finally:
                 self._scope_by_id.pop(call_id, None)
 
@@ -310,7 +329,7 @@
         self._outgoing.append(data)
         self._outgoing_bytes += len(data)
         if self._outgoing_bytes > MAX_OUTGOING_BYTES:
-            self.close()
+            self.close(f"peer left more than {MAX_OUTGOING_BYTES} bytes unread")
         self._outgoing_ready.set()
 
     def _start_call(self, message):
@@ -373,7 +392,9 @@
         if self.is_open:
             self._send(Phase.NOTICE, 0, message)
 
-    def close(self):
-        """Close the link."""
+    def close(self, reason="closed by this process"):
+        """Close the link; its calls fail with the reason."""
+        if self._closed_reason is None:
+            self._closed_reason = reason
         if self._group is not None:
             self._group.cancel_scope.cancel()
--- a/packages/common/src/almonddeal_common/wire/tests/test_link.py
+++ b/packages/common/src/almonddeal_common/wire/tests/test_link.py
@@ -1,5 +1,7 @@
 """Tests of links, and of compatibility between two releases."""
 
+from contextlib import suppress
+
 import anyio
 import pytest
 from anyio import create_tcp_listener
@@ -10,7 +12,14 @@
 from almonddeal_common.address import Address
 from almonddeal_common.codes import OVERLOADED, AlmonddealError
 from almonddeal_common.wire import link as link_module
-from almonddeal_common.wire.codec import FrameReader, decode, encode, encode_frame
+from almonddeal_common.wire.codec import (
+    FRAME_HEADER,
+    KIND_BY_TYPE,
+    FrameReader,
+    decode,
+    encode,
+    encode_frame,
+)
 from almonddeal_common.wire.connect import Peer, dial, serve_links
 from almonddeal_common.wire.gen.ttypes import (
     AttemptChunk,
@@ -130,6 +139,76 @@
 
         run({}, test)
 
+    @pytest.mark.parametrize("n_bytes", [0, 1, 5])
+    def test_malformed_message_fails_its_call_only(self, n_bytes):
+        def fence(message):
+            return FenceReply(code=0, promised_epoch=message.epoch)
+
+        async def test(link):
+            await link.ready.wait()
+            for kind in (KIND_BY_TYPE[Fence], KIND_BY_TYPE[OrderQuery], 9999):
+                for phase in (Phase.CALL, Phase.NOTICE, Phase.REPLY, Phase.ITEM, 77):
+                    body = b"\x0b" * n_bytes
+                    header = FRAME_HEADER.pack(len(body), phase, kind, 4_000)
+                    await link._stream.send(header + body)
+            reply = await link.call(Fence("r", 7, False), 1000)
+            assert reply.promised_epoch == 7
+
+        run({Fence: fence, OrderQuery: echo}, test)
+
+    def test_failure_of_an_inline_handler_keeps_the_link(self):
+        def fail(message):
+            raise AssertionError("conflicting tokens")
+
+        async def test(link):
+            await link.ready.wait()
+            with pytest.raises(AlmonddealError, match="INTERNAL"):
+                await link.call(Fence("r", 7, False), 1000)
+            assert link.is_open
+
+        run({Fence: fail}, test)
+
+    @pytest.mark.parametrize(
+        "first",
+        [
+            b"GET / HTTP/1.1\r\n\r\n" * 4,
+            b"\x00" * 64,
+            FRAME_HEADER.pack(3, Phase.NOTICE, KIND_BY_TYPE[Hello], 0)
+            + b"\x0b\x00\x05",
+            FRAME_HEADER.pack(2**31, Phase.NOTICE, KIND_BY_TYPE[Hello], 0),
+        ],
+    )
+    def test_bytes_that_are_no_handshake_end_only_their_link(self, first):
+        async def test(link):
+            await link.ready.wait()
+            port = link._stream.extra(anyio.abc.SocketAttribute.remote_port)
+            async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+                await stream.send(first)
+                with anyio.move_on_after(2), suppress(anyio.EndOfStream, OSError):
+                    while True:
+                        await stream.receive()
+            reply = await link.call(Fence("r", 7, False), 1000)
+            assert reply.promised_epoch == 7
+
+        run({Fence: echo}, test)
+
+    def test_calls_of_a_closed_link_get_the_reason(self):
+        async def sleep(link, message, emit):
+            await anyio.sleep(5)
+
+        async def test(link):
+            await link.ready.wait()
+            async with anyio.create_task_group() as group:
+                group.start_soon(expect_reason, link)
+                await anyio.sleep(0.05)
+                link.close("no longer needed")
+
+        async def expect_reason(link):
+            with pytest.raises(AlmonddealError, match="no longer needed"):
+                await link.call(Fence("r", 7, False), 1000)
+
+        run({Fence: sleep}, test)
+
     def test_incompatible_release_is_rejected(self):
         async def test(link):
             with anyio.fail_after(2):
--- a/packages/entry/src/almonddeal/announced/registry.py
+++ b/packages/entry/src/almonddeal/announced/registry.py
@@ -38,6 +38,7 @@
         self.announcements = VersionedMap()
         self._heartbeat_ms_by_target = {}
         self._replicated_ms_by_target = {}
+        self._acknowledged_by_target = {}
 
     def merge(self, announcement, origin):
         """Merge an announcement if it supersedes the known one.
@@ -76,6 +77,18 @@
         )
         return True
 
+    def is_acknowledged(self, target):
+        """Return whether a majority has acknowledged the state of a target as known."""
+        known = self.announcements.get(target)
+        return known is not None and (
+            self._acknowledged_by_target.get(target) == _replicated_part(known)
+        )
+
+    def record_acknowledgement(self, announcement):
+        """Record that a majority of the control group has an announcement."""
+        target = announcement.target
+        self._acknowledged_by_target[target] = _replicated_part(announcement)
+
     def _is_replication_due(self, target, now_ms):
         if (
             now_ms - self._replicated_ms_by_target.get(target, 0.0)
@@ -138,6 +151,12 @@
                 self.announcements.discard(announcement.target)
                 self._heartbeat_ms_by_target.pop(announcement.target, None)
                 self._replicated_ms_by_target.pop(announcement.target, None)
+                self._acknowledged_by_target.pop(announcement.target, None)
+
+
+def _replicated_part(announcement):
+    """Return what of an announcement decides where requests go."""
+    return announcement.born_ms, announcement.state, announcement.address
 
 
 def _with_state(announcement, state):
--- a/packages/entry/src/almonddeal/control/storage.py
+++ b/packages/entry/src/almonddeal/control/storage.py
@@ -80,16 +80,26 @@
 
     Writes a temporary file, syncs it, renames it and syncs the directory.
     """
-    temporary = path.with_suffix(".tmp")
     header = CHECKSUMMED_FILE_HEADER.pack(CHECKSUMMED_FILE_MAGIC, zlib.crc32(payload))
-    with open(temporary, "wb") as file:
-        file.write(header + payload)
-        file.flush()
-        os.fsync(file.fileno())
-    os.replace(temporary, path)
+    with _removed_on_error(path.with_suffix(".tmp")) as temporary:
+        with open(temporary, "wb") as file:
+            file.write(header + payload)
+            file.flush()
+            os.fsync(file.fileno())
+        os.replace(temporary, path)
     sync_directory(path.parent)
 
 
+@contextmanager
+def _removed_on_error(temporary):
+    """Remove a temporary file if it cannot be written, as it takes up a full disk."""
+    try:
+        yield temporary
+    except OSError:
+        temporary.unlink(missing_ok=True)
+        raise
+
+
 def read_checksummed_file(path):
     """Return the payload that `write_checksummed_file` wrote; None without a file.
 
@@ -214,17 +224,23 @@
         temporary = path.with_suffix(".tmp")
         offset_by_index = {}
         size = len(LOG_MAGIC)
-        with open(temporary, "wb") as file:
-            file.write(LOG_MAGIC)
-            for entry in entries:
-                offset_by_index[entry.index] = size
-                record = _pack_record(encode(entry), 0)
-                file.write(record)
-                size += len(record)
-            file.flush()
-            self._sync(file)
-        os.replace(temporary, path)
-        sync_directory(self._folder)
+        with _removed_on_error(temporary):
+            with open(temporary, "wb") as file:
+                file.write(LOG_MAGIC)
+                for entry in entries:
+                    offset_by_index[entry.index] = size
+                    record = _pack_record(encode(entry), 0)
+                    file.write(record)
+                    size += len(record)
+                file.flush()
+                os.fsync(file.fileno())
+            os.replace(temporary, path)
+        try:
+            sync_directory(self._folder)
+        except OSError as error:
+            # After a loss of power, the old log may be back under this name, without
+            # what is appended from here on.
+            self._end_process(f"could not sync the folder of the log: {error}")
         if self._file is not None:
             self._file.close()
         self._file = open(path, "r+b")
--- a/packages/entry/src/almonddeal/control/tests/fakes.py
+++ b/packages/entry/src/almonddeal/control/tests/fakes.py
@@ -33,7 +33,7 @@
         self._is_ended = False
 
     async def run(self, handler, message):
-        """Return the reply of a handler; raise `LINK_LOST` if the process ends first."""
+        """Return a handler's reply; raise `LINK_LOST` if the process ends first."""
         if self._is_ended:
             raise AlmonddealError(LINK_LOST, "the process has ended")
         with anyio.CancelScope() as scope:
--- a/packages/entry/src/almonddeal/control/tests/test_members.py
+++ b/packages/entry/src/almonddeal/control/tests/test_members.py
@@ -353,12 +353,11 @@
 
 async def _kill_during_call(consensus, peer, message, kill):
     """Kill a process while a handler of it waits for the disk."""
-    async with anyio.create_task_group() as calls:
-        async with consensus.disk_lock:
-            calls.start_soon(_expect_lost_link, peer, message)
-            await anyio.sleep(0.02)
-            calls.start_soon(kill)
-            await anyio.sleep(0.02)
+    async with anyio.create_task_group() as calls, consensus.disk_lock:
+        calls.start_soon(_expect_lost_link, peer, message)
+        await anyio.sleep(0.02)
+        calls.start_soon(kill)
+        await anyio.sleep(0.02)
 
 
 class TestPeerSet:
--- a/packages/entry/src/almonddeal/control/tests/test_storage.py
+++ b/packages/entry/src/almonddeal/control/tests/test_storage.py
@@ -146,5 +146,76 @@
         assert stored_indices(tmp_path) == [1, 2, 3]
 
 
+class DiskFull:
+    """Lets syncs succeed until the disk is full, `n_syncs` syncs later."""
+
+    def __init__(self, n_syncs):
+        self._n_left = n_syncs
+
+    def fsync(self, descriptor):
+        if not self._n_left:
+            raise OSError(errno.ENOSPC, "no space left")
+        self._n_left -= 1
+
+
+class TestFullDisk:
+    """Pattern: the disk fills up in the middle of an operation, and has room again."""
+
+    @pytest.mark.parametrize("n_syncs", range(3))
+    def test_snapshot_keeps_the_entries_at_each_step(
+        self, tmp_path, monkeypatch, n_syncs
+    ):
+        # Syncs of the snapshot, its folder and the log.
+        with LogStore(tmp_path, end_process) as store:
+            store.append(entries(1, 5))
+            with monkeypatch.context() as patched:
+                patched.setattr("os.fsync", DiskFull(n_syncs).fsync)
+                with pytest.raises(AlmonddealError, match="STORAGE_FULL"):
+                    store.save_snapshot(Snapshot(1, 3, 1, b"x"), entries(4, 2))
+            assert list(tmp_path.glob("*.tmp")) == []
+            store.append(entries(6, 1))
+        with LogStore(tmp_path, end_process) as store:
+            assert store.entries[-1].index == 6
+            known = store.snapshot.index + len(store.entries)
+            assert known == 6
+
+    def test_process_ends_if_the_new_log_may_not_be_durable(
+        self, tmp_path, monkeypatch
+    ):
+        # Later entries went to the old file, which had no name any more.
+        with LogStore(tmp_path, end_process) as store:
+            store.append(entries(1, 5))
+            with monkeypatch.context() as patched:
+                patched.setattr("os.fsync", DiskFull(3).fsync)
+                with pytest.raises(ProcessEnded):
+                    store.save_snapshot(Snapshot(1, 3, 1, b"x"), entries(4, 2))
+        assert stored_indices(tmp_path) == [4, 5]
+
+    def test_snapshot_is_stored_once_there_is_room_again(self, tmp_path, monkeypatch):
+        with LogStore(tmp_path, end_process) as store:
+            store.append(entries(1, 5))
+            snapshot = Snapshot(1, 3, 1, b"x")
+            with monkeypatch.context() as patched:
+                patched.setattr("os.fsync", DiskFull(2).fsync)
+                with pytest.raises(AlmonddealError, match="STORAGE_FULL"):
+                    store.save_snapshot(snapshot, entries(4, 2))
+            store.save_snapshot(snapshot, entries(4, 2))
+        assert stored_indices(tmp_path) == [4, 5]
+
+    @pytest.mark.parametrize("n_syncs", range(2))
+    def test_vote_is_kept_or_refused_as_a_whole(self, tmp_path, monkeypatch, n_syncs):
+        with LogStore(tmp_path, end_process) as store:
+            store.save_meta(3, "x")
+            with monkeypatch.context() as patched:
+                patched.setattr("os.fsync", DiskFull(n_syncs).fsync)
+                with pytest.raises(AlmonddealError, match="STORAGE_FULL"):
+                    store.save_meta(4, "y")
+            assert (store.meta.term, store.meta.voted_for) == (3, "x")
+        with LogStore(tmp_path, end_process) as store:
+            # A vote that was refused may be on the disk, but never half of it.
+            stored = (store.meta.term, store.meta.voted_for)
+            assert stored in ((3, "x"), (4, "y"))
+
+
 def raise_disk_full(path, payload):
     raise OSError(errno.ENOSPC, "no space left")
--- a/packages/entry/src/almonddeal/publication/feed.py
+++ b/packages/entry/src/almonddeal/publication/feed.py
@@ -164,18 +164,22 @@
         Returns
         -------
         is_replicated : bool
-            False only if the announcement had to be replicated and no majority
-            acknowledged it.
+            Whether a majority of the control group has the state of the target.
         """
-        if not self._registry.merge(announcement, origin):
+        target = announcement.target
+        is_due = self._registry.merge(announcement, origin)
+        if not is_due and self._registry.is_acknowledged(target):
             return True
         return await self.replicate_announcement(
-            self._registry.announcements.get(announcement.target)
+            self._registry.announcements.get(target)
         )
 
     async def replicate_announcement(self, announcement):
         """Replicate an announcement; return whether a majority acknowledged it."""
-        return await self._replicate_to_peers(ShareTargets([announcement]))
+        is_replicated = await self._replicate_to_peers(ShareTargets([announcement]))
+        if is_replicated:
+            self._registry.record_acknowledgement(announcement)
+        return is_replicated
 
     async def _replicate_to_peers(self, message):
         members = self._consensus.members
--- /dev/null
+++ b/packages/entry/src/almonddeal/publication/tests/test_feed.py
@@ -0,0 +1,85 @@
+"""Tests of the acknowledgement of announcements by a majority of control instances."""
+
+import anyio
+import pytest
+
+from almonddeal.announced.announcement import DRAINING, READY
+from almonddeal.announced.registry import TargetRegistry
+from almonddeal.control.members import Members
+from almonddeal.publication.feed import Feed
+from almonddeal.publication.state import Publication
+from almonddeal_common.codes import LINK_LOST, AlmonddealError
+from almonddeal_common.wire.gen.ttypes import AnnouncedTarget
+
+
+class Peer:
+    """Control instance that can be cut off."""
+
+    def __init__(self, name):
+        self.name = name
+        self.is_up = True
+        self.is_silent = False
+        self.received = []
+
+    async def call(self, message, timeout_ms):
+        await anyio.sleep(0.001)
+        if self.is_silent:
+            raise AlmonddealError(LINK_LOST, "cut")
+        self.received += message.targets
+
+
+class Group:
+    members = Members({"c1": "a:1", "c2": "b:1", "c3": "c:1"}, 3)
+
+
+@pytest.fixture
+def peers():
+    return {"c2": Peer("c2"), "c3": Peer("c3")}
+
+
+@pytest.fixture
+def feed(peers):
+    return Feed("c1", Publication(), TargetRegistry(), None, Group(), peers)
+
+
+def announce(feed, state, sequence):
+    announcement = AnnouncedTarget(
+        "i-1", "s", "10.0.0.1:80", "fd1", "v1", 8, state, 1000, sequence, 0, 0
+    )
+    return anyio.run(feed.accept_announcement, announcement, "x")
+
+
+class TestAcknowledgement:
+    """Pattern: a target says that it leaves while its control instance is cut off."""
+
+    def test_state_is_acknowledged_by_a_majority(self, feed, peers):
+        assert announce(feed, READY, 1)
+        assert len(peers["c2"].received) == 1
+
+    def test_repeated_heartbeat_is_refused_until_a_majority_has_the_state(
+        self, feed, peers
+    ):
+        # The second heartbeat changed nothing here and was acknowledged unasked.
+        assert announce(feed, READY, 1)
+        for peer in peers.values():
+            peer.is_silent = True
+        assert not announce(feed, DRAINING, 2)
+        assert not announce(feed, DRAINING, 3)
+        assert not announce(feed, DRAINING, 3)
+        peers["c3"].is_silent = False
+        assert announce(feed, DRAINING, 4)
+        assert peers["c3"].received[-1].state == DRAINING
+
+    def test_late_heartbeat_of_an_earlier_state_needs_the_later_one_acknowledged(
+        self, feed, peers
+    ):
+        assert announce(feed, READY, 1)
+        for peer in peers.values():
+            peer.is_silent = True
+        assert not announce(feed, DRAINING, 3)
+        assert not announce(feed, READY, 2)
+
+    def test_heartbeats_without_news_are_not_replicated(self, feed, peers):
+        for sequence in range(1, 6):
+            assert announce(feed, READY, sequence)
+        assert len(peers["c2"].received) == 1
--- a/packages/entry/src/almonddeal/roles/control.py
+++ b/packages/entry/src/almonddeal/roles/control.py
@@ -161,8 +161,7 @@
         Returns
         -------
         is_replicated : bool
-            False only if the announcement had to be replicated and no majority
-            acknowledged it.
+            Whether a majority of the control group has the state of the target.
         """
         is_replicated = await self.feed.accept_announcement(announcement, origin)
         self._metrics.record_announcement(
--- a/packages/entry/src/almonddeal/rollout/controller.py
+++ b/packages/entry/src/almonddeal/rollout/controller.py
@@ -5,7 +5,7 @@
 from almonddeal.rollout.fence import fence_of_term
 from almonddeal.rollout.planner import Pause, next_steps
 from almonddeal_common.clock import wall_ms
-from almonddeal_common.codes import NO_QUORUM, AlmonddealError
+from almonddeal_common.codes import NO_QUORUM, NOT_REACHED, AlmonddealError
 from almonddeal_common.logs import get_logger
 from almonddeal_common.wire.gen.ttypes import Command, RecordAttempt, TargetOrder
 
@@ -106,11 +106,17 @@
         except AlmonddealError as error:
             log.warning("rollout step failed: %s: %s", step, error)
             await anyio.sleep(RETRY_DELAY_S)
+        except Exception:
+            # The steps of all targets share a task group, which one must not cancel.
+            log.exception("rollout step failed: %s", step)
+            await anyio.sleep(RETRY_DELAY_S)
         finally:
             self._busy_targets.discard(step.target)
 
     async def _send_target_order(self, step):
         target = self._directory.target_by_name.get(step.target)
+        if target is None:
+            raise AlmonddealError(NOT_REACHED, f"{step.target} is not known any more")
         fence = self._next_fence()
         order = TargetOrder(fence, step.kind, step.model, step.version, step.role)
         link = await self._links.open(target.state)
