--- a/packages/entry/src/almonddeal/callers/streams.py
+++ b/packages/entry/src/almonddeal/callers/streams.py
@@ -115,6 +115,7 @@
         self._caller_count = caller_count
 
     async def __call__(self, scope, receive, send):
+        """Send the response over ASGI."""
         with self._caller_count:
             await self._response(scope, receive, send)
 
--- a/packages/entry/src/almonddeal/callers/tests/test_answers.py
+++ b/packages/entry/src/almonddeal/callers/tests/test_answers.py
@@ -104,9 +104,9 @@
     messages = [{"type": "http.request", "body": json.dumps(body).encode()}]
 
     async def receive():
-        if messages:
-            return messages.pop()
-        await anyio.sleep_forever()
+        if not messages:
+            await anyio.sleep_forever()
+        return messages.pop()
 
     scope = {
         "type": "http",
--- a/tools/almonddeal_tools/fleet.py
+++ b/tools/almonddeal_tools/fleet.py
@@ -17,17 +17,26 @@
 from almonddeal_tools.process import Process
 
 READY_TIMEOUT_S = 30.0
-PORT_RANGE = (12_000, 32_000)
+PORT_RANGE = (12_000, 32_000)  # below the ephemeral range of the system
+# Ports as "first-end"; fleets that start side by side need ranges of their own, since
+# a port that is free now may be bound by another fleet before this one binds it.
+PORT_RANGE_VARIABLE = "ALMONDDEAL_TOOLS_PORTS"
 OPERATOR_TOKEN = "operator-token"
 READER_TOKEN = "reader-token"
 BIN_FOLDER = Path(sys.executable).parent
 
 
+def _port_range():
+    text = os.environ.get(PORT_RANGE_VARIABLE)
+    return tuple(int(port) for port in text.split("-")) if text else PORT_RANGE
+
+
 def find_free_ports(n_ports):
-    """Return ports that are free now, below the ephemeral range of the system."""
+    """Return ports that are free now, from the range in use."""
     ports = []
+    first, end = _port_range()
     while len(ports) < n_ports:
-        port = random.randrange(*PORT_RANGE)
+        port = random.randrange(first, end)
         with socket.socket() as sock:
             try:
                 sock.bind(("127.0.0.1", port))
