relay: a run lost in its prefill goes on from its KV cache copy

Cause: a copy was kept only once an event had come, so a prompt that was lost in its prefill was read anew from the start. The engines copy the KV cache as it grows, also while a prompt is read. Change: the copy is kept unless the engine did not run the request; load reports count such a resume as a whole prefill; an engine that refuses a copy is asked again without one (it counted as failed).

--- a/packages/entry/src/almonddeal/relay/attempts.py
+++ b/packages/entry/src/almonddeal/relay/attempts.py
@@ -59,7 +59,9 @@
     )
     if backup is not None:
         stream.copy = KvCopy(backup, backup.announcement.address, stream.request_id)
-    report_run_start(stream, context, announcement, copy is not None)
+    # Without an event, the copy may lack most of the prompt.
+    has_whole_prompt = copy is not None and stream.last_event_id is not None
+    report_run_start(stream, context, announcement, has_whole_prompt)
     started_ms = monotonic_ms()
     stream.n_attempts += 1
     error = await _supervise(stream, context, engine, attempt)
@@ -69,9 +71,11 @@
     if error is None:
         await free_copy(stream, context, announcement)
         return None
-    stream.failed_targets.add(announcement.target)
-    # No KV cache to copy: no response started, or the engine did not run the request.
-    if not stream.is_started or error.code in NOT_RUN_CODES:
+    # An engine that refuses a copy may still take the request without one.
+    if copy is None or error.code != TARGET_REFUSED:
+        stream.failed_targets.add(announcement.target)
+    # An engine also copies the KV cache of a prefill that it has not finished.
+    if error.code in NOT_RUN_CODES:
         stream.copy = None
     _record_failure(stream, context, engine, error, copy is not None)
     return error
@@ -264,7 +268,6 @@
 def _record_failure(stream, context, engine, error, resumes_copy):
     request_id = stream.request_id
     if error.code == TARGET_REFUSED:
-        # An engine that refuses a copy may still take the request without one.
         if not resumes_copy:
             stream.refusing_targets.add(engine.announcement.target)
     elif error.code == NOT_REACHED:
--- a/packages/entry/src/almonddeal/relay/run_reports.py
+++ b/packages/entry/src/almonddeal/relay/run_reports.py
@@ -7,7 +7,7 @@
 log = get_logger("relay")
 
 
-def report_run_start(stream, context, announcement, resumes_copy):
+def report_run_start(stream, context, announcement, has_whole_prompt):
     """Report that a run was sent to an engine.
 
     Parameters
@@ -17,13 +17,14 @@
     context : RelayContext
     announcement : AnnouncedTarget
         The engine of the run.
-    resumes_copy : bool
-        Whether the engine resumes from a copy, so that no prefill is needed.
+    has_whole_prompt : bool
+        Whether the engine resumes from a copy of the whole prompt, so that no prefill
+        is needed.
     """
     generation = stream.admitted.request.generation
     if generation is None:
         return
-    n_unread_tokens = 0 if resumes_copy else generation.n_prompt_tokens
+    n_unread_tokens = 0 if has_whole_prompt else generation.n_prompt_tokens
     _report(stream, context, announcement.target, announcement.born_ms, n_unread_tokens)
 
 
