relay: a silent engine is probed before its stream is given up

Cause: a stream was given up after 280 ms without an event. Each false verdict cost a retry, a copy and often a prefill; the engine that took the stream over was given up in the same way 350 ms later, and its backup lay in the domain that had just been lost. Ruled out: load of the entry instances (0.075 of 0.387 of a core). Change: after 30 % of the accepted pause the engine is probed; one that does not respond is ejected with all its streams, one that does gets 80 % of the pause, or twice the pause while prompts are being prefilled there. A stream avoids for 1.5 s the failure domains in which it lost an engine, for its backup as well.

--- a/packages/entry/src/almonddeal/relay/admission_queue.py
+++ b/packages/entry/src/almonddeal/relay/admission_queue.py
@@ -145,7 +145,7 @@
     untried = [
         e for e in candidates if e.announcement.target not in stream.failed_targets
     ]
-    return untried or candidates
+    return stream.outside_lost_domains(untried or candidates, monotonic_ms())
 
 
 def _choose(stream, context, engines, demand):
--- a/packages/entry/src/almonddeal/relay/attempts.py
+++ b/packages/entry/src/almonddeal/relay/attempts.py
@@ -8,12 +8,14 @@
 from almonddeal.relay.run_reports import record_first_event, report_run_start
 from almonddeal.relay.stall import (
     PROBE_INTERVAL_MS,
+    PROBE_REPEAT_MS,
     SUSPECT_SILENCE_MS,
-    event_gap_timeout_ms,
     first_event_timeout_ms,
     first_probe_delay_ms,
+    probe_gap_ms,
+    stall_gap_ms,
 )
-from almonddeal.relay.stream_state import KvCopy
+from almonddeal.relay.stream_state import AttemptProgress, KvCopy
 from almonddeal_common.bodies import BodyTooLargeError, read_limited
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import (
@@ -71,6 +73,8 @@
     if error is None:
         await free_copy(stream, context, announcement)
         return None
+    if error.code != TARGET_REFUSED:
+        stream.lost_ms_by_domain[announcement.failure_domain] = monotonic_ms()
     # An engine that refuses a copy may still take the request without one.
     if copy is None or error.code != TARGET_REFUSED:
         stream.failed_targets.add(announcement.target)
@@ -109,11 +113,15 @@
     engine.n_in_flight += 1
     async with anyio.create_task_group() as group:
         engine.request_by_scope[group.cancel_scope] = stream.request_id
+        progress = AttemptProgress()
         group.start_soon(_probe_while_silent, context, engine, stream.request_id)
+        group.start_soon(
+            _cancel_if_stalled, stream, context, engine, progress, group.cancel_scope
+        )
         group.start_soon(maintain_copy, stream, context, engine.announcement)
         try:
             await _send_and_forward(
-                stream, context, engine, attempt, group.cancel_scope
+                stream, context, engine, attempt, progress, group.cancel_scope
             )
             error = None
         except AlmonddealError as caught:
@@ -147,6 +155,36 @@
         is_suspected = await _wait_for_suspicion(engine, PROBE_INTERVAL_MS)
 
 
+async def _cancel_if_stalled(stream, context, engine, progress, scope):
+    """Cancel an attempt whose engine stops sending events, until cancelled itself.
+
+    An engine that does not respond to a probe is lost. One that does is sound, and its
+    stream may only be slow, so it gets more time.
+    """
+    max_gap_ms = stream.admitted.route.max_gap_ms
+    min_silence_ms = probe_gap_ms(max_gap_ms)
+    while True:
+        now_ms = monotonic_ms()
+        silence_ms = progress.silence_ms(now_ms)
+        if silence_ms < min_silence_ms:
+            await anyio.sleep((min_silence_ms - silence_ms) / 1000)
+            continue
+        n_unread_tokens = context.load_view.load(engine.announcement).n_unread_tokens
+        limit_ms = stall_gap_ms(max_gap_ms, n_unread_tokens)
+        if silence_ms >= limit_ms:
+            scope.cancel()
+            return
+        if now_ms - engine.last_activity_ms >= min_silence_ms:
+            if not await context.is_alive(engine.announcement):
+                context.targets.eject(
+                    engine, "liveness probe failed", stream.request_id
+                )
+                engine.cancel_attempts()
+                return
+            engine.record_activity()
+        await anyio.sleep(min(PROBE_REPEAT_MS, limit_ms - silence_ms) / 1000)
+
+
 async def _wait_for_suspicion(engine, timeout_ms):
     """Wait up to a timeout; returns True as soon as the engine is suspected."""
     with anyio.move_on_after(timeout_ms / 1000):
@@ -172,7 +210,7 @@
     )
 
 
-async def _send_and_forward(stream, context, engine, attempt, scope):
+async def _send_and_forward(stream, context, engine, attempt, progress, scope):
     _set_timeout(scope, _first_event_timeout_ms(stream, context, engine))
     async with context.open_attempt(attempt) as response:
         if response.is_not_run:
@@ -183,7 +221,7 @@
             raise AlmonddealError(ATTEMPT_LOST, f"status {response.status}")
         if not response.is_authentic:
             raise AlmonddealError(LINK_LOST, "not the target's answer")
-        await _forward_events(stream, context, engine, response, scope)
+        await _forward_events(stream, context, engine, response, progress, scope)
 
 
 async def _read_error_response(stream, response):
@@ -195,31 +233,31 @@
     stream.error_response = (response, body)
 
 
-async def _forward_events(stream, context, engine, response, scope):
+async def _forward_events(stream, context, engine, response, progress, scope):
     reader = EventReader()
-    gap_timeout_ms = event_gap_timeout_ms(stream.admitted.route.max_gap_ms)
-    has_event = False
     async for chunk in response.chunks:
         events = reader.feed(chunk)
         if not events:
             continue
-        if all(event.is_comment for event in events):
-            # Comments do not show that the engine still generates.
-            deadline = scope.deadline
-            await _send_events(stream, response, events, scope)
+        # Comments do not show that the engine still generates.
+        is_progress = not all(event.is_comment for event in events)
+        if is_progress:
+            engine.record_activity()
+            if not progress.has_event:
+                record_first_event(stream, context, engine)
+        deadline, scope.deadline = scope.deadline, float("inf")
+        with progress.sending():
+            await _send_events(stream, response, events)
+        if is_progress:
+            progress.record_event(monotonic_ms())
+        else:
             scope.deadline = deadline
-            continue
-        engine.record_activity()
-        if not has_event:
-            has_event = True
-            record_first_event(stream, context, engine)
-        await _send_events(stream, response, events, scope)
-        _set_timeout(scope, gap_timeout_ms)
     if reader.has_partial_event:
         raise AlmonddealError(LINK_LOST, "the answer ended within an event")
     scope.deadline = float("inf")
-    await _start_response(stream, response)
-    await stream.writer.finish()
+    with progress.sending():
+        await _start_response(stream, response)
+        await stream.writer.finish()
     stream.is_ended = True
 
 
@@ -229,12 +267,10 @@
         stream.is_started = True
 
 
-async def _send_events(stream, response, events, scope):
+async def _send_events(stream, response, events):
     new_events = [event for event in events if _record_event_id(stream, event)]
     if not new_events:
         return
-    # A caller that reads slowly must not count as a stall of the engine.
-    scope.deadline = float("inf")
     await _start_response(stream, response)
     await stream.writer.send(b"".join(event.raw for event in new_events))
     if all(event.is_comment for event in new_events):
@@ -275,8 +311,9 @@
         context.targets.eject(engine, "connection failed", request_id)
     elif error.code == TARGET_STALLED:
         silence_ms = monotonic_ms() - engine.last_activity_ms
-        # If other streams received events meanwhile, the engine itself is not stalled.
-        if silence_ms > event_gap_timeout_ms(stream.admitted.route.max_gap_ms) / 2:
+        # If other streams received events meanwhile, or a probe succeeded, the engine
+        # itself is not stalled.
+        if silence_ms > probe_gap_ms(stream.admitted.route.max_gap_ms):
             context.targets.eject(engine, "stalled", request_id)
             engine.cancel_attempts()
     elif error.code == LINK_LOST:
--- a/packages/entry/src/almonddeal/relay/kv_copies.py
+++ b/packages/entry/src/almonddeal/relay/kv_copies.py
@@ -41,7 +41,9 @@
         return None
     if not stream.admitted.route.may_run_again:
         return None
-    engines = context.targets.candidates(stream.admitted.service.name)
+    engines = stream.outside_lost_domains(
+        context.targets.candidates(stream.admitted.service.name), monotonic_ms()
+    )
     return context.selection_policy.backup(
         engines, announcement, context.load_view, stream.n_tokens, traits, random.random
     )
--- a/packages/entry/src/almonddeal/relay/retry_window.py
+++ b/packages/entry/src/almonddeal/relay/retry_window.py
@@ -13,7 +13,7 @@
 MIN_INSTANCES = 6  # least number by which the slack is divided
 # Instances assumed by a process that has not yet run for a whole window: it does not
 # know all others, nor the retries that it made before a restart.
-INSTANCES_AT_START = 64
+INSTANCES_AT_START = 32
 
 
 class SlidingCount:
--- a/packages/entry/src/almonddeal/relay/stall.py
+++ b/packages/entry/src/almonddeal/relay/stall.py
@@ -9,8 +9,17 @@
 # Silence after which a suspected engine is probed: others of its failure domain were
 # just lost, or another instance moved a run away from it.
 SUSPECT_SILENCE_MS = 50.0
-GAP_SHARE = 0.4  # of the longest accepted pause; the rest is for resuming elsewhere
-MIN_GAP_TIMEOUT_MS = 220.0  # tokens of one event, a prefill chunk before each
+# Shares of the longest accepted pause between events. After the first one, the engine
+# is probed; after the second one, a stream is given up whose engine responds to probes
+# and has no prompt to prefill; the rest is for resuming elsewhere.
+PROBE_GAP_SHARE = 0.3
+STALL_GAP_SHARE = 0.8
+MIN_PROBE_GAP_MS = 150.0  # tokens of one event, a prefill chunk before each
+MIN_VERDICT_MS = 100.0  # from the first probe to giving up an engine that responds
+# The prefill of other prompts delays the tokens of a sound engine. The pause is late
+# then, but resuming elsewhere would cost a prefill and delay others in turn.
+PREFILL_GAP_RATIO = 2.0
+PROBE_REPEAT_MS = 300.0
 
 
 def first_event_timeout_ms(
@@ -44,12 +53,31 @@
     return PROBE_RATIO * prefill_ms + PROBE_MARGIN_MS
 
 
-def event_gap_timeout_ms(max_gap_ms):
-    """Return how long an engine may be silent between two events, in ms.
+def probe_gap_ms(max_gap_ms):
+    """Return how long an engine may be silent between two events before it is probed.
 
     Parameters
     ----------
     max_gap_ms : float
         Longest pause that callers accept.
+
+    Returns
+    -------
+    gap_ms : float
+    """
+    return max(MIN_PROBE_GAP_MS, PROBE_GAP_SHARE * max_gap_ms)
+
+
+def stall_gap_ms(max_gap_ms, n_unread_tokens):
+    """Return how long an engine that responds to probes may be silent, in ms.
+
+    Parameters
+    ----------
+    max_gap_ms : float
+        Longest pause that callers accept.
+    n_unread_tokens : int
+        Prompt tokens that the engine has yet to prefill for other requests.
     """
-    return max(MIN_GAP_TIMEOUT_MS, GAP_SHARE * max_gap_ms)
+    if n_unread_tokens:
+        return PREFILL_GAP_RATIO * max_gap_ms
+    return max(STALL_GAP_SHARE * max_gap_ms, probe_gap_ms(max_gap_ms) + MIN_VERDICT_MS)
--- a/packages/entry/src/almonddeal/relay/stream_state.py
+++ b/packages/entry/src/almonddeal/relay/stream_state.py
@@ -1,5 +1,9 @@
 """State of a streamed response across its attempts."""
 
+from contextlib import contextmanager
+
+LOST_DOMAIN_MS = 1500.0  # for which a failure domain may stay without its engines
+
 
 class KvCopy:
     """Copy of a run's KV cache at a backup engine.
@@ -32,6 +36,43 @@
         )
 
 
+class AttemptProgress:
+    """When the engine of an attempt last sent an event.
+
+    Attributes
+    ----------
+    has_event : bool
+        Whether the attempt has received an event.
+    """
+
+    __slots__ = ("_is_sending", "_last_event_ms", "has_event")
+
+    def __init__(self):
+        self._is_sending = False
+        self._last_event_ms = 0.0
+        self.has_event = False
+
+    @contextmanager
+    def sending(self):
+        """Count the time in the context, of a slow caller, as no silence."""
+        self._is_sending = True
+        try:
+            yield
+        finally:
+            self._is_sending = False
+
+    def record_event(self, now_ms):
+        """Record that events were received and sent on."""
+        self._last_event_ms = now_ms
+        self.has_event = True
+
+    def silence_ms(self, now_ms):
+        """Return the time since the last event; 0 before the first."""
+        if self._is_sending or not self.has_event:
+            return 0.0
+        return now_ms - self._last_event_ms
+
+
 class Stream:
     """State of one streamed response over all its attempts.
 
@@ -52,6 +93,8 @@
         resume from.
     refusing_targets, failed_targets : set of str
         Targets that refused the request, and those at which an attempt failed.
+    lost_ms_by_domain : dict of str to float
+        When the last engine of the stream was lost, by its failure domain.
     error_response : tuple or None
         Error response of an engine, with its body; sent if no attempt succeeds.
     event_id_step : int or None
@@ -77,6 +120,7 @@
         "is_started",
         "last_event_id",
         "last_sent_ms",
+        "lost_ms_by_domain",
         "n_attempts",
         "n_sends",
         "refusing_targets",
@@ -94,6 +138,7 @@
         self.run = None
         self.refusing_targets = set()
         self.failed_targets = set()
+        self.lost_ms_by_domain = {}
         self.error_response = None
         self.last_sent_ms = 0.0
         self.event_id_step = None
@@ -105,6 +150,23 @@
         """Id of the request."""
         return self.admitted.request.request_id
 
+    def outside_lost_domains(self, engines, now_ms):
+        """Return the engines outside domains where this stream just lost one.
+
+        Returns all of them if there are no others.
+        """
+        lost_domains = {
+            domain
+            for domain, lost_ms in self.lost_ms_by_domain.items()
+            if now_ms - lost_ms <= LOST_DOMAIN_MS
+        }
+        others = [
+            engine
+            for engine in engines
+            if engine.announcement.failure_domain not in lost_domains
+        ]
+        return others or engines
+
     @property
     def n_tokens(self):
         """Most KV-cache tokens that the run may use, at most an engine's capacity."""
--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -123,6 +123,7 @@
     engines = [
         e for e in candidates if e.announcement.target not in stream.failed_targets
     ] or candidates
+    engines = stream.outside_lost_domains(engines, monotonic_ms())
     if service.engine is None:
         return _select_plain_target(stream, engines), None
     if stream.last_event_id is not None:
