limits: a queued request avoids the target that failed it; tools: count real faults

Cause: a request that waited for a slot forgot which target to avoid. The soak counted faults that had no effect (a process that was down already, an engine that could not be reached); bench cancel used a time that a lost stream left unset. Shown not to be a fault: a claim that is evicted before it is settled is expired and never runs (TestUnsettledClaims). Before: the new test of the dispatcher fails. After: passes.

--- a/packages/entry/src/almonddeal/limits/dispatch.py
+++ b/packages/entry/src/almonddeal/limits/dispatch.py
@@ -11,9 +11,11 @@
 
 
 class _Waiter:
-    __slots__ = ("event", "target")
+    __slots__ = ("avoid", "event", "prompt", "target")
 
-    def __init__(self):
+    def __init__(self, prompt, avoid):
+        self.prompt = prompt
+        self.avoid = avoid
         self.event = anyio.Event()
         self.target = None
 
@@ -47,7 +49,6 @@
         self._choose = choose
         self._queue = FairQueue()
         self._waiter_by_entry = {}
-        self._prompt_by_entry = {}
         self._mean_interval_ms = 0.0
         self._last_dispatch_ms = None
 
@@ -90,7 +91,9 @@
                 target.__enter__()
                 return target
         self._reject_if_overloaded(max_wait_ms, is_resume)
-        return await self._wait_for_target(customer, prompt, max_wait_ms, is_resume)
+        return await self._wait_for_target(
+            customer, prompt, max_wait_ms, is_resume, avoid
+        )
 
     async def acquire_call_target(self, max_wait_ms):
         """Wait for a target for a service call; calls queue in the order of arrival."""
@@ -130,12 +133,11 @@
             detail = f"{self.n_waiting} requests wait"
             raise AlmonddealError(OVERLOADED, detail, retry_after_ms=round(expected_ms))
 
-    async def _wait_for_target(self, customer, prompt, max_wait_ms, is_resume):
+    async def _wait_for_target(self, customer, prompt, max_wait_ms, is_resume, avoid):
         entry = self._queue.push(
             customer.name, customer.weight, customer.limits.priority, is_resume
         )
-        waiter = self._waiter_by_entry[entry] = _Waiter()
-        self._prompt_by_entry[entry] = prompt
+        waiter = self._waiter_by_entry[entry] = _Waiter(prompt, avoid)
         deadline_ms = monotonic_ms() + max_wait_ms
         try:
             while waiter.target is None and monotonic_ms() < deadline_ms:
@@ -150,7 +152,6 @@
         finally:
             self._queue.remove(entry)
             self._waiter_by_entry.pop(entry, None)
-            self._prompt_by_entry.pop(entry, None)
         if waiter.target is None:
             raise AlmonddealError(OVERLOADED, "no place became free in time")
         return waiter.target
@@ -161,12 +162,12 @@
             entry = self._queue.peek()
             if entry is None:
                 return
-            target = self._choose_target(self._prompt_by_entry[entry], ())
+            waiter = self._waiter_by_entry[entry]
+            target = self._choose_target(waiter.prompt, waiter.avoid)
             if target is None:
                 return
             self._queue.pop()
             self._record_dispatch()
-            waiter = self._waiter_by_entry[entry]
             target.__enter__()
             waiter.target = target
             waiter.event.set()
--- a/packages/entry/src/almonddeal/limits/tests/test_dispatch.py
+++ b/packages/entry/src/almonddeal/limits/tests/test_dispatch.py
@@ -49,6 +49,33 @@
 
         anyio.run(main)
 
+    def test_queued_request_does_not_return_to_the_target_that_failed_it(self):
+        async def main():
+            lost = make_target("a", n_running=100, n_slots=10)
+            other = make_target("b", n_running=100, n_slots=10)
+            dispatcher = Dispatcher(lambda: [lost, other], least_loaded())
+            acquired = []
+
+            async def wait_for_target():
+                acquired.append(
+                    await dispatcher.acquire_target(
+                        make_customer(), "", 5000, True, ("a",)
+                    )
+                )
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(wait_for_target)
+                await anyio.sleep(0.02)
+                lost.state.load.n_running = 0
+                dispatcher.dispatch_waiting()
+                await anyio.sleep(0.02)
+                assert acquired == []
+                other.state.load.n_running = 0
+                dispatcher.dispatch_waiting()
+            assert acquired == [other]
+
+        anyio.run(main)
+
     def test_healthy_target_is_chosen_before_a_failed_one(self):
         async def main():
             failed = make_target("a")
--- a/packages/entry/src/almonddeal/orders/tests/test_ledger.py
+++ b/packages/entry/src/almonddeal/orders/tests/test_ledger.py
@@ -124,3 +124,19 @@
         ledger.settle(make_settle("a", "c1", UNKNOWN_OUTCOME))
         ledger.settle(make_settle("a", "c1", RELEASED))
         assert ledger.claim(make_claim("a", "c2")).state == UNKNOWN_OUTCOME
+
+
+class TestUnsettledClaims:
+    def test_claim_that_is_evicted_before_it_is_settled_never_runs_again(
+        self, monkeypatch
+    ):
+        monkeypatch.setattr(ledger_module, "MAX_KEPT_ORDERS", 2)
+        ledger = OrderLedger()
+        assert ledger.claim(make_claim("a", "c1")).claim == "c1"
+        for key in ("b", "c"):
+            ledger.claim(make_claim(key, "c1"))
+        ledger.claim(make_claim("c", "c2"))
+        assert ledger.claim(make_claim("a", "c2")).code == ORDER_EXPIRED.number
+        for outcome in (RELEASED, DONE, UNKNOWN_OUTCOME):
+            ledger.settle(make_settle("a", "c1", outcome))
+            assert ledger.claim(make_claim("a", "c3")).code == ORDER_EXPIRED.number
--- a/tools/almonddeal_tools/bench/cancel.py
+++ b/tools/almonddeal_tools/bench/cancel.py
@@ -60,6 +60,7 @@
 
     async def _cancel(self, client, probe, url):
         answer = Answer(f"cancel {time.time()}", N_TOKENS)
+        ended_at_s = None
         try:
             async for _ in stream_answer(client, url, self._key, answer):
                 if answer.n_tokens == END_AT_TOKEN:
@@ -67,7 +68,11 @@
                     path = f"{url}/v1/answers/{answer.request_id}"
                     await probe.delete(path, headers=make_headers(self._key))
         except httpx.HTTPError:
-            pass
+            # The stream of a cancelled answer may end with its connection.
+            if ended_at_s is None:
+                raise
+        if ended_at_s is None:
+            raise RuntimeError(f"the answer ended before token {END_AT_TOKEN}")
         return await self._ms_until_idle(probe, ended_at_s)
 
     async def run(self):
--- a/tools/almonddeal_tools/soak.py
+++ b/tools/almonddeal_tools/soak.py
@@ -50,6 +50,7 @@
         self._replies_by_key = {}
         self._n_transport_errors_by_key = Counter()
         self.n_faults = 0
+        self.n_without_effect = 0
         self.n_answers = 0
         self.n_unfinished_answers = 0
         self.n_orders = 0
@@ -236,9 +237,16 @@
                         self._black_hole,
                     )
                 )
-                self.n_faults += 1
-                self.n_by_fault[fault.__name__.strip("_")] += 1
-                group.start_soon(fault)
+                group.start_soon(self._inject, fault)
+
+    async def _inject(self, fault):
+        """Inject a fault and count it if it took effect."""
+        name = fault.__name__.strip("_")
+        if await fault():
+            self.n_faults += 1
+            self.n_by_fault[name] += 1
+        else:
+            self.n_without_effect += 1
 
     def _random_process(self):
         """Return a random process, an entry instance in at least a third of cases."""
@@ -264,64 +272,69 @@
     async def _kill(self):
         process = self._random_process()
         if not process.is_running or not self._may_disrupt(process):
-            return
+            return False
         process.kill()
         await anyio.sleep(self._random.choice((0.0, 0.5, 3.0)))
         if not process.is_running:
             process.start()
+        return True
 
     async def _kill_twice(self):
         process = self._random_process()
         if not self._may_disrupt(process):
-            return
+            return False
         for _ in range(2):
             if process.is_running:
                 process.kill()
             process.start()
             await anyio.sleep(self._random.uniform(0.5, 2.0))
+        return True
 
     async def _pause(self):
         process = self._random_process()
         if not process.is_running or not self._may_disrupt(process):
-            return
+            return False
         process.pause()
         await anyio.sleep(self._random.choice((0.2, 1.0, 4.0)))
         process.resume()
+        return True
 
-    async def _post_fault(self, **fault):
-        number = self._random.randrange(self._fleet.n_engines)
+    async def _post_fault(self, number, **fault):
+        """Send a fault to an engine; return whether the engine accepted it."""
         url = f"{self._fleet.engine_urls[number]}/fault"
         try:
-            async with httpx.AsyncClient(trust_env=False, timeout=1) as client:
-                await client.post(url, json=fault)
+            async with httpx.AsyncClient(trust_env=False, timeout=2) as client:
+                response = await client.post(url, json=fault)
         except httpx.HTTPError:
-            return number
-        return number
+            return False
+        return response.status_code == 200
+
+    def _random_engine(self):
+        return self._random.randrange(self._fleet.n_engines)
 
     async def _hang_stream(self):
-        await self._post_fault(kind="hang_stream", request="")
+        return await self._post_fault(
+            self._random_engine(), kind="hang_stream", request=""
+        )
 
     async def _hang_engine(self):
-        await self._enable_for_a_while("hang")
+        return await self._enable_for_a_while("hang")
 
     async def _refuse(self):
-        await self._enable_for_a_while("refuse")
+        return await self._enable_for_a_while("refuse")
 
     async def _enable_for_a_while(self, kind):
-        number = await self._post_fault(kind=kind, on=True)
+        number = self._random_engine()
+        is_enabled = await self._post_fault(number, kind=kind, on=True)
         await anyio.sleep(self._random.uniform(0.5, 4.0))
-        url = f"{self._fleet.engine_urls[number]}/fault"
-        try:
-            async with httpx.AsyncClient(trust_env=False, timeout=2) as client:
-                await client.post(url, json={"kind": kind, "on": False})
-        except httpx.HTTPError:
-            return
+        await self._post_fault(number, kind=kind, on=False)
+        return is_enabled
 
     async def _cut(self):
-        self._proxies.close_random_route(self._random)
+        return self._proxies.close_random_route(self._random)
 
     async def _black_hole(self):
-        await self._proxies.black_hole(
+        return await self._proxies.black_hole(
             self._random, self._random.choice((0.5, 2.0, 5.0))
         )
 
@@ -352,7 +365,9 @@
         anyio.run(soak.run)
         if soak.violations:
             fleet.keep_logs()
-    click.echo(f"faults: {dict(soak.n_by_fault)}")
+    click.echo(
+        f"faults: {dict(soak.n_by_fault)}, without effect: {soak.n_without_effect}"
+    )
     click.echo(f"errors: {dict(soak.n_by_error)}")
     click.echo(
         f"lookups: {soak.n_lookups}, changes: {soak.n_changes}, "
--- a/tools/almonddeal_tools/tcp_proxy.py
+++ b/tools/almonddeal_tools/tcp_proxy.py
@@ -122,19 +122,29 @@
                 await listener.serve(route.forward)
 
     def close_random_route(self, random):
-        """Close all connections of a random route."""
+        """Close all connections of a random route; return whether there were any."""
         route = random.choice(self.routes)
+        has_connections = bool(route.open_streams)
         self._portal.call(route.close_connections)
+        return has_connections
 
     async def black_hole(self, random, duration_s):
-        """Withhold all data on random routes for a time, in one direction or both."""
+        """Withhold all data on random routes for a time, in one direction or both.
+
+        Returns
+        -------
+        has_connections : bool
+            Whether any of the routes had a connection at the start.
+        """
         routes = self._pick_routes(random)
         directions = random.choice((BOTH_DIRECTIONS, ("out",), ("back",)))
+        has_connections = any(route.open_streams for route in routes)
         for route in routes:
             route.blocked_directions |= set(directions)
         await anyio.sleep(duration_s)
         for route in routes:
             route.blocked_directions -= set(directions)
+        return has_connections
 
     def _pick_routes(self, random):
         """Return a random route or, to isolate its source, all routes of the source."""
