agent: connections to the target are not kept

Cause: a service that sends a second copy of a response late, when the next request is on its connection, gave the next caller an answer that was not its own (RepeatingTarget: reply 1 came twice). Responses of plain services and engines carry no id by which the agent could tell. Change: one connection a request, on the agent's own machine. Before: test_late_second_copy_is_not_the_reply_to_the_next_call fails. After: passes.

--- a/packages/agent/src/almonddeal_agent/engine.py
+++ b/packages/agent/src/almonddeal_agent/engine.py
@@ -97,10 +97,12 @@
 
 
 def make_client():
-    """Return the HTTP client for an agent's target."""
-    limits = httpx.Limits(
-        max_connections=MAX_CONNECTIONS, max_keepalive_connections=MAX_CONNECTIONS
-    )
+    """Return the HTTP client for an agent's target.
+
+    Connections are not kept: a second copy of a response that arrives late would be
+    taken for the response to the next request on its connection.
+    """
+    limits = httpx.Limits(max_connections=MAX_CONNECTIONS, max_keepalive_connections=0)
     timeout = httpx.Timeout(None, connect=CONNECT_TIMEOUT_S)
     return httpx.AsyncClient(limits=limits, timeout=timeout, trust_env=False)
 
--- a/packages/agent/src/almonddeal_agent/tests/test_calls.py
+++ b/packages/agent/src/almonddeal_agent/tests/test_calls.py
@@ -4,6 +4,7 @@
 
 import anyio
 import pytest
+from anyio.streams.buffered import BufferedByteReceiveStream
 
 from almonddeal_agent.admission import Admission
 from almonddeal_agent.calls import MAX_REPLY_BYTES, CallForwarder
@@ -106,3 +107,37 @@
         address = Address("127.0.0.1", 9)
         reply = forward(target, make_call(), address=address)[0]
         assert (reply.code, reply.was_run) == (NOT_REACHED.number, "no")
+
+
+class RepeatingTarget(RawTarget):
+    """Sends each response again when the next request arrives on its connection."""
+
+    def __init__(self):
+        super().__init__(b"")
+        self._n_served = 0
+
+    async def handle(self, connection):
+        """Serve one connection until it is closed."""
+        async with connection:
+            reader = BufferedByteReceiveStream(connection)
+            late_copy = b""
+            while True:
+                try:
+                    head = await reader.receive_until(b"\r\n\r\n", 65_536)
+                    await reader.receive_exactly(1)
+                except (anyio.EndOfStream, anyio.IncompleteRead):
+                    return
+                self.heads.append(head)
+                self._n_served += 1
+                body = b"reply %d" % self._n_served
+                response = OK_HEAD + b"Content-Length: %d\r\n\r\n" % len(body) + body
+                await connection.send(late_copy + response)
+                late_copy = response
+
+
+class TestRepeatedResponses:
+    def test_late_second_copy_is_not_the_reply_to_the_next_call(self):
+        calls = [make_call(is_order=False) for _ in range(4)]
+        replies = forward(RepeatingTarget(), *calls)
+        bodies = [reply.body for reply in replies]
+        assert bodies == [b"reply 1", b"reply 2", b"reply 3", b"reply 4"]
