relay: a frozen instance reads its events before it judges silence

Cause: after a freeze of the entry instance its timers fire before the events that arrived meanwhile are read, so that all its streams were given up at once. Shown by TestFrozenInstance, which fails without the change. Change: a timer that is over 100 ms late starts a new period of silence.

--- a/packages/entry/src/almonddeal/relay/attempts.py
+++ b/packages/entry/src/almonddeal/relay/attempts.py
@@ -29,6 +29,7 @@
 from almonddeal_common.logs import decide, get_logger
 
 NOT_RUN_CODES = (NOT_REACHED, TARGET_REFUSED)
+EVENT_LOOP_STALL_MS = 100.0  # a timer later than this shows a stall of this process
 MAX_ERROR_BODY_BYTES = 1024 * 1024
 
 log = get_logger("relay")
@@ -167,7 +168,7 @@
         now_ms = monotonic_ms()
         silence_ms = progress.silence_ms(now_ms)
         if silence_ms < min_silence_ms:
-            await anyio.sleep((min_silence_ms - silence_ms) / 1000)
+            await _sleep_unless_stalled(min_silence_ms - silence_ms, progress)
             continue
         n_unread_tokens = context.load_view.load(engine.announcement).n_unread_tokens
         limit_ms = stall_gap_ms(max_gap_ms, n_unread_tokens)
@@ -182,7 +183,21 @@
                 engine.cancel_attempts()
                 return
             engine.record_activity()
-        await anyio.sleep(min(PROBE_REPEAT_MS, limit_ms - silence_ms) / 1000)
+        await _sleep_unless_stalled(
+            min(PROBE_REPEAT_MS, limit_ms - silence_ms), progress
+        )
+
+
+async def _sleep_unless_stalled(duration_ms, progress):
+    """Sleep; forget the silence so far if this process itself was stalled meanwhile.
+
+    Events that arrived during the stall have not been read yet.
+    """
+    due_ms = monotonic_ms() + duration_ms
+    await anyio.sleep(duration_ms / 1000)
+    now_ms = monotonic_ms()
+    if now_ms - due_ms > EVENT_LOOP_STALL_MS:
+        progress.restart(now_ms)
 
 
 async def _wait_for_suspicion(engine, timeout_ms):
--- a/packages/entry/src/almonddeal/relay/stream_state.py
+++ b/packages/entry/src/almonddeal/relay/stream_state.py
@@ -63,9 +63,13 @@
 
     def record_event(self, now_ms):
         """Record that events were received and sent on."""
-        self._last_event_ms = now_ms
+        self.restart(now_ms)
         self.has_event = True
 
+    def restart(self, now_ms):
+        """Start a new period of silence."""
+        self._last_event_ms = now_ms
+
     def silence_ms(self, now_ms):
         """Return the time since the last event; 0 before the first."""
         if self._is_sending or not self.has_event:
--- a/packages/entry/src/almonddeal/relay/tests/test_stall.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_stall.py
@@ -118,6 +118,36 @@
         assert fleet.n_probes <= 4
 
 
+class TestFrozenInstance:
+    """The process of the entry instance is frozen for a time and wakes again."""
+
+    def test_streams_are_not_cut_before_their_events_are_read(self, virtual_time):
+        async def steps(attempt):
+            yield 200
+            for number in range(1, LAST + 1):
+                await anyio.sleep(0.01)
+                # Several steps lie between a readable socket and its event.
+                for _ in range(20):
+                    await anyio.lowlevel.checkpoint()
+                yield make_event(number)
+
+        async def freeze():
+            await anyio.sleep(0.08)
+            virtual_time.now_s += 1.6
+
+        async def main():
+            fleet = FakeFleet({"i-1": steps, "i-2": streams(1, LAST)}, DOMAINS)
+            fleet.context.load_view.merge(make_run("other-i-2", "i-2"))
+            writer = FakeResponseWriter()
+            async with anyio.create_task_group() as group:
+                group.start_soon(freeze)
+                await relay_stream(admit_stream(n_prompt=100), fleet.context, writer)
+            assert writer.event_ids == list(range(1, LAST + 1))
+            return fleet
+
+        assert run_in_virtual_time(main).tried == ["i-1"]
+
+
 class TestLostEngine:
     @pytest.mark.parametrize("is_prefilling", [False, True])
     def test_stream_resumes_within_the_accepted_pause(self, is_prefilling):
