--- a/packages/common/src/almonddeal_common/tests/test_http.py
+++ b/packages/common/src/almonddeal_common/tests/test_http.py
@@ -1,5 +1,6 @@
 """Tests of HTTP serving: TLS, timeouts and addresses in use."""
 
+import errno
 import ssl
 from datetime import UTC, datetime, timedelta
 from ipaddress import ip_address
@@ -12,6 +13,7 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import NameOID
 
+from almonddeal_common import http as http_module
 from almonddeal_common.address import Address
 from almonddeal_common.codes import AlmonddealError
 from almonddeal_common.http import make_config, serve_http
@@ -99,3 +101,24 @@
                     await serve_http(hello, address, anyio.Event())
 
         anyio.run(main)
+
+
+class TestErrors:
+    @pytest.mark.parametrize(
+        ("error", "expected"),
+        [
+            (OSError(errno.EADDRINUSE, "in use"), AlmonddealError),
+            (OSError(errno.EACCES, "reserved port"), AlmonddealError),
+            (OSError(errno.EMFILE, "too many open files"), OSError),
+            (FileNotFoundError(errno.ENOENT, "certificate"), FileNotFoundError),
+        ],
+    )
+    def test_only_a_failed_bind_is_an_address_in_use(
+        self, error, expected, monkeypatch
+    ):
+        async def fail(app, config, stop):
+            raise error
+
+        monkeypatch.setattr(http_module, "serve_connections", fail)
+        with pytest.raises(expected):
+            anyio.run(serve_http, hello, Address("127.0.0.1", PORT), anyio.Event())
