relay: no resume goes to a backup that drains

A copy counted as valid while its backup drained. The fault is older: a started stream would have gone there as well (test_resume_does_not_go_to_a_backup_that_drains fails for both without the change). Ruled out: a late announcement at the entry instance (the test has it at once). Change: a copy is valid only at a backup that takes requests; maintain_copy then makes another one.

--- a/packages/entry/src/almonddeal/relay/stream_state.py
+++ b/packages/entry/src/almonddeal/relay/stream_state.py
@@ -28,9 +28,12 @@
         self._backup_born_ms = backup.announcement.born_ms
 
     def is_valid(self, targets, now_ms):
-        """Tell whether the backup is the same process, registered and not ejected."""
+        """Tell whether the backup is the same process and takes requests.
+
+        A draining backup is left out: a resume is a new request to it.
+        """
         return (
-            targets.is_registered(self.backup)
+            targets.is_usable(self.backup)
             and self.backup.announcement.born_ms == self._backup_born_ms
             and self.backup.ejected_until_ms <= now_ms
         )
--- a/packages/entry/src/almonddeal/relay/targets.py
+++ b/packages/entry/src/almonddeal/relay/targets.py
@@ -189,17 +189,13 @@
         """Return the `TrackedTarget` with an id, or None."""
         return self.target_by_id.get(target_id)
 
-    def is_registered(self, target):
-        """Tell whether a target is registered and holds its address; it may drain."""
+    def is_usable(self, target):
+        """Tell whether a target is registered, holds its address and does not drain."""
         announcement = target.announcement
-        if announcement.state == DEREGISTERED:
+        if announcement.state in (DEREGISTERED, DRAINING):
             return False
         return self._id_by_address.get(announcement.address) == announcement.target
 
-    def is_usable(self, target):
-        """Tell whether a target is registered and does not drain."""
-        return self.is_registered(target) and target.announcement.state != DRAINING
-
     def candidates(self, service_name, excluded=()):
         """Return the targets of a service for new requests, as a list.
 
--- a/packages/entry/src/almonddeal/relay/tests/test_streams.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_streams.py
@@ -6,6 +6,7 @@
 import anyio
 import pytest
 
+from almonddeal.announced.announcement import DRAINING
 from almonddeal.relay.streams import relay_stream
 from almonddeal.relay.tests.fakes import (
     FakeFleet,
@@ -28,6 +29,7 @@
 from almonddeal_common.codes import (
     ATTEMPT_LOST,
     DEADLINE,
+    LINK_LOST,
     NO_TARGET,
     OVERLOADED,
     AlmonddealError,
@@ -56,6 +58,17 @@
     return caught.value
 
 
+def hangs_until_lost():
+    """Return a behaviour: no event comes before the connection is lost."""
+
+    async def steps(attempt):
+        yield 200
+        await anyio.sleep(0.1)
+        raise AlmonddealError(LINK_LOST, "reset")
+
+    return steps
+
+
 def is_complete_response(writer):
     """Tell whether each event arrived once and in order, followed by the end."""
     return writer.is_complete and writer.event_ids == list(range(1, LAST + 1))
@@ -241,6 +254,34 @@
         assert fleet.attempts[0].target.target == "i-2"
         assert fleet.attempts[0].copy.copy_id == lost.request
 
+    @pytest.mark.parametrize(
+        "lost_run", [hangs_until_lost(), streams(1, LAST, lose_at=7, gap_s=0.02)]
+    )
+    def test_resume_does_not_go_to_a_backup_that_drains(self, lost_run):
+        # The backup said that it leaves after the run had named it.
+        domains = {"i-1": "fd1", "i-2": "fd2", "i-3": "fd3"}
+        fleet = FakeFleet(
+            {"i-1": lost_run, "i-2": streams(1, LAST), "i-3": streams(1, LAST)},
+            domains,
+        )
+        for target in ("i-2", "i-3"):
+            fleet.context.load_view.merge(make_run(f"other-{target}", target))
+
+        async def main():
+            writer = FakeResponseWriter()
+            async with anyio.create_task_group() as group:
+                group.start_soon(relay_stream, admit_stream(), fleet.context, writer)
+                await anyio.sleep(0.01)
+                address = fleet.attempts[0].backup_address
+                backup = next(t for t in domains if address == f"10.0.0.{t[2:]}:80")
+                draining = make_announcement(backup, domains[backup], state=DRAINING)
+                draining.sequence = 2
+                assert fleet.target_table.merge(draining)
+            assert is_complete_response(writer)
+            assert backup not in fleet.tried
+
+        run_in_virtual_time(main)
+
     def test_lost_backup_is_replaced_while_the_run_goes_on(self):
         fleet = FakeFleet(
             {
