--- a/tools/almonddeal_tools/run_tests.py
+++ b/tools/almonddeal_tools/run_tests.py
@@ -34,7 +34,8 @@
         check=False,
         env=environment,
     )
-    print("$", " ".join(command), result.stdout, sep="\n", flush=True)
+    # One call, as features run side by side.
+    print(f"$ {' '.join(command)}\n{result.stdout}", flush=True)
     return result.returncode, result.stdout
 
 
