--- a/packages/agent/src/almonddeal_agent/calls.py
+++ b/packages/agent/src/almonddeal_agent/calls.py
@@ -9,7 +9,7 @@
 import anyio
 import httpx
 
-from almonddeal_common.bodies import read_limited
+from almonddeal_common.bodies import BodyTooLargeError, read_limited
 from almonddeal_common.codes import (
     NO,
     NOT_REACHED,
@@ -113,13 +113,14 @@
             return ServiceReply(
                 code=NOT_REACHED.number, was_run=NO, detail=f"service: {error!r}"
             )
-        except Exception as error:
-            # Not only HTTP errors: the service chooses the bytes, and an order whose
-            # task failed would leave its callers without a reply.
+        except (httpx.HTTPError, TimeoutError, BodyTooLargeError) as error:
             log.warning("call to the service failed, outcome unknown: %r", error)
-            return ServiceReply(
-                code=ORDER_OUTCOME_UNKNOWN.number, was_run=UNKNOWN, detail=repr(error)
-            )
+            return _make_unknown_reply(error)
+        except Exception as error:
+            # A task that failed would end the agent and leave the callers of an order
+            # without a reply.
+            log.exception("call to the service failed unexpectedly, outcome unknown")
+            return _make_unknown_reply(error)
 
     async def _exchange(self, call):
         headers = {
@@ -136,6 +137,12 @@
             return _make_reply(response, body)
 
 
+def _make_unknown_reply(error):
+    return ServiceReply(
+        code=ORDER_OUTCOME_UNKNOWN.number, was_run=UNKNOWN, detail=repr(error)
+    )
+
+
 def _make_reply(response, body):
     headers = {k: v for k, v in response.headers.items() if k not in HOP_BY_HOP_HEADERS}
     headers.pop("content-encoding", None)
--- a/packages/agent/src/almonddeal_agent/tests/test_calls.py
+++ b/packages/agent/src/almonddeal_agent/tests/test_calls.py
@@ -30,7 +30,10 @@
 
 
 def forward(target, *calls, address=None):
-    """Forward calls one after the other; returns their replies and the last query's."""
+    """Forward calls in sequence; returns their replies, then that to an `OrderQuery`.
+
+    The query is for the last call, and is sent only if that is an order.
+    """
     replies = []
 
     async def main():
@@ -125,7 +128,11 @@
                 try:
                     head = await reader.receive_until(b"\r\n\r\n", 65_536)
                     await reader.receive_exactly(1)
-                except (anyio.EndOfStream, anyio.IncompleteRead):
+                except (
+                    anyio.BrokenResourceError,
+                    anyio.EndOfStream,
+                    anyio.IncompleteRead,
+                ):
                     return
                 self.heads.append(head)
                 self._n_served += 1
--- a/packages/entry/src/almonddeal/announced/registry.py
+++ b/packages/entry/src/almonddeal/announced/registry.py
@@ -78,7 +78,7 @@
         return True
 
     def is_acknowledged(self, target):
-        """Return whether a majority has acknowledged the state of a target as known."""
+        """Return whether a majority has acknowledged the known state of a target."""
         known = self.announcements.get(target)
         return known is not None and (
             self._acknowledged_by_target.get(target) == _replicated_part(known)
@@ -155,7 +155,7 @@
 
 
 def _replicated_part(announcement):
-    """Return what of an announcement decides where requests go."""
+    """Return the fields of an announcement that determine where requests are sent."""
     return announcement.born_ms, announcement.state, announcement.address
 
 
--- a/packages/entry/src/almonddeal/callers/requests.py
+++ b/packages/entry/src/almonddeal/callers/requests.py
@@ -7,6 +7,7 @@
 import anyio
 
 from almonddeal.answers.service import MAX_ID_CHARS, AnswerRequest
+from almonddeal_common.bodies import BodyTooLargeError, read_limited
 from almonddeal_common.codes import (
     BAD_REQUEST,
     FORBIDDEN,
@@ -50,17 +51,12 @@
     AlmonddealError
         `TOO_LARGE` above `MAX_BODY_BYTES`, `BAD_REQUEST` after `BODY_TIMEOUT_S`.
     """
-    chunks = []
-    n_bytes = 0
-    with anyio.move_on_after(BODY_TIMEOUT_S) as scope:
-        async for chunk in request.stream():
-            n_bytes += len(chunk)
-            if n_bytes > MAX_BODY_BYTES:
-                raise AlmonddealError(TOO_LARGE, f"more than {MAX_BODY_BYTES} bytes")
-            chunks.append(chunk)
-    if scope.cancelled_caught:
-        raise AlmonddealError(BAD_REQUEST, f"no body within {BODY_TIMEOUT_S:g} s")
-    return b"".join(chunks)
+    with anyio.move_on_after(BODY_TIMEOUT_S):
+        try:
+            return await read_limited(request.stream(), MAX_BODY_BYTES)
+        except BodyTooLargeError as error:
+            raise AlmonddealError(TOO_LARGE, str(error)) from None
+    raise AlmonddealError(BAD_REQUEST, f"no body within {BODY_TIMEOUT_S:g} s")
 
 
 def check_request_id(request_id):
--- a/packages/entry/src/almonddeal/control/tests/test_consensus.py
+++ b/packages/entry/src/almonddeal/control/tests/test_consensus.py
@@ -225,7 +225,7 @@
 
 
 async def submit_changes(group, number, history):
-    """Submit changes one after the other, each on the version of the last result."""
+    """Submit changes in sequence, each based on the version of the previous result."""
     base = 0
     counter = 0
     while True:
--- a/packages/entry/src/almonddeal/publication/follower.py
+++ b/packages/entry/src/almonddeal/publication/follower.py
@@ -70,7 +70,7 @@
         return sorted(known, key=rank)
 
     async def run(self):
-        """Subscribe to control instances, one after the other, until cancelled."""
+        """Keep a subscription to one control instance at a time, until cancelled."""
         while True:
             for address in self._candidate_addresses():
                 await self._follow_address(address)
--- a/packages/entry/src/almonddeal/relay/stream_state.py
+++ b/packages/entry/src/almonddeal/relay/stream_state.py
@@ -57,7 +57,7 @@
 
     @contextmanager
     def sending(self):
-        """Count the time in the context, of a slow caller, as no silence."""
+        """Exclude the time in the context, which the caller takes to read."""
         self._is_sending = True
         try:
             yield
--- a/tools/almonddeal_tools/scheduling.py
+++ b/tools/almonddeal_tools/scheduling.py
@@ -1,6 +1,6 @@
 """Pytest plugin that distributes tests over the workers of pytest-xdist.
 
-Tests that share addresses run one after the other on one worker: those of a class that
+Tests that share addresses run in sequence on one worker: those of a class that
 shares a fleet of processes, and those of a module that shares a port. All others are
 distributed one by one.
 """
