--- a/packages/entry/src/almonddeal/answers/service.py
+++ b/packages/entry/src/almonddeal/answers/service.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from almonddeal.answers.requests import request_key
 from almonddeal_common.clock import monotonic_ms, wall_ms
 from almonddeal_common.codes import (
     ANSWER_CANCELLED,
@@ -20,37 +21,10 @@
 CLEAN_INTERVAL_S = 1.0
 REPAIR_INTERVAL_S = 0.25
 OWNED_RETENTION_MS = 5 * 60 * 1000
-MAX_ID_CHARS = 128
 
 log = get_logger("answers")
 
 
-class AnswerRequest:
-    """A caller's request for an answer.
-
-    Parameters
-    ----------
-    model : str
-    prompt : str
-    settings : dict
-        Sampling settings for the engine.
-    max_tokens : int
-    request_id : str
-        The caller's id, or empty to have one generated.
-    adapter : str
-    """
-
-    __slots__ = ("adapter", "max_tokens", "model", "prompt", "request_id", "settings")
-
-    def __init__(self, model, prompt, settings, max_tokens, request_id="", adapter=""):
-        self.model = model
-        self.prompt = prompt
-        self.settings = settings
-        self.max_tokens = max_tokens
-        self.request_id = request_id
-        self.adapter = adapter
-
-
 class _AnswerTask:
     """An owned answer with the cancel scope of its generation.
 
@@ -66,11 +40,6 @@
         self.callers_changed_ms = monotonic_ms()
 
 
-def request_key(customer, request_id):
-    """Return the key of a request: its id, prefixed with the customer's name."""
-    return f"{customer.name}:{request_id}"
-
-
 class AnswerService:
     """Creates, attaches to, generates and cancels the answers of this instance.
 
--- a/packages/entry/src/almonddeal/callers/requests.py
+++ b/packages/entry/src/almonddeal/callers/requests.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from almonddeal.answers.service import MAX_ID_CHARS, AnswerRequest
+from almonddeal.answers.requests import MAX_ID_CHARS, AnswerRequest
 from almonddeal_common.bodies import BodyTooLargeError, read_limited
 from almonddeal_common.codes import (
     BAD_REQUEST,
--- a/packages/entry/src/almonddeal/callers/tests/test_answers.py
+++ b/packages/entry/src/almonddeal/callers/tests/test_answers.py
@@ -9,7 +9,8 @@
 import pytest
 from starlette.requests import ClientDisconnect
 
-from almonddeal.answers.service import AnswerRequest, AnswerService
+from almonddeal.answers.requests import AnswerRequest
+from almonddeal.answers.service import AnswerService
 from almonddeal.answers.tests.fakes import FakeEntry, FakeNet
 from almonddeal.callers.app import CallerInterface
 from almonddeal.callers.errors import with_error_responses
--- a/packages/entry/src/almonddeal/relay/tests/test_losses.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_losses.py
@@ -11,15 +11,9 @@
     make_run,
     streams,
 )
+from almonddeal.relay.tests.stream_runs import LAST, is_complete_response
 from almonddeal_common.virtual_time import run_in_virtual_time
 
-LAST = 20
-
-
-def is_complete_response(writer):
-    """Tell whether each event arrived once and in order, followed by the end."""
-    return writer.is_complete and writer.event_ids == list(range(1, LAST + 1))
-
 
 class TestLostDomain:
     """A failure domain becomes silent while its engines are still in prefill."""
--- a/packages/entry/src/almonddeal/relay/tests/test_stall.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_stall.py
@@ -18,9 +18,9 @@
     make_run,
     streams,
 )
+from almonddeal.relay.tests.stream_runs import LAST, is_complete_response
 from almonddeal_common.virtual_time import run_in_virtual_time
 
-LAST = 20
 MAX_GAP_MS = 700.0
 PROBE_MS = 250.0  # an engine that is gone does not respond within this time
 RESUME_MS = 100.0  # from sending a request with a copy to its first event
@@ -83,8 +83,7 @@
                 if is_prefilling:
                     group.start_soon(start_prefill)
                 await relay_stream(admit_stream(n_prompt=100), fleet.context, writer)
-        assert writer.is_complete
-        assert writer.event_ids == list(range(1, LAST + 1))
+        assert is_complete_response(writer)
         return writer, fleet
 
     return run_in_virtual_time(main)
@@ -142,7 +141,7 @@
             async with anyio.create_task_group() as group:
                 group.start_soon(freeze)
                 await relay_stream(admit_stream(n_prompt=100), fleet.context, writer)
-            assert writer.event_ids == list(range(1, LAST + 1))
+            assert is_complete_response(writer)
             return fleet
 
         assert run_in_virtual_time(main).tried == ["i-1"]
@@ -186,7 +185,7 @@
                 fleet.context.load_view.merge(make_run(f"r{number}", target))
             writer = FakeResponseWriter()
             await relay_stream(admit_stream(n_prompt=100), fleet.context, writer)
-            assert writer.event_ids == list(range(1, LAST + 1))
+            assert is_complete_response(writer)
             return fleet
 
         fleet = run_in_virtual_time(main)
--- /dev/null
+++ b/packages/entry/src/almonddeal/relay/tests/test_stream_copies.py
@@ -0,0 +1,259 @@
+"""Tests of streams that resume from KV-cache copies or cached prefixes."""
+
+import anyio
+import pytest
+
+from almonddeal.announced.announcement import DRAINING
+from almonddeal.relay.streams import relay_stream
+from almonddeal.relay.tests.fakes import (
+    FakeFleet,
+    FakeResponseWriter,
+    ResponseHead,
+    admit_stream,
+    loses_connection,
+    make_announcement,
+    make_run,
+    refuses,
+    streams,
+)
+from almonddeal.relay.tests.stream_runs import (
+    LAST,
+    TWO_DOMAINS,
+    is_complete_response,
+    relay,
+)
+from almonddeal_common.codes import (
+    LINK_LOST,
+    AlmonddealError,
+)
+from almonddeal_common.virtual_time import run_in_virtual_time
+
+
+def hangs_until_lost():
+    """Return a behaviour: no event comes before the connection is lost."""
+
+    async def steps(attempt):
+        yield 200
+        await anyio.sleep(0.1)
+        raise AlmonddealError(LINK_LOST, "reset")
+
+    return steps
+
+
+class TestCopies:
+    def test_lost_stream_resumes_from_the_copy(self):
+        fleet = FakeFleet(
+            {"i-1": streams(1, LAST, lose_at=7), "i-2": streams(1, LAST)}, TWO_DOMAINS
+        )
+        fleet.context.load_view.merge(make_run("other-i-2", "i-2"))
+        assert is_complete_response(relay(fleet))
+        first, second = fleet.attempts
+        assert first.backup_address == second.target.address
+        assert (second.copy.issuer_address, second.copy.copy_id) == (
+            second.target.address,
+            "req1",
+        )
+        assert second.last_event_id == 7
+
+    def test_stream_resumes_elsewhere_if_the_copy_is_refused(self):
+        fleet = FakeFleet(
+            {
+                "i-1": streams(1, LAST, lose_at=7),
+                "i-2": refuses(),
+                "i-3": streams(1, LAST),
+            },
+            {"i-1": "fd1", "i-2": "fd2", "i-3": "fd1"},
+        )
+        fleet.context.load_view.merge(make_run("other-i-2", "i-2"))
+        fleet.context.load_view.merge(make_run("other-i-3", "i-3"))
+        assert is_complete_response(relay(fleet))
+
+    def test_engine_lost_before_its_first_event_is_replaced(self):
+        fleet = FakeFleet(
+            {"i-1": loses_connection, "i-2": streams(1, LAST)}, TWO_DOMAINS
+        )
+        fleet.context.load_view.merge(make_run("other-i-2", "i-2"))
+        assert is_complete_response(relay(fleet))
+        # The backup may have a part of the prompt, which need not be prefilled again.
+        first, second = fleet.attempts
+        assert first.copy is None
+        assert (second.copy.issuer_address, second.copy.copy_id) == (
+            second.target.address,
+            first.admitted.request.request_id,
+        )
+        assert second.last_event_id is None
+
+    def test_part_of_a_prefill_is_reported_as_a_whole_one(self):
+        fleet = FakeFleet(
+            {"i-1": loses_connection, "i-2": streams(1, LAST)}, TWO_DOMAINS
+        )
+        fleet.context.load_view.merge(make_run("other-i-2", "i-2"))
+        reports = []
+        fleet.context.report = reports.append
+        relay(fleet, admit_stream(n_prompt=1000))
+        starts = [run.n_unread_tokens for run in reports if run.n_unread_tokens]
+        assert starts == [1000, 1000]
+
+    def test_engine_without_a_part_of_the_prefill_takes_the_request_without_a_copy(
+        self,
+    ):
+        async def refuses_copies(attempt):
+            if attempt.copy is not None:
+                yield ResponseHead(503, is_not_run=True)
+                return
+            async for step in streams(1, LAST)(attempt):
+                yield step
+
+        fleet = FakeFleet({"i-1": loses_connection, "i-2": refuses_copies}, TWO_DOMAINS)
+        fleet.context.load_view.merge(make_run("other-i-2", "i-2"))
+        assert is_complete_response(relay(fleet))
+        assert fleet.tried == ["i-1", "i-2", "i-2"]
+
+    def test_resumed_stream_uses_the_copy_of_a_lost_instances_run(self):
+        fleet = FakeFleet(
+            {"i-1": streams(1, LAST), "i-2": streams(1, LAST)}, TWO_DOMAINS
+        )
+        lost = make_run("other-i-1", "i-1")
+        lost.backup, lost.backup_born_ms = "i-2", 1000
+        lost.copy_address, lost.copy_id = "10.0.0.2:80", lost.request
+        lost.fingerprint = "print1"
+        fleet.context.load_view.merge(lost)
+        writer = relay(fleet, admit_stream(last_event_id=12))
+        assert writer.event_ids == list(range(13, LAST + 1))
+        assert fleet.attempts[0].target.target == "i-2"
+        assert fleet.attempts[0].copy.copy_id == lost.request
+
+    @pytest.mark.parametrize(
+        "lost_run", [hangs_until_lost(), streams(1, LAST, lose_at=7, gap_s=0.02)]
+    )
+    def test_resume_does_not_go_to_a_backup_that_drains(self, lost_run):
+        # The backup said that it leaves after the run had named it.
+        domains = {"i-1": "fd1", "i-2": "fd2", "i-3": "fd3"}
+        fleet = FakeFleet(
+            {"i-1": lost_run, "i-2": streams(1, LAST), "i-3": streams(1, LAST)},
+            domains,
+        )
+        for target in ("i-2", "i-3"):
+            fleet.context.load_view.merge(make_run(f"other-{target}", target))
+
+        async def main():
+            writer = FakeResponseWriter()
+            async with anyio.create_task_group() as group:
+                group.start_soon(relay_stream, admit_stream(), fleet.context, writer)
+                await anyio.sleep(0.01)
+                address = fleet.attempts[0].backup_address
+                backup = next(t for t in domains if address == f"10.0.0.{t[2:]}:80")
+                draining = make_announcement(backup, domains[backup], state=DRAINING)
+                draining.sequence = 2
+                assert fleet.target_table.merge(draining)
+            assert is_complete_response(writer)
+            assert backup not in fleet.tried
+
+        run_in_virtual_time(main)
+
+    def test_lost_backup_is_replaced_while_the_run_goes_on(self):
+        fleet = FakeFleet(
+            {
+                "i-1": streams(1, 200, lose_at=40, gap_s=0.01),
+                "i-2": streams(1, 200),
+                "i-3": streams(1, 200),
+            },
+            {"i-1": "fd1", "i-2": "fd2", "i-3": "fd3"},
+        )
+        for target in ("i-2", "i-3"):
+            fleet.context.load_view.merge(make_run(f"other-{target}", target))
+
+        async def main():
+            writer = FakeResponseWriter()
+            async with anyio.create_task_group() as group:
+                group.start_soon(relay_stream, admit_stream(), fleet.context, writer)
+                await anyio.sleep(0.05)
+                named_address = fleet.attempts[0].backup_address
+                lost = next(
+                    t
+                    for t in fleet.target_table.target_by_id.values()
+                    if t.announcement.address == named_address
+                )
+                fleet.target_table.eject(lost, "connection failed", "other")
+            return writer, lost.announcement.target
+
+        writer, lost = run_in_virtual_time(main)
+        assert writer.event_ids == list(range(1, 201))
+        first, second = fleet.attempts
+        assert second.target.target not in ("i-1", lost)
+        assert second.copy.issuer_address == first.target.address
+        assert second.copy.copy_id.startswith("copy-")
+
+    def test_unused_copy_is_freed(self):
+        fleet = FakeFleet(
+            {"i-1": streams(1, 60, gap_s=0.01), "i-2": streams(1, 60)}, TWO_DOMAINS
+        )
+        fleet.context.load_view.merge(make_run("other-i-2", "i-2"))
+
+        async def main():
+            async with anyio.create_task_group() as group:
+                group.start_soon(
+                    relay_stream, admit_stream(), fleet.context, FakeResponseWriter()
+                )
+                await anyio.sleep(0.05)
+                backup = fleet.target_table.get("i-2")
+                backup.announcement = make_announcement("i-2", "fd2", born_ms=2000)
+
+        run_in_virtual_time(main)
+        assert fleet.transfers
+        assert fleet.freed_copy_ids == [f"copy-{len(fleet.transfers)}"]
+
+    def test_resumed_stream_goes_to_the_engine_with_the_cached_prefix(self):
+        fleet = FakeFleet({f"i-{n}": streams(1, LAST) for n in range(1, 6)})
+        fleet.cached_by_target = {"i-4": {"part1", "part9"}, "i-2": {"part9"}}
+        for target in ("i-4",):
+            fleet.context.load_view.merge(make_run(f"other-{target}", target))
+        writer = relay(fleet, admit_stream(last_event_id=12))
+        assert writer.event_ids == list(range(13, LAST + 1))
+        assert fleet.tried == ["i-4"]
+
+    def test_lost_stream_without_a_copy_returns_to_the_engine_with_the_cached_prefix(
+        self,
+    ):
+        fleet = FakeFleet(
+            {
+                "i-1": streams(1, LAST, lose_at=7),
+                "i-2": streams(1, LAST),
+                "i-3": streams(1, LAST),
+            }
+        )
+        fleet.cached_by_target = {"i-1": {"part1"}}
+        for target in ("i-2", "i-3"):
+            fleet.context.load_view.merge(make_run(f"other-{target}", target))
+        relay(fleet)
+        assert fleet.tried[:2] == ["i-1", "i-1"]
+
+    def test_interrupted_stream_resumes_at_another_instance_from_its_copy(self):
+        first = FakeFleet(
+            {"i-1": streams(1, 200, gap_s=0.01), "i-2": streams(1, 200)}, TWO_DOMAINS
+        )
+        first.context.load_view.merge(make_run("other-i-2", "i-2"))
+        writer = FakeResponseWriter()
+
+        async def main():
+            with anyio.move_on_after(0.15):
+                await relay_stream(admit_stream(), first.context, writer)
+
+        run_in_virtual_time(main)
+        (run,) = first.context.runs.values()
+        assert run.is_ended
+        assert run.is_cut
+        second = FakeFleet(
+            {"i-1": streams(1, 200), "i-2": streams(1, 200)}, TWO_DOMAINS
+        )
+        second.context.load_view.merge(run)
+        assert (
+            second.context.load_view.load(
+                second.target_table.get("i-1").announcement
+            ).n_runs
+            == 0
+        )
+        last = writer.event_ids[-1]
+        rest = relay(second, admit_stream(last_event_id=last))
+        assert writer.event_ids + rest.event_ids == list(range(1, 201))
+        assert second.attempts[0].copy.copy_id == "req1"
--- a/tools/almonddeal_tools/lab/fleet.py
+++ b/tools/almonddeal_tools/lab/fleet.py
@@ -19,7 +19,8 @@
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import LINK_LOST, NOT_REACHED, AlmonddealError
 from almonddeal_common.wire.gen.ttypes import AnnouncedTarget
-from almonddeal_tools.lab.engine import CONNECTION_LOST, SimulatedEngine
+from almonddeal_tools.lab.engine import SimulatedEngine
+from almonddeal_tools.lab.runs import CONNECTION_LOST
 
 SERVICE_NAME = "pool"
 LINK_LATENCY_S = 0.001  # one way, between an instance and an engine
--- a/tools/almonddeal_tools/lab/patterns.py
+++ b/tools/almonddeal_tools/lab/patterns.py
@@ -5,8 +5,8 @@
 import anyio
 
 from almonddeal_tools.lab.callers import Outcome, request_answer
-from almonddeal_tools.lab.engine import EngineProfile
 from almonddeal_tools.lab.fleet import LabFleet
+from almonddeal_tools.lab.runs import EngineProfile
 
 RATE_PER_S = 3.1  # request rate of the smaller of the known fleets
 N_PROMPT_TOKENS = 5200
--- a/tools/almonddeal_tools/lab/tests/test_engine.py
+++ b/tools/almonddeal_tools/lab/tests/test_engine.py
@@ -5,12 +5,8 @@
 
 from almonddeal.relay.requests import Generation
 from almonddeal_common.virtual_time import run_in_virtual_time
-from almonddeal_tools.lab.engine import (
-    CONNECTION_LOST,
-    MAX_WAITING_RUNS,
-    EngineProfile,
-    SimulatedEngine,
-)
+from almonddeal_tools.lab.engine import MAX_WAITING_RUNS, SimulatedEngine
+from almonddeal_tools.lab.runs import CONNECTION_LOST, EngineProfile
 
 
 def make_generation(n_prompt_tokens=5000, n_output_tokens=60, prefix_hash="p"):
