relay: log the prompt's shared segments and whether a response began

Change: a generation keeps the hashes of its shared segments; 'finished an attempt' has them, and whether the head of a response had come.

--- a/packages/entry/src/almonddeal/relay/attempts.py
+++ b/packages/entry/src/almonddeal/relay/attempts.py
@@ -67,10 +67,11 @@
     report_run_start(stream, context, announcement, has_whole_prompt)
     started_ms = monotonic_ms()
     stream.n_attempts += 1
-    error = await _supervise(stream, context, engine, attempt)
+    progress = AttemptProgress()
+    error = await _supervise(stream, context, engine, attempt, progress)
     if error is None or error.code not in NOT_RUN_CODES:
         stream.n_sends += 1
-    _log_outcome(stream, context, announcement, copy, started_ms, error)
+    _log_outcome(stream, context, attempt, progress, started_ms, error)
     if error is None:
         await free_copy(stream, context, announcement)
         return None
@@ -86,8 +87,10 @@
     return error
 
 
-def _log_outcome(stream, context, announcement, copy, started_ms, error):
+def _log_outcome(stream, context, attempt, progress, started_ms, error):
     now_ms = monotonic_ms()
+    generation = stream.admitted.request.generation
+    announcement = attempt.target
     backup = stream.copy.backup.announcement.target if stream.copy is not None else None
     decide(
         log,
@@ -96,7 +99,9 @@
         target=announcement.target,
         born_ms=announcement.born_ms,
         version=context.version,
-        resumes_copy=copy is not None,
+        resumes_copy=attempt.copy is not None,
+        prefixes=generation.shared_prefix_hashes if generation is not None else (),
+        has_response=progress.has_response,
         backup=backup,
         last_event_id=stream.last_event_id,
         outcome="OK" if error is None else error.code.name,
@@ -107,14 +112,13 @@
     )
 
 
-async def _supervise(stream, context, engine, attempt):
+async def _supervise(stream, context, engine, attempt, progress):
     """Run an attempt in a scope that is cancelled on a stall or loss of the engine."""
     # Stands if the scope is cancelled, by its timeout or after a failure of the engine.
     error = AlmonddealError(TARGET_STALLED, "no event came")
     engine.n_in_flight += 1
     async with anyio.create_task_group() as group:
         engine.request_by_scope[group.cancel_scope] = stream.request_id
-        progress = AttemptProgress()
         group.start_soon(_probe_while_silent, context, engine, stream.request_id)
         group.start_soon(
             _cancel_if_stalled, stream, context, engine, progress, group.cancel_scope
@@ -228,6 +232,7 @@
 async def _send_and_forward(stream, context, engine, attempt, progress, scope):
     _set_timeout(scope, _first_event_timeout_ms(stream, context, engine))
     async with context.open_attempt(attempt) as response:
+        progress.has_response = response.is_success
         if response.is_not_run:
             code = NOT_REACHED if response.is_misdirected else TARGET_REFUSED
             raise AlmonddealError(code, f"status {response.status}")
--- a/packages/entry/src/almonddeal/relay/requests.py
+++ b/packages/entry/src/almonddeal/relay/requests.py
@@ -15,6 +15,8 @@
         Digest of the request; equal if and only if the same response is requested.
     last_prefix_hash : str or None
         Hash of the last prompt segment, which is specific to this request or session.
+    shared_prefix_hashes : tuple of str
+        Hashes of the segments before the last one, which other requests may share.
     """
 
     __slots__ = (
@@ -22,15 +24,22 @@
         "last_prefix_hash",
         "n_output_tokens",
         "n_prompt_tokens",
+        "shared_prefix_hashes",
     )
 
     def __init__(
-        self, n_prompt_tokens, n_output_tokens, fingerprint, last_prefix_hash=None
+        self,
+        n_prompt_tokens,
+        n_output_tokens,
+        fingerprint,
+        last_prefix_hash=None,
+        shared_prefix_hashes=(),
     ):
         self.n_prompt_tokens = n_prompt_tokens
         self.n_output_tokens = n_output_tokens
         self.fingerprint = fingerprint
         self.last_prefix_hash = last_prefix_hash
+        self.shared_prefix_hashes = shared_prefix_hashes
 
 
 class CallerRequest:
--- a/packages/entry/src/almonddeal/relay/stream_state.py
+++ b/packages/entry/src/almonddeal/relay/stream_state.py
@@ -40,18 +40,21 @@
 
 
 class AttemptProgress:
-    """When the engine of an attempt last sent an event.
+    """How far an attempt is, and when its engine last sent an event.
 
     Attributes
     ----------
+    has_response : bool
+        Whether the engine has started its response, which it does with the first token.
     has_event : bool
         Whether the attempt has received an event.
     """
 
-    __slots__ = ("_is_sending", "_last_event_ms", "has_event")
+    __slots__ = ("_is_sending", "_last_event_ms", "has_event", "has_response")
 
     def __init__(self):
         self._is_sending = False
+        self.has_response = False
         self._last_event_ms = 0.0
         self.has_event = False
 
