--- a/tools/almonddeal_tools/lab/callers.py
+++ b/tools/almonddeal_tools/lab/callers.py
@@ -137,7 +137,13 @@
 
 
 async def request_answer(
-    fleet, instance_indexes, request_id, n_prompt_tokens, n_output_tokens, outcome
+    fleet,
+    instance_indexes,
+    request_id,
+    n_prompt_tokens,
+    n_output_tokens,
+    outcome,
+    shared_prefix_hashes=(),
 ):
     """Request one answer; retries after an error with a Retry-After.
 
@@ -150,6 +156,7 @@
     n_prompt_tokens, n_output_tokens : int
     outcome : Outcome
         Updated in place.
+    shared_prefix_hashes : tuple of str
     """
     for n_retries, index in enumerate(instance_indexes[: MAX_RETRIES + 1]):
         left_ms = TIMEOUT_MS - (monotonic_ms() - outcome.sent_ms)
@@ -159,6 +166,7 @@
             n_prompt_tokens,
             n_output_tokens,
             left_ms,
+            shared_prefix_hashes,
         )
         try:
             await relay_stream(
@@ -176,10 +184,14 @@
 
 
 def _make_admitted_request(
-    fleet, request_id, n_prompt_tokens, n_output_tokens, left_ms
+    fleet, request_id, n_prompt_tokens, n_output_tokens, left_ms, shared_prefix_hashes
 ):
     generation = Generation(
-        n_prompt_tokens, n_output_tokens, request_id, f"part-{request_id}"
+        n_prompt_tokens,
+        n_output_tokens,
+        request_id,
+        f"part-{request_id}",
+        shared_prefix_hashes,
     )
     request = CallerRequest(
         request_id,
--- a/tools/almonddeal_tools/lab/engine.py
+++ b/tools/almonddeal_tools/lab/engine.py
@@ -58,6 +58,8 @@
         self.is_up = False
         self.is_partitioned = False
         self.slowdown = 1.0
+        self.crashing_prefix_hash = None
+        self.crash = None
         self.n_prefilled_tokens = 0
         self.n_recomputed_tokens = 0
         self.n_replicated_tokens = 0
@@ -152,6 +154,7 @@
             n_cached_tokens,
             backup_address,
             self.profile.tokens_per_event,
+            generation.shared_prefix_hashes,
         )
         if copy_id is not None:
             # Published behaviour: a resumed run is admitted ahead of the queue, and the
@@ -275,6 +278,9 @@
             self._preempt_newest()
 
     def _generate_token(self, run):
+        if self.crashing_prefix_hash in run.shared_prefix_hashes:
+            self.crash(self)
+            return
         run.n_generated_tokens += 1
         if run.n_generated_tokens % self.profile.tokens_per_event and not run.is_ended:
             return
--- a/tools/almonddeal_tools/lab/fleet.py
+++ b/tools/almonddeal_tools/lab/fleet.py
@@ -69,6 +69,10 @@
     engine_by_address : dict of str to SimulatedEngine
     instances : list of RelayContext
     service : Service
+    crashes_ms : list of float
+        Times of crashes by a prompt segment.
+    sends : list of (float, tuple of str)
+        Times in ms and shared prefix hashes of the requests that reached an engine.
     """
 
     def __init__(
@@ -83,6 +87,8 @@
     ):
         self.engine_by_address = {}
         self.instances = []
+        self.crashes_ms = []
+        self.sends = []
         self._group = group
         self._n_incarnations = 0
         self._shares_runs = shares_runs
@@ -190,6 +196,24 @@
             for instance in self.instances:
                 instance.targets.merge(self._make_announcement(engine))
 
+    def crash_on_segment(self, prefix_hash, restart_s):
+        """Have engines crash at the first token after a prompt with a segment.
+
+        Parameters
+        ----------
+        prefix_hash : str
+        restart_s : float
+            Time after which a crashed engine starts again.
+        """
+
+        def crash(engine):
+            self.crashes_ms.append(monotonic_ms())
+            self._group.start_soon(self.simulate_outage, [engine], restart_s, False)
+
+        for engine in self.engine_by_address.values():
+            engine.crashing_prefix_hash = prefix_hash
+            engine.crash = crash
+
     def _broadcast_run(self, index, run):
         if self._shares_runs:
             self._group.start_soon(self._deliver_run, index, run)
@@ -224,6 +248,7 @@
             yield _make_response(421, _empty_body(), is_misdirected=True)
             return
         generation = attempt.admitted.request.generation
+        self.sends.append((monotonic_ms(), generation.shared_prefix_hashes))
         run = engine.submit(
             attempt.admitted.request.request_id,
             generation,
@@ -236,6 +261,8 @@
             return
         try:
             first_item = await run.events.receive()
+            if first_item is CONNECTION_LOST and run.is_prefilling:
+                raise AlmonddealError(LINK_LOST, "reset before a response")
             yield _make_response(200, _event_chunks(run, first_item))
         finally:
             engine.release_run(run, generation.last_prefix_hash)
--- a/tools/almonddeal_tools/lab/runs.py
+++ b/tools/almonddeal_tools/lab/runs.py
@@ -75,6 +75,7 @@
     backup_address : str or None
         Engine that receives a copy of the KV cache of the run.
     tokens_per_event : int
+    shared_prefix_hashes : tuple of str
 
     Attributes
     ----------
@@ -91,6 +92,7 @@
         "n_prompt_tokens",
         "n_tokens_to_prefill",
         "request_id",
+        "shared_prefix_hashes",
     )
 
     def __init__(
@@ -102,8 +104,10 @@
         n_cached_tokens,
         backup_address,
         tokens_per_event,
+        shared_prefix_hashes=(),
     ):
         self.request_id = request_id
+        self.shared_prefix_hashes = shared_prefix_hashes
         self.n_prompt_tokens = n_prompt_tokens
         self.n_output_tokens = n_output_tokens
         self.n_generated_tokens = n_delivered_events * tokens_per_event
