relay: quarantine prompt segments that crash the engines

Cause: a lost attempt was sent to the next engine, or to its KV cache copy, up to the route's most attempts, whatever ended the engine; nothing was remembered after the request, nor known to other instances. Class: poison message, retried. Ruled out: engines that crash by themselves (the crashes follow the requests over all domains), and copies that carry it over (engines without a copy crash too). Change: instances share what crashed and what survived, over the links that carry run reports (new optional fields); each searches for the segment that explains most crashes; prompts with it are rejected unsent, waiting ones and runs in their prefill included; a request crashes two engines at most. Why it works: the segment is at all of its crashes, every other one is not, or is known to be sound; records never change, so all instances find the same one.

--- a/idl/almonddeal.thrift
+++ b/idl/almonddeal.thrift
@@ -247,10 +247,19 @@
   9: string fingerprint, 10: i64 backup_born_ms, 11: bool is_cut
   12: string copy_address, 13: string copy_id
 }
-struct ShareRuns { 1: list<Run> runs, 2: bool is_relayed }
+// What one attempt shows of the shared segments of its prompt: its engine crashed when it
+// started to respond (or before), or the engine survived it.
+struct SegmentEvidence {
+  1: string key, 2: string instance, 3: list<string> prefix_hashes, 4: bool is_sound
+  5: i64 observed_ms, 6: string request, 7: string target, 8: i64 born_ms
+  9: string failure_domain, 10: bool has_response
+}
+struct ShareRuns {
+  1: list<Run> runs, 2: bool is_relayed, 3: list<SegmentEvidence> evidence
+}
 struct Follow { 1: i64 have_version, 2: string instance }
 struct FollowUpdate {
   1: i64 version, 2: binary content, 3: list<AnnouncedTarget> targets
   4: list<string> member_addresses, 5: bool is_fresh, 6: list<Run> runs
-  7: i32 n_followers
+  7: i32 n_followers, 8: list<SegmentEvidence> evidence
 }
--- a/packages/common/src/almonddeal_common/codes.py
+++ b/packages/common/src/almonddeal_common/codes.py
@@ -85,6 +85,7 @@
 STOPPING = _define(204, "STOPPING", 503, 24, NO, SAFE, "The process is stopping and takes nothing new.")
 DEADLINE = _define(205, "DEADLINE", 504, 25, UNKNOWN, UNSAFE, "The deadline passed first.")
 NO_CONFIGURATION = _define(206, "NO_CONFIGURATION", 503, 26, NO, SAFE, "The process has no configuration yet.")
+PROMPT_QUARANTINED = _define(207, "PROMPT_QUARANTINED", 503, 27, NO, SAFE, "Engines crashed under a segment of the prompt; it is sent to none.")
 
 ANSWER_UNKNOWN = _define(300, "ANSWER_UNKNOWN", 404, 30, UNKNOWN, SAFE, "No answer is known by this request id.")
 HOLDERS_UNREACHABLE = _define(301, "HOLDERS_UNREACHABLE", 503, 31, UNKNOWN, SAFE, "Too few holders of the answer can be reached just now.")
--- a/packages/common/src/almonddeal_common/wire/gen/ttypes.py
+++ b/packages/common/src/almonddeal_common/wire/gen/ttypes.py
@@ -6583,23 +6583,210 @@
         return not (self == other)
 
 
+class SegmentEvidence(object):
+    """
+    Attributes:
+     - key
+     - instance
+     - prefix_hashes
+     - is_sound
+     - observed_ms
+     - request
+     - target
+     - born_ms
+     - failure_domain
+     - has_response
+
+    """
+
+    __slots__ = (
+        'key',
+        'instance',
+        'prefix_hashes',
+        'is_sound',
+        'observed_ms',
+        'request',
+        'target',
+        'born_ms',
+        'failure_domain',
+        'has_response',
+    )
+
+
+    def __init__(self, key=None, instance=None, prefix_hashes=None, is_sound=None, observed_ms=None, request=None, target=None, born_ms=None, failure_domain=None, has_response=None,):
+        self.key = key
+        self.instance = instance
+        self.prefix_hashes = prefix_hashes
+        self.is_sound = is_sound
+        self.observed_ms = observed_ms
+        self.request = request
+        self.target = target
+        self.born_ms = born_ms
+        self.failure_domain = failure_domain
+        self.has_response = has_response
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.prefix_hashes = []
+                    (_etype188, _size185) = iprot.readListBegin()
+                    for _i189 in range(_size185):
+                        _elem190 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.prefix_hashes.append(_elem190)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.is_sound = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.observed_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.request = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.BOOL:
+                    self.has_response = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SegmentEvidence')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.instance is not None:
+            oprot.writeFieldBegin('instance', TType.STRING, 2)
+            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeFieldEnd()
+        if self.prefix_hashes is not None:
+            oprot.writeFieldBegin('prefix_hashes', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.prefix_hashes))
+            for iter191 in self.prefix_hashes:
+                oprot.writeString(iter191.encode('utf-8') if sys.version_info[0] == 2 else iter191)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.is_sound is not None:
+            oprot.writeFieldBegin('is_sound', TType.BOOL, 4)
+            oprot.writeBool(self.is_sound)
+            oprot.writeFieldEnd()
+        if self.observed_ms is not None:
+            oprot.writeFieldBegin('observed_ms', TType.I64, 5)
+            oprot.writeI64(self.observed_ms)
+            oprot.writeFieldEnd()
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRING, 6)
+            oprot.writeString(self.request.encode('utf-8') if sys.version_info[0] == 2 else self.request)
+            oprot.writeFieldEnd()
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 7)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 8)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 9)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
+        if self.has_response is not None:
+            oprot.writeFieldBegin('has_response', TType.BOOL, 10)
+            oprot.writeBool(self.has_response)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ShareRuns(object):
     """
     Attributes:
      - runs
      - is_relayed
+     - evidence
 
     """
 
     __slots__ = (
         'runs',
         'is_relayed',
+        'evidence',
     )
 
 
-    def __init__(self, runs=None, is_relayed=None,):
+    def __init__(self, runs=None, is_relayed=None, evidence=None,):
         self.runs = runs
         self.is_relayed = is_relayed
+        self.evidence = evidence
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -6613,11 +6800,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.runs = []
-                    (_etype188, _size185) = iprot.readListBegin()
-                    for _i189 in range(_size185):
-                        _elem190 = Run()
-                        _elem190.read(iprot)
-                        self.runs.append(_elem190)
+                    (_etype195, _size192) = iprot.readListBegin()
+                    for _i196 in range(_size192):
+                        _elem197 = Run()
+                        _elem197.read(iprot)
+                        self.runs.append(_elem197)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6626,6 +6813,17 @@
                     self.is_relayed = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.evidence = []
+                    (_etype201, _size198) = iprot.readListBegin()
+                    for _i202 in range(_size198):
+                        _elem203 = SegmentEvidence()
+                        _elem203.read(iprot)
+                        self.evidence.append(_elem203)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -6639,14 +6837,21 @@
         if self.runs is not None:
             oprot.writeFieldBegin('runs', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.runs))
-            for iter191 in self.runs:
-                iter191.write(oprot)
+            for iter204 in self.runs:
+                iter204.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_relayed is not None:
             oprot.writeFieldBegin('is_relayed', TType.BOOL, 2)
             oprot.writeBool(self.is_relayed)
             oprot.writeFieldEnd()
+        if self.evidence is not None:
+            oprot.writeFieldBegin('evidence', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.evidence))
+            for iter205 in self.evidence:
+                iter205.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6762,6 +6967,7 @@
      - is_fresh
      - runs
      - n_followers
+     - evidence
 
     """
 
@@ -6773,10 +6979,11 @@
         'is_fresh',
         'runs',
         'n_followers',
+        'evidence',
     )
 
 
-    def __init__(self, version=None, content=None, targets=None, member_addresses=None, is_fresh=None, runs=None, n_followers=None,):
+    def __init__(self, version=None, content=None, targets=None, member_addresses=None, is_fresh=None, runs=None, n_followers=None, evidence=None,):
         self.version = version
         self.content = content
         self.targets = targets
@@ -6784,6 +6991,7 @@
         self.is_fresh = is_fresh
         self.runs = runs
         self.n_followers = n_followers
+        self.evidence = evidence
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -6807,21 +7015,21 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.targets = []
-                    (_etype195, _size192) = iprot.readListBegin()
-                    for _i196 in range(_size192):
-                        _elem197 = AnnouncedTarget()
-                        _elem197.read(iprot)
-                        self.targets.append(_elem197)
+                    (_etype209, _size206) = iprot.readListBegin()
+                    for _i210 in range(_size206):
+                        _elem211 = AnnouncedTarget()
+                        _elem211.read(iprot)
+                        self.targets.append(_elem211)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.member_addresses = []
-                    (_etype201, _size198) = iprot.readListBegin()
-                    for _i202 in range(_size198):
-                        _elem203 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.member_addresses.append(_elem203)
+                    (_etype215, _size212) = iprot.readListBegin()
+                    for _i216 in range(_size212):
+                        _elem217 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.member_addresses.append(_elem217)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6833,11 +7041,11 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.runs = []
-                    (_etype207, _size204) = iprot.readListBegin()
-                    for _i208 in range(_size204):
-                        _elem209 = Run()
-                        _elem209.read(iprot)
-                        self.runs.append(_elem209)
+                    (_etype221, _size218) = iprot.readListBegin()
+                    for _i222 in range(_size218):
+                        _elem223 = Run()
+                        _elem223.read(iprot)
+                        self.runs.append(_elem223)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6846,6 +7054,17 @@
                     self.n_followers = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.evidence = []
+                    (_etype227, _size224) = iprot.readListBegin()
+                    for _i228 in range(_size224):
+                        _elem229 = SegmentEvidence()
+                        _elem229.read(iprot)
+                        self.evidence.append(_elem229)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -6867,15 +7086,15 @@
         if self.targets is not None:
             oprot.writeFieldBegin('targets', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.targets))
-            for iter210 in self.targets:
-                iter210.write(oprot)
+            for iter230 in self.targets:
+                iter230.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.member_addresses is not None:
             oprot.writeFieldBegin('member_addresses', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.member_addresses))
-            for iter211 in self.member_addresses:
-                oprot.writeString(iter211.encode('utf-8') if sys.version_info[0] == 2 else iter211)
+            for iter231 in self.member_addresses:
+                oprot.writeString(iter231.encode('utf-8') if sys.version_info[0] == 2 else iter231)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_fresh is not None:
@@ -6885,14 +7104,21 @@
         if self.runs is not None:
             oprot.writeFieldBegin('runs', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.runs))
-            for iter212 in self.runs:
-                iter212.write(oprot)
+            for iter232 in self.runs:
+                iter232.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.n_followers is not None:
             oprot.writeFieldBegin('n_followers', TType.I32, 7)
             oprot.writeI32(self.n_followers)
             oprot.writeFieldEnd()
+        if self.evidence is not None:
+            oprot.writeFieldBegin('evidence', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.evidence))
+            for iter233 in self.evidence:
+                iter233.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -7403,11 +7629,26 @@
     (12, TType.STRING, 'copy_address', 'UTF8', None, ),  # 12
     (13, TType.STRING, 'copy_id', 'UTF8', None, ),  # 13
 )
+all_structs.append(SegmentEvidence)
+SegmentEvidence.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'instance', 'UTF8', None, ),  # 2
+    (3, TType.LIST, 'prefix_hashes', (TType.STRING, 'UTF8', False), None, ),  # 3
+    (4, TType.BOOL, 'is_sound', None, None, ),  # 4
+    (5, TType.I64, 'observed_ms', None, None, ),  # 5
+    (6, TType.STRING, 'request', 'UTF8', None, ),  # 6
+    (7, TType.STRING, 'target', 'UTF8', None, ),  # 7
+    (8, TType.I64, 'born_ms', None, None, ),  # 8
+    (9, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 9
+    (10, TType.BOOL, 'has_response', None, None, ),  # 10
+)
 all_structs.append(ShareRuns)
 ShareRuns.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'runs', (TType.STRUCT, [Run, None], False), None, ),  # 1
     (2, TType.BOOL, 'is_relayed', None, None, ),  # 2
+    (3, TType.LIST, 'evidence', (TType.STRUCT, [SegmentEvidence, None], False), None, ),  # 3
 )
 all_structs.append(Follow)
 Follow.thrift_spec = (
@@ -7425,6 +7666,7 @@
     (5, TType.BOOL, 'is_fresh', None, None, ),  # 5
     (6, TType.LIST, 'runs', (TType.STRUCT, [Run, None], False), None, ),  # 6
     (7, TType.I32, 'n_followers', None, None, ),  # 7
+    (8, TType.LIST, 'evidence', (TType.STRUCT, [SegmentEvidence, None], False), None, ),  # 8
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/entry/src/almonddeal/publication/feed.py
+++ b/packages/entry/src/almonddeal/publication/feed.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from almonddeal.announced.evidence import EvidenceStore
 from almonddeal.announced.versioned_map import VersionedMap
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import AlmonddealError
@@ -20,7 +21,7 @@
 
 
 class Feed:
-    """Distributes the configuration, announcements and runs to subscribers.
+    """Distributes configuration, announcements, runs and evidence to subscribers.
 
     Parameters
     ----------
@@ -46,6 +47,7 @@
         self._consensus = consensus
         self._peer_by_name = peer_by_name
         self._runs = VersionedMap()
+        self._evidence = EvidenceStore()
         self._n_links_by_instance = {}
         # Pairs of the time of receipt in ms and whether the run has ended.
         self._receipt_by_request = {}
@@ -86,7 +88,7 @@
 
     async def _send_updates(self, message, emit):
         sent_version = message.have_version
-        sent_announcement_revision = sent_run_revision = 0
+        sent_announcement_revision = sent_run_revision = sent_evidence_revision = 0
         sent_addresses = sent_is_fresh = None
         while True:
             update = FollowUpdate(sent_version, b"", [], [], self.is_fresh, [], 0)
@@ -104,12 +106,17 @@
                 if run.instance != message.instance
             ]
             sent_run_revision = self._runs.revision
+            # Also that of the subscriber itself, which may have restarted.
+            update.evidence = self._evidence.changed_since(sent_evidence_revision)
+            sent_evidence_revision = self._evidence.revision
             members = sorted(self._consensus.members.address_by_name.values())
             if members != sent_addresses:
                 update.member_addresses = sent_addresses = members
-            has_changes = update.content or update.targets or update.runs
             if (
-                has_changes
+                update.content
+                or update.targets
+                or update.runs
+                or update.evidence
                 or update.member_addresses
                 or sent_is_fresh != update.is_fresh
             ):
@@ -120,15 +127,22 @@
                 sent_version,
                 sent_announcement_revision,
                 sent_run_revision,
+                sent_evidence_revision,
                 sent_is_fresh,
             )
 
     async def _wait_for_change(
-        self, sent_version, sent_announcement_revision, sent_run_revision, sent_is_fresh
+        self,
+        sent_version,
+        sent_announcement_revision,
+        sent_run_revision,
+        sent_evidence_revision,
+        sent_is_fresh,
     ):
         while (
             self._registry.announcements.revision == sent_announcement_revision
             and self._runs.revision == sent_run_revision
+            and self._evidence.revision == sent_evidence_revision
             and (self._publication.version <= sent_version or not self.is_fresh)
             and self.is_fresh == sent_is_fresh
         ):
@@ -157,6 +171,7 @@
                 )
                 self.notify_changed()
             self._evict_old_runs()
+            self._evidence.evict_stale()
 
     async def accept_announcement(self, announcement, origin):
         """Merge an announcement, and replicate it if that is due.
@@ -209,22 +224,24 @@
             self._registry.merge(announcement, link.peer.instance)
         return Ok()
 
-    def send_announcements_and_runs(self, link):
-        """Send all announcements and runs to a control instance with a new link."""
+    def send_state(self, link):
+        """Send announcements, runs and evidence to a control instance, all of them."""
         targets = self._registry.announcements.values()
         if targets:
             link.notify(ShareTargets(targets))
-        if len(self._runs):
-            link.notify(ShareRuns(self._runs.values(), True))
+        if len(self._runs) or len(self._evidence):
+            link.notify(ShareRuns(self._runs.values(), True, self._evidence.values()))
 
     async def handle_share_runs(self, link, message, emit):
-        """Relay runs of subscribers, so that all know the load of each target."""
+        """Relay runs and evidence of subscribers, so that all instances have them."""
         for run in message.runs:
             self._runs.put(run.request, run)
             self._receipt_by_request[run.request] = (monotonic_ms(), run.is_ended)
+        # None in the messages of earlier releases.
+        evidence = [r for r in message.evidence or [] if self._evidence.add(r)]
         self._registry.announcements.notify()
-        if not message.is_relayed:
-            relayed_message = ShareRuns(message.runs, True)
+        if not message.is_relayed and (message.runs or evidence):
+            relayed_message = ShareRuns(message.runs, True, evidence)
             for peer in list(self._peer_by_name.values()):
                 if peer.is_up:
                     peer.require_link().notify(relayed_message)
--- a/packages/entry/src/almonddeal/publication/follower.py
+++ b/packages/entry/src/almonddeal/publication/follower.py
@@ -23,6 +23,9 @@
 class Follower:
     """Receives updates from one control instance; sends it the runs of this instance.
 
+    It also sends the evidence on prompt segments: all of it at first, as the control
+    instance may have restarted, then the records of this instance.
+
     Parameters
     ----------
     settings : RoleSettings
@@ -33,14 +36,16 @@
         Returns the version of the configuration in force here.
     runs : VersionedMap
         Runs of this instance, sent to the control instance as they change.
+    evidence : EvidenceStore
     """
 
-    def __init__(self, settings, hello, on_update, get_version, runs):
+    def __init__(self, settings, hello, on_update, get_version, runs, evidence):
         self._settings = settings
         self._hello = hello
         self._on_update = on_update
         self._get_version = get_version
         self._runs = runs
+        self._evidence = evidence
         self._member_addresses = []
         self._domain_by_address = {}
         self._failed_ms_by_address = {}
@@ -134,6 +139,7 @@
             self.link = link
             decide(log, "subscribed to control instance", address=address)
             group.start_soon(self._send_runs, link)
+            group.start_soon(self._send_evidence, link)
         if update.member_addresses:
             self._member_addresses = list(update.member_addresses)
         if update.is_fresh:
@@ -160,3 +166,17 @@
             if self._runs.revision == sent_revision:
                 await self._runs.wait()
             await anyio.sleep(SEND_INTERVAL_S)
+
+    async def _send_evidence(self, link):
+        records = self._evidence.values()
+        while True:
+            sent_revision = self._evidence.revision
+            if records:
+                link.notify(ShareRuns([], False, records))
+            while self._evidence.revision == sent_revision:
+                await self._evidence.wait()
+            records = [
+                record
+                for record in self._evidence.changed_since(sent_revision)
+                if record.instance == self._settings.instance
+            ]
--- a/packages/entry/src/almonddeal/publication/tests/test_feed.py
+++ b/packages/entry/src/almonddeal/publication/tests/test_feed.py
@@ -9,7 +9,12 @@
 from almonddeal.publication.feed import Feed
 from almonddeal.publication.state import Publication
 from almonddeal_common.codes import LINK_LOST, AlmonddealError
-from almonddeal_common.wire.gen.ttypes import AnnouncedTarget
+from almonddeal_common.wire.gen.ttypes import (
+    AnnouncedTarget,
+    Follow,
+    SegmentEvidence,
+    ShareRuns,
+)
 
 
 class Peer:
@@ -27,6 +32,16 @@
             raise AlmonddealError(LINK_LOST, "cut")
         self.received += message.targets
 
+    def require_link(self):
+        return self
+
+    def notify(self, message):
+        self.received.append(message)
+
+
+class Freshness:
+    fresh_age_ms = 0
+
 
 class Group:
     members = Members({"c1": "a:1", "c2": "b:1", "c3": "c:1"}, 3)
@@ -39,7 +54,7 @@
 
 @pytest.fixture
 def feed(peers):
-    return Feed("c1", Publication(), TargetRegistry(), None, Group(), peers)
+    return Feed("c1", Publication(), TargetRegistry(), Freshness(), Group(), peers)
 
 
 def announce(feed, state, sequence):
@@ -83,3 +98,50 @@
         for sequence in range(1, 6):
             assert announce(feed, READY, sequence)
         assert len(peers["c2"].received) == 1
+
+
+class TestEvidence:
+    """Pattern: instances restart after segments have been found to crash engines."""
+
+    def share(self, feed, *records, is_relayed=False):
+        message = ShareRuns([], is_relayed, list(records))
+        anyio.run(feed.handle_share_runs, None, message, None)
+
+    def record(self, key, instance="entry-1"):
+        return SegmentEvidence(key=key, instance=instance, prefix_hashes=["h"])
+
+    def first_update(self, feed, instance):
+        updates = []
+
+        async def main():
+            with anyio.move_on_after(0.05):
+                follow = Follow(0, instance)
+                await feed.handle_follow(None, follow, updates.append)
+
+        anyio.run(main)
+        return updates[0]
+
+    def test_restarted_subscriber_receives_its_own_evidence(self, feed):
+        self.share(feed, self.record("e1"))
+        update = self.first_update(feed, "entry-1")
+        assert [record.key for record in update.evidence] == ["e1"]
+
+    def test_records_are_relayed_once(self, feed, peers):
+        self.share(feed, self.record("e1"))
+        self.share(feed, self.record("e1"), self.record("e2", "entry-2"))
+        relayed = [record.key for m in peers["c2"].received for record in m.evidence]
+        assert relayed == ["e1", "e2"]
+
+    def test_relayed_records_are_not_relayed_again(self, feed, peers):
+        self.share(feed, self.record("e1"), is_relayed=True)
+        assert not peers["c2"].received
+
+    def test_restarted_control_instance_receives_all_evidence(self, feed, peers):
+        self.share(feed, self.record("e1"), is_relayed=True)
+        feed.send_state(peers["c3"])
+        assert [record.key for record in peers["c3"].received[-1].evidence] == ["e1"]
+
+    def test_runs_of_an_earlier_release_have_no_evidence(self, feed):
+        message = ShareRuns([], False)
+        anyio.run(feed.handle_share_runs, None, message, None)
+        assert not self.first_update(feed, "entry-1").evidence
--- a/packages/entry/src/almonddeal/publication/tests/test_follower.py
+++ b/packages/entry/src/almonddeal/publication/tests/test_follower.py
@@ -5,6 +5,7 @@
 import anyio
 import pytest
 
+from almonddeal.announced.evidence import EvidenceStore
 from almonddeal.announced.versioned_map import VersionedMap
 from almonddeal.publication.follower import STALE_TIMEOUT_MS, Follower
 from almonddeal.roles.settings import RetryLimits, RoleSettings
@@ -16,6 +17,7 @@
     FollowUpdate,
     Hello,
     Run,
+    SegmentEvidence,
     ShareRuns,
 )
 
@@ -55,6 +57,7 @@
         self.is_fresh = is_fresh
         self.n_followers = 0
         self.runs = []
+        self.evidence_keys = []
 
     async def run(self, task_status):
         listener = await listen(Address.parse(self.address))
@@ -72,9 +75,10 @@
 
     async def _record_runs(self, link, message, emit):
         self.runs += message.runs
+        self.evidence_keys += [record.key for record in message.evidence or []]
 
 
-def run_follower(controls, seeds, test):
+def run_follower(controls, seeds, test, evidence=None):
     """Run a test with a subscriber to the seeds; return the updates it received."""
     updates = []
 
@@ -85,7 +89,12 @@
             runs = VersionedMap()
             hello = make_hello("entry-1", "fd1")
             follower = Follower(
-                make_settings(seeds), hello, updates.append, lambda: 0, runs
+                make_settings(seeds),
+                hello,
+                updates.append,
+                lambda: 0,
+                runs,
+                evidence or EvidenceStore(),
             )
             group.start_soon(follower.run)
             await test(follower, runs)
@@ -156,3 +165,25 @@
             await wait_for(lambda: first.runs[1:] or second.runs)
 
         run_follower([first, second], [ADDRESS_1, ADDRESS_2], test)
+
+    def test_all_evidence_is_sent_to_a_new_instance_and_then_that_of_its_own(self):
+        """Guards against evidence lost when all control instances restart."""
+        control = FakeControlInstance(ADDRESS_1)
+        evidence = EvidenceStore()
+
+        def add(key, instance):
+            evidence.add(
+                SegmentEvidence(key=key, instance=instance, prefix_hashes=["h"])
+            )
+
+        add("e1", "entry-1")
+        add("e2", "entry-2")
+
+        async def test(follower, runs):
+            await wait_for(lambda: len(control.evidence_keys) == 2)
+            add("e3", "entry-2")
+            add("e4", "entry-1")
+            await wait_for(lambda: len(control.evidence_keys) == 3)
+            assert control.evidence_keys == ["e1", "e2", "e4"]
+
+        run_follower([control], [ADDRESS_1], test, evidence)
--- a/packages/entry/src/almonddeal/relay/attempts.py
+++ b/packages/entry/src/almonddeal/relay/attempts.py
@@ -4,6 +4,7 @@
 
 from almonddeal.relay.events import EventReader
 from almonddeal.relay.kv_copies import free_copy, maintain_copy, select_backup
+from almonddeal.relay.quarantine import shared_prefix_hashes
 from almonddeal.relay.requests import Attempt
 from almonddeal.relay.run_reports import record_first_event, report_run_start
 from almonddeal.relay.stall import (
@@ -72,6 +73,7 @@
     if error is None or error.code not in NOT_RUN_CODES:
         stream.n_sends += 1
     _log_outcome(stream, context, attempt, progress, started_ms, error)
+    await _record_segments(stream, context, engine, progress, error)
     if error is None:
         await free_copy(stream, context, announcement)
         return None
@@ -89,7 +91,6 @@
 
 def _log_outcome(stream, context, attempt, progress, started_ms, error):
     now_ms = monotonic_ms()
-    generation = stream.admitted.request.generation
     announcement = attempt.target
     backup = stream.copy.backup.announcement.target if stream.copy is not None else None
     decide(
@@ -100,7 +101,7 @@
         born_ms=announcement.born_ms,
         version=context.version,
         resumes_copy=attempt.copy is not None,
-        prefixes=generation.shared_prefix_hashes if generation is not None else (),
+        prefixes=shared_prefix_hashes(stream.admitted.request),
         has_response=progress.has_response,
         backup=backup,
         last_event_id=stream.last_event_id,
@@ -124,6 +125,7 @@
             _cancel_if_stalled, stream, context, engine, progress, group.cancel_scope
         )
         group.start_soon(maintain_copy, stream, context, engine.announcement)
+        group.start_soon(_cancel_if_quarantined, stream, context, group.cancel_scope)
         try:
             await _send_and_forward(
                 stream, context, engine, attempt, progress, group.cancel_scope
@@ -135,9 +137,27 @@
             engine.n_in_flight -= 1
             del engine.request_by_scope[group.cancel_scope]
         group.cancel_scope.cancel()
+    if error is not None and error.code == TARGET_STALLED:
+        return _quarantine_error(stream, context) or error
     return error
 
 
+def _quarantine_error(stream, context):
+    """Return the error if the prompt of the stream is in quarantine, else None."""
+    try:
+        context.quarantine.check(stream.admitted.request)
+    except AlmonddealError as error:
+        return error
+    return None
+
+
+async def _cancel_if_quarantined(stream, context, scope):
+    """Cancel an attempt, before it crashes its engine, once its prompt is rejected."""
+    while _quarantine_error(stream, context) is None:
+        await context.quarantine.changed.wait()
+    scope.cancel()
+
+
 async def _probe_while_silent(context, engine, request_id):
     """Probe an engine while no stream of this instance receives events from it.
 
@@ -269,7 +289,12 @@
         with progress.sending():
             await _send_events(stream, response, events)
         if is_progress:
-            progress.record_event(monotonic_ms())
+            had_survived = progress.has_survived
+            progress.record_events(len(events), monotonic_ms())
+            if progress.has_survived and not had_survived:
+                context.quarantine.record_sound(
+                    shared_prefix_hashes(stream.admitted.request)
+                )
         else:
             scope.deadline = deadline
     if reader.has_partial_event:
@@ -321,6 +346,27 @@
     return True
 
 
+async def _record_segments(stream, context, engine, progress, error):
+    """Record whether the engine survived the segments of the prompt or crashed.
+
+    A connection may also be lost between two sound processes, so the engine is probed.
+    """
+    request = stream.admitted.request
+    prefix_hashes = shared_prefix_hashes(request)
+    if error is None:
+        context.quarantine.record_sound(prefix_hashes)
+        return
+    if error.code != LINK_LOST or progress.has_survived:
+        return
+    if not context.quarantine.suspects(prefix_hashes):
+        return
+    if await context.is_alive(engine.announcement):
+        return
+    context.targets.eject(engine, "liveness probe failed", request.request_id)
+    context.quarantine.record_crash(request, engine.announcement, progress.has_response)
+    stream.n_crashes += int(progress.has_response)
+
+
 def _record_failure(stream, context, engine, error, resumes_copy):
     request_id = stream.request_id
     if error.code == TARGET_REFUSED:
--- a/packages/entry/src/almonddeal/relay/context.py
+++ b/packages/entry/src/almonddeal/relay/context.py
@@ -4,6 +4,7 @@
 
 from almonddeal.relay.admission_queue import AdmissionQueue
 from almonddeal.relay.choose import SelectionPolicy
+from almonddeal.relay.quarantine import Quarantine
 from almonddeal.relay.retry_window import RetryWindow
 from almonddeal_common.clock import monotonic_ms
 
@@ -64,6 +65,8 @@
     metrics : RelayMetrics
     selection_policy : SelectionPolicy, optional
         Replaces the default selection of targets, for experiments.
+    quarantine : Quarantine, optional
+        Replaces the default, for tests.
 
     Attributes
     ----------
@@ -82,6 +85,7 @@
         retry_limits,
         metrics,
         selection_policy=None,
+        quarantine=None,
     ):
         self.instance = instance
         self.domain = domain
@@ -95,6 +99,7 @@
         self.list_cached_prefixes = client.list_cached_prefixes
         self.metrics = metrics
         self.selection_policy = selection_policy or SelectionPolicy()
+        self.quarantine = quarantine or Quarantine(instance)
         self.version = 0
         self._started_ms = monotonic_ms()
         self._retry_limits = retry_limits
@@ -155,6 +160,10 @@
         self._merge_run(run)
         self.runs.put(run.request, run)
 
+    def update_metrics(self):
+        """Set the metrics that describe the state of this instance."""
+        self.metrics.set_n_quarantined(len(self.quarantine.culprits))
+
     def _merge_run(self, run):
         self.load_view.merge(run)
         if run.is_ended:
--- a/packages/entry/src/almonddeal/relay/metrics.py
+++ b/packages/entry/src/almonddeal/relay/metrics.py
@@ -1,6 +1,6 @@
 """Metrics of relayed requests."""
 
-from almonddeal_common.metrics import Counter, Histogram
+from almonddeal_common.metrics import Counter, Gauge, Histogram
 
 LATENCY_BUCKETS_MS = [5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000, 30000]
 
@@ -23,6 +23,15 @@
             buckets=LATENCY_BUCKETS_MS,
         )
 
+        self._n_quarantined = Gauge(
+            "almonddeal_relay_quarantined_segments",
+            "Prompt segments, or sets of them, that no engine receives.",
+        )
+
+    def set_n_quarantined(self, n_quarantined):
+        """Set the number of prompt segments in quarantine."""
+        self._n_quarantined.set({}, n_quarantined)
+
     def record_resume(self, pause_ms):
         """Record the pause in ms before a stream resumed at another engine."""
         self._resume_pause_ms.observe({}, pause_ms)
--- a/packages/entry/src/almonddeal/relay/stream_state.py
+++ b/packages/entry/src/almonddeal/relay/stream_state.py
@@ -39,6 +39,10 @@
         )
 
 
+SURVIVAL_MS = 500.0  # of generation, after which a prompt did not crash its engine
+MIN_SURVIVED_EVENTS = 10  # after a stall of this process, events arrive all at once
+
+
 class AttemptProgress:
     """How far an attempt is, and when its engine last sent an event.
 
@@ -50,12 +54,23 @@
         Whether the attempt has received an event.
     """
 
-    __slots__ = ("_is_sending", "_last_event_ms", "has_event", "has_response")
+    __slots__ = (
+        "_first_event_ms",
+        "_is_sending",
+        "_last_event_ms",
+        "_n_events",
+        "_silent_since_ms",
+        "has_event",
+        "has_response",
+    )
 
     def __init__(self):
+        self._first_event_ms = 0.0
         self._is_sending = False
+        self._n_events = 0
         self.has_response = False
         self._last_event_ms = 0.0
+        self._silent_since_ms = 0.0
         self.has_event = False
 
     @contextmanager
@@ -67,20 +82,30 @@
         finally:
             self._is_sending = False
 
-    def record_event(self, now_ms):
+    def record_events(self, n_events, now_ms):
         """Record that events were received and sent on."""
+        if not self.has_event:
+            self._first_event_ms = now_ms
+        self._last_event_ms = now_ms
+        self._n_events += n_events
         self.restart(now_ms)
         self.has_event = True
 
+    @property
+    def has_survived(self):
+        """Whether the engine has generated for long enough not to crash any more."""
+        duration_ms = self._last_event_ms - self._first_event_ms
+        return duration_ms >= SURVIVAL_MS and self._n_events >= MIN_SURVIVED_EVENTS
+
     def restart(self, now_ms):
         """Start a new period of silence."""
-        self._last_event_ms = now_ms
+        self._silent_since_ms = now_ms
 
     def silence_ms(self, now_ms):
         """Return the time since the last event; 0 before the first."""
         if self._is_sending or not self.has_event:
             return 0.0
-        return now_ms - self._last_event_ms
+        return now_ms - self._silent_since_ms
 
 
 class Stream:
@@ -116,6 +141,9 @@
         failed otherwise than with `NOT_REACHED` or `TARGET_REFUSED`.
     n_attempts : int
         All attempts.
+    n_crashes : int
+        Engines that crashed when they had started to respond, with a segment in the
+        prompt that may be the cause.
     run : Run or None
         Last reported state of the run.
     """
@@ -132,6 +160,7 @@
         "last_sent_ms",
         "lost_ms_by_domain",
         "n_attempts",
+        "n_crashes",
         "n_sends",
         "refusing_targets",
         "run",
@@ -154,6 +183,7 @@
         self.event_id_step = None
         self.n_sends = 0
         self.n_attempts = 0
+        self.n_crashes = 0
 
     @property
     def request_id(self):
--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -29,6 +29,9 @@
 NO_CAPACITY_BACKOFF_S = 0.1  # before a started response looks for an engine again
 MAX_BUDGET_WAIT_MS = 1000.0  # a caller that resumes its stream itself takes as long
 BUDGET_POLL_INTERVAL_S = 0.05
+# Engines that may crash under one request whose prompt none is known to survive. The
+# first one may have crashed by itself.
+MAX_CRASHES = 2
 MIN_LEFT_MS = 50.0  # below this no further attempt is made
 
 log = get_logger("relay")
@@ -66,7 +69,9 @@
     _find_copy(stream, context)
     while not stream.is_ended:
         try:
+            context.quarantine.check(stream.admitted.request)
             engine, copy = await _take_copy_and_select_target(stream, context)
+            context.quarantine.check(stream.admitted.request)
         except AlmonddealError as error:
             if not stream.n_sends:
                 raise
@@ -159,6 +164,14 @@
         return False
     if error.code == NOT_REACHED:
         return True
+    if stream.n_crashes >= MAX_CRASHES:
+        decide(
+            log,
+            "no further engine for a prompt under which engines crashed",
+            request=stream.request_id,
+            n_crashes=stream.n_crashes,
+        )
+        return False
     wait_deadline_ms = monotonic_ms() + MAX_BUDGET_WAIT_MS
     while not context.take_retry(stream.admitted.service.name):
         if monotonic_ms() >= wait_deadline_ms or stream.admitted.left_ms < MIN_LEFT_MS:
--- a/packages/entry/src/almonddeal/roles/control.py
+++ b/packages/entry/src/almonddeal/roles/control.py
@@ -252,7 +252,7 @@
             time.time_ns(),
             settings.failure_domain,
         )
-        peers = PeerSet(self._hello, task_group, self._send_announcements_and_runs)
+        peers = PeerSet(self._hello, task_group, self._send_state)
         consensus = Consensus(
             name,
             peers.peer_by_name,
@@ -277,8 +277,8 @@
         if self.feed is not None:
             self.feed.notify_changed()
 
-    def _send_announcements_and_runs(self, link):
-        self.feed.send_announcements_and_runs(link)
+    def _send_state(self, link):
+        self.feed.send_state(link)
 
     def _handlers(self, consensus):
         return {
--- a/packages/entry/src/almonddeal/roles/entry.py
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -92,6 +92,7 @@
             self._apply_update,
             self._version,
             self._relay_context.runs,
+            self._relay_context.quarantine.evidence,
         )
 
     @property
@@ -109,6 +110,9 @@
             self._relay_context.targets.merge(announcement)
         for run in update.runs:
             self._relay_context.merge_remote_run(run)
+        # None in the messages of earlier releases.
+        for record in update.evidence or []:
+            self._relay_context.quarantine.merge(record)
         if update.content and update.version > self._version():
             self._apply_configuration(
                 update.version, decompress_content(update.content)
@@ -209,6 +213,8 @@
         while True:
             await anyio.sleep(MAINTENANCE_INTERVAL_S)
             self._relay_context.load_view.evict_stale()
+            self._relay_context.quarantine.evict_stale()
+            self._relay_context.update_metrics()
             if not self._follower.follows_fresh_instance:
                 # The control addresses in the file may have changed without a SIGHUP.
                 reload_settings(self.settings, self._load_settings)
--- a/tools/almonddeal_tools/lab/fleet.py
+++ b/tools/almonddeal_tools/lab/fleet.py
@@ -11,6 +11,7 @@
 from almonddeal.announced.announcement import READY
 from almonddeal.relay.context import RelayContext, TargetClient
 from almonddeal.relay.load import LoadView
+from almonddeal.relay.quarantine import Quarantine
 from almonddeal.relay.requests import TargetResponse
 from almonddeal.relay.targets import TargetTable
 from almonddeal.relay.tests.fakes import NoMetrics
@@ -130,8 +131,10 @@
             RetryLimits(*RETRY_LIMITS),
             NoMetrics(),
             selection_policy,
+            Quarantine(f"entry-{index}", monotonic_ms),
         )
         self.instances.append(instance)
+        self._group.start_soon(self._share_evidence, instance)
 
     def start(self):
         """Start and announce all engines without delay, and start the clean-up."""
@@ -142,6 +145,19 @@
                 instance.targets.merge(self._make_announcement(engine))
         self._group.start_soon(self._clean_periodically)
 
+    async def _share_evidence(self, instance):
+        evidence = instance.quarantine.evidence
+        sent_revision = 0
+        while True:
+            while evidence.revision == sent_revision:
+                await evidence.wait()
+            records = evidence.changed_since(sent_revision)
+            sent_revision = evidence.revision
+            await anyio.sleep(PROPAGATION_DELAY_S)
+            for other in self.instances:
+                for record in records:
+                    other.quarantine.merge(record)
+
     async def _clean_periodically(self):
         while True:
             await anyio.sleep(CLEAN_INTERVAL_S)
