--- a/packages/entry/src/almonddeal/relay/attempts.py
+++ b/packages/entry/src/almonddeal/relay/attempts.py
@@ -103,6 +103,7 @@
         resumes_copy=attempt.copy is not None,
         prefixes=shared_prefix_hashes(stream.admitted.request),
         has_response=progress.has_response,
+        limit_per_s=progress.request_limit_per_s,
         backup=backup,
         last_event_id=stream.last_event_id,
         outcome="OK" if error is None else error.code.name,
@@ -253,6 +254,7 @@
     _set_timeout(scope, _first_event_timeout_ms(stream, context, engine))
     async with context.open_attempt(attempt) as response:
         progress.has_response = response.is_success
+        progress.request_limit_per_s = response.request_limit_per_s
         if response.is_not_run:
             code = NOT_REACHED if response.is_misdirected else TARGET_REFUSED
             raise AlmonddealError(code, f"status {response.status}")
--- a/packages/entry/src/almonddeal/relay/plain.py
+++ b/packages/entry/src/almonddeal/relay/plain.py
@@ -45,6 +45,10 @@
             return self.error.code == NOT_REACHED
         return self.response.is_not_run
 
+    @property
+    def request_limit_per_s(self):
+        return None if self.response is None else self.response.request_limit_per_s
+
     @property
     def label(self):
         if self.error is not None:
@@ -178,6 +182,7 @@
         version=context.version,
         outcome=outcome.label,
         not_run=outcome.is_not_run,
+        limit_per_s=outcome.request_limit_per_s,
         took_ms=round(monotonic_ms() - started_ms),
         left_ms=round(admitted.left_ms),
     )
--- a/packages/entry/src/almonddeal/relay/requests.py
+++ b/packages/entry/src/almonddeal/relay/requests.py
@@ -201,6 +201,8 @@
         Whether the target closes its connections.
     reported_counts : tuple of int or None
         Number of running and of waiting requests, and of slots; None if not reported.
+    request_limit_per_s : float or None
+        Requests a second that the target accepts from all instances; None for no limit.
     chunks : async iterator of bytes
     """
 
@@ -212,6 +214,7 @@
         "is_misdirected",
         "is_not_run",
         "reported_counts",
+        "request_limit_per_s",
         "status",
     )
 
@@ -225,6 +228,7 @@
         is_leaving,
         reported_counts,
         chunks,
+        request_limit_per_s=None,
     ):
         self.status = status
         self.headers = headers
@@ -234,6 +238,7 @@
         self.is_leaving = is_leaving
         self.reported_counts = reported_counts
         self.chunks = chunks
+        self.request_limit_per_s = request_limit_per_s
 
     @property
     def is_success(self):
--- a/packages/entry/src/almonddeal/relay/stream_state.py
+++ b/packages/entry/src/almonddeal/relay/stream_state.py
@@ -50,6 +50,8 @@
     ----------
     has_response : bool
         Whether the engine has started its response, which it does with the first token.
+    request_limit_per_s : float or None
+        Limit that the engine named in the head of its response.
     has_event : bool
         Whether the attempt has received an event.
     """
@@ -62,6 +64,7 @@
         "_silent_since_ms",
         "has_event",
         "has_response",
+        "request_limit_per_s",
     )
 
     def __init__(self):
@@ -69,6 +72,7 @@
         self._is_sending = False
         self._n_events = 0
         self.has_response = False
+        self.request_limit_per_s = None
         self._last_event_ms = 0.0
         self._silent_since_ms = 0.0
         self.has_event = False
