--- a/packages/entry/src/almonddeal/relay/tests/fakes.py
+++ b/packages/entry/src/almonddeal/relay/tests/fakes.py
@@ -146,16 +146,20 @@
         self.cached_by_target = {}
         self.freed_copy_ids = []
         self.alive = set(behaviour_by_target)
-        self.target_table = TargetTable()
-        domains = domain_by_target or {}
-        for target in behaviour_by_target:
-            self.target_table.merge(
-                make_announcement(target, domains.get(target, "fd1"))
-            )
-        self.context = RelayContext(
-            "entry-1",
-            "fd1",
-            self.target_table,
+        self._domain_by_target = domain_by_target or {}
+        self.context = self.add_instance("entry-1")
+        self.target_table = self.context.targets
+
+    def add_instance(self, name, failure_domain="fd1"):
+        """Return the relay state of one more instance, with the same targets."""
+        target_table = TargetTable()
+        for target in self.behaviour_by_target:
+            domain = self._domain_by_target.get(target, "fd1")
+            target_table.merge(make_announcement(target, domain))
+        return RelayContext(
+            name,
+            failure_domain,
+            target_table,
             LoadView(),
             VersionedMap(),
             TargetClient(
@@ -200,6 +204,7 @@
                 False,
                 None,
                 steps,
+                head.request_limit_per_s,
             )
         finally:
             self.n_open -= 1
@@ -215,8 +220,14 @@
     """Head of a scripted response."""
 
     def __init__(
-        self, status, is_not_run=False, is_misdirected=False, is_authentic=True
+        self,
+        status,
+        is_not_run=False,
+        is_misdirected=False,
+        is_authentic=True,
+        request_limit_per_s=None,
     ):
+        self.request_limit_per_s = request_limit_per_s
         self.status = status
         self.is_not_run = is_not_run
         self.is_misdirected = is_misdirected
