relay: keep the limits that targets name, all instances together

Cause: the limit in a response was never read; the choice goes by latency, load and failures, which look sound at a target in need. Class: back pressure ignored, and, with many senders, a global limit that none of them sees alone. Ruled out: a limit taken for each instance (no fall at all), retries (the first sends alone exceed it). Change: instances report the limits they are told and the requests of their callers for the service; each fills a token bucket with its share; targets above their limit are left out of the choice for requests, retries, resumes and copies; if all are, the request is rejected as not run with the time of another token. The feed keeps what it relays in one kind of expiring map; subscribers' revisions are one value. Why it works: the shares add up to the limit for any demand, and what one instance does not ask for is in the share of the others.

--- a/idl/almonddeal.thrift
+++ b/idl/almonddeal.thrift
@@ -254,12 +254,20 @@
   5: i64 observed_ms, 6: string request, 7: string target, 8: i64 born_ms
   9: string failure_domain, 10: bool has_response
 }
+// The limit of requests a second that a target named, to all instances together, and how
+// many requests the sender got for the service, by which the limit is divided.
+struct LimitReport {
+  1: string instance, 2: string service_name, 3: string target, 4: i64 born_ms
+  5: double limit_per_s, 6: i64 named_age_ms, 7: i32 n_requests
+  8: i64 unnamed_age_ms // since a response that named no limit
+}
 struct ShareRuns {
   1: list<Run> runs, 2: bool is_relayed, 3: list<SegmentEvidence> evidence
+  4: list<LimitReport> limits
 }
 struct Follow { 1: i64 have_version, 2: string instance }
 struct FollowUpdate {
   1: i64 version, 2: binary content, 3: list<AnnouncedTarget> targets
   4: list<string> member_addresses, 5: bool is_fresh, 6: list<Run> runs
-  7: i32 n_followers, 8: list<SegmentEvidence> evidence
+  7: i32 n_followers, 8: list<SegmentEvidence> evidence, 9: list<LimitReport> limits
 }
--- a/packages/common/src/almonddeal_common/wire/gen/ttypes.py
+++ b/packages/common/src/almonddeal_common/wire/gen/ttypes.py
@@ -6767,12 +6767,165 @@
         return not (self == other)
 
 
+class LimitReport(object):
+    """
+    Attributes:
+     - instance
+     - service_name
+     - target
+     - born_ms
+     - limit_per_s
+     - named_age_ms
+     - n_requests
+     - unnamed_age_ms
+
+    """
+
+    __slots__ = (
+        'instance',
+        'service_name',
+        'target',
+        'born_ms',
+        'limit_per_s',
+        'named_age_ms',
+        'n_requests',
+        'unnamed_age_ms',
+    )
+
+
+    def __init__(self, instance=None, service_name=None, target=None, born_ms=None, limit_per_s=None, named_age_ms=None, n_requests=None, unnamed_age_ms=None,):
+        self.instance = instance
+        self.service_name = service_name
+        self.target = target
+        self.born_ms = born_ms
+        self.limit_per_s = limit_per_s
+        self.named_age_ms = named_age_ms
+        self.n_requests = n_requests
+        self.unnamed_age_ms = unnamed_age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.limit_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.named_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.n_requests = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.unnamed_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LimitReport')
+        if self.instance is not None:
+            oprot.writeFieldBegin('instance', TType.STRING, 1)
+            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 3)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 4)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        if self.limit_per_s is not None:
+            oprot.writeFieldBegin('limit_per_s', TType.DOUBLE, 5)
+            oprot.writeDouble(self.limit_per_s)
+            oprot.writeFieldEnd()
+        if self.named_age_ms is not None:
+            oprot.writeFieldBegin('named_age_ms', TType.I64, 6)
+            oprot.writeI64(self.named_age_ms)
+            oprot.writeFieldEnd()
+        if self.n_requests is not None:
+            oprot.writeFieldBegin('n_requests', TType.I32, 7)
+            oprot.writeI32(self.n_requests)
+            oprot.writeFieldEnd()
+        if self.unnamed_age_ms is not None:
+            oprot.writeFieldBegin('unnamed_age_ms', TType.I64, 8)
+            oprot.writeI64(self.unnamed_age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ShareRuns(object):
     """
     Attributes:
      - runs
      - is_relayed
      - evidence
+     - limits
 
     """
 
@@ -6780,13 +6933,15 @@
         'runs',
         'is_relayed',
         'evidence',
+        'limits',
     )
 
 
-    def __init__(self, runs=None, is_relayed=None, evidence=None,):
+    def __init__(self, runs=None, is_relayed=None, evidence=None, limits=None,):
         self.runs = runs
         self.is_relayed = is_relayed
         self.evidence = evidence
+        self.limits = limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -6824,6 +6979,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype207, _size204) = iprot.readListBegin()
+                    for _i208 in range(_size204):
+                        _elem209 = LimitReport()
+                        _elem209.read(iprot)
+                        self.limits.append(_elem209)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -6837,8 +7003,8 @@
         if self.runs is not None:
             oprot.writeFieldBegin('runs', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.runs))
-            for iter204 in self.runs:
-                iter204.write(oprot)
+            for iter210 in self.runs:
+                iter210.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_relayed is not None:
@@ -6848,8 +7014,15 @@
         if self.evidence is not None:
             oprot.writeFieldBegin('evidence', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.evidence))
-            for iter205 in self.evidence:
-                iter205.write(oprot)
+            for iter211 in self.evidence:
+                iter211.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter212 in self.limits:
+                iter212.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6968,6 +7141,7 @@
      - runs
      - n_followers
      - evidence
+     - limits
 
     """
 
@@ -6980,10 +7154,11 @@
         'runs',
         'n_followers',
         'evidence',
+        'limits',
     )
 
 
-    def __init__(self, version=None, content=None, targets=None, member_addresses=None, is_fresh=None, runs=None, n_followers=None, evidence=None,):
+    def __init__(self, version=None, content=None, targets=None, member_addresses=None, is_fresh=None, runs=None, n_followers=None, evidence=None, limits=None,):
         self.version = version
         self.content = content
         self.targets = targets
@@ -6992,6 +7167,7 @@
         self.runs = runs
         self.n_followers = n_followers
         self.evidence = evidence
+        self.limits = limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -7015,21 +7191,21 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.targets = []
-                    (_etype209, _size206) = iprot.readListBegin()
-                    for _i210 in range(_size206):
-                        _elem211 = AnnouncedTarget()
-                        _elem211.read(iprot)
-                        self.targets.append(_elem211)
+                    (_etype216, _size213) = iprot.readListBegin()
+                    for _i217 in range(_size213):
+                        _elem218 = AnnouncedTarget()
+                        _elem218.read(iprot)
+                        self.targets.append(_elem218)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.member_addresses = []
-                    (_etype215, _size212) = iprot.readListBegin()
-                    for _i216 in range(_size212):
-                        _elem217 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.member_addresses.append(_elem217)
+                    (_etype222, _size219) = iprot.readListBegin()
+                    for _i223 in range(_size219):
+                        _elem224 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.member_addresses.append(_elem224)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -7041,11 +7217,11 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.runs = []
-                    (_etype221, _size218) = iprot.readListBegin()
-                    for _i222 in range(_size218):
-                        _elem223 = Run()
-                        _elem223.read(iprot)
-                        self.runs.append(_elem223)
+                    (_etype228, _size225) = iprot.readListBegin()
+                    for _i229 in range(_size225):
+                        _elem230 = Run()
+                        _elem230.read(iprot)
+                        self.runs.append(_elem230)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -7057,11 +7233,22 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.evidence = []
-                    (_etype227, _size224) = iprot.readListBegin()
-                    for _i228 in range(_size224):
-                        _elem229 = SegmentEvidence()
-                        _elem229.read(iprot)
-                        self.evidence.append(_elem229)
+                    (_etype234, _size231) = iprot.readListBegin()
+                    for _i235 in range(_size231):
+                        _elem236 = SegmentEvidence()
+                        _elem236.read(iprot)
+                        self.evidence.append(_elem236)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype240, _size237) = iprot.readListBegin()
+                    for _i241 in range(_size237):
+                        _elem242 = LimitReport()
+                        _elem242.read(iprot)
+                        self.limits.append(_elem242)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -7086,15 +7273,15 @@
         if self.targets is not None:
             oprot.writeFieldBegin('targets', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.targets))
-            for iter230 in self.targets:
-                iter230.write(oprot)
+            for iter243 in self.targets:
+                iter243.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.member_addresses is not None:
             oprot.writeFieldBegin('member_addresses', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.member_addresses))
-            for iter231 in self.member_addresses:
-                oprot.writeString(iter231.encode('utf-8') if sys.version_info[0] == 2 else iter231)
+            for iter244 in self.member_addresses:
+                oprot.writeString(iter244.encode('utf-8') if sys.version_info[0] == 2 else iter244)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_fresh is not None:
@@ -7104,8 +7291,8 @@
         if self.runs is not None:
             oprot.writeFieldBegin('runs', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.runs))
-            for iter232 in self.runs:
-                iter232.write(oprot)
+            for iter245 in self.runs:
+                iter245.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.n_followers is not None:
@@ -7115,8 +7302,15 @@
         if self.evidence is not None:
             oprot.writeFieldBegin('evidence', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.evidence))
-            for iter233 in self.evidence:
-                iter233.write(oprot)
+            for iter246 in self.evidence:
+                iter246.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter247 in self.limits:
+                iter247.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -7643,12 +7837,25 @@
     (9, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 9
     (10, TType.BOOL, 'has_response', None, None, ),  # 10
 )
+all_structs.append(LimitReport)
+LimitReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'target', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'born_ms', None, None, ),  # 4
+    (5, TType.DOUBLE, 'limit_per_s', None, None, ),  # 5
+    (6, TType.I64, 'named_age_ms', None, None, ),  # 6
+    (7, TType.I32, 'n_requests', None, None, ),  # 7
+    (8, TType.I64, 'unnamed_age_ms', None, None, ),  # 8
+)
 all_structs.append(ShareRuns)
 ShareRuns.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'runs', (TType.STRUCT, [Run, None], False), None, ),  # 1
     (2, TType.BOOL, 'is_relayed', None, None, ),  # 2
     (3, TType.LIST, 'evidence', (TType.STRUCT, [SegmentEvidence, None], False), None, ),  # 3
+    (4, TType.LIST, 'limits', (TType.STRUCT, [LimitReport, None], False), None, ),  # 4
 )
 all_structs.append(Follow)
 Follow.thrift_spec = (
@@ -7667,6 +7874,7 @@
     (6, TType.LIST, 'runs', (TType.STRUCT, [Run, None], False), None, ),  # 6
     (7, TType.I32, 'n_followers', None, None, ),  # 7
     (8, TType.LIST, 'evidence', (TType.STRUCT, [SegmentEvidence, None], False), None, ),  # 8
+    (9, TType.LIST, 'limits', (TType.STRUCT, [LimitReport, None], False), None, ),  # 9
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/entry/src/almonddeal/publication/feed.py
+++ b/packages/entry/src/almonddeal/publication/feed.py
@@ -1,8 +1,11 @@
 """Sends each subscriber, an entry instance, what changed since its last update."""
 
+from typing import NamedTuple
+
 import anyio
 
 from almonddeal.announced.evidence import EvidenceStore
+from almonddeal.announced.expiring_map import ExpiringMap
 from almonddeal.announced.versioned_map import VersionedMap
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import AlmonddealError
@@ -15,11 +18,21 @@
 CHECK_INTERVAL_WHILE_STALE_S = 0.03  # subscribers get no configuration until fresh
 REPLICATION_TIMEOUT_MS = 600  # targets wait at most 1 s for an acknowledgement
 ENDED_RUN_RETENTION_MS = 3000  # subscribers receive the end within milliseconds
+LIMIT_RETENTION_MS = 3000  # instances repeat their reports every second
 RUN_RETENTION_MS = 30_000  # longer than the longest request timeout of a route
 
 log = get_logger("feed")
 
 
+class _Revisions(NamedTuple):
+    """Revisions of the maps that a subscriber has."""
+
+    announcements: int
+    runs: int
+    evidence: int
+    limits: int
+
+
 class Feed:
     """Distributes configuration, announcements, runs and evidence to subscribers.
 
@@ -48,6 +61,7 @@
         self._peer_by_name = peer_by_name
         self._runs = VersionedMap()
         self._evidence = EvidenceStore()
+        self._limits = ExpiringMap(LIMIT_RETENTION_MS)
         self._n_links_by_instance = {}
         # Pairs of the time of receipt in ms and whether the run has ended.
         self._receipt_by_request = {}
@@ -88,7 +102,7 @@
 
     async def _send_updates(self, message, emit):
         sent_version = message.have_version
-        sent_announcement_revision = sent_run_revision = sent_evidence_revision = 0
+        sent = _Revisions(0, 0, 0, 0)
         sent_addresses = sent_is_fresh = None
         while True:
             update = FollowUpdate(sent_version, b"", [], [], self.is_fresh, [], 0)
@@ -97,18 +111,21 @@
                 update.version = sent_version = publication.version
                 update.content = publication.compressed
             update.targets = self._registry.announcements.changed_since(
-                sent_announcement_revision
+                sent.announcements
             )
-            sent_announcement_revision = self._registry.announcements.revision
             update.runs = [
                 run
-                for run in self._runs.changed_since(sent_run_revision)
+                for run in self._runs.changed_since(sent.runs)
                 if run.instance != message.instance
             ]
-            sent_run_revision = self._runs.revision
             # Also that of the subscriber itself, which may have restarted.
-            update.evidence = self._evidence.changed_since(sent_evidence_revision)
-            sent_evidence_revision = self._evidence.revision
+            update.evidence = self._evidence.changed_since(sent.evidence)
+            update.limits = [
+                limit
+                for limit in self._limits.changed_since(sent.limits)
+                if limit.instance != message.instance
+            ]
+            sent = self._revisions()
             members = sorted(self._consensus.members.address_by_name.values())
             if members != sent_addresses:
                 update.member_addresses = sent_addresses = members
@@ -117,32 +134,26 @@
                 or update.targets
                 or update.runs
                 or update.evidence
+                or update.limits
                 or update.member_addresses
                 or sent_is_fresh != update.is_fresh
             ):
                 sent_is_fresh = update.is_fresh
                 update.n_followers = self.n_followers
                 emit(update)
-            await self._wait_for_change(
-                sent_version,
-                sent_announcement_revision,
-                sent_run_revision,
-                sent_evidence_revision,
-                sent_is_fresh,
-            )
+            await self._wait_for_change(sent_version, sent, sent_is_fresh)
 
-    async def _wait_for_change(
-        self,
-        sent_version,
-        sent_announcement_revision,
-        sent_run_revision,
-        sent_evidence_revision,
-        sent_is_fresh,
-    ):
+    def _revisions(self):
+        return _Revisions(
+            self._registry.announcements.revision,
+            self._runs.revision,
+            self._evidence.revision,
+            self._limits.revision,
+        )
+
+    async def _wait_for_change(self, sent_version, sent_revisions, sent_is_fresh):
         while (
-            self._registry.announcements.revision == sent_announcement_revision
-            and self._runs.revision == sent_run_revision
-            and self._evidence.revision == sent_evidence_revision
+            self._revisions() == sent_revisions
             and (self._publication.version <= sent_version or not self.is_fresh)
             and self.is_fresh == sent_is_fresh
         ):
@@ -172,6 +183,7 @@
                 self.notify_changed()
             self._evict_old_runs()
             self._evidence.evict_stale()
+            self._limits.evict_stale()
 
     async def accept_announcement(self, announcement, origin):
         """Merge an announcement, and replicate it if that is due.
@@ -233,15 +245,18 @@
             link.notify(ShareRuns(self._runs.values(), True, self._evidence.values()))
 
     async def handle_share_runs(self, link, message, emit):
-        """Relay runs and evidence of subscribers, so that all instances have them."""
+        """Relay the reports of subscribers, so that all instances have them."""
         for run in message.runs:
             self._runs.put(run.request, run)
             self._receipt_by_request[run.request] = (monotonic_ms(), run.is_ended)
-        # None in the messages of earlier releases.
+        # Both are None in the messages of earlier releases.
         evidence = [r for r in message.evidence or [] if self._evidence.add(r)]
+        limits = message.limits or []
+        for limit in limits:
+            self._limits.put((limit.instance, limit.target, limit.born_ms), limit)
         self._registry.announcements.notify()
-        if not message.is_relayed and (message.runs or evidence):
-            relayed_message = ShareRuns(message.runs, True, evidence)
+        if not message.is_relayed and (message.runs or evidence or limits):
+            relayed_message = ShareRuns(message.runs, True, evidence, limits)
             for peer in list(self._peer_by_name.values()):
                 if peer.is_up:
                     peer.require_link().notify(relayed_message)
--- a/packages/entry/src/almonddeal/publication/follower.py
+++ b/packages/entry/src/almonddeal/publication/follower.py
@@ -23,8 +23,8 @@
 class Follower:
     """Receives updates from one control instance; sends it the runs of this instance.
 
-    It also sends the evidence on prompt segments: all of it at first, as the control
-    instance may have restarted, then the records of this instance.
+    It also sends the limits of targets, and the evidence on prompt segments: all of it
+    at first, as the control instance may have restarted, then what this instance adds.
 
     Parameters
     ----------
@@ -36,15 +36,18 @@
         Returns the version of the configuration in force here.
     runs : VersionedMap
         Runs of this instance, sent to the control instance as they change.
+    limits : VersionedMap
+        Reports of this instance on the limits of targets.
     evidence : EvidenceStore
     """
 
-    def __init__(self, settings, hello, on_update, get_version, runs, evidence):
+    def __init__(self, settings, hello, on_update, get_version, runs, limits, evidence):
         self._settings = settings
         self._hello = hello
         self._on_update = on_update
         self._get_version = get_version
         self._runs = runs
+        self._limits = limits
         self._evidence = evidence
         self._member_addresses = []
         self._domain_by_address = {}
@@ -139,6 +142,7 @@
             self.link = link
             decide(log, "subscribed to control instance", address=address)
             group.start_soon(self._send_runs, link)
+            group.start_soon(self._send_limits, link)
             group.start_soon(self._send_evidence, link)
         if update.member_addresses:
             self._member_addresses = list(update.member_addresses)
@@ -157,26 +161,32 @@
                 group.cancel_scope.cancel()
 
     async def _send_runs(self, link):
-        sent_revision = 0
-        while True:
-            runs = self._runs.changed_since(sent_revision)
-            sent_revision = self._runs.revision
-            if runs:
-                link.notify(ShareRuns(runs, False))
-            if self._runs.revision == sent_revision:
-                await self._runs.wait()
-            await anyio.sleep(SEND_INTERVAL_S)
+        await self._send_changes(link, self._runs, lambda runs: ShareRuns(runs, False))
+
+    async def _send_limits(self, link):
+        await self._send_changes(
+            link, self._limits, lambda limits: ShareRuns([], False, [], limits)
+        )
 
     async def _send_evidence(self, link):
-        records = self._evidence.values()
+        """Send all evidence, then what this instance adds to it."""
+        sent_revision = self._evidence.revision
+        if len(self._evidence):
+            link.notify(ShareRuns([], False, self._evidence.values()))
+
+        def make_message(records):
+            own = [r for r in records if r.instance == self._settings.instance]
+            return ShareRuns([], False, own) if own else None
+
+        await self._send_changes(link, self._evidence, make_message, sent_revision)
+
+    async def _send_changes(self, link, values, make_message, sent_revision=0):
         while True:
-            sent_revision = self._evidence.revision
-            if records:
-                link.notify(ShareRuns([], False, records))
-            while self._evidence.revision == sent_revision:
-                await self._evidence.wait()
-            records = [
-                record
-                for record in self._evidence.changed_since(sent_revision)
-                if record.instance == self._settings.instance
-            ]
+            changed = values.changed_since(sent_revision)
+            sent_revision = values.revision
+            message = make_message(changed) if changed else None
+            if message is not None:
+                link.notify(message)
+            if values.revision == sent_revision:
+                await values.wait()
+            await anyio.sleep(SEND_INTERVAL_S)
--- a/packages/entry/src/almonddeal/publication/tests/test_feed.py
+++ b/packages/entry/src/almonddeal/publication/tests/test_feed.py
@@ -12,6 +12,7 @@
 from almonddeal_common.wire.gen.ttypes import (
     AnnouncedTarget,
     Follow,
+    LimitReport,
     SegmentEvidence,
     ShareRuns,
 )
@@ -100,6 +101,44 @@
         assert len(peers["c2"].received) == 1
 
 
+class TestLimits:
+    """Pattern: an instance is told a limit that all instances have to keep."""
+
+    def report(self, instance):
+        return LimitReport(instance, "s", "i-1", 1000, 3.0, 0, 9, 10**9)
+
+    def test_report_reaches_all_but_its_sender(self, feed, peers):
+        message = ShareRuns([], False, [], [self.report("entry-1")])
+        anyio.run(feed.handle_share_runs, None, message, None)
+        sender, other = first_updates(feed, "entry-1", "entry-2")
+        assert not sender.limits
+        assert [report.target for report in other.limits] == ["i-1"]
+        assert [r.target for r in peers["c2"].received[0].limits] == ["i-1"]
+
+    def test_later_report_replaces_the_earlier_one(self, feed):
+        for _ in range(3):
+            message = ShareRuns([], True, [], [self.report("entry-1")])
+            anyio.run(feed.handle_share_runs, None, message, None)
+        (update,) = first_updates(feed, "entry-2")
+        assert len(update.limits) == 1
+
+
+def first_updates(feed, *instances):
+    """Return the first update that each new subscriber receives."""
+    updates_by_instance = {instance: [] for instance in instances}
+
+    async def main():
+        with anyio.move_on_after(0.05):
+            async with anyio.create_task_group() as group:
+                for instance, updates in updates_by_instance.items():
+                    group.start_soon(
+                        feed.handle_follow, None, Follow(0, instance), updates.append
+                    )
+
+    anyio.run(main)
+    return [updates[0] for updates in updates_by_instance.values()]
+
+
 class TestEvidence:
     """Pattern: instances restart after segments have been found to crash engines."""
 
@@ -110,20 +149,9 @@
     def record(self, key, instance="entry-1"):
         return SegmentEvidence(key=key, instance=instance, prefix_hashes=["h"])
 
-    def first_update(self, feed, instance):
-        updates = []
-
-        async def main():
-            with anyio.move_on_after(0.05):
-                follow = Follow(0, instance)
-                await feed.handle_follow(None, follow, updates.append)
-
-        anyio.run(main)
-        return updates[0]
-
     def test_restarted_subscriber_receives_its_own_evidence(self, feed):
         self.share(feed, self.record("e1"))
-        update = self.first_update(feed, "entry-1")
+        (update,) = first_updates(feed, "entry-1")
         assert [record.key for record in update.evidence] == ["e1"]
 
     def test_records_are_relayed_once(self, feed, peers):
@@ -144,4 +172,5 @@
     def test_runs_of_an_earlier_release_have_no_evidence(self, feed):
         message = ShareRuns([], False)
         anyio.run(feed.handle_share_runs, None, message, None)
-        assert not self.first_update(feed, "entry-1").evidence
+        (update,) = first_updates(feed, "entry-1")
+        assert not update.evidence
--- a/packages/entry/src/almonddeal/publication/tests/test_follower.py
+++ b/packages/entry/src/almonddeal/publication/tests/test_follower.py
@@ -16,6 +16,7 @@
     Follow,
     FollowUpdate,
     Hello,
+    LimitReport,
     Run,
     SegmentEvidence,
     ShareRuns,
@@ -58,6 +59,7 @@
         self.n_followers = 0
         self.runs = []
         self.evidence_keys = []
+        self.limits = []
 
     async def run(self, task_status):
         listener = await listen(Address.parse(self.address))
@@ -75,10 +77,11 @@
 
     async def _record_runs(self, link, message, emit):
         self.runs += message.runs
+        self.limits += message.limits or []
         self.evidence_keys += [record.key for record in message.evidence or []]
 
 
-def run_follower(controls, seeds, test, evidence=None):
+def run_follower(controls, seeds, test, evidence=None, limits=None):
     """Run a test with a subscriber to the seeds; return the updates it received."""
     updates = []
 
@@ -94,6 +97,7 @@
                 updates.append,
                 lambda: 0,
                 runs,
+                VersionedMap() if limits is None else limits,
                 evidence or EvidenceStore(),
             )
             group.start_soon(follower.run)
@@ -187,3 +191,18 @@
             assert control.evidence_keys == ["e1", "e2", "e4"]
 
         run_follower([control], [ADDRESS_1], test, evidence)
+
+    def test_limits_of_targets_are_sent_as_they_change(self):
+        control = FakeControlInstance(ADDRESS_1)
+        limits = VersionedMap()
+
+        async def test(follower, runs):
+            await wait_for(lambda: follower.follows_fresh_instance)
+            for limit_per_s in (3.0, 2.0):
+                limits.put("i-1", LimitReport(limit_per_s=limit_per_s))
+                await wait_for(
+                    lambda n=limit_per_s: n in [r.limit_per_s for r in control.limits]
+                )
+            assert not control.runs
+
+        run_follower([control], [ADDRESS_1], test, limits=limits)
--- a/packages/entry/src/almonddeal/relay/admission_queue.py
+++ b/packages/entry/src/almonddeal/relay/admission_queue.py
@@ -150,7 +150,8 @@
 
 
 def _choose(stream, context, engines, demand):
-    admissible = admissible_engines(engines, context.load_view, demand)
+    allowed = [engine for engine in engines if context.named_limits.allows(engine)]
+    admissible = admissible_engines(allowed, context.load_view, demand)
     return context.choose_engine(admissible, stream.admitted, stream.n_tokens)
 
 
--- a/packages/entry/src/almonddeal/relay/attempts.py
+++ b/packages/entry/src/almonddeal/relay/attempts.py
@@ -68,6 +68,7 @@
     report_run_start(stream, context, announcement, has_whole_prompt)
     started_ms = monotonic_ms()
     stream.n_attempts += 1
+    context.named_limits.take(engine)
     progress = AttemptProgress()
     error = await _supervise(stream, context, engine, attempt, progress)
     if error is None or error.code not in NOT_RUN_CODES:
@@ -255,6 +256,7 @@
     async with context.open_attempt(attempt) as response:
         progress.has_response = response.is_success
         progress.request_limit_per_s = response.request_limit_per_s
+        context.named_limits.record(engine.announcement, response, stream.request_id)
         if response.is_not_run:
             code = NOT_REACHED if response.is_misdirected else TARGET_REFUSED
             raise AlmonddealError(code, f"status {response.status}")
--- a/packages/entry/src/almonddeal/relay/context.py
+++ b/packages/entry/src/almonddeal/relay/context.py
@@ -4,6 +4,7 @@
 
 from almonddeal.relay.admission_queue import AdmissionQueue
 from almonddeal.relay.choose import SelectionPolicy
+from almonddeal.relay.named_limits import NamedLimits
 from almonddeal.relay.quarantine import Quarantine
 from almonddeal.relay.retry_window import RetryWindow
 from almonddeal_common.clock import monotonic_ms
@@ -100,6 +101,7 @@
         self.metrics = metrics
         self.selection_policy = selection_policy or SelectionPolicy()
         self.quarantine = quarantine or Quarantine(instance)
+        self.named_limits = NamedLimits(instance, self._count_requests)
         self.version = 0
         self._started_ms = monotonic_ms()
         self._retry_limits = retry_limits
@@ -115,6 +117,9 @@
         """Count a request of a caller to a service, for its retry budget."""
         self._retry_window(service_name).record_request(monotonic_ms())
 
+    def _count_requests(self, service_name):
+        return self._retry_window(service_name).n_requests(monotonic_ms())
+
     def take_retry(self, service_name):
         """Take one retry from the budget of a service; False if none is left now."""
         return self._retry_window(service_name).take_retry(
--- a/packages/entry/src/almonddeal/relay/plain.py
+++ b/packages/entry/src/almonddeal/relay/plain.py
@@ -106,11 +106,12 @@
                 request=admitted.request.request_id,
             )
             break
-    await _finish(preferred, is_order, admitted, writer)
+    await _finish(preferred, is_order, admitted, context, writer)
 
 
 def _select_target(admitted, context, tried):
     targets = context.targets.candidates(admitted.service.name, tried)
+    targets = [target for target in targets if context.named_limits.allows(target)]
     return context.selection_policy.plain(targets, context.domain, random.random)
 
 
@@ -135,14 +136,10 @@
     return preferred
 
 
-async def _finish(preferred, is_order, admitted, writer):
+async def _finish(preferred, is_order, admitted, context, writer):
     """Send the preferred outcome to the caller, or raise the error for it."""
     if preferred is None:
-        raise AlmonddealError(
-            NO_TARGET,
-            "no target of the service is known",
-            retry_after_ms=RETRY_AFTER_MS,
-        )
+        raise no_target_error(admitted.service.name, context)
     if preferred.response is not None and not preferred.response.is_not_run:
         await writer.send_response(
             preferred.response.status, preferred.response.headers, preferred.body
@@ -158,6 +155,22 @@
     raise AlmonddealError(code, "the target's answer was lost")
 
 
+def no_target_error(service_name, context):
+    """Return the error of a request that was sent to no target."""
+    targets = context.targets.candidates(service_name)
+    if not targets:
+        return AlmonddealError(
+            NO_TARGET,
+            "no target of the service is known",
+            retry_after_ms=RETRY_AFTER_MS,
+        )
+    return AlmonddealError(
+        OVERLOADED,
+        "all targets have their limit of requests",
+        retry_after_ms=context.named_limits.retry_after_ms(service_name, targets),
+    )
+
+
 async def _run_attempt(admitted, context, target, is_order, is_last):
     """Send the request to one target and read the response; returns an `_Outcome`."""
     timeout_ms = max(0.0, admitted.left_ms)
@@ -165,6 +178,7 @@
         timeout_ms = max(admitted.route.objective_ms, timeout_ms * LOOKUP_TIMEOUT_SHARE)
         timeout_ms = min(timeout_ms, admitted.left_ms)
     started_ms = monotonic_ms()
+    context.named_limits.take(target)
     target.n_in_flight += 1
     outcome = _Outcome(error=AlmonddealError(DEADLINE, f"{timeout_ms:.0f} ms passed"))
     try:
@@ -214,6 +228,7 @@
             context.targets.record_connection_loss(target, request_id)
         return
     response = outcome.response
+    context.named_limits.record(target.announcement, response, request_id)
     if response.reported_counts is not None:
         target.reported_counts = response.reported_counts
         target.counts_reported_ms = monotonic_ms()
--- a/packages/entry/src/almonddeal/relay/retry_window.py
+++ b/packages/entry/src/almonddeal/relay/retry_window.py
@@ -73,6 +73,10 @@
         """Count a request that a caller sent to this instance."""
         self._requests.add(now_ms)
 
+    def n_requests(self, now_ms):
+        """Return the number of requests of callers in the window that ends now."""
+        return self._requests.count(now_ms)
+
     def take_retry(self, now_ms, n_instances):
         """Take one retry from the budget; return False if none is left now.
 
--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -9,6 +9,7 @@
 
 from almonddeal.relay.admission_queue import wait_for_engine
 from almonddeal.relay.attempts import run_attempt
+from almonddeal.relay.plain import no_target_error
 from almonddeal.relay.prefix_cache import find_cached_prefix
 from almonddeal.relay.run_reports import report_run_end
 from almonddeal.relay.stream_state import KvCopy, Stream
@@ -16,7 +17,6 @@
 from almonddeal_common.codes import (
     ATTEMPT_LOST,
     DEADLINE,
-    NO_TARGET,
     NOT_REACHED,
     OVERLOADED,
     TARGET_REFUSED,
@@ -121,7 +121,11 @@
         If the response has not started and no engine is available in time.
     """
     copy, stream.copy = stream.copy, None
-    if copy is not None and copy.is_valid(context.targets, monotonic_ms()):
+    if (
+        copy is not None
+        and copy.is_valid(context.targets, monotonic_ms())
+        and context.named_limits.allows(copy.backup)
+    ):
         return copy.backup, copy
     service = stream.admitted.service
     candidates = context.targets.candidates(service.name, stream.refusing_targets)
@@ -129,10 +133,14 @@
         e for e in candidates if e.announcement.target not in stream.failed_targets
     ] or candidates
     engines = stream.outside_lost_domains(engines, monotonic_ms())
+    engines = [engine for engine in engines if context.named_limits.allows(engine)]
     if service.engine is None:
-        return _select_plain_target(stream, engines), None
+        return _select_plain_target(stream, context, engines), None
     if stream.last_event_id is not None:
-        engine = await find_cached_prefix(stream, context, candidates)
+        allowed = [
+            engine for engine in candidates if context.named_limits.allows(engine)
+        ]
+        engine = await find_cached_prefix(stream, context, allowed)
         if engine is not None:
             return engine, None
     if not stream.is_started:
@@ -140,11 +148,9 @@
     return context.choose_engine(engines, stream.admitted, stream.n_tokens), None
 
 
-def _select_plain_target(stream, targets):
+def _select_plain_target(stream, context, targets):
     if not targets and not stream.is_started:
-        raise AlmonddealError(
-            NO_TARGET, "no target is known", retry_after_ms=RETRY_AFTER_MS
-        )
+        raise no_target_error(stream.admitted.service.name, context)
     return min(targets, key=lambda t: t.n_in_flight, default=None)
 
 
--- a/packages/entry/src/almonddeal/roles/entry.py
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -92,6 +92,7 @@
             self._apply_update,
             self._version,
             self._relay_context.runs,
+            self._relay_context.named_limits.reports,
             self._relay_context.quarantine.evidence,
         )
 
@@ -110,7 +111,9 @@
             self._relay_context.targets.merge(announcement)
         for run in update.runs:
             self._relay_context.merge_remote_run(run)
-        # None in the messages of earlier releases.
+        # Both are None in the messages of earlier releases.
+        for report in update.limits or []:
+            self._relay_context.named_limits.merge(report)
         for record in update.evidence or []:
             self._relay_context.quarantine.merge(record)
         if update.content and update.version > self._version():
@@ -214,6 +217,7 @@
             await anyio.sleep(MAINTENANCE_INTERVAL_S)
             self._relay_context.load_view.evict_stale()
             self._relay_context.quarantine.evict_stale()
+            self._relay_context.named_limits.refresh()
             self._relay_context.update_metrics()
             if not self._follower.follows_fresh_instance:
                 # The control addresses in the file may have changed without a SIGHUP.
