publication: evidence on prompt segments outlives all processes

Callers would see: engines crash again under a segment in quarantine once all processes have stopped at the same time, as in a final loss of power. Cause: the evidence was in memory only, at entry and control instances. Ruled out: the replicated log (records are facts that need no agreement).

--- a/packages/entry/src/almonddeal/publication/feed.py
+++ b/packages/entry/src/almonddeal/publication/feed.py
@@ -48,6 +48,11 @@
         Gives the members and their addresses.
     peer_by_name : dict of str to Peer
         Links to the other control instances.
+
+    Attributes
+    ----------
+    evidence : EvidenceStore
+        Evidence on prompt segments, of all instances.
     """
 
     def __init__(
@@ -60,7 +65,7 @@
         self._consensus = consensus
         self._peer_by_name = peer_by_name
         self._runs = VersionedMap()
-        self._evidence = EvidenceStore()
+        self.evidence = EvidenceStore()
         self._limits = ExpiringMap(LIMIT_RETENTION_MS)
         self._n_links_by_instance = {}
         # Pairs of the time of receipt in ms and whether the run has ended.
@@ -119,7 +124,7 @@
                 if run.instance != message.instance
             ]
             # Also that of the subscriber itself, which may have restarted.
-            update.evidence = self._evidence.changed_since(sent.evidence)
+            update.evidence = self.evidence.changed_since(sent.evidence)
             update.limits = [
                 limit
                 for limit in self._limits.changed_since(sent.limits)
@@ -147,7 +152,7 @@
         return _Revisions(
             self._registry.announcements.revision,
             self._runs.revision,
-            self._evidence.revision,
+            self.evidence.revision,
             self._limits.revision,
         )
 
@@ -182,7 +187,7 @@
                 )
                 self.notify_changed()
             self._evict_old_runs()
-            self._evidence.evict_stale()
+            self.evidence.evict_stale()
             self._limits.evict_stale()
 
     async def accept_announcement(self, announcement, origin):
@@ -241,8 +246,8 @@
         targets = self._registry.announcements.values()
         if targets:
             link.notify(ShareTargets(targets))
-        if len(self._runs) or len(self._evidence):
-            link.notify(ShareRuns(self._runs.values(), True, self._evidence.values()))
+        if len(self._runs) or len(self.evidence):
+            link.notify(ShareRuns(self._runs.values(), True, self.evidence.values()))
 
     async def handle_share_runs(self, link, message, emit):
         """Relay the reports of subscribers, so that all instances have them."""
@@ -250,7 +255,7 @@
             self._runs.put(run.request, run)
             self._receipt_by_request[run.request] = (monotonic_ms(), run.is_ended)
         # Both are None in the messages of earlier releases.
-        evidence = [r for r in message.evidence or [] if self._evidence.add(r)]
+        evidence = [r for r in message.evidence or [] if self.evidence.add(r)]
         limits = message.limits or []
         for limit in limits:
             self._limits.put((limit.instance, limit.target, limit.born_ms), limit)
--- a/packages/entry/src/almonddeal/roles/control.py
+++ b/packages/entry/src/almonddeal/roles/control.py
@@ -13,6 +13,7 @@
 from almonddeal.control.identity import load_identity, store_initial_members
 from almonddeal.control.peers import PeerSet
 from almonddeal.control.storage import LogStore
+from almonddeal.publication.evidence_file import load_evidence, store_evidence
 from almonddeal.publication.feed import Feed
 from almonddeal.publication.metrics import ControlMetrics
 from almonddeal.publication.state import Publication, compress_content
@@ -209,6 +210,9 @@
                 group.start_soon(self._control_client.refresh_periodically)
                 group.start_soon(self._registry.expire_periodically)
                 group.start_soon(self.feed.monitor_periodically)
+                group.start_soon(
+                    store_evidence, settings.data_folder, self.feed.evidence
+                )
                 decide(
                     log,
                     "control instance started",
@@ -271,6 +275,8 @@
             consensus,
             peers.peer_by_name,
         )
+        for record in load_evidence(settings.data_folder):
+            self.feed.evidence.add(record)
         return name, store, consensus
 
     def _notify_feed(self):
