relay: an engine that falls silent as it responds counts as crashed

Callers would see: a segment whose engines crash without a reset (dark) is sent on to engine after engine, as only reset connections were evidence. Cause: silence was left out because a cut looks the same. Found by reading. Change: a stall after the head of a response, at an engine whose probe failed, is a crash, if engines of another failure domain were active for 0.3 s after it. Ruled out: counting every stall (an instance that is cut off loses all engines). Conclusion: mended; hangs in the prefill are still not evidence.

--- a/packages/entry/src/almonddeal/relay/attempts.py
+++ b/packages/entry/src/almonddeal/relay/attempts.py
@@ -31,6 +31,7 @@
 
 NOT_RUN_CODES = (NOT_REACHED, TARGET_REFUSED)
 EVENT_LOOP_STALL_MS = 100.0  # a timer later than this shows a stall of this process
+CUT_OFF_MARGIN_MS = 300.0  # a few events; engines that are cut off fall silent together
 MAX_ERROR_BODY_BYTES = 1024 * 1024
 
 log = get_logger("relay")
@@ -254,7 +255,8 @@
 async def _send_and_forward(stream, context, engine, attempt, progress, scope):
     _set_timeout(scope, _first_event_timeout_ms(stream, context, engine))
     async with context.open_attempt(attempt) as response:
-        progress.has_response = response.is_success
+        if response.is_success:
+            progress.record_response(monotonic_ms())
         progress.request_limit_per_s = response.request_limit_per_s
         context.named_limits.record(engine.announcement, response, stream.request_id)
         if response.is_not_run:
@@ -350,6 +352,14 @@
     return True
 
 
+def _fell_silent(context, engine, progress):
+    """Tell whether an engine, and not the network here, failed as it responded."""
+    if not progress.has_response or engine.ejected_until_ms <= monotonic_ms():
+        return False
+    since_ms = progress.last_received_ms + CUT_OFF_MARGIN_MS
+    return context.targets.has_activity(engine.announcement, since_ms)
+
+
 async def _record_segments(stream, context, engine, progress, error):
     """Record whether the engine survived the segments of the prompt or crashed.
 
@@ -360,13 +370,14 @@
     if error is None:
         context.quarantine.record_sound(prefix_hashes)
         return
-    if error.code != LINK_LOST or progress.has_survived:
+    if progress.has_survived or not context.quarantine.suspects(prefix_hashes):
         return
-    if not context.quarantine.suspects(prefix_hashes):
-        return
-    if await context.is_alive(engine.announcement):
+    if error.code == LINK_LOST:
+        if await context.is_alive(engine.announcement):
+            return
+        context.targets.eject(engine, "liveness probe failed", request.request_id)
+    elif error.code != TARGET_STALLED or not _fell_silent(context, engine, progress):
         return
-    context.targets.eject(engine, "liveness probe failed", request.request_id)
     context.quarantine.record_crash(request, engine.announcement, progress.has_response)
     stream.n_crashes += int(progress.has_response)
 
--- a/packages/entry/src/almonddeal/relay/stream_state.py
+++ b/packages/entry/src/almonddeal/relay/stream_state.py
@@ -86,6 +86,16 @@
         finally:
             self._is_sending = False
 
+    def record_response(self, now_ms):
+        """Record that the head of a successful response was received."""
+        self.has_response = True
+        self._last_event_ms = self._first_event_ms = now_ms
+
+    @property
+    def last_received_ms(self):
+        """When the head of the response or the last event was received."""
+        return self._last_event_ms
+
     def record_events(self, n_events, now_ms):
         """Record that events were received and sent on."""
         if not self.has_event:
--- a/packages/entry/src/almonddeal/relay/targets.py
+++ b/packages/entry/src/almonddeal/relay/targets.py
@@ -285,6 +285,23 @@
         if target is not None and target.announcement.born_ms == born_ms:
             target.suspect()
 
+    def has_activity(self, announcement, since_ms):
+        """Tell whether engines of other failure domains were active since a time.
+
+        If none was, this instance may be cut off from all of them.
+
+        Parameters
+        ----------
+        announcement : AnnouncedTarget
+            An engine of the failure domain to leave out.
+        since_ms : float
+        """
+        return any(
+            target.last_activity_ms >= since_ms
+            and target.announcement.failure_domain != announcement.failure_domain
+            for target in self.target_by_id.values()
+        )
+
     def _is_in_lost_domain(self, target, now_ms):
         """Tell whether several targets of its failure domain were ejected recently.
 
--- a/packages/entry/src/almonddeal/relay/tests/test_quarantine.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_quarantine.py
@@ -355,6 +355,43 @@
         assert len(fleet.attempts) == 4
         assert not fleet.context.quarantine.evidence.values()
 
+    async def relay_beside_traffic(self, fleet, is_reachable):
+        """Relay a request to an engine that falls silent as it responds."""
+
+        async def goes_dark(attempt):
+            await anyio.sleep(0.2)
+            yield 200
+            fleet.alive.discard(attempt.target.target)
+            if not is_reachable:
+                fleet.alive.clear()
+            await anyio.sleep(3600)
+
+        async def send_events():
+            for _ in range(100):
+                await anyio.sleep(0.1)
+                for target in fleet.target_table.target_by_id.values():
+                    if target.announcement.target in fleet.alive:
+                        target.record_activity()
+
+        for target in fleet.behaviour_by_target:
+            fleet.behaviour_by_target[target] = goes_dark
+        async with anyio.create_task_group() as group:
+            group.start_soon(send_events)
+            error = await self.relay(fleet, "first", BAD)
+            group.cancel_scope.cancel()
+        return error
+
+    def test_engine_that_falls_silent_as_it_responds_has_crashed(self):
+        fleet = self.fleet()
+        run_in_virtual_time(self.relay_beside_traffic, fleet, True)
+        assert len(fleet.context.quarantine.evidence) == MAX_CRASHES
+        assert len(fleet.attempts) == MAX_CRASHES
+
+    def test_engines_that_are_all_silent_are_cut_off(self):
+        fleet = self.fleet()
+        run_in_virtual_time(self.relay_beside_traffic, fleet, False)
+        assert not fleet.context.quarantine.evidence.values()
+
     def test_late_crash_is_not_blamed_on_the_prompt(self):
         fleet = self.fleet()
 
