relay: few instances send to a target with a small limit

Seen: test_instances_do_not_all_send_at_the_same_moment failed once in four runs (26 requests in 4 s at a limit of 3 a second, 23 tolerated), with unseeded phases. Cause: 60 instances with a share of 0.05 a second each: their single tokens coincide by chance; a simulation of the phases alone exceeds the bound in 23 of 2,000 minutes. Ruled out: a margin below the limit (0.8 of it: 5 of 2,000 at a limit of 2, and a fifth of the limit unused). Change: as many instances send as the target bears at once, chosen by a hash, the same at each of them; a share is computed at most every 100 ms (each choice sorted all instances: 60 seeds of the 60-instance test did not end in 9 minutes; now 30 of them take 14 s). Conclusion: mended; callers of the other instances are told when to return.

--- a/packages/entry/src/almonddeal/relay/named_limits.py
+++ b/packages/entry/src/almonddeal/relay/named_limits.py
@@ -6,7 +6,9 @@
 the limit that it has in these requests.
 """
 
+import math
 import random
+import zlib
 
 from almonddeal.announced.versioned_map import VersionedMap
 from almonddeal.relay.admission import RetrySchedule
@@ -23,8 +25,13 @@
 # Reports are repeated every second. An instance that is cut off from the others keeps
 # their shares for longer, as they are still sending.
 REPORT_EXPIRY_MS = 15_000.0
+SHARE_INTERVAL_MS = 100.0  # in which the share is not computed again
 NEVER_MS = 1e12  # age of what has not happened
 BURST_MS = 250.0  # of its rate, which an instance may send at once
+# Most instances that send to a target: those for which its limit is half a request a
+# second each, and some more.
+MAX_SENDERS_S = 2.0
+MIN_SENDERS = 4
 
 log = get_logger("relay")
 
@@ -44,21 +51,27 @@
     __slots__ = (
         "_demand_by_instance",
         "_refilled_ms",
+        "_share",
+        "_share_ms",
         "_tokens",
         "limit_per_s",
         "named_ms",
         "reported_ms",
         "service_name",
+        "target",
         "unnamed_ms",
     )
 
-    def __init__(self, service_name, limit_per_s, named_ms):
+    def __init__(self, target, service_name, limit_per_s, named_ms):
+        self.target = target
         self.unnamed_ms = monotonic_ms() - NEVER_MS
         self.service_name = service_name
         self.limit_per_s = limit_per_s
         self.named_ms = named_ms
         self.reported_ms = float("-inf")
         self._demand_by_instance = {}
+        self._share = 0.0
+        self._share_ms = float("-inf")
         # Otherwise the first tokens of all instances come at the same moment.
         self._tokens = random.random()
         self._refilled_ms = monotonic_ms()
@@ -71,18 +84,55 @@
 
     def record_demand(self, instance, n_requests, now_ms):
         """Record the number of requests of another instance."""
+        if instance not in self._demand_by_instance:
+            self._share_ms = float("-inf")
         self._demand_by_instance[instance] = (n_requests, now_ms)
 
-    def rate_per_s(self, n_own_requests, now_ms):
-        """Return the requests a second that this instance may send."""
+    def rate_per_s(self, instance, count_requests, now_ms):
+        """Return the requests a second that an instance may send.
+
+        Parameters
+        ----------
+        instance : str
+            This instance.
+        count_requests : callable
+            ``count_requests(service_name)`` returns its demand.
+        now_ms : float
+        """
+        if now_ms - self._share_ms >= SHARE_INTERVAL_MS:
+            self._share_ms = now_ms
+            n_requests = count_requests(self.service_name)
+            self._share = self._compute_share(instance, n_requests, now_ms)
+        return max(MIN_LIMIT_PER_S, self.limit_per_s) * self._share
+
+    def _compute_share(self, instance, n_requests, now_ms):
+        demand_by_instance = {
+            other: n_other_requests
+            for other, (n_other_requests, ms) in self._demand_by_instance.items()
+            if now_ms - ms <= REPORT_EXPIRY_MS
+        }
+        demand_by_instance[instance] = n_requests
+        senders = self._select_senders(demand_by_instance)
+        if instance not in senders:
+            return 0.0
         # One request more for each: an instance without any yet may send its first.
-        n_other_requests = sum(
-            n_requests + 1
-            for n_requests, reported_ms in self._demand_by_instance.values()
-            if now_ms - reported_ms <= REPORT_EXPIRY_MS
-        )
-        share = (n_own_requests + 1) / (n_own_requests + 1 + n_other_requests)
-        return max(MIN_LIMIT_PER_S, self.limit_per_s) * share
+        total = sum(demand_by_instance[sender] + 1 for sender in senders)
+        return (n_requests + 1) / total
+
+    def _select_senders(self, instances):
+        """Return the instances that send to the target, the same at each of them.
+
+        Each may have a token left, and all might use it at the same time, so there are
+        only as many as the target bears.
+        """
+        n_senders = math.ceil(MAX_SENDERS_S * self.limit_per_s) + MIN_SENDERS
+        if len(instances) <= n_senders:
+            return set(instances)
+
+        def rank(instance):
+            return zlib.crc32(f"{self.target}/{instance}".encode()), instance
+
+        return set(sorted(instances, key=rank)[:n_senders])
 
     def refill(self, rate_per_s, now_ms):
         """Add the tokens since the last call; return how many there are."""
@@ -173,7 +223,7 @@
         """Apply a named limit, if it is newer than the known one; return the state."""
         limit = self._limit_by_key.get(key)
         if limit is None:
-            limit = _NamedLimit(service_name, limit_per_s, named_ms)
+            limit = _NamedLimit(key[0], service_name, limit_per_s, named_ms)
             self._limit_by_key[key] = limit
             decide(
                 log,
@@ -244,8 +294,12 @@
         """
         now_ms = monotonic_ms()
         limits = [self._limit_in_force(target.announcement) for target in targets]
-        rates_per_s = [self._rate_per_s(limit, now_ms) for limit in limits if limit]
-        spacing_ms = 1000 / sum(rates_per_s) if rates_per_s else 0.0
+        limits = [limit for limit in limits if limit is not None]
+        rate_per_s = sum(self._rate_per_s(limit, now_ms) for limit in limits)
+        if not rate_per_s:
+            # The caller may return to an instance that sends to these targets.
+            rate_per_s = sum(max(MIN_LIMIT_PER_S, n.limit_per_s) for n in limits)
+        spacing_ms = 1000 / rate_per_s if rate_per_s else 0.0
         schedule = self._retry_schedule_by_service.setdefault(
             service_name, RetrySchedule()
         )
@@ -258,4 +312,4 @@
         return limit
 
     def _rate_per_s(self, limit, now_ms):
-        return limit.rate_per_s(self._count_requests(limit.service_name), now_ms)
+        return limit.rate_per_s(self._instance, self._count_requests, now_ms)
--- a/packages/entry/src/almonddeal/relay/tests/test_named_limits.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_named_limits.py
@@ -317,7 +317,9 @@
         limits.refresh()
         assert len(limits.reports) == 1
 
-    def test_instances_do_not_all_send_at_the_same_moment(self, virtual_time):
+    @pytest.mark.parametrize("seed", range(5))
+    def test_instances_do_not_all_send_at_the_same_moment(self, virtual_time, seed):
+        random.seed(seed)
         target = self.target()
         instances = [self.limits(instance=f"entry-{n}") for n in range(60)]
         sends_s = []
@@ -329,6 +331,7 @@
                 if limits.allows(target):
                     limits.take(target)
                     sends_s.append(virtual_time.now_s)
+        assert len(sends_s) >= 0.8 * 3.0 * 40
         most = max(sum(s <= t < s + SPAN_S for t in sends_s) for s in sends_s)
         assert most <= TOLERATED_RATIO * 3.0 * SPAN_S + N_TOLERATED
 
