relay: name the constants of senders to a limited target for what they are

Cause: MAX_SENDERS_S read like a time. Change: SENDERS_PER_REQUEST_PER_S; no value changed. Conclusion: wording only.

--- a/packages/entry/src/almonddeal/relay/named_limits.py
+++ b/packages/entry/src/almonddeal/relay/named_limits.py
@@ -28,9 +28,9 @@
 SHARE_INTERVAL_MS = 100.0  # in which the share is not computed again
 NEVER_MS = 1e12  # age of what has not happened
 BURST_MS = 250.0  # of its rate, which an instance may send at once
-# Most instances that send to a target: those for which its limit is half a request a
-# second each, and some more.
-MAX_SENDERS_S = 2.0
+# Instances that send to a target: two for each request a second of its limit, and a few
+# more.
+SENDERS_PER_REQUEST_PER_S = 2.0
 MIN_SENDERS = 4
 
 log = get_logger("relay")
@@ -125,7 +125,9 @@
         Each may have a token left, and all might use it at the same time, so there are
         only as many as the target bears.
         """
-        n_senders = math.ceil(MAX_SENDERS_S * self.limit_per_s) + MIN_SENDERS
+        n_senders = (
+            math.ceil(SENDERS_PER_REQUEST_PER_S * self.limit_per_s) + MIN_SENDERS
+        )
         if len(instances) <= n_senders:
             return set(instances)
 
