--- a/packages/entry/src/almonddeal/relay/attempts.py
+++ b/packages/entry/src/almonddeal/relay/attempts.py
@@ -99,6 +99,7 @@
         log,
         "finished an attempt",
         request=stream.request_id,
+        fingerprint=stream.admitted.fingerprint,
         target=announcement.target,
         born_ms=announcement.born_ms,
         version=context.version,
--- a/packages/entry/src/almonddeal/relay/plain.py
+++ b/packages/entry/src/almonddeal/relay/plain.py
@@ -191,6 +191,7 @@
         log,
         "finished an attempt",
         request=admitted.request.request_id,
+        fingerprint=admitted.fingerprint,
         target=target.announcement.target,
         born_ms=target.announcement.born_ms,
         version=context.version,
--- a/packages/entry/src/almonddeal/relay/requests.py
+++ b/packages/entry/src/almonddeal/relay/requests.py
@@ -1,5 +1,7 @@
 """Types that the relay exchanges with the HTTP interface and the target client."""
 
+from hashlib import blake2b
+
 from almonddeal_common.clock import monotonic_ms
 
 
@@ -118,9 +120,17 @@
 class AdmittedRequest:
     """A request with its route, service, customer and deadline."""
 
-    __slots__ = ("customer", "deadline_ms", "request", "route", "service")
+    __slots__ = (
+        "_fingerprint",
+        "customer",
+        "deadline_ms",
+        "request",
+        "route",
+        "service",
+    )
 
     def __init__(self, request, route, service, customer):
+        self._fingerprint = None
         self.request = request
         self.route = route
         self.service = service
@@ -131,6 +141,26 @@
                 self.deadline_ms, request.arrived_ms + request.timeout_ms
             )
 
+    @property
+    def fingerprint(self):
+        """Digest of caller, method, path and body; equal for repeats of a request."""
+        if self._fingerprint is None:
+            self._fingerprint = self._compute_fingerprint()
+        return self._fingerprint
+
+    def _compute_fingerprint(self):
+        request = self.request
+        caller = request.key if self.customer is None else self.customer.name
+        digest = blake2b(request.body, digest_size=12)
+        for field in (
+            (caller or "").encode(),
+            request.method.encode(),
+            request.host.encode(),
+            request.path_and_query,
+        ):
+            digest.update(b"%d:" % len(field) + field)
+        return digest.hexdigest()
+
     @property
     def left_ms(self):
         """Time left until the deadline in ms; may be negative."""
