relay: quarantine requests that crash their targets

Callers saw rejections and 502 for requests of a whole service: one request, sent again under other ids at any instance, crashed each target as soon as it was back. Cause: the evidence on crashes named shared prompt segments only. Lookups and orders have none and left no evidence at all; a stream whose shared segments are all sound left none either, and was sent to as many engines as the route allows. Change: the request as such, by the digest of caller, method, path and body, is one more suspect beside its segments, in the same evidence and the same search. A lost connection to a target that accepts no new one is a crash. A request under which two targets crashed is not sent on; after three independent crashes all instances reject it unsent (503, REQUEST_QUARANTINED). A survival before the crash clears a request for 5 s only, as a release may crash under what was sound. Ties go to the suspect at more targets, then to the one in fewer requests. Two tests of prompts change: one request that crashes five engines is now itself a culprit, so the test checks that its segments are not blocked; crashes beside a sound segment leave evidence on the requests, so the test checks that none names the segment.

--- a/packages/entry/src/almonddeal/relay/admission_queue.py
+++ b/packages/entry/src/almonddeal/relay/admission_queue.py
@@ -124,7 +124,7 @@
     has_waited = False
     with queue.enqueue(stream.admitted.priority, first_event_deadline_ms) as entry:
         while True:
-            context.quarantine.check(stream.admitted.request)
+            context.quarantine.check(stream.admitted)
             n_ahead = queue.n_ahead(entry)
             engines = _untried_engines(stream, context)
             demand = _make_demand(stream)
--- a/packages/entry/src/almonddeal/relay/attempts.py
+++ b/packages/entry/src/almonddeal/relay/attempts.py
@@ -4,7 +4,6 @@
 
 from almonddeal.relay.events import EventReader
 from almonddeal.relay.kv_copies import free_copy, maintain_copy, select_backup
-from almonddeal.relay.quarantine import shared_prefix_hashes
 from almonddeal.relay.requests import Attempt
 from almonddeal.relay.run_reports import record_first_event, report_run_start
 from almonddeal.relay.stall import (
@@ -17,6 +16,7 @@
     stall_gap_ms,
 )
 from almonddeal.relay.stream_state import AttemptProgress, KvCopy
+from almonddeal.relay.suspects import list_suspects, shared_prefix_hashes
 from almonddeal_common.bodies import BodyTooLargeError, read_limited
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import (
@@ -75,7 +75,7 @@
     if error is None or error.code not in NOT_RUN_CODES:
         stream.n_sends += 1
     _log_outcome(stream, context, attempt, progress, started_ms, error)
-    await _record_segments(stream, context, engine, progress, error)
+    await _record_survival(stream, context, engine, progress, error)
     if error is None:
         await free_copy(stream, context, announcement)
         return None
@@ -149,7 +149,7 @@
 def _quarantine_error(stream, context):
     """Return the error if the prompt of the stream is in quarantine, else None."""
     try:
-        context.quarantine.check(stream.admitted.request)
+        context.quarantine.check(stream.admitted)
     except AlmonddealError as error:
         return error
     return None
@@ -299,9 +299,7 @@
             had_survived = progress.has_survived
             progress.record_events(len(events), monotonic_ms())
             if progress.has_survived and not had_survived:
-                context.quarantine.record_sound(
-                    shared_prefix_hashes(stream.admitted.request)
-                )
+                context.quarantine.record_sound(list_suspects(stream.admitted))
         else:
             scope.deadline = deadline
     if reader.has_partial_event:
@@ -361,25 +359,26 @@
     return context.targets.has_activity(engine.announcement, since_ms)
 
 
-async def _record_segments(stream, context, engine, progress, error):
-    """Record whether the engine survived the segments of the prompt or crashed.
+async def _record_survival(stream, context, engine, progress, error):
+    """Record whether the engine survived the request or crashed.
 
     A connection may also be lost between two sound processes, so the engine is probed.
     """
-    request = stream.admitted.request
-    prefix_hashes = shared_prefix_hashes(request)
+    suspects = list_suspects(stream.admitted)
     if error is None:
-        context.quarantine.record_sound(prefix_hashes)
+        context.quarantine.record_sound(suspects)
         return
-    if progress.has_survived or not context.quarantine.suspects(prefix_hashes):
+    if progress.has_survived or not context.quarantine.unproven(suspects):
         return
     if error.code == LINK_LOST:
         if await context.is_alive(engine.announcement):
             return
-        context.targets.eject(engine, "liveness probe failed", request.request_id)
+        context.targets.eject(engine, "liveness probe failed", stream.request_id)
     elif error.code != TARGET_STALLED or not _fell_silent(context, engine, progress):
         return
-    context.quarantine.record_crash(request, engine.announcement, progress.has_response)
+    context.quarantine.record_crash(
+        stream.admitted, engine.announcement, progress.has_response
+    )
     stream.n_crashes += int(progress.has_response)
 
 
--- a/packages/entry/src/almonddeal/relay/context.py
+++ b/packages/entry/src/almonddeal/relay/context.py
@@ -20,6 +20,9 @@
         a `TargetResponse`. Raises `NOT_REACHED` if nothing was sent, or `LINK_LOST`.
     is_alive : callable
         ``is_alive(announcement)`` probes a target; returns whether it responds.
+    is_reachable : callable
+        ``is_reachable(announcement)`` returns whether a target accepts connections. It
+        sends no request, which would wait for a slot at a plain service.
     send_kv_copy : callable
         ``send_kv_copy(announcement, request_id, address)`` has an engine transfer the
         KV cache of a run to the engine at an address; returns the id of the copy, or
@@ -34,16 +37,24 @@
     __slots__ = (
         "free_kv_copy",
         "is_alive",
+        "is_reachable",
         "list_cached_prefixes",
         "open_attempt",
         "send_kv_copy",
     )
 
     def __init__(
-        self, open_attempt, is_alive, send_kv_copy, free_kv_copy, list_cached_prefixes
+        self,
+        open_attempt,
+        is_alive,
+        is_reachable,
+        send_kv_copy,
+        free_kv_copy,
+        list_cached_prefixes,
     ):
         self.open_attempt = open_attempt
         self.is_alive = is_alive
+        self.is_reachable = is_reachable
         self.send_kv_copy = send_kv_copy
         self.free_kv_copy = free_kv_copy
         self.list_cached_prefixes = list_cached_prefixes
@@ -95,6 +106,7 @@
         self.runs = runs
         self.open_attempt = client.open_attempt
         self.is_alive = client.is_alive
+        self.is_reachable = client.is_reachable
         self.send_kv_copy = client.send_kv_copy
         self.free_kv_copy = client.free_kv_copy
         self.list_cached_prefixes = client.list_cached_prefixes
--- a/packages/entry/src/almonddeal/relay/culprits.py
+++ b/packages/entry/src/almonddeal/relay/culprits.py
@@ -1,30 +1,32 @@
-"""Search for the prompt segments that explain a series of engine crashes.
+"""Search for the requests and prompt segments that explain a series of crashes.
 
 A segment that crashes engines is in a request at each of these crashes, but so are
 other segments of that request, and the requests that shared the engine. The search
-therefore takes the segment that was present at most of the crashes, leaves out the
-engines that it explains, and repeats this with the rest. This module performs no I/O.
+therefore takes the suspect that was present at most of the crashes, leaves out the
+targets that it explains, and repeats this with the rest. This module performs no I/O.
 """
 
+from almonddeal.relay.suspects import stands_for_request
+
 MIN_CRASHES = 3
 MIN_REQUESTS = 2  # a single request says nothing about its segments one by one
 # Crashes at the same moment, or within a failure domain in a short time, count once:
-# they have a common cause outside the engines.
+# they have a common cause outside the targets.
 COINCIDENCE_MS = 50
 DOMAIN_LOSS_MS = 1000
 
 
 def find_culprits(crashes, is_sound):
-    """Return the segments that explain repeated crashes, as a list of sets.
+    """Return the suspects that explain repeated crashes, as a list of sets.
 
-    A set has several segments if they occurred only together; any of them may be the
-    cause.
+    A set has several suspects if they occurred only together; any of them may be the
+    cause. If one of them stands for a request, only this request has them all.
 
     Parameters
     ----------
     crashes : list of SegmentEvidence
     is_sound : callable
-        ``is_sound(prefix_hash, crash)`` tells whether a segment is known not to be the
+        ``is_sound(suspect, crash)`` tells whether a suspect is known not to be the
         cause of a crash.
 
     Returns
@@ -38,66 +40,79 @@
         if culprit is None:
             return culprits
         culprits.append(culprit)
-        explained = {engine for engine, hashes, _ in suspicions if culprit <= hashes}
+        explained = {target for target, found, _ in suspicions if culprit <= found}
         suspicions = [s for s in suspicions if s[0] not in explained]
 
 
 def _list_suspicions(crashes, is_sound):
-    """Return tuples of engine process, segments that may have crashed it, and crash."""
-    suspicions_by_engine = {}
+    """Return tuples of target process, suspects that may have crashed it, and crash."""
+    suspicions_by_target = {}
     for crash in crashes:
-        hashes = frozenset(h for h in crash.prefix_hashes if not is_sound(h, crash))
-        if hashes:
-            engine = (crash.target, crash.born_ms)
-            suspicions_by_engine.setdefault(engine, []).append((engine, hashes, crash))
+        suspects = frozenset(s for s in crash.prefix_hashes if not is_sound(s, crash))
+        if suspects:
+            target = (crash.target, crash.born_ms)
+            suspicions_by_target.setdefault(target, []).append(
+                (target, suspects, crash)
+            )
     return [
         suspicion
-        for suspicions in suspicions_by_engine.values()
+        for suspicions in suspicions_by_target.values()
         for suspicion in _started_or_all(suspicions)
     ]
 
 
 def _started_or_all(suspicions):
-    """Prefer the requests to which the engine had just started to respond."""
+    """Prefer the requests to which the target had just started to respond."""
     started = [s for s in suspicions if s[2].has_response]
     return started or suspicions
 
 
 def _most_frequent(suspicions):
-    """Return the segments that were present at most crashes, or None below the limits.
+    """Return the suspects that were present at most crashes, or None below the limits.
 
-    Segments that were present in exactly the same requests are returned together.
+    Suspects that were present in exactly the same requests are returned together.
     """
-    crashes_by_hash = {}
-    for _, hashes, crash in suspicions:
-        for prefix_hash in hashes:
-            crashes_by_hash.setdefault(prefix_hash, []).append(crash)
-    n_by_hash = {
-        prefix_hash: _count_independent(crashes)
-        for prefix_hash, crashes in crashes_by_hash.items()
-        if len({crash.request for crash in crashes}) >= MIN_REQUESTS
+    crashes_by_suspect = {}
+    for _, suspects, crash in suspicions:
+        for suspect in suspects:
+            crashes_by_suspect.setdefault(suspect, []).append(crash)
+    n_by_suspect = {
+        suspect: _count_independent(crashes)
+        for suspect, crashes in crashes_by_suspect.items()
+        if len(crashes) >= MIN_CRASHES
+        and (
+            stands_for_request(suspect)
+            or len({crash.request for crash in crashes}) >= MIN_REQUESTS
+        )
     }
-    n_crashes = max(n_by_hash.values(), default=0)
+    n_crashes = max(n_by_suspect.values(), default=0)
     if n_crashes < MIN_CRASHES:
         return None
-    # The least one, so that all instances with the same evidence agree.
-    found = min(h for h, n in n_by_hash.items() if n == n_crashes)
-    keys = {crash.key for crash in crashes_by_hash[found]}
+
+    def rank(suspect):
+        crashes = crashes_by_suspect[suspect]
+        n_targets = len({(crash.target, crash.born_ms) for crash in crashes})
+        # Of those at as many targets, the one in the fewest requests; the suspect
+        # itself comes last, so that all instances with the same evidence agree.
+        return -n_targets, len(crashes), suspect
+
+    found = min((s for s, n in n_by_suspect.items() if n == n_crashes), key=rank)
+    keys = {crash.key for crash in crashes_by_suspect[found]}
     return frozenset(
-        prefix_hash
-        for prefix_hash, crashes in crashes_by_hash.items()
+        suspect
+        for suspect, crashes in crashes_by_suspect.items()
         if {crash.key for crash in crashes} == keys
     )
 
 
 def _count_independent(crashes):
-    """Return the number of crashes that have no common cause outside the engines."""
-    engines, counted = set(), []
+    """Return the number of crashes that have no common cause outside the targets."""
+    targets, counted = set(), []
     for crash in sorted(crashes, key=lambda c: (c.observed_ms, c.key)):
-        engine = (crash.target, crash.born_ms)
-        if engine in engines:
+        target = (crash.target, crash.born_ms)
+        if target in targets:
             continue
-        engines.add(engine)
+        targets.add(target)
         if not any(_is_correlated(crash, other) for other in counted):
             counted.append(crash)
     return len(counted)
--- a/packages/entry/src/almonddeal/relay/plain.py
+++ b/packages/entry/src/almonddeal/relay/plain.py
@@ -4,7 +4,9 @@
 
 import anyio
 
+from almonddeal.relay.quarantine import MAX_CRASHES
 from almonddeal.relay.requests import Attempt
+from almonddeal.relay.suspects import list_suspects
 from almonddeal.routing.model import ORDER
 from almonddeal_common.bodies import BodyTooLargeError, read_limited
 from almonddeal_common.clock import monotonic_ms
@@ -74,10 +76,14 @@
     is_order = admitted.route.kind == ORDER
     tried = set()
     # Refused requests count as sent; only those that reached no target do not.
-    n_sends = n_unreached = 0
+    n_sends = n_unreached = n_crashes = 0
     preferred = None
     context.record_request(admitted.service.name)
     while True:
+        if preferred is None or preferred.is_not_run:
+            context.quarantine.check(admitted)
+        elif context.quarantine.blocks(list_suspects(admitted)):
+            break
         target = _select_target(admitted, context, tried)
         if target is None:
             break
@@ -93,10 +99,13 @@
             )
             return
         preferred = _preferred_outcome(preferred, outcome)
+        n_crashes += int(await _record_crash(admitted, context, target, outcome))
         if is_order and not outcome.is_not_run:
             break
         if n_sends >= admitted.route.max_attempts or n_unreached > MAX_UNREACHED:
             break
+        if n_crashes >= MAX_CRASHES:
+            break
         if admitted.left_ms < MIN_LEFT_MS:
             break
         if not is_unreached and not context.take_retry(admitted.service.name):
@@ -109,6 +118,23 @@
     await _finish(preferred, is_order, admitted, context, writer)
 
 
+async def _record_crash(admitted, context, target, outcome):
+    """Record whether the target crashed during an attempt; return it.
+
+    A connection may also be lost between two sound processes, so the target is probed.
+    """
+    if outcome.error is None or outcome.error.code != LINK_LOST:
+        return False
+    if not context.quarantine.unproven(list_suspects(admitted)):
+        return False
+    if await context.is_reachable(target.announcement):
+        return False
+    request_id = admitted.request.request_id
+    context.targets.eject(target, "connection failed after a loss", request_id)
+    context.quarantine.record_crash(admitted, target.announcement, has_response=False)
+    return True
+
+
 def _select_target(admitted, context, tried):
     targets = context.targets.candidates(admitted.service.name, tried)
     targets = [target for target in targets if context.named_limits.allows(target)]
@@ -229,6 +255,8 @@
             context.targets.record_connection_loss(target, request_id)
         return
     response = outcome.response
+    if not response.is_not_run:
+        context.quarantine.record_sound(list_suspects(admitted))
     context.named_limits.record(target.announcement, response, request_id)
     if response.reported_counts is not None:
         target.reported_counts = response.reported_counts
--- a/packages/entry/src/almonddeal/relay/quarantine.py
+++ b/packages/entry/src/almonddeal/relay/quarantine.py
@@ -1,31 +1,39 @@
-"""Quarantine of prompt segments that crash the engines.
+"""Quarantine of requests and prompt segments that crash their targets.
 
-A request whose prompt crashes an engine would crash the next one as well, and with each
-engine the runs of others are lost. All instances share what they observe: which
-requests were starting when an engine crashed, and which segments an engine survived.
-From these records each of them derives the same segments to reject.
+A request that crashes a target would crash the next one as well, and with each target
+the requests of others are lost. All instances share what they observe: which requests
+a target was running when it crashed, and which requests and segments targets survived.
+From these records each of them derives the same ones to reject.
 """
 
-from collections import OrderedDict
-
 import anyio
 
 from almonddeal.announced.evidence import EvidenceStore
 from almonddeal.relay.culprits import find_culprits
+from almonddeal.relay.survivals import Survivals
+from almonddeal.relay.suspects import list_suspects, stands_for_request
 from almonddeal_common.clock import wall_ms
-from almonddeal_common.codes import PROMPT_QUARANTINED, AlmonddealError
+from almonddeal_common.codes import (
+    PROMPT_QUARANTINED,
+    REQUEST_QUARANTINED,
+    AlmonddealError,
+)
 from almonddeal_common.logs import decide, get_logger
 from almonddeal_common.wire.gen.ttypes import SegmentEvidence
 
-# A crash is not blamed on a segment that an engine survived this shortly before.
-SOUND_MS = 60_000.0
-MAX_SOUND_HASHES = 10_000
+SOUND_MS = 60_000.0  # for which a segment is not blamed after an engine survived it
+# The same for a request. It is shorter, as a new version of a service may crash under a
+# request that the one before survived.
+REQUEST_SOUND_MS = 5_000.0
+# Targets that may crash under one request before it is known to be sound. The first one
+# may have crashed by itself.
+MAX_CRASHES = 2
 
 log = get_logger("relay")
 
 
 class Quarantine:
-    """Evidence on prompt segments, and those that no engine receives.
+    """Evidence on requests and prompt segments, and those that no target receives.
 
     Parameters
     ----------
@@ -38,16 +46,17 @@
     evidence : EvidenceStore
         Records of all instances; those of this one are published.
     culprits : list of frozenset of str
-        Prompts with all segments of one of these sets are rejected.
+        Requests with all suspects of one of these sets are rejected.
     changed : anyio.Event
         Set, and replaced by a new event, when `culprits` changes.
     """
 
     __slots__ = (
-        "_blamed_ms_by_hash",
+        "_blamed_ms_by_suspect",
         "_clock_ms",
         "_instance",
-        "_sound_ms_by_hash",
+        "_request_survivals",
+        "_segment_survivals",
         "changed",
         "culprits",
         "evidence",
@@ -59,51 +68,68 @@
         self.changed = anyio.Event()
         self._instance = instance
         self._clock_ms = clock_ms
-        self._blamed_ms_by_hash = {}
-        self._sound_ms_by_hash = OrderedDict()
+        self._blamed_ms_by_suspect = {}
+        self._request_survivals = Survivals(REQUEST_SOUND_MS)
+        self._segment_survivals = Survivals(SOUND_MS)
+
+    def _survivals(self, suspect):
+        if stands_for_request(suspect):
+            return self._request_survivals
+        return self._segment_survivals
+
+    def blocks(self, suspects):
+        """Tell whether a request with these suspects is rejected."""
+        return self._find_culprit(suspects) is not None
 
-    def blocks(self, prefix_hashes):
-        """Tell whether a prompt with these segments is rejected."""
-        return any(culprit.issubset(prefix_hashes) for culprit in self.culprits)
+    def _find_culprit(self, suspects):
+        for culprit in self.culprits:
+            if culprit.issubset(suspects):
+                return culprit
+        return None
 
-    def check(self, request):
-        """Reject a request whose prompt is in quarantine.
+    def check(self, admitted):
+        """Reject a request if it, or a segment of its prompt, is in quarantine.
 
         Parameters
         ----------
-        request : CallerRequest
+        admitted : AdmittedRequest
 
         Raises
         ------
         AlmonddealError
-            `PROMPT_QUARANTINED`, without a Retry-After time.
+            `REQUEST_QUARANTINED` or `PROMPT_QUARANTINED`, without a Retry-After time.
         """
-        if self.blocks(shared_prefix_hashes(request)):
+        if not self.culprits:
+            return
+        culprit = self._find_culprit(list_suspects(admitted))
+        if culprit is None:
+            return
+        if any(stands_for_request(suspect) for suspect in culprit):
             raise AlmonddealError(
-                PROMPT_QUARANTINED, "engines crashed under a segment of the prompt"
+                REQUEST_QUARANTINED, "targets crashed under the request"
             )
+        raise AlmonddealError(
+            PROMPT_QUARANTINED, "engines crashed under a segment of the prompt"
+        )
 
-    def suspects(self, prefix_hashes):
-        """Return the segments that no engine is known to have survived recently."""
-        start_ms = self._clock_ms() - SOUND_MS
-        return [
-            prefix_hash
-            for prefix_hash in prefix_hashes
-            if self._sound_ms_by_hash.get(prefix_hash, 0.0) < start_ms
-        ]
+    def unproven(self, suspects):
+        """Return the suspects that no target is known to have survived recently."""
+        now_ms = self._clock_ms()
+        return [s for s in suspects if not self._survivals(s).clear(s, now_ms)]
 
-    def record_crash(self, request, announcement, has_response):
-        """Record that an engine crashed before it was known to survive a request.
+    def record_crash(self, admitted, announcement, has_response):
+        """Record that a target crashed before it was known to survive a request.
 
         Parameters
         ----------
-        request : CallerRequest
+        admitted : AdmittedRequest
         announcement : AnnouncedTarget
-            The engine.
+            The target.
         has_response : bool
-            Whether the engine had started its response.
+            Whether the target had started its response.
         """
-        suspects = self.suspects(shared_prefix_hashes(request))
+        request = admitted.request
+        suspects = self.unproven(list_suspects(admitted))
         if not suspects:
             return
         record = SegmentEvidence(
@@ -120,87 +146,81 @@
         )
         decide(
             log,
-            "recorded an engine crash under a prompt",
+            "recorded a crash of a target under a request",
             request=request.request_id,
             target=announcement.target,
-            prefixes=suspects,
+            suspects=suspects,
             has_response=has_response,
         )
         self.merge(record)
 
-    def record_sound(self, prefix_hashes):
-        """Record that an engine survived a prompt with these segments."""
+    def record_sound(self, suspects):
+        """Record that a target survived a request with these suspects."""
         now_ms = self._clock_ms()
-        for prefix_hash in prefix_hashes:
-            self._mark_sound(prefix_hash, now_ms)
-        self._publish_sound(prefix_hashes)
-
-    def _mark_sound(self, prefix_hash, now_ms):
-        self._sound_ms_by_hash[prefix_hash] = max(
-            now_ms, self._sound_ms_by_hash.get(prefix_hash, 0.0)
-        )
-        self._sound_ms_by_hash.move_to_end(prefix_hash)
-        if len(self._sound_ms_by_hash) > MAX_SOUND_HASHES:
-            self._sound_ms_by_hash.popitem(last=False)
+        for suspect in suspects:
+            self._survivals(suspect).record(suspect, now_ms)
+        self._publish_sound(suspects)
 
     def merge(self, record):
         """Merge a record of this or another instance; known ones change nothing."""
         if not self.evidence.add(record):
             return
         if record.is_sound:
-            for prefix_hash in record.prefix_hashes:
-                self._mark_sound(prefix_hash, record.observed_ms)
+            for suspect in record.prefix_hashes:
+                self._survivals(suspect).record(suspect, record.observed_ms)
         self._update()
         if not record.is_sound:
             self._publish_sound(record.prefix_hashes)
 
-    def _publish_sound(self, prefix_hashes):
-        """Publish that segments are sound, for which others blame them for a crash."""
-        for prefix_hash in prefix_hashes:
-            blamed_ms = self._blamed_ms_by_hash.get(prefix_hash)
-            sound_ms = int(self._sound_ms_by_hash.get(prefix_hash, 0.0))
-            if blamed_ms is None or sound_ms < blamed_ms - SOUND_MS:
+    def _publish_sound(self, suspects):
+        """Publish that suspects are sound, for which others blame them for a crash."""
+        for suspect in suspects:
+            blamed_ms = self._blamed_ms_by_suspect.get(suspect)
+            if blamed_ms is None:
                 continue
-            if self._shared_sound_ms(prefix_hash) >= blamed_ms - SOUND_MS:
+            survivals = self._survivals(suspect)
+            if not survivals.clear(suspect, blamed_ms):
                 continue
+            if self._shared_sound_ms(suspect) >= blamed_ms - survivals.window_ms:
+                continue
+            sound_ms = int(survivals.last_ms(suspect))
             self.merge(
                 SegmentEvidence(
-                    key=f"{prefix_hash}/{sound_ms}",
+                    key=f"{suspect}/{sound_ms}",
                     instance=self._instance,
-                    prefix_hashes=[prefix_hash],
+                    prefix_hashes=[suspect],
                     is_sound=True,
                     observed_ms=sound_ms,
                 )
             )
 
-    def _shared_sound_ms(self, prefix_hash):
-        """Return when an engine survived a segment, as all instances know; or 0."""
+    def _shared_sound_ms(self, suspect):
+        """Return when a target survived a suspect, as all instances know; or 0."""
         return max(
             (
                 record.observed_ms
                 for record in self.evidence.values()
-                if record.is_sound and record.prefix_hashes[0] == prefix_hash
+                if record.is_sound and record.prefix_hashes[0] == suspect
             ),
             default=0,
         )
 
     def evict_stale(self):
-        """Evict old evidence, and with it segments from the quarantine."""
+        """Evict old evidence, and with it culprits from the quarantine."""
         if self.evidence.evict_stale():
             self._update()
 
-    def _is_sound(self, prefix_hash, crash):
-        sound_ms = self._sound_ms_by_hash.get(prefix_hash, 0.0)
-        return sound_ms >= crash.observed_ms - SOUND_MS
+    def _is_sound(self, suspect, crash):
+        return self._survivals(suspect).clear(suspect, crash.observed_ms)
 
     def _update(self):
         """Derive the state from the evidence."""
         crashes = [record for record in self.evidence.values() if not record.is_sound]
-        self._blamed_ms_by_hash = {}
+        self._blamed_ms_by_suspect = {}
         for crash in crashes:
-            for prefix_hash in crash.prefix_hashes:
-                self._blamed_ms_by_hash[prefix_hash] = max(
-                    crash.observed_ms, self._blamed_ms_by_hash.get(prefix_hash, 0)
+            for suspect in crash.prefix_hashes:
+                self._blamed_ms_by_suspect[suspect] = max(
+                    crash.observed_ms, self._blamed_ms_by_suspect.get(suspect, 0)
                 )
         culprits = find_culprits(crashes, self._is_sound)
         if culprits != self.culprits:
@@ -209,7 +229,7 @@
     def _replace_culprits(self, culprits, n_crashes):
         decide(
             log,
-            "prompt segments in quarantine changed",
+            "requests and prompt segments in quarantine changed",
             culprits=[sorted(culprit) for culprit in culprits],
             before=[sorted(culprit) for culprit in self.culprits],
             n_crashes=n_crashes,
@@ -217,9 +237,3 @@
         self.culprits = culprits
         self.changed.set()
         self.changed = anyio.Event()
-
-
-def shared_prefix_hashes(request):
-    """Return the hashes of the shared segments of a `CallerRequest`, as a tuple."""
-    generation = request.generation
-    return () if generation is None else generation.shared_prefix_hashes
--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -11,6 +11,7 @@
 from almonddeal.relay.attempts import run_attempt
 from almonddeal.relay.plain import no_target_error
 from almonddeal.relay.prefix_cache import find_cached_prefix
+from almonddeal.relay.quarantine import MAX_CRASHES
 from almonddeal.relay.run_reports import report_run_end
 from almonddeal.relay.stream_state import KvCopy, Stream
 from almonddeal_common.clock import monotonic_ms
@@ -29,9 +30,6 @@
 NO_CAPACITY_BACKOFF_S = 0.1  # before a started response looks for an engine again
 MAX_BUDGET_WAIT_MS = 1000.0  # a caller that resumes its stream itself takes as long
 BUDGET_POLL_INTERVAL_S = 0.05
-# Engines that may crash under one request whose prompt none is known to survive. The
-# first one may have crashed by itself.
-MAX_CRASHES = 2
 MIN_LEFT_MS = 50.0  # below this no further attempt is made
 
 log = get_logger("relay")
@@ -69,9 +67,9 @@
     _find_copy(stream, context)
     while not stream.is_ended:
         try:
-            context.quarantine.check(stream.admitted.request)
+            context.quarantine.check(stream.admitted)
             engine, copy = await _take_copy_and_select_target(stream, context)
-            context.quarantine.check(stream.admitted.request)
+            context.quarantine.check(stream.admitted)
         except AlmonddealError as error:
             if not stream.n_sends:
                 raise
@@ -173,7 +171,7 @@
     if stream.n_crashes >= MAX_CRASHES:
         decide(
             log,
-            "no further engine for a prompt under which engines crashed",
+            "no further engine for a request under which engines crashed",
             request=stream.request_id,
             n_crashes=stream.n_crashes,
         )
--- a/packages/entry/src/almonddeal/relay/tests/fakes.py
+++ b/packages/entry/src/almonddeal/relay/tests/fakes.py
@@ -165,6 +165,7 @@
             TargetClient(
                 self.open_attempt,
                 self.is_alive,
+                self.is_reachable,
                 self.send_kv_copy,
                 self.free_kv_copy,
                 self.list_cached_prefixes,
@@ -177,6 +178,9 @@
         self.n_probes += 1
         return announcement.target in self.alive
 
+    async def is_reachable(self, announcement):
+        return announcement.target in self.alive
+
     async def list_cached_prefixes(self, announcement):
         return self.cached_by_target.get(announcement.target, set())
 
--- a/packages/entry/src/almonddeal/relay/tests/test_quarantine.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_quarantine.py
@@ -10,9 +10,9 @@
 import pytest
 
 from almonddeal.announced.evidence import MAX_RECORDS, RETENTION_MS
-from almonddeal.relay.quarantine import SOUND_MS, Quarantine
-from almonddeal.relay.requests import Generation
-from almonddeal.relay.streams import MAX_CRASHES, relay_stream
+from almonddeal.relay.quarantine import MAX_CRASHES, SOUND_MS, Quarantine
+from almonddeal.relay.requests import AdmittedRequest, Generation
+from almonddeal.relay.streams import relay_stream
 from almonddeal.relay.tests.fakes import (
     FakeFleet,
     FakeResponseWriter,
@@ -22,9 +22,11 @@
     make_announcement,
     make_event,
     make_request,
+    make_route,
     streams,
 )
 from almonddeal.relay.tests.stream_runs import LAST, is_complete_response
+from almonddeal.routing.model import STREAM
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import (
     ATTEMPT_LOST,
@@ -46,6 +48,7 @@
         10_000.0, Generation(1000, 100, request_id, "last", prefix_hashes)
     )
     request.request_id = request_id
+    request.body = request_id.encode()
     return request
 
 
@@ -57,7 +60,8 @@
     """Record a crash of engine `number` under a request."""
     domain = domain or DOMAINS[number % 3]
     announcement = make_announcement(f"i-{number}", domain)
-    quarantine.record_crash(request, announcement, has_response)
+    admitted = AdmittedRequest(request, make_route(STREAM), None, None)
+    quarantine.record_crash(admitted, announcement, has_response)
 
 
 class TestEvidence:
@@ -75,7 +79,7 @@
         for number in range(5):
             crash(quarantine, number, make_prompt("r", "first", BAD))
             virtual_time.now_s += 0.1
-        assert not quarantine.culprits
+        assert not quarantine.blocks(("first", BAD))
 
     def test_domain_that_crashes_as_a_whole_counts_once(self, virtual_time):
         quarantine = make_quarantine()
@@ -134,7 +138,9 @@
         for number in range(6):
             crash(quarantine, number, make_prompt(f"r{number}", "first"))
             virtual_time.now_s += 0.1
-        assert not quarantine.evidence.values()
+        assert not quarantine.culprits
+        records = quarantine.evidence.values()
+        assert not any("first" in record.prefix_hashes for record in records)
 
     def test_survival_is_forgotten_after_a_time(self, virtual_time):
         quarantine = make_quarantine()
--- a/packages/entry/src/almonddeal/relay/tests/test_repeated_requests.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_repeated_requests.py
@@ -10,12 +10,14 @@
 import pytest
 
 from almonddeal.relay.plain import relay_plain
-from almonddeal.relay.quarantine import Quarantine
+from almonddeal.relay.quarantine import MAX_CRASHES, Quarantine
 from almonddeal.relay.requests import AdmittedRequest, Generation
-from almonddeal.relay.streams import MAX_CRASHES, relay_stream
+from almonddeal.relay.streams import relay_stream
+from almonddeal.relay.suspects import list_suspects
 from almonddeal.relay.tests.fakes import (
     FakeFleet,
     FakeResponseWriter,
+    ResponseHead,
     admit_stream,
     make_announcement,
     make_request,
@@ -25,7 +27,12 @@
 from almonddeal.relay.tests.stream_runs import LAST, is_complete_response
 from almonddeal.routing.model import LOOKUP, ORDER, Customer, Service
 from almonddeal_common.clock import monotonic_ms
-from almonddeal_common.codes import LINK_LOST, NOT_REACHED, AlmonddealError
+from almonddeal_common.codes import (
+    LINK_LOST,
+    NOT_REACHED,
+    REQUEST_QUARANTINED,
+    AlmonddealError,
+)
 from almonddeal_common.virtual_time import run_in_virtual_time
 
 N_INSTANCES = 4
@@ -73,6 +80,111 @@
         assert first.fingerprint == second.fingerprint
 
 
+class TestSuspectedRequests:
+    """Evidence on requests as such, at one instance."""
+
+    def crash(self, quarantine, number, admitted, domain=None):
+        """Record a crash of target `number` under a request."""
+        domain = domain or f"fd{number % 3}"
+        announcement = make_announcement(f"i-{number}", domain)
+        quarantine.record_crash(admitted, announcement, has_response=False)
+
+    def code(self, quarantine, admitted):
+        """Return the code with which a request is rejected, or None."""
+        try:
+            quarantine.check(admitted)
+        except AlmonddealError as error:
+            assert error.was_run == "no"
+            assert error.retry_after_ms is None
+            return error.code
+        return None
+
+    def test_request_is_rejected_after_three_crashes(self, virtual_time):
+        quarantine = Quarantine("entry-1", monotonic_ms)
+        for number in range(3):
+            assert self.code(quarantine, admit("r")) is None
+            self.crash(quarantine, number, admit(f"r{number}"))
+            virtual_time.now_s += 0.1
+        assert self.code(quarantine, admit("r9")) == REQUEST_QUARANTINED
+        assert self.code(quarantine, admit("r9", b"/a/c")) is None
+
+    def test_request_that_a_target_survives_is_released(self, virtual_time):
+        quarantine = Quarantine("entry-1", monotonic_ms)
+        for number in range(3):
+            self.crash(quarantine, number, admit(f"r{number}"))
+            virtual_time.now_s += 0.1
+        quarantine.record_sound(list_suspects(admit("r9")))
+        assert self.code(quarantine, admit("r9")) is None
+
+    def test_requests_beside_the_crashing_one_are_not_blamed(self, virtual_time):
+        # They are sent on together, and the crashing one comes again.
+        quarantine = Quarantine("entry-1", monotonic_ms)
+        for number in range(4):
+            self.crash(quarantine, number, admit(f"r{number}", DEADLY_PATH))
+            if number < 3:
+                self.crash(quarantine, number, admit(f"n{number}", b"/a/neighbour"))
+            virtual_time.now_s += 2.0
+        assert self.code(quarantine, admit("r9", DEADLY_PATH)) == REQUEST_QUARANTINED
+        assert self.code(quarantine, admit("n9", b"/a/neighbour")) is None
+
+    def test_domain_that_crashes_as_a_whole_counts_once(self, virtual_time):
+        quarantine = Quarantine("entry-1", monotonic_ms)
+        for number in range(4):
+            self.crash(quarantine, number, admit(f"r{number}"), "fd1")
+            virtual_time.now_s += 0.2
+        assert self.code(quarantine, admit("r9")) is None
+
+    def test_request_that_starts_to_crash_targets_is_found_within_seconds(
+        self, virtual_time
+    ):
+        """Guards against a release whose targets crash under a request sound before."""
+        quarantine = Quarantine("entry-1", monotonic_ms)
+        quarantine.record_sound(list_suspects(admit("r")))
+        for number in range(8):
+            virtual_time.now_s += 1.0
+            self.crash(quarantine, number, admit(f"r{number}"))
+        assert self.code(quarantine, admit("r9")) == REQUEST_QUARANTINED
+
+    def test_request_often_asked_is_not_blamed(self, virtual_time):
+        quarantine = Quarantine("entry-1", monotonic_ms)
+        for number in range(6):
+            quarantine.record_sound(list_suspects(admit(f"s{number}")))
+            virtual_time.now_s += 1.0
+            self.crash(quarantine, number, admit(f"r{number}"))
+        assert not quarantine.evidence.values()
+
+    def test_crashing_segment_is_told_from_the_requests_with_it(self, virtual_time):
+        quarantine = Quarantine("entry-1", monotonic_ms)
+        for number in range(4):
+            admitted = admit(f"r{number}", b"/a/%d" % (number // 2))
+            generation = Generation(10, 10, "f", "last", (f"f{number // 2}", "bad"))
+            admitted.request.generation = generation
+            self.crash(quarantine, number, admitted)
+            virtual_time.now_s += 1.0
+        assert quarantine.culprits == [frozenset(("bad",))]
+
+    def test_rejected_request_that_was_refused_before_is_not_run(self):
+        """Guards against telling callers to come back with a rejected request."""
+        fleet = FakeFleet({f"i-{number}": None for number in range(1, 4)})
+        quarantine = fleet.context.quarantine = Quarantine("entry-1", monotonic_ms)
+
+        async def refuses(attempt):
+            for number in range(3):
+                self.crash(quarantine, number, admit(f"r{number}"))
+                await anyio.sleep(1.1)
+            yield ResponseHead(503, is_not_run=True)
+
+        fleet.behaviour_by_target = dict.fromkeys(fleet.behaviour_by_target, refuses)
+        admitted = admit("r9", route=make_route(timeout_ms=9000.0, max_attempts=3))
+        admitted.deadline_ms += 9000.0
+        with pytest.raises(AlmonddealError) as caught:
+            run_in_virtual_time(
+                relay_plain, admitted, fleet.context, FakeResponseWriter()
+            )
+        assert caught.value.code == REQUEST_QUARANTINED
+        assert len(fleet.attempts) == 1
+
+
 class DeadlyDay:
     """Simulation of a plain service with a request that crashes its targets.
 
--- a/tools/almonddeal_tools/lab/callers.py
+++ b/tools/almonddeal_tools/lab/callers.py
@@ -163,6 +163,7 @@
         admitted = _make_admitted_request(
             fleet,
             f"{request_id}-{n_retries}",
+            request_id.encode(),
             n_prompt_tokens,
             n_output_tokens,
             left_ms,
@@ -184,7 +185,13 @@
 
 
 def _make_admitted_request(
-    fleet, request_id, n_prompt_tokens, n_output_tokens, left_ms, shared_prefix_hashes
+    fleet,
+    request_id,
+    body,
+    n_prompt_tokens,
+    n_output_tokens,
+    left_ms,
+    shared_prefix_hashes,
 ):
     generation = Generation(
         n_prompt_tokens,
@@ -200,7 +207,7 @@
         "/a/b",
         b"/a/b",
         [],
-        b"",
+        body,
         left_ms,
         None,
         None,
--- a/tools/almonddeal_tools/lab/fleet.py
+++ b/tools/almonddeal_tools/lab/fleet.py
@@ -124,6 +124,7 @@
             TargetClient(
                 self._open,
                 self._is_alive,
+                self._is_alive,
                 self._send_kv_copy,
                 self._free_kv_copy,
                 self._list_cached_prefixes,
