relay: a response with the id of another request says nothing of this one

Cause: the echoed id was compared for successes only; refusals and failures were taken for the request at hand whatever id they had. Ruled out: kept connections, as the client keeps none; a test with late bytes after a response passed before. Change: a response with another id is a lost one; without an id it still counts, as it came on the connection of this request alone.

--- a/packages/entry/src/almonddeal/relay/attempts.py
+++ b/packages/entry/src/almonddeal/relay/attempts.py
@@ -256,6 +256,8 @@
 async def _send_and_forward(stream, context, engine, attempt, progress, scope):
     _set_timeout(scope, _first_event_timeout_ms(stream, context, engine))
     async with context.open_attempt(attempt) as response:
+        if response.is_of_other_request:
+            raise AlmonddealError(LINK_LOST, "answer to another request")
         if response.is_success:
             progress.record_response(monotonic_ms())
         progress.request_limit_per_s = response.request_limit_per_s
--- a/packages/entry/src/almonddeal/relay/plain.py
+++ b/packages/entry/src/almonddeal/relay/plain.py
@@ -240,6 +240,8 @@
         return _Outcome(error=error)
     except BodyTooLargeError as error:
         return _Outcome(error=AlmonddealError(LINK_LOST, f"response body: {error}"))
+    if response.is_of_other_request:
+        return _Outcome(error=AlmonddealError(LINK_LOST, "answer to another request"))
     if response.is_success and not response.is_authentic:
         return _Outcome(error=AlmonddealError(LINK_LOST, "not the target's answer"))
     return _Outcome(response, body)
--- a/packages/entry/src/almonddeal/relay/requests.py
+++ b/packages/entry/src/almonddeal/relay/requests.py
@@ -233,6 +233,9 @@
         Number of running and of waiting requests, and of slots; None if not reported.
     request_limit_per_s : float or None
         Requests a second that the target accepts from all instances; None for no limit.
+    is_of_other_request : bool
+        Whether the response has the id of another request: nothing is known then about
+        the one that was sent.
     chunks : async iterator of bytes
     """
 
@@ -243,6 +246,7 @@
         "is_leaving",
         "is_misdirected",
         "is_not_run",
+        "is_of_other_request",
         "reported_counts",
         "request_limit_per_s",
         "status",
@@ -259,6 +263,7 @@
         reported_counts,
         chunks,
         request_limit_per_s=None,
+        is_of_other_request=False,
     ):
         self.status = status
         self.headers = headers
@@ -269,6 +274,7 @@
         self.reported_counts = reported_counts
         self.chunks = chunks
         self.request_limit_per_s = request_limit_per_s
+        self.is_of_other_request = is_of_other_request
 
     @property
     def is_success(self):
