relay: only the rest of a stream follows a stream that broke off

Cause: any signed 2xx response continued a stream, whatever its status and media type, and events without an id were sent on wherever they stood. Ruled out: responses with an error status; they were never sent into a stream that had begun, and the stream ends without its end (5 tests passed before). Change: a response continues a stream only with the status and media type with which it began, and its first event must have an id. Not told apart: an empty event stream, which a target with nothing left to send also answers.

--- a/packages/entry/src/almonddeal/relay/attempts.py
+++ b/packages/entry/src/almonddeal/relay/attempts.py
@@ -270,9 +270,19 @@
             raise AlmonddealError(ATTEMPT_LOST, f"status {response.status}")
         if not response.is_authentic:
             raise AlmonddealError(LINK_LOST, "not the target's answer")
+        if not _may_continue(stream, response):
+            raise AlmonddealError(LINK_LOST, "not the rest of the response")
         await _forward_events(stream, context, engine, response, progress, scope)
 
 
+def _may_continue(stream, response):
+    """Tell whether a response can be the rest of the one that the caller receives."""
+    if not stream.is_started:
+        return True
+    kind = (response.status, response.media_type)
+    return kind == (stream.status, stream.media_type)
+
+
 async def _read_error_response(stream, response):
     """Read the body of an error response, to forward it if no engine succeeds."""
     try:
@@ -296,7 +306,7 @@
                 record_first_event(stream, context, engine)
         deadline, scope.deadline = scope.deadline, float("inf")
         with progress.sending():
-            await _send_events(stream, response, events)
+            await _send_events(stream, response, events, progress)
         if is_progress:
             had_survived = progress.has_survived
             progress.record_events(len(events), monotonic_ms())
@@ -317,9 +327,13 @@
     if not stream.is_started:
         await stream.writer.start(response.status, response.headers)
         stream.is_started = True
+        stream.status = response.status
+        stream.media_type = response.media_type
 
 
-async def _send_events(stream, response, events):
+async def _send_events(stream, response, events, progress):
+    if not progress.has_event:
+        _check_first_event(stream, events)
     new_events = [event for event in events if _record_event_id(stream, event)]
     if not new_events:
         return
@@ -330,6 +344,21 @@
     stream.last_sent_ms = monotonic_ms()
 
 
+def _check_first_event(stream, events):
+    """Check that the first event of a resumed stream can be placed by its id.
+
+    Raises
+    ------
+    AlmonddealError
+        `LINK_LOST` if it has none, as an error text has none.
+    """
+    if stream.last_event_id is None:
+        return
+    first = next((event for event in events if not event.is_comment), None)
+    if first is not None and first.event_id is None:
+        raise AlmonddealError(LINK_LOST, "a resumed stream begins without an id")
+
+
 def _record_event_id(stream, event):
     """Record the id of an event; returns whether the event is yet to be sent.
 
--- a/packages/entry/src/almonddeal/relay/requests.py
+++ b/packages/entry/src/almonddeal/relay/requests.py
@@ -280,3 +280,9 @@
     def is_success(self):
         """Whether the status is 2xx."""
         return 200 <= self.status < 300
+
+    @property
+    def media_type(self):
+        """Media type of the body, without parameters; None if not given."""
+        value = dict(self.headers).get(b"content-type")
+        return None if value is None else value.partition(b";")[0].strip().lower()
--- a/packages/entry/src/almonddeal/relay/stream_state.py
+++ b/packages/entry/src/almonddeal/relay/stream_state.py
@@ -137,6 +137,9 @@
         Last event sent to the caller.
     is_started, is_ended : bool
         Whether the response head, and the end of the response, were sent.
+    status : int or None
+    media_type : bytes or None
+        Status and media type of the response whose head was sent.
     copy : KvCopy or None
         During an attempt, the copy that its engine makes; between attempts, the copy to
         resume from.
@@ -173,11 +176,13 @@
         "last_event_id",
         "last_sent_ms",
         "lost_ms_by_domain",
+        "media_type",
         "n_attempts",
         "n_crashes",
         "n_sends",
         "refusing_targets",
         "run",
+        "status",
         "writer",
     )
 
@@ -187,6 +192,8 @@
         self.last_event_id = admitted.request.last_event_id
         self.is_started = False
         self.is_ended = False
+        self.status = None
+        self.media_type = None
         self.copy = None
         self.run = None
         self.refusing_targets = set()
