relay: a lookup that may have run is not reported as not run

Cause: of several outcomes the latest response or error was taken, even if it said the least. Change: a response of a target that ran the lookup goes first, then a failure after which it may have run (502), then 'not run'. Orders end at the first outcome that may have run, as before.

--- a/packages/entry/src/almonddeal/relay/plain.py
+++ b/packages/entry/src/almonddeal/relay/plain.py
@@ -156,8 +156,18 @@
 
 
 def _preferred_outcome(preferred, outcome):
-    """Return the later outcome, unless it is an error and the other a response."""
-    if preferred is None or preferred.error is not None or outcome.response is not None:
+    """Return the later outcome, unless the other one says more of the request.
+
+    A response of a target that ran it says most, then a failure after which it may have
+    run.
+    """
+
+    def rank(candidate):
+        if candidate.is_not_run:
+            return 0
+        return 1 if candidate.response is None else 2
+
+    if preferred is None or rank(outcome) >= rank(preferred):
         return outcome
     return preferred
 
--- a/packages/entry/src/almonddeal/relay/tests/test_plain.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_plain.py
@@ -121,6 +121,16 @@
         assert len(fleet.attempts) == 2
         assert error.code == SERVICE_FAILED
 
+    def test_lookup_that_may_have_run_is_not_reported_as_not_run(self):
+        """Guards against 'not run' after a lost target, as the next one refuses."""
+        for behaviour in (refuses(), unreachable):
+            fleet = FakeFleet({"i-1": loses_connection, "i-2": behaviour})
+            for _ in range(5):
+                error = rejection(fleet, make_route(LOOKUP, max_attempts=3))
+                assert fleet.tried.count("i-1")
+                assert error.code == SERVICE_FAILED
+                assert error.was_run != "no"
+
     def test_last_error_response_is_forwarded(self):
         fleet = FakeFleet({"i-1": responds(500, b"bad"), "i-2": responds(500, b"bad")})
         writer = relay(fleet, make_route(LOOKUP))
