relay: crashes with a common cause count once for the request that met them

What callers would see: 502 for a sound request that met two targets of a failure domain as it was lost. Cause: the bound of two crashes a request counted each target. It held only for prompts with a segment that none had survived; since requests are suspects, it holds for all. Change: the bound counts as the search for culprits does, crashes of one domain within a second once. Also a test of what the findings miss: a survival after the crashes clears a segment at all instances; without the publication in record_sound it fails. Figures: two tests (stream, lookup) fail with the count of before, pass now.

--- a/packages/entry/src/almonddeal/relay/attempts.py
+++ b/packages/entry/src/almonddeal/relay/attempts.py
@@ -407,10 +407,11 @@
         context.targets.eject(engine, "liveness probe failed", stream.request_id)
     elif error.code != TARGET_STALLED or not _fell_silent(context, engine, progress):
         return
-    context.quarantine.record_crash(
+    crash = context.quarantine.record_crash(
         stream.admitted, engine.announcement, progress.has_response
     )
-    stream.n_crashes += int(progress.has_response)
+    if progress.has_response and crash is not None:
+        stream.crashes.append(crash)
 
 
 def _record_failure(stream, context, engine, error, resumes_copy):
--- a/packages/entry/src/almonddeal/relay/culprits.py
+++ b/packages/entry/src/almonddeal/relay/culprits.py
@@ -77,7 +77,7 @@
         for suspect in suspects:
             crashes_by_suspect.setdefault(suspect, []).append(crash)
     n_by_suspect = {
-        suspect: _count_independent(crashes)
+        suspect: count_independent(crashes)
         for suspect, crashes in crashes_by_suspect.items()
         if len(crashes) >= MIN_CRASHES
         and (
@@ -105,8 +105,17 @@
     )
 
 
-def _count_independent(crashes):
-    """Return the number of crashes that have no common cause outside the targets."""
+def count_independent(crashes):
+    """Return the number of crashes that have no common cause outside the targets.
+
+    Parameters
+    ----------
+    crashes : list of SegmentEvidence
+
+    Returns
+    -------
+    n_crashes : int
+    """
     targets, counted = set(), []
     for crash in sorted(crashes, key=lambda c: (c.observed_ms, c.key)):
         target = (crash.target, crash.born_ms)
--- a/packages/entry/src/almonddeal/relay/plain.py
+++ b/packages/entry/src/almonddeal/relay/plain.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from almonddeal.relay.culprits import count_independent
 from almonddeal.relay.quarantine import MAX_CRASHES
 from almonddeal.relay.requests import Attempt
 from almonddeal.relay.suspects import list_suspects
@@ -76,7 +77,8 @@
     is_order = admitted.route.kind == ORDER
     tried = set()
     # Refused requests count as sent; only those that reached no target do not.
-    n_sends = n_unreached = n_crashes = 0
+    n_sends = n_unreached = 0
+    crashes = []
     preferred = None
     context.record_request(admitted.service.name)
     while True:
@@ -99,12 +101,20 @@
             )
             return
         preferred = _preferred_outcome(preferred, outcome)
-        n_crashes += int(await _record_crash(admitted, context, target, outcome))
+        crash = await _record_crash(admitted, context, target, outcome)
+        if crash is not None:
+            crashes.append(crash)
         if is_order and not outcome.is_not_run:
             break
         if n_sends >= admitted.route.max_attempts or n_unreached > MAX_UNREACHED:
             break
-        if n_crashes >= MAX_CRASHES:
+        if count_independent(crashes) >= MAX_CRASHES:
+            decide(
+                log,
+                "no further target for a request under which targets crashed",
+                request=admitted.request.request_id,
+                n_crashes=len(crashes),
+            )
             break
         if admitted.left_ms < MIN_LEFT_MS:
             break
@@ -119,20 +129,21 @@
 
 
 async def _record_crash(admitted, context, target, outcome):
-    """Record whether the target crashed during an attempt; return it.
+    """Record a crash of the target during an attempt; return its evidence, or None.
 
     A connection may also be lost between two sound processes, so the target is probed.
     """
     if outcome.error is None or outcome.error.code != LINK_LOST:
-        return False
+        return None
     if not context.quarantine.unproven(list_suspects(admitted)):
-        return False
+        return None
     if await context.is_reachable(target.announcement):
-        return False
+        return None
     request_id = admitted.request.request_id
     context.targets.eject(target, "connection failed after a loss", request_id)
-    context.quarantine.record_crash(admitted, target.announcement, has_response=False)
-    return True
+    return context.quarantine.record_crash(
+        admitted, target.announcement, has_response=False
+    )
 
 
 def _select_target(admitted, context, tried):
--- a/packages/entry/src/almonddeal/relay/quarantine.py
+++ b/packages/entry/src/almonddeal/relay/quarantine.py
@@ -25,8 +25,8 @@
 # The same for a request. It is shorter, as a new version of a service may crash under a
 # request that the one before survived.
 REQUEST_SOUND_MS = 5_000.0
-# Targets that may crash under one request before it is known to be sound. The first one
-# may have crashed by itself.
+# Targets that may crash under one request before it is known to be sound, those that
+# have a cause in common counted once. The first one may have crashed by itself.
 MAX_CRASHES = 2
 
 log = get_logger("relay")
@@ -127,11 +127,16 @@
             The target.
         has_response : bool
             Whether the target had started its response.
+
+        Returns
+        -------
+        record : SegmentEvidence or None
+            None if the request is known to be sound.
         """
         request = admitted.request
         suspects = self.unproven(list_suspects(admitted))
         if not suspects:
-            return
+            return None
         record = SegmentEvidence(
             key=f"{request.request_id}/{announcement.target}/{announcement.born_ms}",
             instance=self._instance,
@@ -153,6 +158,7 @@
             has_response=has_response,
         )
         self.merge(record)
+        return record
 
     def record_sound(self, suspects):
         """Record that a target survived a request with these suspects."""
--- a/packages/entry/src/almonddeal/relay/stream_state.py
+++ b/packages/entry/src/almonddeal/relay/stream_state.py
@@ -158,9 +158,9 @@
         failed otherwise than with `NOT_REACHED` or `TARGET_REFUSED`.
     n_attempts : int
         All attempts.
-    n_crashes : int
-        Engines that crashed when they had started to respond, with a segment in the
-        prompt that may be the cause.
+    crashes : list of SegmentEvidence
+        Crashes of engines that had started to respond, of which this request may be the
+        cause.
     run : Run or None
         Last reported state of the run.
     """
@@ -168,6 +168,7 @@
     __slots__ = (
         "admitted",
         "copy",
+        "crashes",
         "error_response",
         "event_id_step",
         "failed_targets",
@@ -178,7 +179,6 @@
         "lost_ms_by_domain",
         "media_type",
         "n_attempts",
-        "n_crashes",
         "n_sends",
         "refusing_targets",
         "run",
@@ -204,7 +204,7 @@
         self.event_id_step = None
         self.n_sends = 0
         self.n_attempts = 0
-        self.n_crashes = 0
+        self.crashes = []
 
     @property
     def request_id(self):
--- a/packages/entry/src/almonddeal/relay/tests/test_quarantine.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_quarantine.py
@@ -198,6 +198,19 @@
         self.exchange(instances)
         assert not any(quarantine.culprits for quarantine in instances)
 
+    def test_survival_seen_elsewhere_after_the_crashes_clears_a_segment(
+        self, virtual_time
+    ):
+        instances = [make_quarantine(f"entry-{n}") for n in range(2)]
+        for number in range(3):
+            crash(instances[0], number, make_prompt(f"r{number}", "first"))
+            virtual_time.now_s += 0.1
+        self.exchange(instances)
+        assert all(quarantine.blocks(("first",)) for quarantine in instances)
+        instances[1].record_sound(("first",))
+        self.exchange(instances)
+        assert not any(quarantine.culprits for quarantine in instances)
+
     @pytest.mark.parametrize("seed", range(20))
     def test_order_and_repetition_of_records_do_not_matter(self, virtual_time, seed):
         rng = random.Random(seed)
--- a/packages/entry/src/almonddeal/relay/tests/test_repeated_requests.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_repeated_requests.py
@@ -387,6 +387,41 @@
             return error
         return writer
 
+    @pytest.mark.parametrize("kind", ["stream", "lookup"])
+    def test_request_lost_with_a_failure_domain_goes_on_elsewhere(self, kind):
+        """Guards against giving up requests that met several targets of one domain."""
+        fleet = self.fleet(n_engines=9)
+
+        async def crashes_with_its_domain(attempt):
+            target = attempt.target
+            await anyio.sleep(0.1)
+            if target.failure_domain == "fd1":
+                yield 200
+                fleet.alive.discard(target.target)
+                raise AlmonddealError(LINK_LOST, "reset")
+            async for step in streams(1, LAST)(attempt):
+                yield step
+
+        fleet.behaviour_by_target = dict.fromkeys(fleet.alive, crashes_with_its_domain)
+        # The others are busy, so that the engines of the domain are chosen first.
+        for number in range(1, 10):
+            target = fleet.target_table.get(f"i-{number}")
+            if target.announcement.failure_domain != "fd1":
+                target.start_ejection(monotonic_ms() + 900.0)
+        writer = FakeResponseWriter()
+
+        async def main():
+            if kind == "lookup":
+                route = make_route(max_attempts=5)
+                await relay_plain(admit("r1", route=route), fleet.context, writer)
+            else:
+                await relay_stream(admit_stream(), fleet.context, writer)
+
+        run_in_virtual_time(main)
+        assert writer.is_complete
+        n_lost = sum(a.target.failure_domain == "fd1" for a in fleet.attempts)
+        assert n_lost >= MAX_CRASHES
+
     def test_engines_stop_receiving_a_stream_that_crashes_them(self):
         """Guards against engines crashing one after the other by a repeated stream."""
         fleet = self.fleet()
