relay: searches evidence once a batch, and only for what is frequent

Cause: as every request that a target runs when it crashes now leaves a record, the loss of a large failure domain brings hundreds, and each one had all evidence searched anew, on every instance. Change: records of one update are merged together, and suspects of fewer crashes than a culprit needs are left out of the search. The result is the same (tests).

--- a/packages/entry/src/almonddeal/relay/culprits.py
+++ b/packages/entry/src/almonddeal/relay/culprits.py
@@ -6,6 +6,8 @@
 targets that it explains, and repeats this with the rest. This module performs no I/O.
 """
 
+from collections import Counter
+
 from almonddeal.relay.suspects import stands_for_request
 
 MIN_CRASHES = 3
@@ -33,7 +35,10 @@
     -------
     culprits : list of frozenset of str
     """
-    suspicions = _list_suspicions(crashes, is_sound)
+    frequent = _frequent_suspects(crashes)
+    if not frequent:
+        return []
+    suspicions = _list_suspicions(crashes, is_sound, frequent)
     culprits = []
     while True:
         culprit = _most_frequent(suspicions)
@@ -44,8 +49,17 @@
         suspicions = [s for s in suspicions if s[0] not in explained]
 
 
-def _list_suspicions(crashes, is_sound):
-    """Return tuples of target process, suspects that may have crashed it, and crash."""
+def _frequent_suspects(crashes):
+    """Return the suspects of enough crashes; most requests meet one in their life."""
+    n_by_suspect = Counter(s for crash in crashes for s in crash.prefix_hashes)
+    return {suspect for suspect, n in n_by_suspect.items() if n >= MIN_CRASHES}
+
+
+def _list_suspicions(crashes, is_sound, frequent):
+    """Return tuples of target process, suspects that may have crashed it, and crash.
+
+    The suspects are those of `frequent`; others can't explain enough crashes.
+    """
     suspicions_by_target = {}
     for crash in crashes:
         suspects = frozenset(s for s in crash.prefix_hashes if not is_sound(s, crash))
@@ -55,9 +69,10 @@
                 (target, suspects, crash)
             )
     return [
-        suspicion
+        (target, suspects & frequent, crash)
         for suspicions in suspicions_by_target.values()
-        for suspicion in _started_or_all(suspicions)
+        for target, suspects, crash in _started_or_all(suspicions)
+        if not suspects.isdisjoint(frequent)
     ]
 
 
--- a/packages/entry/src/almonddeal/relay/quarantine.py
+++ b/packages/entry/src/almonddeal/relay/quarantine.py
@@ -167,16 +167,19 @@
             self._survivals(suspect).record(suspect, now_ms)
         self._publish_sound(suspects)
 
-    def merge(self, record):
-        """Merge a record of this or another instance; known ones change nothing."""
-        if not self.evidence.add(record):
+    def merge(self, *records):
+        """Merge records of this or another instance; known ones change nothing."""
+        new_records = [record for record in records if self.evidence.add(record)]
+        if not new_records:
             return
-        if record.is_sound:
-            for suspect in record.prefix_hashes:
-                self._survivals(suspect).record(suspect, record.observed_ms)
+        for record in new_records:
+            if record.is_sound:
+                for suspect in record.prefix_hashes:
+                    self._survivals(suspect).record(suspect, record.observed_ms)
         self._update()
-        if not record.is_sound:
-            self._publish_sound(record.prefix_hashes)
+        for record in new_records:
+            if not record.is_sound:
+                self._publish_sound(record.prefix_hashes)
 
     def _publish_sound(self, suspects):
         """Publish that suspects are sound, for which others blame them for a crash."""
--- a/packages/entry/src/almonddeal/relay/tests/test_repeated_requests.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_repeated_requests.py
@@ -246,8 +246,7 @@
             revision = evidence.revision
             await anyio.sleep(SHARE_DELAY_S)
             for other in self._contexts:
-                for record in records:
-                    other.quarantine.merge(record)
+                other.quarantine.merge(*records)
             if evidence.revision == revision:
                 await evidence.wait()
 
--- a/packages/entry/src/almonddeal/roles/entry.py
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -114,8 +114,7 @@
         # Both are None in the messages of earlier releases.
         for report in update.limits or []:
             self._relay_context.named_limits.merge(report)
-        for record in update.evidence or []:
-            self._relay_context.quarantine.merge(record)
+        self._relay_context.quarantine.merge(*(update.evidence or []))
         if update.content and update.version > self._version():
             self._apply_configuration(
                 update.version, decompress_content(update.content)
--- a/tools/almonddeal_tools/lab/fleet.py
+++ b/tools/almonddeal_tools/lab/fleet.py
@@ -156,8 +156,7 @@
             sent_revision = evidence.revision
             await anyio.sleep(PROPAGATION_DELAY_S)
             for other in self.instances:
-                for record in records:
-                    other.quarantine.merge(record)
+                other.quarantine.merge(*records)
 
     async def _clean_periodically(self):
         while True:
