--- a/packages/entry/src/almonddeal/announced/expiring_map.py
+++ b/packages/entry/src/almonddeal/announced/expiring_map.py
@@ -11,7 +11,8 @@
     ----------
     retention_ms : float
     max_values : int, optional
-        Beyond it, the values that were set first are evicted.
+        Beyond it, values are evicted, those that were set first unless a subclass
+        chooses others.
     """
 
     def __init__(self, retention_ms, max_values=None):
@@ -26,7 +27,11 @@
         self._set_ms_by_key[key] = monotonic_ms()
         super().put(key, value)
         while self._max_values is not None and len(self) > self._max_values:
-            self.discard(next(iter(self._set_ms_by_key)))
+            self.discard(self._next_evicted())
+
+    def _next_evicted(self):
+        """Return the key to evict for lack of room: the one that was set first."""
+        return next(iter(self._set_ms_by_key))
 
     def discard(self, key):
         """Remove a key, if present, without a new revision; waiters are not woken."""
--- a/packages/entry/src/almonddeal/relay/tests/test_repeated_requests.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_repeated_requests.py
@@ -9,6 +9,7 @@
 import anyio
 import pytest
 
+from almonddeal.announced.evidence import MAX_RECORDS
 from almonddeal.relay.plain import relay_plain
 from almonddeal.relay.quarantine import MAX_CRASHES, Quarantine
 from almonddeal.relay.requests import AdmittedRequest, Generation
@@ -145,6 +146,18 @@
             self.crash(quarantine, number, admit(f"r{number}"))
         assert self.code(quarantine, admit("r9")) == REQUEST_QUARANTINED
 
+    def test_many_other_crashes_do_not_release_a_request(self, virtual_time):
+        """Guards against forgetting a request as domains with many targets are lost."""
+        quarantine = Quarantine("entry-1", monotonic_ms)
+        for number in range(3):
+            self.crash(quarantine, number, admit(f"r{number}"))
+            virtual_time.now_s += 0.1
+        for number in range(2 * MAX_RECORDS):
+            neighbour = admit(f"n{number}", b"/a/n%d" % number)
+            self.crash(quarantine, 3 + number // 40, neighbour)
+        assert len(quarantine.evidence) == MAX_RECORDS
+        assert self.code(quarantine, admit("r9")) == REQUEST_QUARANTINED
+
     def test_request_often_asked_is_not_blamed(self, virtual_time):
         quarantine = Quarantine("entry-1", monotonic_ms)
         for number in range(6):
