answers: an answer ends after three engines that are lost before its first token

Change: losses of attempts that an engine may have run are counted until the first token; after three the answer fails (ATTEMPT_LOST, outcome unknown). One that has begun goes on as before, and so does one that reached no engine.

--- a/packages/entry/src/almonddeal/answers/generate.py
+++ b/packages/entry/src/almonddeal/answers/generate.py
@@ -30,6 +30,9 @@
 RETRY_MIN_S = 0.02
 RETRY_MAX_S = 0.5
 NO_TARGET_RETRY_S = 0.1
+# Engines that may be lost under an answer before any generated a token: the answer may
+# be what crashes them.
+MAX_LOSSES_BEFORE_TOKEN = 3
 NOT_RUN_CODES = frozenset(
     code.number
     for code in (NOT_REACHED, TARGET_REFUSED, TARGET_LEAVING, LEASE_EXPIRED, STOPPING)
@@ -92,6 +95,7 @@
         retry_s = RETRY_MIN_S
         last_progress_ms = monotonic_ms()
         names_to_avoid = ()
+        n_losses = 0
         while not answer.finish_reason and answer.error is None:
             if len(answer.tokens) >= answer.spec.max_tokens:
                 self._finish(answer, "length")
@@ -115,6 +119,14 @@
                     answer.fail(self._final_error(answer, error))
                     return
                 names_to_avoid = self._record_loss(answer, target, error)
+                n_losses += error.code.number not in NOT_RUN_CODES
+                if not answer.tokens and n_losses >= MAX_LOSSES_BEFORE_TOKEN:
+                    answer.fail(
+                        AlmonddealError(
+                            ATTEMPT_LOST, "engines were lost before the first token"
+                        )
+                    )
+                    return
             if len(answer.tokens) > n_before:
                 last_progress_ms = monotonic_ms()
                 retry_s = RETRY_MIN_S
