--- a/idl/almonddeal.thrift
+++ b/idl/almonddeal.thrift
@@ -247,8 +247,10 @@
   9: string fingerprint, 10: i64 backup_born_ms, 11: bool is_cut
   12: string copy_address, 13: string copy_id
 }
-// What one attempt shows of the shared segments of its prompt: its engine crashed when it
-// started to respond (or before), or the engine survived it.
+// What one attempt shows of its request and the shared segments of its prompt: its target
+// crashed when it started to respond (or before), or the target survived it.
+// prefix_hashes has the suspects: hashes of segments, and "request:" with the fingerprint
+// of the request.
 struct SegmentEvidence {
   1: string key, 2: string instance, 3: list<string> prefix_hashes, 4: bool is_sound
   5: i64 observed_ms, 6: string request, 7: string target, 8: i64 born_ms
--- a/packages/entry/src/almonddeal/publication/evidence_file.py
+++ b/packages/entry/src/almonddeal/publication/evidence_file.py
@@ -1,4 +1,4 @@
-"""Evidence on prompt segments, on the disk of a control instance.
+"""Evidence on requests and prompt segments, on the disk of a control instance.
 
 A record is a fact that needs no agreement, so each control instance stores what it has
 received. The file matters once all processes have stopped at the same time.
--- a/packages/entry/src/almonddeal/publication/feed.py
+++ b/packages/entry/src/almonddeal/publication/feed.py
@@ -52,7 +52,7 @@
     Attributes
     ----------
     evidence : EvidenceStore
-        Evidence on prompt segments, of all instances.
+        Evidence on requests and prompt segments, of all instances.
     """
 
     def __init__(
--- a/packages/entry/src/almonddeal/publication/follower.py
+++ b/packages/entry/src/almonddeal/publication/follower.py
@@ -23,8 +23,8 @@
 class Follower:
     """Receives updates from one control instance; sends it the runs of this instance.
 
-    It also sends the limits of targets, and the evidence on prompt segments: all of it
-    at first, as the control instance may have restarted, then what this instance adds.
+    It also sends the limits of targets, and the evidence on what crashes them: at first
+    all of it, as the control instance may have restarted, then what this instance adds.
 
     Parameters
     ----------
--- a/packages/entry/src/almonddeal/relay/attempts.py
+++ b/packages/entry/src/almonddeal/relay/attempts.py
@@ -2,10 +2,10 @@
 
 import anyio
 
-from almonddeal.relay.events import EventReader
+from almonddeal.relay.forwarding import forward_events, may_continue
 from almonddeal.relay.kv_copies import free_copy, maintain_copy, select_backup
 from almonddeal.relay.requests import Attempt
-from almonddeal.relay.run_reports import record_first_event, report_run_start
+from almonddeal.relay.run_reports import report_run_start
 from almonddeal.relay.stall import (
     PROBE_INTERVAL_MS,
     PROBE_REPEAT_MS,
@@ -270,17 +270,9 @@
             raise AlmonddealError(ATTEMPT_LOST, f"status {response.status}")
         if not response.is_authentic:
             raise AlmonddealError(LINK_LOST, "not the target's answer")
-        if not _may_continue(stream, response):
+        if not may_continue(stream, response):
             raise AlmonddealError(LINK_LOST, "not the rest of the response")
-        await _forward_events(stream, context, engine, response, progress, scope)
-
-
-def _may_continue(stream, response):
-    """Tell whether a response can be the rest of the one that the caller receives."""
-    if not stream.is_started:
-        return True
-    kind = (response.status, response.media_type)
-    return kind == (stream.status, stream.media_type)
+        await forward_events(stream, context, engine, response, progress, scope)
 
 
 async def _read_error_response(stream, response):
@@ -292,96 +284,6 @@
     stream.error_response = (response, body)
 
 
-async def _forward_events(stream, context, engine, response, progress, scope):
-    reader = EventReader()
-    async for chunk in response.chunks:
-        events = reader.feed(chunk)
-        if not events:
-            continue
-        # Comments do not show that the engine still generates.
-        is_progress = not all(event.is_comment for event in events)
-        if is_progress:
-            engine.record_activity()
-            if not progress.has_event:
-                record_first_event(stream, context, engine)
-        deadline, scope.deadline = scope.deadline, float("inf")
-        with progress.sending():
-            await _send_events(stream, response, events, progress)
-        if is_progress:
-            had_survived = progress.has_survived
-            progress.record_events(len(events), monotonic_ms())
-            if progress.has_survived and not had_survived:
-                context.quarantine.record_sound(list_suspects(stream.admitted))
-        else:
-            scope.deadline = deadline
-    if reader.has_partial_event:
-        raise AlmonddealError(LINK_LOST, "the answer ended within an event")
-    scope.deadline = float("inf")
-    with progress.sending():
-        await _start_response(stream, response)
-        await stream.writer.finish()
-    stream.is_ended = True
-
-
-async def _start_response(stream, response):
-    if not stream.is_started:
-        await stream.writer.start(response.status, response.headers)
-        stream.is_started = True
-        stream.status = response.status
-        stream.media_type = response.media_type
-
-
-async def _send_events(stream, response, events, progress):
-    if not progress.has_event:
-        _check_first_event(stream, events)
-    new_events = [event for event in events if _record_event_id(stream, event)]
-    if not new_events:
-        return
-    await _start_response(stream, response)
-    await stream.writer.send(b"".join(event.raw for event in new_events))
-    if all(event.is_comment for event in new_events):
-        return
-    stream.last_sent_ms = monotonic_ms()
-
-
-def _check_first_event(stream, events):
-    """Check that the first event of a resumed stream can be placed by its id.
-
-    Raises
-    ------
-    AlmonddealError
-        `LINK_LOST` if it has none, as an error text has none.
-    """
-    if stream.last_event_id is None:
-        return
-    first = next((event for event in events if not event.is_comment), None)
-    if first is not None and first.event_id is None:
-        raise AlmonddealError(LINK_LOST, "a resumed stream begins without an id")
-
-
-def _record_event_id(stream, event):
-    """Record the id of an event; returns whether the event is yet to be sent.
-
-    Raises
-    ------
-    AlmonddealError
-        `LINK_LOST` if an id is missing in the sequence.
-    """
-    last = stream.last_event_id
-    if event.event_id is None:
-        return True
-    if last is not None and event.event_id <= last:
-        return False
-    if last is not None and stream.event_id_step is not None:
-        if event.event_id != last + stream.event_id_step:
-            detail = f"event {event.event_id} follows {last}"
-            raise AlmonddealError(LINK_LOST, detail)
-    elif last is not None:
-        stream.event_id_step = event.event_id - last
-    stream.last_event_id = event.event_id
-    return True
-
-
 def _fell_silent(context, engine, progress):
     """Tell whether an engine, and not the network here, failed as it responded."""
     if not progress.has_response or engine.ejected_until_ms <= monotonic_ms():
--- /dev/null
+++ b/packages/entry/src/almonddeal/relay/forwarding.py
@@ -0,0 +1,122 @@
+"""Forwarding of the events of an engine's response to the caller of a stream."""
+
+from almonddeal.relay.events import EventReader
+from almonddeal.relay.run_reports import record_first_event
+from almonddeal.relay.suspects import list_suspects
+from almonddeal_common.clock import monotonic_ms
+from almonddeal_common.codes import LINK_LOST, AlmonddealError
+
+
+def may_continue(stream, response):
+    """Tell whether a response can be the rest of the one that the caller receives."""
+    if not stream.is_started:
+        return True
+    kind = (response.status, response.media_type)
+    return kind == (stream.status, stream.media_type)
+
+
+async def forward_events(stream, context, engine, response, progress, scope):
+    """Send the events of a response on to the caller, until it is complete.
+
+    Parameters
+    ----------
+    stream : Stream
+    context : RelayContext
+    engine : TrackedTarget
+    response : TargetResponse
+    progress : AttemptProgress
+    scope : anyio.CancelScope
+        Its deadline, for the first event, is lifted once the engine makes progress.
+
+    Raises
+    ------
+    AlmonddealError
+        `LINK_LOST` if the response ends or goes on otherwise than a stream may.
+    """
+    reader = EventReader()
+    async for chunk in response.chunks:
+        events = reader.feed(chunk)
+        if not events:
+            continue
+        # Comments do not show that the engine still generates.
+        is_progress = not all(event.is_comment for event in events)
+        if is_progress:
+            engine.record_activity()
+            if not progress.has_event:
+                record_first_event(stream, context, engine)
+        deadline, scope.deadline = scope.deadline, float("inf")
+        with progress.sending():
+            await _send_events(stream, response, events, progress)
+        if is_progress:
+            had_survived = progress.has_survived
+            progress.record_events(len(events), monotonic_ms())
+            if progress.has_survived and not had_survived:
+                context.quarantine.record_sound(list_suspects(stream.admitted))
+        else:
+            scope.deadline = deadline
+    if reader.has_partial_event:
+        raise AlmonddealError(LINK_LOST, "the answer ended within an event")
+    scope.deadline = float("inf")
+    with progress.sending():
+        await _start_response(stream, response)
+        await stream.writer.finish()
+    stream.is_ended = True
+
+
+async def _start_response(stream, response):
+    if not stream.is_started:
+        await stream.writer.start(response.status, response.headers)
+        stream.is_started = True
+        stream.status = response.status
+        stream.media_type = response.media_type
+
+
+async def _send_events(stream, response, events, progress):
+    if not progress.has_event:
+        _check_first_event(stream, events)
+    new_events = [event for event in events if _record_event_id(stream, event)]
+    if not new_events:
+        return
+    await _start_response(stream, response)
+    await stream.writer.send(b"".join(event.raw for event in new_events))
+    if all(event.is_comment for event in new_events):
+        return
+    stream.last_sent_ms = monotonic_ms()
+
+
+def _check_first_event(stream, events):
+    """Check that the first event of a resumed stream can be placed by its id.
+
+    Raises
+    ------
+    AlmonddealError
+        `LINK_LOST` if it has none, as an error text has none.
+    """
+    if stream.last_event_id is None:
+        return
+    first = next((event for event in events if not event.is_comment), None)
+    if first is not None and first.event_id is None:
+        raise AlmonddealError(LINK_LOST, "a resumed stream begins without an id")
+
+
+def _record_event_id(stream, event):
+    """Record the id of an event; returns whether the event is yet to be sent.
+
+    Raises
+    ------
+    AlmonddealError
+        `LINK_LOST` if an id is missing in the sequence.
+    """
+    last = stream.last_event_id
+    if event.event_id is None:
+        return True
+    if last is not None and event.event_id <= last:
+        return False
+    if last is not None and stream.event_id_step is not None:
+        if event.event_id != last + stream.event_id_step:
+            detail = f"event {event.event_id} follows {last}"
+            raise AlmonddealError(LINK_LOST, detail)
+    elif last is not None:
+        stream.event_id_step = event.event_id - last
+    stream.last_event_id = event.event_id
+    return True
--- a/packages/entry/src/almonddeal/relay/metrics.py
+++ b/packages/entry/src/almonddeal/relay/metrics.py
@@ -25,11 +25,11 @@
 
         self._n_quarantined = Gauge(
             "almonddeal_relay_quarantined_segments",
-            "Prompt segments, or sets of them, that no engine receives.",
+            "Requests, prompt segments, or sets of these, that no target receives.",
         )
 
     def set_n_quarantined(self, n_quarantined):
-        """Set the number of prompt segments in quarantine."""
+        """Set the number of requests and prompt segments in quarantine."""
         self._n_quarantined.set({}, n_quarantined)
 
     def record_resume(self, pause_ms):
--- a/tools/almonddeal_tools/scheduling.py
+++ b/tools/almonddeal_tools/scheduling.py
@@ -8,7 +8,12 @@
 from xdist.scheduler import LoadScopeScheduling
 
 MODULES_WITH_A_FLEET_BY_CLASS = ("test_recovery.py", "test_serving.py")
-MODULES_WITH_A_PORT = ("test_connections.py", "test_follower.py", "test_http.py")
+MODULES_WITH_A_PORT = (
+    "test_connections.py",
+    "test_faulty_targets.py",
+    "test_follower.py",
+    "test_http.py",
+)
 
 
 def scope_of(nodeid):
