relay: a request is counted at each target that it crashed

What callers would see: all targets of a service crash again, once they are back, under a request that had crashed all of them. Cause: crashes within 50 ms counted once, as for a common cause outside the targets; a lookup that comes often is on its way to several targets at once. And of two requests at the same crashes the one with the lesser digest was taken. Change: for a request, crashes count once only within a failure domain of which other targets were lost as well; the request that came more often is blamed, and both if nothing tells them apart; the bound of one request counts crashes that follow each other.

--- a/packages/entry/src/almonddeal/relay/plain.py
+++ b/packages/entry/src/almonddeal/relay/plain.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from almonddeal.relay.culprits import count_independent
+from almonddeal.relay.culprits import count_successive
 from almonddeal.relay.quarantine import MAX_CRASHES
 from almonddeal.relay.requests import Attempt
 from almonddeal.relay.suspects import list_suspects
@@ -108,7 +108,7 @@
             break
         if n_sends >= admitted.route.max_attempts or n_unreached > MAX_UNREACHED:
             break
-        if count_independent(crashes) >= MAX_CRASHES:
+        if count_successive(crashes) >= MAX_CRASHES:
             decide(
                 log,
                 "no further target for a request under which targets crashed",
--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -9,7 +9,7 @@
 
 from almonddeal.relay.admission_queue import wait_for_engine
 from almonddeal.relay.attempts import run_attempt
-from almonddeal.relay.culprits import count_independent
+from almonddeal.relay.culprits import count_successive
 from almonddeal.relay.plain import no_target_error
 from almonddeal.relay.prefix_cache import find_cached_prefix
 from almonddeal.relay.quarantine import MAX_CRASHES
@@ -169,7 +169,7 @@
         return False
     if error.code == NOT_REACHED:
         return True
-    if count_independent(stream.crashes) >= MAX_CRASHES:
+    if count_successive(stream.crashes) >= MAX_CRASHES:
         decide(
             log,
             "no further engine for a request under which engines crashed",
--- a/packages/entry/src/almonddeal/relay/tests/test_repeated_requests.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_repeated_requests.py
@@ -13,7 +13,12 @@
 from almonddeal.relay.requests import Generation
 from almonddeal.relay.streams import relay_stream
 from almonddeal.relay.suspects import list_suspects
-from almonddeal.relay.tests.crashing_service import DEADLY_PATH, DeadlyDay, admit
+from almonddeal.relay.tests.crashing_service import (
+    DEADLY_INTERVAL_S,
+    DEADLY_PATH,
+    DeadlyDay,
+    admit,
+)
 from almonddeal.relay.tests.fakes import (
     FakeFleet,
     FakeResponseWriter,
@@ -104,13 +109,51 @@
         assert self.code(quarantine, admit("r9", DEADLY_PATH)) == REQUEST_QUARANTINED
         assert self.code(quarantine, admit("n9", b"/a/neighbour")) is None
 
-    def test_domain_that_crashes_as_a_whole_counts_once(self, virtual_time):
+    def test_requests_that_nothing_tells_apart_are_both_rejected(self, virtual_time):
+        quarantine = Quarantine("entry-1", monotonic_ms)
+        for number in range(3):
+            self.crash(quarantine, number, admit(f"r{number}", DEADLY_PATH))
+            self.crash(quarantine, number, admit(f"n{number}", b"/a/neighbour"))
+            virtual_time.now_s += 0.1
+        for path in (DEADLY_PATH, b"/a/neighbour"):
+            assert self.code(quarantine, admit("r9", path)) == REQUEST_QUARANTINED
+        self.crash(quarantine, 4, admit("r4", DEADLY_PATH))
+        assert self.code(quarantine, admit("r9", DEADLY_PATH)) == REQUEST_QUARANTINED
+        assert self.code(quarantine, admit("r9", b"/a/neighbour")) is None
+
+    def test_request_that_came_more_often_is_blamed(self, virtual_time):
+        quarantine = Quarantine("entry-1", monotonic_ms)
+        for number in range(3):
+            self.crash(quarantine, number, admit(f"r{number}", DEADLY_PATH))
+            self.crash(quarantine, number, admit("n", b"/a/neighbour"))
+            virtual_time.now_s += 0.1
+        assert self.code(quarantine, admit("r9", DEADLY_PATH)) == REQUEST_QUARANTINED
+        assert self.code(quarantine, admit("n9", b"/a/neighbour")) is None
+
+    def test_domain_that_is_lost_as_a_whole_counts_once(self, virtual_time):
         quarantine = Quarantine("entry-1", monotonic_ms)
         for number in range(4):
             self.crash(quarantine, number, admit(f"r{number}"), "fd1")
+            neighbour = admit(f"n{number}", b"/a/n%d" % number)
+            self.crash(quarantine, 10 + number, neighbour, "fd1")
             virtual_time.now_s += 0.2
         assert self.code(quarantine, admit("r9")) is None
 
+    def test_crashes_of_a_request_alone_count_in_one_domain_too(self, virtual_time):
+        """Guards against services whose targets are all in one failure domain."""
+        quarantine = Quarantine("entry-1", monotonic_ms)
+        for number in range(3):
+            self.crash(quarantine, number, admit(f"r{number}"), "fd1")
+            virtual_time.now_s += 0.1
+        assert self.code(quarantine, admit("r9")) == REQUEST_QUARANTINED
+
+    def test_crashes_at_the_same_moment_count_if_the_request_is_at_each(self):
+        """Guards against a request that is sent to several targets at once."""
+        quarantine = Quarantine("entry-1", monotonic_ms)
+        for number in range(3):
+            self.crash(quarantine, number, admit(f"r{number}"))
+        assert self.code(quarantine, admit("r9")) == REQUEST_QUARANTINED
+
     def test_request_that_starts_to_crash_targets_is_found_within_seconds(
         self, virtual_time
     ):
@@ -174,14 +217,25 @@
         assert len(fleet.attempts) == 1
 
 
+# Kind, seed and mean interval in s. The last ones had several targets crash at the same
+# moment, as the request was on its way to each of them.
+DAYS = [
+    *(
+        (kind, seed, DEADLY_INTERVAL_S)
+        for kind in (LOOKUP, ORDER)
+        for seed in (1, 2, 3)
+    ),
+    (LOOKUP, 120, 0.2),
+    (LOOKUP, 145, DEADLY_INTERVAL_S),
+]
+
+
 @pytest.fixture(
-    scope="module",
-    params=[(kind, seed) for kind in (LOOKUP, ORDER) for seed in (1, 2, 3)],
-    ids=lambda param: f"{param[0]}-{param[1]}",
+    scope="module", params=DAYS, ids=lambda param: "-".join(map(str, param))
 )
 def day(request):
-    kind, seed = request.param
-    return run_in_virtual_time(DeadlyDay(seed, kind).play)
+    kind, seed, interval_s = request.param
+    return run_in_virtual_time(DeadlyDay(seed, kind, interval_s).play)
 
 
 class TestRepeatedRequest:
@@ -263,6 +317,11 @@
         writer = FakeResponseWriter()
 
         async def main():
+            # Others lose the rest of the domain at the same time.
+            for number in (20, 21):
+                neighbour = admit(f"n{number}", b"/a/n%d" % number)
+                announcement = make_announcement(f"i-{number}", "fd1")
+                fleet.context.quarantine.record_crash(neighbour, announcement, False)
             if kind == "lookup":
                 route = make_route(max_attempts=5)
                 await relay_plain(admit("r1", route=route), fleet.context, writer)
