--- a/packages/entry/src/almonddeal/relay/quarantine.py
+++ b/packages/entry/src/almonddeal/relay/quarantine.py
@@ -115,7 +115,7 @@
     def unproven(self, suspects):
         """Return the suspects that no target is known to have survived recently."""
         now_ms = self._clock_ms()
-        return [s for s in suspects if not self._survivals(s).clear(s, now_ms)]
+        return [s for s in suspects if not self._survivals(s).covers(s, now_ms)]
 
     def record_crash(self, admitted, announcement, has_response):
         """Record that a target crashed before it was known to survive a request.
@@ -188,7 +188,7 @@
             if blamed_ms is None:
                 continue
             survivals = self._survivals(suspect)
-            if not survivals.clear(suspect, blamed_ms):
+            if not survivals.covers(suspect, blamed_ms):
                 continue
             if self._shared_sound_ms(suspect) >= blamed_ms - survivals.window_ms:
                 continue
@@ -220,7 +220,7 @@
             self._update()
 
     def _is_sound(self, suspect, crash):
-        return self._survivals(suspect).clear(suspect, crash.observed_ms)
+        return self._survivals(suspect).covers(suspect, crash.observed_ms)
 
     def _update(self):
         """Derive the state from the evidence."""
--- a/packages/entry/src/almonddeal/relay/survivals.py
+++ b/packages/entry/src/almonddeal/relay/survivals.py
@@ -32,6 +32,6 @@
         """Return when a target last survived a suspect; 0 if that is not known."""
         return self._survived_ms_by_suspect.get(suspect, 0.0)
 
-    def clear(self, suspect, crash_ms):
-        """Tell whether a suspect is not to be blamed for a crash at a time."""
+    def covers(self, suspect, crash_ms):
+        """Tell whether a suspect was survived too recently to be blamed for a crash."""
         return self.last_ms(suspect) >= crash_ms - self.window_ms
