--- a/packages/common/src/almonddeal_common/wire/codec.py
+++ b/packages/common/src/almonddeal_common/wire/codec.py
@@ -9,6 +9,7 @@
 from almonddeal_common.wire.gen import ttypes as messages
 
 MAX_FRAME_BYTES = 64 * 1024 * 1024
+MAX_I64 = 2**63 - 1
 # body length, phase of the call (see `Phase`), message kind, call id
 FRAME_HEADER = struct.Struct(">IBHQ")
 
