wire: leave out records that cannot be encoded

Operators saw: one record in the registry that no message can carry ended every subscription, again and again, so that no entry instance received later configurations or targets.

Cause: the feed sends all changes in one message, and the link raised whatever the encoding raised, in the task that also sends all later messages: the handler of a subscription, the task of an entry instance that sends its runs, the task of a peer that sends the state to a restarted control instance. The latter two are tasks of the process, which ends with them.

Ruled out: a reply that cannot be encoded failed its own call only.

Change: messages whose lists hold independent records (targets, runs, evidence, limits) are encoded without the bad ones when they are sent one way, with one line in the log. Calls are encoded as a whole or fail, since their reply counts as an acknowledgement, and entries of a log are never left out. A notice that cannot be encoded is logged and not sent. All of these are errors with a result code now.

Conclusion: a bad record is lost alone, whatever the way by which it came in.

--- a/packages/common/src/almonddeal_common/wire/codec.py
+++ b/packages/common/src/almonddeal_common/wire/codec.py
@@ -1,11 +1,14 @@
 """Framing of messages: a fixed header, then a Thrift body."""
 
 import struct
+from copy import copy
 
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAcceleratedFactory
+from thrift.Thrift import TType
 from thrift.TSerialization import deserialize, serialize
 
-from almonddeal_common.codes import PROTOCOL_MISMATCH, AlmonddealError
+from almonddeal_common.codes import INTERNAL, PROTOCOL_MISMATCH, AlmonddealError
+from almonddeal_common.logs import get_logger
 from almonddeal_common.wire.gen import ttypes as messages
 
 MAX_FRAME_BYTES = 64 * 1024 * 1024
@@ -13,6 +16,10 @@
 # body length, phase of the call (see `Phase`), message kind, call id
 FRAME_HEADER = struct.Struct(">IBHQ")
 
+MAX_LOGGED_CHARACTERS = 300  # of a record that is left out
+
+log = get_logger("wire")
+
 _PROTOCOL_FACTORY = TBinaryProtocolAcceleratedFactory()
 
 # Part of the wire protocol: add new numbers, never reuse or change one.
@@ -57,6 +64,11 @@
     63: messages.FollowUpdate,
 }
 KIND_BY_TYPE = {type_: kind for kind, type_ in TYPE_BY_KIND.items()}
+# Their lists hold records that do not depend on each other.
+RECORD_TYPES = frozenset(
+    (messages.ShareTargets, messages.ShareRuns, messages.FollowUpdate)
+)
+ONE_WAY_PHASES = frozenset((messages.Phase.NOTICE, messages.Phase.ITEM))
 
 
 def encode(message):
@@ -70,12 +82,59 @@
 
 
 def encode_frame(phase, call_id, message):
-    """Return the bytes of a frame: header and serialized message."""
-    body = serialize(message, _PROTOCOL_FACTORY)
+    """Return the bytes of a frame: header and serialized message.
+
+    Records that cannot be encoded are left out of notices and items. A call is encoded
+    as a whole, since its reply stands for all of its records.
+
+    Raises
+    ------
+    AlmonddealError
+        `INTERNAL` if the message cannot be encoded.
+    """
     kind = KIND_BY_TYPE[type(message)]
+    try:
+        body = encode(message)
+    except Exception as error:
+        if phase not in ONE_WAY_PHASES or type(message) not in RECORD_TYPES:
+            raise _encoding_error(message, error) from error
+        body = _encode_without_bad_records(message)
     return FRAME_HEADER.pack(len(body), phase, kind, call_id) + body
 
 
+def _encode_without_bad_records(message):
+    filtered = copy(message)
+    bad_records = []
+    for _, field_type, name, element, _ in filter(None, type(message).thrift_spec):
+        if field_type == TType.LIST and element[0] == TType.STRUCT:
+            records = getattr(message, name) or []
+            bad_records += [r for r in records if not _is_encodable(r)]
+            setattr(filtered, name, [r for r in records if _is_encodable(r)])
+    try:
+        body = encode(filtered)
+    except Exception as error:
+        raise _encoding_error(message, error) from error
+    log.error(
+        "left out %d records that cannot be encoded, the first is %s",
+        len(bad_records),
+        repr(bad_records[0])[:MAX_LOGGED_CHARACTERS],
+    )
+    return body
+
+
+def _is_encodable(record):
+    try:
+        encode(record)
+    except Exception:
+        return False
+    return True
+
+
+def _encoding_error(message, error):
+    name = type(message).__name__
+    return AlmonddealError(INTERNAL, f"{name} cannot be encoded: {error!r}")
+
+
 class Frame:
     """A received frame, with the body not yet deserialized."""
 
--- a/packages/common/src/almonddeal_common/wire/link.py
+++ b/packages/common/src/almonddeal_common/wire/link.py
@@ -336,9 +336,8 @@
         if not self.is_open:
             raise AlmonddealError(LINK_LOST, "link is not open")
         self._next_id += 1
-        call = _OutgoingCall()
-        self._call_by_id[self._next_id] = call
         self._send(Phase.CALL, self._next_id, message)
+        call = self._call_by_id[self._next_id] = _OutgoingCall()
         return self._next_id, call
 
     def discard_call(self, call_id, cancel):
@@ -388,9 +387,17 @@
         return IncomingStream(self, call_id, call)
 
     def notify(self, message):
-        """Send a message that has no reply; does nothing unless the link is open."""
-        if self.is_open:
+        """Send a message that has no reply; does nothing unless the link is open.
+
+        A message that cannot be encoded is logged and left out: the sender may be a
+        task that also sends all later messages.
+        """
+        if not self.is_open:
+            return
+        try:
             self._send(Phase.NOTICE, 0, message)
+        except AlmonddealError as error:
+            log.error("notice is not sent: %s", error)
 
     def close(self, reason="closed by this process"):
         """Close the link; its calls fail with the reason."""
--- a/packages/entry/src/almonddeal/publication/tests/test_feed.py
+++ b/packages/entry/src/almonddeal/publication/tests/test_feed.py
@@ -7,12 +7,17 @@
 from almonddeal.announced.registry import TargetRegistry
 from almonddeal.control.members import Members
 from almonddeal.publication.feed import Feed
-from almonddeal.publication.state import Publication
+from almonddeal.publication.state import Publication, compress_content
 from almonddeal_common.codes import LINK_LOST, AlmonddealError
+from almonddeal_common.wire.codec import FrameReader, encode_frame
 from almonddeal_common.wire.gen.ttypes import (
     AnnouncedTarget,
+    Command,
     Follow,
     LimitReport,
+    Phase,
+    PublishConfiguration,
+    Run,
     SegmentEvidence,
     ShareRuns,
 )
@@ -174,3 +179,81 @@
         anyio.run(feed.handle_share_runs, None, message, None)
         (update,) = first_updates(feed, "entry-1")
         assert not update.evidence
+
+
+def resend(phase, message):
+    """Return a message as its receiver decodes it."""
+    (frame,) = FrameReader().feed(encode_frame(phase, 1, message))
+    return frame.message()
+
+
+class EncodingPeer(Peer):
+    """Control instance that receives messages as they are encoded."""
+
+    async def call(self, message, timeout_ms):
+        await super().call(resend(Phase.CALL, message), timeout_ms)
+
+    def notify(self, message):
+        super().notify(resend(Phase.NOTICE, message))
+
+
+class TestBadRecords:
+    """Pattern: a control instance has a record that no message can carry."""
+
+    @pytest.fixture
+    def peers(self):
+        return {"c2": EncodingPeer("c2"), "c3": EncodingPeer("c3")}
+
+    def target(self, name, born_ms=1000, sequence=1):
+        return AnnouncedTarget(
+            name, "s", f"{name}:80", "fd1", "v1", 8, READY, born_ms, sequence, 0, 0
+        )
+
+    def accept(self, feed, announcement):
+        return anyio.run(feed.accept_announcement, announcement, "x")
+
+    def test_announcement_is_not_acknowledged_and_others_are(self, feed, peers):
+        assert not self.accept(feed, self.target("bad", 2**63))
+        assert self.accept(feed, self.target("i-1"))
+        assert [t.target for t in peers["c2"].received] == ["i-1"]
+
+    def test_subscriber_receives_the_others_and_later_configurations(self, feed):
+        """Guards against one record that ends all subscriptions."""
+        feed._registry.merge(self.target("bad", 2**63), "x")
+        feed._registry.merge(self.target("i-1"), "x")
+        received = []
+
+        async def main():
+            with anyio.move_on_after(0.2):
+                async with anyio.create_task_group() as group:
+                    group.start_soon(
+                        feed.handle_follow,
+                        None,
+                        Follow(0, "entry-1"),
+                        lambda update: received.append(resend(Phase.ITEM, update)),
+                    )
+                    await anyio.sleep(0.05)
+                    feed._publication.apply(1, make_publish_command(7))
+                    feed._registry.merge(self.target("i-2"), "x")
+
+        anyio.run(main)
+        assert [t.target for update in received for t in update.targets] == [
+            "i-1",
+            "i-2",
+        ]
+        assert received[-1].version == 7
+
+    def test_restarted_control_instance_receives_the_others(self, feed, peers):
+        feed._registry.merge(self.target("bad", 2**63), "x")
+        feed._registry.merge(self.target("i-1"), "x")
+        feed._runs.put("bad", Run(request="bad", n_tokens=2**31))
+        feed._runs.put("r1", Run(request="r1", n_tokens=5))
+        feed.send_state(peers["c3"])
+        targets, runs = peers["c3"].received
+        assert [t.target for t in targets.targets] == ["i-1"]
+        assert [run.request for run in runs.runs] == ["r1"]
+
+
+def make_publish_command(version):
+    content = compress_content(b"{}")
+    return Command(publish=PublishConfiguration(version, content, "x", 0))
