http: close an idle connection only if no request has arrived

Callers saw: a request that was sent on a kept connection, just as the server closed it for its idle limit or for a stop, ended with neither an answer nor a refusal although a target had run it.

Cause: the idle task closes the connection in a shielded task of its own, some steps of the event loop after its timer or the stop. A request that is read in these steps stops the idle task, but not the shielded one: the request is handed to the application and its connection is closed.

Ruled out: an application that raises.

Evidence: test_closing.py sends a request at each of 12 steps of the event loop around the stop and the idle limit.

Change: the reader counts received bytes that are not read yet. The idle task first lets the event loop take what the sockets hold, leaves received bytes to be read, and closes the connection in the same step in which nothing is left.

Conclusion: a request that crosses the close is either answered or never reaches the application.

--- a/packages/common/src/almonddeal_common/connections.py
+++ b/packages/common/src/almonddeal_common/connections.py
@@ -33,13 +33,18 @@
     head_timeout = None
 
 
-class _HeadLimitedReader:
-    """Reads one connection; `read` raises `TimeoutError` when a head takes too long."""
+class _HeadLimitedReader(asyncio.StreamReader):
+    """Reads one connection; `read` raises `TimeoutError` when a head takes too long.
 
-    __slots__ = ("_config", "_deadline_s", "_is_reading_head", "_reader")
+    Attributes
+    ----------
+    n_unread : int
+        Number of bytes that have been received and not been read.
+    """
 
-    def __init__(self, reader, config):
-        self._reader = reader
+    def __init__(self, config, loop):
+        super().__init__(loop=loop)
+        self.n_unread = 0
         self._config = config
         self._is_reading_head = True
         self._deadline_s = None
@@ -49,18 +54,20 @@
         self._is_reading_head = is_awaiting_head
         self._deadline_s = None
 
-    def at_eof(self):
-        return self._reader.at_eof()
+    def feed_data(self, data):
+        self.n_unread += len(data)
+        super().feed_data(data)
 
     async def read(self, max_bytes):
         try:
             async with asyncio.timeout_at(self._deadline_s):
-                data = await self._reader.read(max_bytes)
+                data = await super().read(max_bytes)
         except TimeoutError:
             log.info(
                 "closing connection: request head not received within the time limit"
             )
             raise
+        self.n_unread -= len(data)
         limit_s = self._config.head_timeout
         if self._is_reading_head and self._deadline_s is None and limit_s is not None:
             self._deadline_s = asyncio.get_running_loop().time() + limit_s
@@ -80,6 +87,23 @@
         # Otherwise a connection closed by its client stays open until the idle timeout.
         await self.idle_task.stop()
 
+    async def _idle_timeout(self):
+        with anyio.move_on_after(self.config.keep_alive_timeout):
+            await self.context.terminated.wait()
+        await _receive_pending()
+        # A request that has been received stops this task once it is read. Nothing
+        # may be awaited between the check and the close.
+        while self.reader.n_unread:
+            await asyncio.sleep(0)
+        self.writer.close()
+
+
+async def _receive_pending():
+    """Let the event loop take what the sockets hold: connections and data."""
+    # The first step polls the sockets, the second one follows their callbacks.
+    for _ in range(2):
+        await asyncio.sleep(0)
+
 
 async def serve_connections(app, config, stop):
     """Serve an ASGI application until `stop` is set, then close all connections.
@@ -102,23 +126,26 @@
 
     async def accept(reader, writer):
         task = asyncio.current_task()
-        limited_reader = _HeadLimitedReader(reader, config)
         try:
             with anyio.CancelScope() as scope_by_task[task]:
                 await _Connection(
-                    wrapped_app, loop, config, context, {}, limited_reader, writer
+                    wrapped_app, loop, config, context, {}, reader, writer
                 )
         finally:
             del scope_by_task[task]
 
+    def make_protocol():
+        reader = _HeadLimitedReader(config, loop)
+        return asyncio.StreamReaderProtocol(reader, accept, loop=loop)
+
     sockets = config.create_sockets()
     servers = [
-        await asyncio.start_server(accept, backlog=config.backlog, sock=socket)
+        await loop.create_server(make_protocol, backlog=config.backlog, sock=socket)
         for socket in sockets.insecure_sockets
     ]
     servers += [
-        await asyncio.start_server(
-            accept,
+        await loop.create_server(
+            make_protocol,
             backlog=config.backlog,
             sock=socket,
             ssl=config.create_ssl_context(),
--- /dev/null
+++ b/packages/common/src/almonddeal_common/tests/test_closing.py
@@ -0,0 +1,213 @@
+"""Tests of requests that arrive as the server closes connections, over real sockets.
+
+The client writes to a blocking socket from the event loop's own thread, so that a
+request is in the server's socket buffer at a chosen step of the loop.
+"""
+
+import asyncio
+import socket
+import time
+from contextlib import asynccontextmanager, suppress
+from functools import partial
+
+import anyio
+import pytest
+
+from almonddeal_common.address import Address
+from almonddeal_common.http import make_config, serve_http
+
+ADDRESS = Address("127.0.0.1", 11_733)
+REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+IDLE_TIMEOUT_S = 0.1
+APP_S = 0.05
+N_STEPS = 12  # of the event loop, more than the closing of a connection takes
+
+
+class RecordingApp:
+    """ASGI application that takes `APP_S` and counts its requests and responses."""
+
+    def __init__(self):
+        self.n_requests = 0
+        self.n_responses = 0
+
+    async def __call__(self, scope, receive, send):
+        self.n_requests += 1
+        await anyio.sleep(APP_S)
+        headers = [(b"content-length", b"2")]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        await send({"type": "http.response.body", "body": b"ok"})
+        self.n_responses += 1
+
+
+class Client:
+    """A blocking connection that is read without blocking the event loop."""
+
+    def __init__(self):
+        self._socket = socket.create_connection((ADDRESS.host, ADDRESS.port))
+
+    def send(self, data):
+        with suppress(ConnectionError):
+            self._socket.sendall(data)
+
+    async def read(self, n_responses=1):
+        """Return what was received up to a number of responses or the end."""
+        self._socket.setblocking(False)
+        received = b""
+        try:
+            while received.count(b"\r\n\r\nok") < n_responses:
+                data = await asyncio.get_running_loop().sock_recv(self._socket, 4096)
+                if not data:
+                    break
+                received += data
+        except ConnectionError:
+            pass
+        finally:
+            self._socket.setblocking(True)
+        return received
+
+    def close(self):
+        self._socket.close()
+
+
+@asynccontextmanager
+async def serve(app, stop, **settings):
+    """Serve an application; yields once it accepts connections."""
+    config = make_config(ADDRESS)
+    config.graceful_timeout = 5.0
+    for name, value in settings.items():
+        setattr(config, name, value)
+    with anyio.fail_after(20):
+        async with anyio.create_task_group() as group:
+            group.start_soon(partial(serve_http, config=config), app, ADDRESS, stop)
+            await wait_until_listening()
+            try:
+                yield config
+            finally:
+                stop.set()
+
+
+async def wait_until_listening():
+    while True:
+        try:
+            return await (await anyio.connect_tcp(ADDRESS.host, ADDRESS.port)).aclose()
+        except OSError:
+            await anyio.sleep(0.02)
+
+
+async def run_steps(n_steps):
+    """Let the event loop run some steps."""
+    for _ in range(n_steps):
+        await asyncio.sleep(0)
+
+
+class TestIdleClose:
+    # Guards against a request that is read, and passed on, as its idle connection is
+    # closed by the server, so that its answer has nowhere to go.
+    @pytest.mark.parametrize("n_steps", range(N_STEPS))
+    def test_request_that_crosses_the_stop_is_answered_or_not_run(self, n_steps):
+        async def main():
+            app, stop = RecordingApp(), anyio.Event()
+            async with serve(app, stop):
+                client = Client()
+                client.send(REQUEST)
+                await client.read()
+                await anyio.sleep(0.02)
+                stop.set()
+                await run_steps(n_steps)
+                client.send(REQUEST)
+                received = await client.read()
+            client.close()
+            assert received.endswith(b"ok") == (app.n_requests == 2)
+
+        anyio.run(main)
+
+    def test_request_sent_before_the_stop_is_answered(self):
+        async def main():
+            app, stop = RecordingApp(), anyio.Event()
+            async with serve(app, stop):
+                client = Client()
+                client.send(REQUEST)
+                await client.read()
+                await anyio.sleep(0.02)
+                client.send(REQUEST)
+                stop.set()
+                received = await client.read()
+            client.close()
+            assert received.endswith(b"ok")
+
+        anyio.run(main)
+
+    # Guards against the same close after the idle limit.
+    @pytest.mark.parametrize("n_steps", range(N_STEPS))
+    def test_request_that_crosses_the_idle_limit_is_answered_or_not_run(self, n_steps):
+        async def main():
+            app, stop = RecordingApp(), anyio.Event()
+            async with serve(app, stop, keep_alive_timeout=IDLE_TIMEOUT_S):
+                client = Client()
+                client.send(REQUEST)
+                await client.read()
+                await anyio.sleep(0.02)
+                time.sleep(IDLE_TIMEOUT_S)
+                await run_steps(n_steps)
+                client.send(REQUEST)
+                received = await client.read()
+                client.close()
+                await anyio.sleep(2 * APP_S)
+            assert received.endswith(b"ok") == (app.n_requests == 2)
+
+        anyio.run(main)
+
+    def test_request_sent_before_the_idle_limit_is_answered(self):
+        async def main():
+            app, stop = RecordingApp(), anyio.Event()
+            async with serve(app, stop, keep_alive_timeout=IDLE_TIMEOUT_S):
+                client = Client()
+                client.send(REQUEST)
+                await client.read()
+                await anyio.sleep(0.02)
+                client.send(REQUEST)
+                time.sleep(IDLE_TIMEOUT_S)
+                received = await client.read()
+                client.close()
+            assert received.endswith(b"ok")
+
+        anyio.run(main)
+
+
+class TestFailingApp:
+    @pytest.mark.parametrize(
+        "error", [ValueError("x"), ExceptionGroup("x", [KeyError()])]
+    )
+    def test_failure_before_the_head_is_answered(self, error):
+        async def fail(scope, receive, send):
+            raise error
+
+        async def main():
+            stop = anyio.Event()
+            async with serve(fail, stop):
+                client = Client()
+                client.send(REQUEST)
+                received = await client.read()
+                client.close()
+            assert received.startswith(b"HTTP/1.1 500")
+
+        anyio.run(main)
+
+    def test_failure_after_the_head_truncates_the_body(self):
+        async def fail(scope, receive, send):
+            start = {"type": "http.response.start", "status": 200, "headers": []}
+            await send(start)
+            await send({"type": "http.response.body", "body": b"a", "more_body": True})
+            raise ValueError("x")
+
+        async def main():
+            stop = anyio.Event()
+            async with serve(fail, stop):
+                client = Client()
+                client.send(REQUEST)
+                received = await client.read()
+                client.close()
+            assert received.startswith(b"HTTP/1.1 200")
+            assert not received.endswith(b"0\r\n\r\n")
+
+        anyio.run(main)
