http: apply a raised idle limit to connections that are idle

Callers saw: after a configuration that raised the idle limit, a request on a kept connection that was younger than four fifths of the new limit met a connection that the server had closed by the old limit.

Cause: the limit is read once, as the connection becomes idle.

Ruled out: a lowered limit. It leaves idle connections open up to the old limit, longer than callers reuse them.

Evidence: the new test raises the limit from 0.1 s to 1 s for an idle connection and sends a request after 0.3 s.

Change: the limit is read again as it ends.

Conclusion: the longer of the limits holds for a connection that is idle while the limit changes.

--- a/packages/common/src/almonddeal_common/connections.py
+++ b/packages/common/src/almonddeal_common/connections.py
@@ -88,8 +88,11 @@
         await self.idle_task.stop()
 
     async def _idle_timeout(self):
-        with anyio.move_on_after(self.config.keep_alive_timeout):
-            await self.context.terminated.wait()
+        idle_since_s = self.loop.time()
+        # The limit may be raised while the connection is idle.
+        while (left_s := self._idle_left_s(idle_since_s)) > 0:
+            with anyio.move_on_after(left_s):
+                await self.context.terminated.wait()
         await _receive_pending()
         # A request that has been received stops this task once it is read. Nothing
         # may be awaited between the check and the close.
@@ -97,6 +100,11 @@
             await asyncio.sleep(0)
         self.writer.close()
 
+    def _idle_left_s(self, idle_since_s):
+        if self.context.terminated.is_set():
+            return 0.0
+        return idle_since_s + self.config.keep_alive_timeout - self.loop.time()
+
 
 async def _receive_pending():
     """Let the event loop take what the sockets hold: connections and data."""
--- a/packages/common/src/almonddeal_common/tests/test_closing.py
+++ b/packages/common/src/almonddeal_common/tests/test_closing.py
@@ -173,6 +173,23 @@
 
         anyio.run(main)
 
+    # Guards against closing connections that clients may reuse by the new limit.
+    def test_raised_idle_limit_holds_for_idle_connections(self):
+        async def main():
+            app, stop = RecordingApp(), anyio.Event()
+            async with serve(app, stop, keep_alive_timeout=IDLE_TIMEOUT_S) as config:
+                client = Client()
+                client.send(REQUEST)
+                await client.read()
+                config.keep_alive_timeout = 10 * IDLE_TIMEOUT_S
+                await anyio.sleep(3 * IDLE_TIMEOUT_S)
+                client.send(REQUEST)
+                received = await client.read()
+                client.close()
+            assert received.endswith(b"ok")
+
+        anyio.run(main)
+
 
 class TestFailingApp:
     @pytest.mark.parametrize(
