http: serve connections that were accepted just before a stop

Callers saw: a request on a new connection that the kernel had accepted before the stop was cut off without an answer, with a target at work on it, or its connection was closed before the request could be read.

Cause: a connection counted only once its own task had begun. At a stop the server waited for the connections that it counted at that moment; the others were cancelled as the process ended. A connection without a request was closed at once, even if it was a millisecond old. Connections in the backlog of the listener are reset as it is closed.

Ruled out: a hold-up of the stop by connections without a request; they are closed 0.3 s after they were accepted.

Change: connections count as soon as they are accepted; a stop first accepts the backlog, then closes the listener, and waits until no connection is left. A connection that was just accepted is kept for its first request.

Conclusion: what was connected before the end of the listener is served.

--- a/packages/common/src/almonddeal_common/connections.py
+++ b/packages/common/src/almonddeal_common/connections.py
@@ -17,6 +17,7 @@
 from almonddeal_common.logs import get_logger
 
 CANCEL_TIMEOUT_S = 0.5  # for cancelled connections to close
+FIRST_REQUEST_TIMEOUT_S = 0.3  # after a stop, for connections that were just accepted
 
 log = get_logger("http")
 
@@ -77,9 +78,15 @@
 class _Connection(TCPServer):
     """A connection that tells its reader when a head ends and the next may start."""
 
+    def __init__(self, *args):
+        super().__init__(*args)
+        self._opened_s = self.loop.time()
+        self._has_request = False
+
     async def protocol_send(self, event):
         if isinstance(event, Updated):
             self.reader.set_awaiting_head(event.idle)
+            self._has_request = True
         await super().protocol_send(event)
 
     async def _read_data(self):
@@ -91,8 +98,7 @@
         idle_since_s = self.loop.time()
         # The limit may be raised while the connection is idle.
         while (left_s := self._idle_left_s(idle_since_s)) > 0:
-            with anyio.move_on_after(left_s):
-                await self.context.terminated.wait()
+            await self._sleep_until_stop(left_s)
         await _receive_pending()
         # A request that has been received stops this task once it is read. Nothing
         # may be awaited between the check and the close.
@@ -101,9 +107,22 @@
         self.writer.close()
 
     def _idle_left_s(self, idle_since_s):
-        if self.context.terminated.is_set():
+        now_s = self.loop.time()
+        left_s = idle_since_s + self.config.keep_alive_timeout - now_s
+        if not self.context.terminated.is_set():
+            return left_s
+        if self._has_request:
             return 0.0
-        return idle_since_s + self.config.keep_alive_timeout - self.loop.time()
+        # Its client may have sent the first request before it could see the stop.
+        return min(left_s, self._opened_s + FIRST_REQUEST_TIMEOUT_S - now_s)
+
+    async def _sleep_until_stop(self, duration_s):
+        """Sleep; a stop that is yet to come ends the sleep."""
+        if self.context.terminated.is_set():
+            await asyncio.sleep(duration_s)
+            return
+        with anyio.move_on_after(duration_s):
+            await self.context.terminated.wait()
 
 
 async def _receive_pending():
@@ -132,15 +151,15 @@
     context = WorkerContext(None)
     scope_by_task = {}
 
-    async def accept(reader, writer):
-        task = asyncio.current_task()
-        try:
-            with anyio.CancelScope() as scope_by_task[task]:
-                await _Connection(
-                    wrapped_app, loop, config, context, {}, reader, writer
-                )
-        finally:
-            del scope_by_task[task]
+    async def serve_connection(reader, writer, scope):
+        with scope:
+            await _Connection(wrapped_app, loop, config, context, {}, reader, writer)
+
+    def accept(reader, writer):
+        scope = anyio.CancelScope()
+        task = loop.create_task(serve_connection(reader, writer, scope))
+        scope_by_task[task] = scope
+        task.add_done_callback(scope_by_task.pop)
 
     def make_protocol():
         reader = _HeadLimitedReader(config, loop)
@@ -164,17 +183,23 @@
     try:
         await stop.wait()
     finally:
-        # Closes idle connections now and busy ones after their response.
-        await context.terminated.set()
-        for server in servers:
-            server.close()
         with anyio.CancelScope(shield=True):
-            await _wait_tasks(scope_by_task, config.graceful_timeout)
+            # Closes idle connections now and busy ones after their response.
+            await context.terminated.set()
+            # The connections of the backlog are reset with their listener.
+            await _receive_pending()
+            for server in servers:
+                server.close()
+            # Connections that were accepted last are not registered yet.
+            await _receive_pending()
+            await _wait_until_empty(scope_by_task, config.graceful_timeout)
             for scope in scope_by_task.values():
                 scope.cancel()
-            await _wait_tasks(scope_by_task, CANCEL_TIMEOUT_S)
+            await _wait_until_empty(scope_by_task, CANCEL_TIMEOUT_S)
 
 
-async def _wait_tasks(tasks, timeout_s):
-    if tasks:
-        await asyncio.wait(list(tasks), timeout=timeout_s)
+async def _wait_until_empty(tasks, timeout_s):
+    """Wait until no task is left, also of those that are added meanwhile."""
+    with anyio.move_on_after(timeout_s):
+        while tasks:
+            await asyncio.wait(list(tasks))
--- a/packages/common/src/almonddeal_common/tests/test_closing.py
+++ b/packages/common/src/almonddeal_common/tests/test_closing.py
@@ -191,6 +191,53 @@
         anyio.run(main)
 
 
+class TestAccept:
+    # Guards against connections that are accepted in the last steps before the end of
+    # the listener and are neither served nor waited for.
+    @pytest.mark.parametrize("n_steps", range(N_STEPS))
+    def test_request_on_a_connection_from_before_the_stop_is_answered(self, n_steps):
+        async def main():
+            app, stop = RecordingApp(), anyio.Event()
+            async with serve(app, stop):
+                client = Client()
+                client.send(REQUEST)
+                await run_steps(n_steps)
+                stop.set()
+                received = await client.read()
+            client.close()
+            assert app.n_responses == 1
+            assert received.endswith(b"ok")
+
+        anyio.run(main)
+
+    def test_first_request_may_follow_the_stop(self):
+        async def main():
+            app, stop = RecordingApp(), anyio.Event()
+            async with serve(app, stop):
+                client = Client()
+                stop.set()
+                await anyio.sleep(0.02)
+                client.send(REQUEST)
+                received = await client.read()
+            client.close()
+            assert received.endswith(b"ok")
+
+        anyio.run(main)
+
+    def test_connection_without_a_request_does_not_hold_up_the_stop(self):
+        async def main():
+            app, stop = RecordingApp(), anyio.Event()
+            async with serve(app, stop):
+                client = Client()
+                await anyio.sleep(0.02)
+                stop.set()
+                with anyio.fail_after(2):
+                    assert await client.read() == b""
+            client.close()
+
+        anyio.run(main)
+
+
 class TestFailingApp:
     @pytest.mark.parametrize(
         "error", [ValueError("x"), ExceptionGroup("x", [KeyError()])]
