entry: scale the drain and the stop margin with the grace period

Callers saw: with a grace period of 4 or 5 s, requests in flight at a planned stop were broken off a whole second before its end.

Cause: the times until the listener closes and between the last responses and the end of the grace are constants, made for a grace of 8 s.

Ruled out: other graces. With 3, 6, 8 and 12 s the requests were broken off in the last sixth before too, and each process ended in time.

Evidence: test_stops.py stops entry processes with graces of 3, 4, 5, 6, 8 and 12 s, each with an endless stream, an order and a lookup without an answer in flight. Before: 6 failed (graces of 4 and 5 s), 24 passed. After: 30 passed.

Change: the listener closes after 2.6 s, but at most half of the grace; responses are truncated 1 s before its end, but at most an eighth.

Conclusion: nothing changes for a grace of 8 s or more.

--- a/packages/entry/src/almonddeal/roles/entry.py
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -24,14 +24,28 @@
 
 MAINTENANCE_INTERVAL_S = 1.0
 # The load balancer probes once a second and removes an instance after two failures.
-DRAIN_DELAY_S = 2.6
-STOP_MARGIN_S = 1.0  # to truncate the last responses and report their KV-cache copies
+MAX_DRAIN_DELAY_S = 2.6
+MAX_DRAIN_SHARE = 0.5  # of the stop timeout; the rest is for requests in flight
+# To truncate the last responses and report their KV-cache copies.
+MAX_STOP_MARGIN_S = 1.0
+MAX_STOP_MARGIN_SHARE = 0.125  # of the stop timeout
 LAST_REPORTS_DELAY_S = 0.1  # for reports of truncated streams to reach other instances
 DEFAULT_IDLE_TIMEOUT_S = 60.0  # until a configuration is applied
 
 log = get_logger("entry")
 
 
+def drain_delay_s(stop_timeout_s):
+    """Return how long a stopping instance accepts requests, from SIGTERM, in s."""
+    return min(MAX_DRAIN_DELAY_S, MAX_DRAIN_SHARE * stop_timeout_s)
+
+
+def response_timeout_s(stop_timeout_s):
+    """Return when a stopping instance truncates responses, from SIGTERM, in s."""
+    margin_s = min(MAX_STOP_MARGIN_S, MAX_STOP_MARGIN_SHARE * stop_timeout_s)
+    return stop_timeout_s - margin_s
+
+
 class EntryRole:
     """Entry instance: relays requests by the configuration of the control group.
 
@@ -62,8 +76,9 @@
         self.table = None
         self.is_draining = False
         self.http_config = make_config(settings.callers)
-        self.http_config.graceful_timeout = max(
-            0.0, settings.stop_timeout_s - DRAIN_DELAY_S - STOP_MARGIN_S
+        self._drain_delay_s = drain_delay_s(settings.stop_timeout_s)
+        self.http_config.graceful_timeout = (
+            response_timeout_s(settings.stop_timeout_s) - self._drain_delay_s
         )
         self.http_config.keep_alive_timeout = DEFAULT_IDLE_TIMEOUT_S
         self._parse = parse
@@ -208,7 +223,7 @@
         """Report not ready; stop serving after the load balancer's reaction time."""
         self.is_draining = True
         decide(log, "entry instance draining", n_in_flight=self._n_in_flight)
-        await anyio.sleep(DRAIN_DELAY_S)
+        await anyio.sleep(self._drain_delay_s)
         stop_callers.set()
 
     async def _maintain_periodically(self):
