entry: answer requests that a stop breaks off

Callers saw: a request that was still in flight at the end of the grace of a planned stop got a bare 500, which does not tell whether it was run and names no time for a retry; also if it had been sent to no target.

Cause: at the end of the grace the connection was cancelled as a whole, and the HTTP library answers for the application that is cancelled.

Ruled out: the same end without any answer.

Change: the instance knows its requests in flight and whether they were sent to a target, and breaks them off itself: 503 with Retry-After if not, otherwise 502; a response that has begun is truncated after an event. The HTTP server's own limit comes 0.2 s later, for callers that do not read.

Conclusion: a request that was sent to no target may be sent again.

--- a/packages/entry/src/almonddeal/roles/entry.py
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -1,6 +1,7 @@
 """Entry instance without stored state: follows the control group, relays requests."""
 
 import time
+from functools import partial
 from signal import SIGHUP, SIGINT, SIGTERM
 
 import anyio
@@ -13,6 +14,7 @@
 from almonddeal.relay.load import LoadView
 from almonddeal.relay.metrics import RelayMetrics
 from almonddeal.relay.targets import TargetTable
+from almonddeal.roles.in_flight import RequestsInFlight
 from almonddeal.roles.reload import reload_settings
 from almonddeal_common.codes import AlmonddealError
 from almonddeal_common.http import make_config, serve_http
@@ -26,9 +28,10 @@
 # The load balancer probes once a second and removes an instance after two failures.
 MAX_DRAIN_DELAY_S = 2.6
 MAX_DRAIN_SHARE = 0.5  # of the stop timeout; the rest is for requests in flight
-# To truncate the last responses and report their KV-cache copies.
+# To break off the last requests and report their KV-cache copies.
 MAX_STOP_MARGIN_S = 1.0
 MAX_STOP_MARGIN_SHARE = 0.125  # of the stop timeout
+BREAK_OFF_TIMEOUT_S = 0.2  # for the responses of the last requests
 LAST_REPORTS_DELAY_S = 0.1  # for reports of truncated streams to reach other instances
 DEFAULT_IDLE_TIMEOUT_S = 60.0  # until a configuration is applied
 
@@ -41,7 +44,7 @@
 
 
 def response_timeout_s(stop_timeout_s):
-    """Return when a stopping instance truncates responses, from SIGTERM, in s."""
+    """Return when a stopping instance breaks off requests, from SIGTERM, in s."""
     margin_s = min(MAX_STOP_MARGIN_S, MAX_STOP_MARGIN_SHARE * stop_timeout_s)
     return stop_timeout_s - margin_s
 
@@ -77,12 +80,14 @@
         self.is_draining = False
         self.http_config = make_config(settings.callers)
         self._drain_delay_s = drain_delay_s(settings.stop_timeout_s)
+        self._response_timeout_s = response_timeout_s(settings.stop_timeout_s)
+        # Reached only by connections whose caller does not read its response.
         self.http_config.graceful_timeout = (
-            response_timeout_s(settings.stop_timeout_s) - self._drain_delay_s
+            self._response_timeout_s + BREAK_OFF_TIMEOUT_S - self._drain_delay_s
         )
         self.http_config.keep_alive_timeout = DEFAULT_IDLE_TIMEOUT_S
         self._parse = parse
-        self._n_in_flight = 0
+        self._requests = RequestsInFlight()
         self._relay_context = RelayContext(
             settings.instance,
             settings.failure_domain,
@@ -93,6 +98,8 @@
             settings.retry_limits,
             RelayMetrics(),
         )
+        self._relay_context.open_attempt = self._open_attempt
+        self._target_client = target_client
         self._hello = Hello(
             PROTOCOL_VERSION,
             LOWEST_PROTOCOL_VERSION,
@@ -161,13 +168,14 @@
         writer : object
             Writes the response to the caller; see `serve_request`.
         """
-        self._n_in_flight += 1
-        try:
-            await serve_request(
-                request, lambda: self.table, self._relay_context, writer
-            )
-        finally:
-            self._n_in_flight -= 1
+        serve = partial(
+            serve_request, request, lambda: self.table, self._relay_context, writer
+        )
+        await self._requests.serve(request, writer, serve)
+
+    def _open_attempt(self, attempt):
+        self._requests.record_attempt(attempt)
+        return self._target_client.open_attempt(attempt)
 
     async def run(self, callers_app, readiness_app):
         """Run the instance until SIGTERM or SIGINT, then drain it.
@@ -183,7 +191,7 @@
             group.start_soon(self._maintain_periodically)
             decide(log, "entry instance started", instance=settings.instance)
             await self._serve(callers_app, readiness_app)
-            decide(log, "entry instance stopped", n_in_flight=self._n_in_flight)
+            decide(log, "entry instance stopped", n_in_flight=len(self._requests))
             group.cancel_scope.cancel()
 
     async def _serve(self, callers_app, readiness_app):
@@ -201,8 +209,7 @@
             )
             servers.start_soon(serve_http, metrics_app, settings.metrics, stop_others)
             await self._wait_for_stop_signal()
-            await self._drain(stop_callers)
-            await callers_stopped.wait()
+            await self._drain(stop_callers, callers_stopped)
             await anyio.sleep(LAST_REPORTS_DELAY_S)
             stop_others.set()
 
@@ -219,12 +226,16 @@
                 decide(log, "settings reload requested")
                 reload_settings(self.settings, self._load_settings)
 
-    async def _drain(self, stop_callers):
+    async def _drain(self, stop_callers, callers_stopped):
         """Report not ready; stop serving after the load balancer's reaction time."""
         self.is_draining = True
-        decide(log, "entry instance draining", n_in_flight=self._n_in_flight)
+        decide(log, "entry instance draining", n_in_flight=len(self._requests))
         await anyio.sleep(self._drain_delay_s)
         stop_callers.set()
+        with anyio.move_on_after(self._response_timeout_s - self._drain_delay_s):
+            await callers_stopped.wait()
+        self._requests.break_off()
+        await callers_stopped.wait()
 
     async def _maintain_periodically(self):
         while True:
--- /dev/null
+++ b/packages/entry/src/almonddeal/roles/in_flight.py
@@ -0,0 +1,88 @@
+"""Requests in flight at an entry instance, which are broken off before it exits."""
+
+import anyio
+
+from almonddeal.routing.model import LOOKUP, ORDER, STREAM
+from almonddeal_common.codes import (
+    ATTEMPT_LOST,
+    ORDER_OUTCOME_UNKNOWN,
+    SERVICE_FAILED,
+    STOPPING,
+    AlmonddealError,
+)
+from almonddeal_common.logs import decide, get_logger
+
+RETRY_AFTER_MS = 100.0  # callers are directed to other instances by then
+CODE_BY_KIND = {
+    LOOKUP: SERVICE_FAILED,
+    ORDER: ORDER_OUTCOME_UNKNOWN,
+    STREAM: ATTEMPT_LOST,
+}
+
+log = get_logger("entry")
+
+
+class _Entry:
+    """One request in flight; `route` is None until it is sent to a target."""
+
+    __slots__ = ("route", "scope")
+
+    def __init__(self):
+        self.route = None
+        self.scope = anyio.CancelScope()
+
+
+class RequestsInFlight:
+    """Requests that an instance is serving."""
+
+    def __init__(self):
+        self._entry_by_request = {}
+
+    def __len__(self):
+        return len(self._entry_by_request)
+
+    async def serve(self, request, writer, serve_request):
+        """Serve a request until its response is sent or `break_off` is called.
+
+        Parameters
+        ----------
+        request : CallerRequest
+        writer : object
+            Writes the response to the caller.
+        serve_request : callable
+            ``await serve_request()`` serves the request.
+        """
+        entry = self._entry_by_request[request] = _Entry()
+        try:
+            with entry.scope:
+                await serve_request()
+        finally:
+            del self._entry_by_request[request]
+        if entry.scope.cancelled_caught:
+            error = _error(entry.route)
+            decide(
+                log,
+                "request broken off by the stop of the instance",
+                request=request.request_id,
+                code=error.code.name,
+            )
+            await writer.send_error(error)
+
+    def record_attempt(self, attempt):
+        """Record that a request is being sent to a target."""
+        entry = self._entry_by_request.get(attempt.admitted.request)
+        if entry is not None:
+            entry.route = attempt.admitted.route
+
+    def break_off(self):
+        """End all requests; those without a response get an error."""
+        for entry in self._entry_by_request.values():
+            entry.scope.cancel()
+
+
+def _error(route):
+    if route is None:
+        return AlmonddealError(
+            STOPPING, "sent to no target", retry_after_ms=RETRY_AFTER_MS
+        )
+    return AlmonddealError(CODE_BY_KIND[route.kind], "the instance stopped first")
