entry: apply an update although one part of it fails

Operators saw: processes of entry instances that ended by themselves when an update of the control group had a part that could not be applied.

Cause: an update is applied in the task that follows the control group, one of the tasks of the process. An exception other than a result code, from a record or from a configuration, ended the task and with it the process; a restart received the same update.

Ruled out: configurations that are refused with a result code left the earlier one in force before.

Change: each part of an update is applied by itself, and one that fails is logged. A subscription that fails in another way is logged and begun anew, at the control instances that did not fail first.

Conclusion: what one message holds can end neither the process nor the subscription.

--- a/packages/entry/src/almonddeal/publication/follower.py
+++ b/packages/entry/src/almonddeal/publication/follower.py
@@ -81,7 +81,13 @@
         """Keep a subscription to one control instance at a time, until cancelled."""
         while True:
             for address in self._candidate_addresses():
-                await self._follow_address(address)
+                try:
+                    await self._follow_address(address)
+                except Exception:
+                    # Of a task of the subscription. The process has others to serve.
+                    self.link = None
+                    self._failed_ms_by_address[address] = monotonic_ms()
+                    log.exception("subscription to %s failed", address)
             await anyio.sleep(RETRY_INTERVAL_S * random.uniform(0.5, 1.5))
 
     async def _follow_address(self, address):
--- a/packages/entry/src/almonddeal/roles/entry.py
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -16,7 +16,6 @@
 from almonddeal.relay.targets import TargetTable
 from almonddeal.roles.in_flight import RequestsInFlight
 from almonddeal.roles.reload import reload_settings
-from almonddeal_common.codes import AlmonddealError
 from almonddeal_common.http import make_config, serve_http
 from almonddeal_common.logs import decide, get_logger
 from almonddeal_common.metrics import metrics_app
@@ -33,6 +32,7 @@
 MAX_STOP_MARGIN_SHARE = 0.125  # of the stop timeout
 BREAK_OFF_TIMEOUT_S = 0.2  # for the responses of the last requests
 LAST_REPORTS_DELAY_S = 0.1  # for reports of truncated streams to reach other instances
+MAX_LOGGED_CHARACTERS = 300  # of a part of an update that fails
 DEFAULT_IDLE_TIMEOUT_S = 60.0  # until a configuration is applied
 
 log = get_logger("entry")
@@ -49,6 +49,16 @@
     return stop_timeout_s - margin_s
 
 
+def _apply_each(apply, values):
+    """Call a function with each value; log a value with which it fails."""
+    for value in values:
+        try:
+            apply(value)
+        except Exception as error:
+            text = repr(value)[:MAX_LOGGED_CHARACTERS]
+            log.error("could not apply a part of an update (%r): %s", error, text)
+
+
 class EntryRole:
     """Entry instance: relays requests by the configuration of the control group.
 
@@ -128,27 +138,29 @@
         return self.table.version if self.table is not None else 0
 
     def _apply_update(self, update):
-        """Apply a `FollowUpdate` of the followed control instance."""
-        for announcement in update.targets:
-            self._relay_context.targets.merge(announcement)
-        for run in update.runs:
-            self._relay_context.merge_remote_run(run)
+        """Apply a `FollowUpdate` of the followed control instance.
+
+        A part that fails is logged and left out.
+        """
+        context = self._relay_context
+        _apply_each(context.targets.merge, update.targets)
+        _apply_each(context.merge_remote_run, update.runs)
         # Both are None in the messages of earlier releases.
-        for report in update.limits or []:
-            self._relay_context.named_limits.merge(report)
-        self._relay_context.quarantine.merge(*(update.evidence or []))
+        _apply_each(context.named_limits.merge, update.limits or [])
+        _apply_each(
+            lambda evidence: context.quarantine.merge(*evidence),
+            [update.evidence or []],
+        )
         if update.content and update.version > self._version():
-            self._apply_configuration(
-                update.version, decompress_content(update.content)
-            )
+            self._apply_configuration(update.version, update.content)
 
-    def _apply_configuration(self, version, content):
+    def _apply_configuration(self, version, compressed):
         before = self._version()
         try:
-            self.table = self._parse(content)
-        except AlmonddealError as error:
+            self.table = self._parse(decompress_content(compressed))
+        except Exception as error:
             log.error(
-                "configuration version %d could not be applied: %s", version, error
+                "configuration version %d could not be applied: %r", version, error
             )
             return
         self._relay_context.version = version
--- /dev/null
+++ b/packages/entry/src/almonddeal/roles/tests/test_entry.py
@@ -0,0 +1,94 @@
+"""Tests of the updates that an entry instance applies."""
+
+import pytest
+
+from almonddeal.publication.state import compress_content
+from almonddeal.publication.tests.test_follower import make_settings
+from almonddeal.relay.context import TargetClient
+from almonddeal.relay.tests.fakes import NoMetrics
+from almonddeal.roles import entry
+from almonddeal.routing.model import RequestLimits, RoutingTable
+from almonddeal_common.address import Address
+from almonddeal_common.codes import DOCUMENT_INVALID, AlmonddealError
+from almonddeal_common.wire.gen.ttypes import (
+    AnnouncedTarget,
+    FollowUpdate,
+    LimitReport,
+    Run,
+    SegmentEvidence,
+)
+
+
+def parse(content):
+    """Return a table whose version is the content; raise what the content names."""
+    if content == b"invalid":
+        raise AlmonddealError(DOCUMENT_INVALID, "no table")
+    if content == b"overflow":
+        raise OverflowError("int too large to convert to float")
+    return RoutingTable(int(content), [], [], None, RequestLimits(1, 1, 1.0, 1.0))
+
+
+@pytest.fixture
+def role(monkeypatch):
+    # Metrics are registered once in a process.
+    monkeypatch.setattr(entry, "RelayMetrics", NoMetrics)
+    settings = make_settings([])
+    settings.callers = Address("127.0.0.1", 0)
+    client = TargetClient(*[None] * 6)
+    return entry.EntryRole(settings, parse, client, lambda: settings)
+
+
+def make_update(version, content=b"", **parts):
+    if content is not None:
+        content = compress_content(content or b"%d" % version)
+    update = FollowUpdate(version, content, [], [], True, [], 1, [], [])
+    for name, value in parts.items():
+        setattr(update, name, value)
+    return update
+
+
+def make_target(name, **changes):
+    target = AnnouncedTarget(name, "s", f"{name}:80", "fd1", "v1", 8, 1, 9, 1, 0, 0)
+    for field, value in changes.items():
+        setattr(target, field, value)
+    return target
+
+
+BAD_PARTS = {
+    "target without a start time": {
+        "targets": [make_target("i-1"), make_target("i-1", born_ms=None)]
+    },
+    "target without an id of text": {"targets": [make_target("i-1", target=[])]},
+    "run without counts": {"runs": [Run(request="r", target="i-1", born_ms=9)]},
+    "limit without an age": {"limits": [LimitReport(target="i-1")]},
+    "evidence without suspects": {"evidence": [SegmentEvidence(key="e1")]},
+    "targets that are none": {"targets": [None]},
+}
+
+
+class TestUpdates:
+    """Pattern: one part of an update cannot be applied."""
+
+    @pytest.mark.parametrize("name", BAD_PARTS)
+    def test_rest_of_the_update_is_applied(self, role, name):
+        """Guards against a record that ends the process of each entry instance."""
+        update = make_update(7, **BAD_PARTS[name])
+        update.targets = [*update.targets, make_target("i-2")]
+        role._apply_update(update)
+        assert role.table.version == 7
+        assert "i-2" in role._relay_context.targets.target_by_id
+
+    @pytest.mark.parametrize("content", [b"invalid", b"overflow", b"text"])
+    def test_configuration_that_fails_leaves_the_earlier_one(self, role, content):
+        role._apply_update(make_update(7))
+        role._apply_update(make_update(8, content))
+        assert role.table.version == 7
+        role._apply_update(make_update(9))
+        assert role.table.version == 9
+
+    def test_content_that_is_not_compressed_leaves_the_earlier_one(self, role):
+        role._apply_update(make_update(7))
+        update = make_update(8)
+        update.content = b"\x00\xff"
+        role._apply_update(update)
+        assert role.table.version == 7
