http: answer requests that wait behind another one at a stop

Callers saw: a request that was sent on a kept connection while a response was running there, or pipelined with others, had no answer if the instance began to drain meanwhile; the connection was held until the end of the grace period and then closed.

Cause: after a stop, the connection is to be closed once the response in progress is complete, whatever else was received. The reader waits for the connection's next cycle, which never comes. While draining, each response has Connection: close, also if requests wait behind it.

Ruled out: requests on new and on idle kept connections.

Change: a connection stops after the requests that it has received. It tells the application whether there are further ones, so that only the last response closes the connection.

Conclusion: what remains unanswered is a request behind a response that is itself truncated at the end of the grace.

--- a/packages/common/src/almonddeal_common/connections.py
+++ b/packages/common/src/almonddeal_common/connections.py
@@ -12,10 +12,13 @@
 from hypercorn.asyncio.worker_context import WorkerContext
 from hypercorn.config import Config
 from hypercorn.events import Updated
+from hypercorn.protocol.h11 import H11Protocol
 from hypercorn.utils import wrap_app
 
 from almonddeal_common.logs import get_logger
 
+# In the state of an ASGI scope: tells whether the client has sent a further request.
+HAS_FURTHER_REQUEST = "has_further_request"
 CANCEL_TIMEOUT_S = 0.5  # for cancelled connections to close
 FIRST_REQUEST_TIMEOUT_S = 0.3  # after a stop, for connections that were just accepted
 
@@ -75,14 +78,46 @@
         return data
 
 
+class _ConnectionStop:
+    """The stop of the server for one connection: after the requests it has received."""
+
+    __slots__ = ("_has_further_request", "_terminated")
+
+    def __init__(self, terminated, has_further_request):
+        self._terminated = terminated
+        self._has_further_request = has_further_request
+
+    def is_set(self):
+        return self._terminated.is_set() and not self._has_further_request()
+
+    async def wait(self):
+        await self._terminated.wait()
+
+
 class _Connection(TCPServer):
     """A connection that tells its reader when a head ends and the next may start."""
 
-    def __init__(self, *args):
-        super().__init__(*args)
+    def __init__(self, app, loop, config, context, reader, writer):
+        state = {HAS_FURTHER_REQUEST: self._has_further_request}
+        own_context = WorkerContext(None)
+        own_context.terminated = _ConnectionStop(
+            context.terminated, self._has_further_request
+        )
+        super().__init__(app, loop, config, own_context, state, reader, writer)
+        self._terminated = context.terminated
         self._opened_s = self.loop.time()
         self._has_request = False
 
+    def _has_further_request(self):
+        """Tell whether bytes of a request behind the current one were received."""
+        if self.reader.n_unread:
+            return True
+        protocol = self.protocol.protocol
+        # HTTP/2 does not queue requests.
+        return isinstance(protocol, H11Protocol) and bool(
+            protocol.connection.trailing_data[0]
+        )
+
     async def protocol_send(self, event):
         if isinstance(event, Updated):
             self.reader.set_awaiting_head(event.idle)
@@ -109,7 +144,7 @@
     def _idle_left_s(self, idle_since_s):
         now_s = self.loop.time()
         left_s = idle_since_s + self.config.keep_alive_timeout - now_s
-        if not self.context.terminated.is_set():
+        if not self._terminated.is_set():
             return left_s
         if self._has_request:
             return 0.0
@@ -118,11 +153,11 @@
 
     async def _sleep_until_stop(self, duration_s):
         """Sleep; a stop that is yet to come ends the sleep."""
-        if self.context.terminated.is_set():
+        if self._terminated.is_set():
             await asyncio.sleep(duration_s)
             return
         with anyio.move_on_after(duration_s):
-            await self.context.terminated.wait()
+            await self._terminated.wait()
 
 
 async def _receive_pending():
@@ -153,7 +188,7 @@
 
     async def serve_connection(reader, writer, scope):
         with scope:
-            await _Connection(wrapped_app, loop, config, context, {}, reader, writer)
+            await _Connection(wrapped_app, loop, config, context, reader, writer)
 
     def accept(reader, writer):
         scope = anyio.CancelScope()
--- a/packages/common/src/almonddeal_common/tests/test_closing.py
+++ b/packages/common/src/almonddeal_common/tests/test_closing.py
@@ -14,6 +14,7 @@
 import pytest
 
 from almonddeal_common.address import Address
+from almonddeal_common.connections import HAS_FURTHER_REQUEST
 from almonddeal_common.http import make_config, serve_http
 
 ADDRESS = Address("127.0.0.1", 11_733)
@@ -238,6 +239,77 @@
         anyio.run(main)
 
 
+class TestPipelining:
+    # Guards against dropping the requests that a client has sent behind another one.
+    @pytest.mark.parametrize("n_requests", [2, 3])
+    def test_requests_received_before_the_stop_are_answered(self, n_requests):
+        async def main():
+            app, stop = RecordingApp(), anyio.Event()
+            async with serve(app, stop):
+                client = Client()
+                client.send(n_requests * REQUEST)
+                await anyio.sleep(APP_S / 2)
+                stop.set()
+                received = await client.read(n_requests)
+            client.close()
+            assert received.count(b"HTTP/1.1 200") == n_requests
+
+        anyio.run(main)
+
+    def test_request_received_after_the_stop_is_answered(self):
+        async def main():
+            app, stop = RecordingApp(), anyio.Event()
+            async with serve(app, stop):
+                client = Client()
+                client.send(REQUEST)
+                await anyio.sleep(APP_S / 4)
+                stop.set()
+                await anyio.sleep(APP_S / 4)
+                client.send(REQUEST)
+                received = await client.read(2)
+            client.close()
+            assert received.count(b"HTTP/1.1 200") == 2
+
+        anyio.run(main)
+
+    def test_part_of_a_request_does_not_hold_up_the_stop(self):
+        async def main():
+            app, stop = RecordingApp(), anyio.Event()
+            async with serve(app, stop):
+                client = Client()
+                client.send(REQUEST + REQUEST[:10])
+                await anyio.sleep(APP_S / 2)
+                stop.set()
+                with anyio.fail_after(2):
+                    received = await client.read(2)
+            client.close()
+            assert received.count(b"HTTP/1.1 200") == 1
+
+        anyio.run(main)
+
+    def test_application_is_told_of_further_requests(self):
+        told = []
+
+        async def app(scope, receive, send):
+            await anyio.sleep(APP_S)
+            told.append(scope["state"][HAS_FURTHER_REQUEST]())
+            headers = [(b"content-length", b"2")]
+            start = {"type": "http.response.start", "status": 200, "headers": headers}
+            await send(start)
+            await send({"type": "http.response.body", "body": b"ok"})
+
+        async def main():
+            stop = anyio.Event()
+            async with serve(app, stop):
+                client = Client()
+                client.send(3 * REQUEST)
+                await client.read(3)
+                client.close()
+
+        anyio.run(main)
+        assert told == [True, True, False]
+
+
 class TestFailingApp:
     @pytest.mark.parametrize(
         "error", [ValueError("x"), ExceptionGroup("x", [KeyError()])]
