relay: refuse what may run once and would outlast a stop

Callers saw: a stream that may not be repeated, sent while its instance drained, was taken and passed on although a typical run is longer than what was left of the grace; at the end of the grace it was cut.

Cause: while draining, all requests are served as at other times, up to their own deadlines.

Ruled out: orders in the drain. They have 4 s or more and end by their deadline or are answered with 502.

Change: from SIGTERM on, the relay knows when requests are broken off. A request that may run once is refused with 503 and Retry-After if its expected time (the mean run for generations, the route's objective otherwise, the caller's deadline at most) ends later. What may be repeated or resumed is still served, as its caller can go on elsewhere.

Conclusion: a run that is longer than the mean can still be cut.

--- a/packages/entry/src/almonddeal/relay/context.py
+++ b/packages/entry/src/almonddeal/relay/context.py
@@ -1,5 +1,6 @@
 """State, target client and metrics shared by all requests of an instance."""
 
+import math
 import random
 
 from almonddeal.relay.admission_queue import AdmissionQueue
@@ -84,6 +85,9 @@
     ----------
     version : int
         Version of the routing table, for log lines.
+    ends_ms : float
+        When this instance breaks off its requests, as `monotonic_ms`; infinite until
+        it is told to stop.
     """
 
     def __init__(
@@ -115,6 +119,7 @@
         self.quarantine = quarantine or Quarantine(instance)
         self.named_limits = NamedLimits(instance, self._count_requests)
         self.version = 0
+        self.ends_ms = math.inf
         self._started_ms = monotonic_ms()
         self._retry_limits = retry_limits
         self._retry_window_by_service = {}
--- a/packages/entry/src/almonddeal/relay/gateway.py
+++ b/packages/entry/src/almonddeal/relay/gateway.py
@@ -10,12 +10,14 @@
 from almonddeal_common.codes import (
     NO_CONFIGURATION,
     NOT_FOUND,
+    STOPPING,
     UNAUTHENTICATED,
     AlmonddealError,
 )
 from almonddeal_common.logs import decide, get_logger
 
 NOT_READY_RETRY_MS = 500  # a new process receives its configuration within this time
+STOPPING_RETRY_MS = 500  # callers are directed to other instances soon after
 STARTUP_MS = 5000  # four announcement intervals
 STARTUP_WAIT_SHARE = 0.25  # of a request's timeout; the rest is for serving it
 MAX_STARTUP_WAIT_MS = 1500.0  # one announcement interval and a margin
@@ -53,6 +55,29 @@
     return AdmittedRequest(request, route, table.pick_service(route), customer)
 
 
+def check_time_left(admitted, context):
+    """Check that a request that runs at most once can end before this instance does.
+
+    Raises
+    ------
+    AlmonddealError
+        `STOPPING`.
+    """
+    if admitted.route.may_run_again:
+        return
+    if admitted.request.generation is not None:
+        expected_ms = context.load_view.mean_run_ms
+    else:
+        expected_ms = admitted.route.objective_ms
+    expected_ms = min(expected_ms, admitted.left_ms)
+    if monotonic_ms() + expected_ms > context.ends_ms:
+        raise AlmonddealError(
+            STOPPING,
+            "would be broken off by the stop of the instance",
+            retry_after_ms=STOPPING_RETRY_MS,
+        )
+
+
 async def wait_for_targets(request, context, current_table):
     """Wait, shortly after start, until targets are known for a request.
 
@@ -123,6 +148,7 @@
     try:
         admitted = admit(request, table)
         kind = admitted.route.kind
+        check_time_left(admitted, context)
         if kind == STREAM:
             await relay_stream(admitted, context, writer)
         else:
--- a/packages/entry/src/almonddeal/roles/entry.py
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -16,6 +16,7 @@
 from almonddeal.relay.targets import TargetTable
 from almonddeal.roles.in_flight import RequestsInFlight
 from almonddeal.roles.reload import reload_settings
+from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.http import make_config, serve_http
 from almonddeal_common.logs import decide, get_logger
 from almonddeal_common.metrics import metrics_app
@@ -241,6 +242,7 @@
     async def _drain(self, stop_callers, callers_stopped):
         """Report not ready; stop serving after the load balancer's reaction time."""
         self.is_draining = True
+        self._relay_context.ends_ms = monotonic_ms() + 1000 * self._response_timeout_s
         decide(log, "entry instance draining", n_in_flight=len(self._requests))
         await anyio.sleep(self._drain_delay_s)
         stop_callers.set()
