http: keep a refusal that is sent before the end of its request

Callers saw: a request with a head or body far beyond the limits, as may happen beside a configuration that lowers them, ended with a broken connection instead of its refusal (413, 431).

Cause: the connection is closed after the response while bytes of the request are unread; the kernel then resets it, under the client that is still sending.

Ruled out: short remainders (up to 100 kB arrived in one piece), limits that change for a connection that is open: its heads keep the limit of the connection's begin, and a longer head on a new one gets its 431.

Change: the server ends its side of the connection, and reads on for up to 1 s or until the client has closed its side.

Conclusion: a client that reads while it sends, or after it, gets the refusal.

--- a/packages/common/src/almonddeal_common/connections.py
+++ b/packages/common/src/almonddeal_common/connections.py
@@ -6,13 +6,14 @@
 """
 
 import asyncio
+from contextlib import suppress
 
 import anyio
-from hypercorn.asyncio.tcp_server import TCPServer
+from hypercorn.asyncio.tcp_server import MAX_RECV, TCPServer
 from hypercorn.asyncio.worker_context import WorkerContext
 from hypercorn.config import Config
-from hypercorn.events import Updated
-from hypercorn.protocol.h11 import H11Protocol
+from hypercorn.events import Closed, Updated
+from hypercorn.protocol.h11 import H11Protocol, h11
 from hypercorn.utils import wrap_app
 
 from almonddeal_common.logs import get_logger
@@ -20,6 +21,7 @@
 # In the state of an ASGI scope: tells whether the client has sent a further request.
 HAS_FURTHER_REQUEST = "has_further_request"
 CANCEL_TIMEOUT_S = 0.5  # for cancelled connections to close
+DISCARD_TIMEOUT_S = 1.0  # for clients to read a response before the connection closes
 FIRST_REQUEST_TIMEOUT_S = 0.3  # after a stop, for connections that were just accepted
 
 log = get_logger("http")
@@ -107,6 +109,7 @@
         self._terminated = context.terminated
         self._opened_s = self.loop.time()
         self._has_request = False
+        self._input_ended = asyncio.Event()
 
     def _has_further_request(self):
         """Tell whether bytes of a request behind the current one were received."""
@@ -122,10 +125,33 @@
         if isinstance(event, Updated):
             self.reader.set_awaiting_head(event.idle)
             self._has_request = True
+        if isinstance(event, Closed) and not self.reader.at_eof():
+            await self._discard_input()
         await super().protocol_send(event)
 
+    async def _discard_input(self):
+        """Read on after a response that came before the end of its request.
+
+        Otherwise the connection is reset, and the client may lose the response.
+        """
+        protocol = self.protocol.protocol
+        if not isinstance(protocol, H11Protocol):
+            return
+        state = protocol.connection.their_state
+        if state not in (h11.SEND_BODY, h11.ERROR):
+            return
+        with suppress(NotImplementedError, OSError, RuntimeError):
+            self.writer.write_eof()
+        with anyio.move_on_after(DISCARD_TIMEOUT_S), suppress(OSError):
+            # In SEND_BODY, the task that reads the connection discards the body.
+            while state is h11.ERROR and not self.reader.at_eof():
+                await self.reader.read(MAX_RECV)
+            if state is h11.SEND_BODY:
+                await self._input_ended.wait()
+
     async def _read_data(self):
         await super()._read_data()
+        self._input_ended.set()
         # Otherwise a connection closed by its client stays open until the idle timeout.
         await self.idle_task.stop()
 
