follower: send reports after a stale control instance was left

Operators saw: after an entry instance had left a control instance whose reads were no longer confirmed, the control group got nothing from it any more: no runs, no limits of targets, no evidence on crashes. Other instances did not know its load, and streams that it had begun could not be found.

Cause: the instance leaves a stale control instance by cancelling the task group of the subscription, and the line after the subscription that forgets its link was skipped then. The next subscription took the old link for the current one and started none of the tasks that send reports, until it ended with an error in turn. Where the error of the link came first, all was well.

Ruled out: a loss between control instances.

Change: the link is forgotten however the subscription ends.

Conclusion: each subscription starts its senders.

--- a/packages/entry/src/almonddeal/publication/follower.py
+++ b/packages/entry/src/almonddeal/publication/follower.py
@@ -108,7 +108,9 @@
                 log.info(
                     "subscription to control instance %s failed: %s", address, error
                 )
-            self.link = None
+            finally:
+                # Also if a stale instance is left, which cancels this task group.
+                self.link = None
             group.cancel_scope.cancel()
 
     async def _run_link(self, link, address):
--- a/packages/entry/src/almonddeal/publication/tests/test_follower.py
+++ b/packages/entry/src/almonddeal/publication/tests/test_follower.py
@@ -154,6 +154,22 @@
 
         run_follower([stale, fresh], [ADDRESS_1, ADDRESS_2], test)
 
+    # Guards against reports that are sent to no instance after a stale one was left.
+    def test_own_runs_are_sent_to_the_instance_after_a_stale_one(self):
+        stale, fresh = (
+            FakeControlInstance(ADDRESS_1, "fd1", is_fresh=False),
+            FakeControlInstance(ADDRESS_2, "fd2"),
+        )
+
+        async def test(follower, runs):
+            await wait_for(
+                lambda: follower.follows_fresh_instance and fresh.n_followers
+            )
+            runs.put("r1", Run(request="r1", instance="entry-1", target="i-1"))
+            await wait_for(lambda: fresh.runs, 2.0)
+
+        run_follower([stale, fresh], [ADDRESS_1, ADDRESS_2], test)
+
     def test_own_runs_are_sent_again_after_a_lost_link(self):
         first, second = (
             FakeControlInstance(ADDRESS_1, "fd1"),
