wire: shorten the notice that cannot be encoded

A notice that cannot be encoded is logged and left out, as before; the tests of encoding and links pass unchanged (test_encoding.py, test_link.py).

--- a/packages/common/src/almonddeal_common/wire/link.py
+++ b/packages/common/src/almonddeal_common/wire/link.py
@@ -387,15 +387,10 @@
         return IncomingStream(self, call_id, call)
 
     def notify(self, message):
-        """Send a message that has no reply; does nothing unless the link is open.
-
-        A message that cannot be encoded is logged and left out: the sender may be a
-        task that also sends all later messages.
-        """
-        if not self.is_open:
-            return
+        """Send a message without a reply, if the link is open; log one that fails."""
         try:
-            self._send(Phase.NOTICE, 0, message)
+            if self.is_open:
+                self._send(Phase.NOTICE, 0, message)
         except AlmonddealError as error:
             log.error("notice is not sent: %s", error)
 
