relay: let streams wait for a silent engine unless they can move

Callers saw: streams cut, or failed with 502 before their first event, though their engine was sound and only silent for 1 to 1.5 s (a paused process, connections open, probes unanswered).

Cause: an attempt was ended for silence (a failed probe, 80 % of the accepted pause, or a late first event) before it was known whether the request may or can go on elsewhere. A failed probe ended all attempts of the instance at the engine. If the route allowed no further run, the attempts or the retry budget were used up, or no other engine had room, the response ended there. A silence soon after the start of a response also counted as a crash, and the second one ended it.

Ruled out: lost connections, which are no silence, are handled as before. Ejection alone ends nothing: an ejected engine is still used if there is no other.

Change: relay/moves.py decides, without I/O, whether a stream leaves a silent engine: route, attempts, crashes, time left, room at another engine or at the backup beside the streams that are moving already, and a retry, which is taken at that moment. Otherwise it waits until its deadline and looks again every 100 ms. A silent engine is probed by all its streams together at most every 300 ms. The engine itself counts as another place only if it responded to others all the while, so that just the connection is dead. The attempt is closed before another engine goes on, as before. New log line "kept a stream at a silent engine".

Conclusion: silence ends a response only at its deadline, or moves it. Not covered: a stream that moved to its backup and is refused there still needs a second retry.

--- a/packages/entry/src/almonddeal/relay/admission_queue.py
+++ b/packages/entry/src/almonddeal/relay/admission_queue.py
@@ -1,6 +1,6 @@
 """Queue of requests that wait for an engine at this instance."""
 
-from bisect import insort
+from bisect import bisect_left, insort
 from contextlib import contextmanager
 
 import anyio
@@ -68,6 +68,11 @@
         """Return the number of entries before this one."""
         return self._entries.index(entry)
 
+    def n_before(self, priority, deadline_ms):
+        """Return the number of entries before one that would be added now."""
+        entry = QueueEntry((priority, deadline_ms, self._n_enqueued + 1))
+        return bisect_left(self._entries, entry)
+
     def wake(self):
         """Wake all waiting requests so that they check for capacity."""
         self._changed.set()
@@ -79,7 +84,28 @@
             await self._changed.wait()
 
 
-def _make_demand(stream):
+def can_start_now(stream, context, engines):
+    """Tell whether a request that may have run would start at one of some engines.
+
+    Parameters
+    ----------
+    stream : Stream
+    context : RelayContext
+    engines : list of TrackedTarget
+    """
+    queue = context.admission_queue(stream.admitted.service.name)
+    if queue.n_before(stream.admitted.priority, _first_event_deadline_ms(stream)):
+        return False
+    demand = _make_demand(stream, may_have_run=True)
+    return _choose(stream, context, engines, demand) is not None
+
+
+def _first_event_deadline_ms(stream):
+    admitted = stream.admitted
+    return admitted.request.arrived_ms + admitted.route.objective_ms
+
+
+def _make_demand(stream, may_have_run=False):
     request = stream.admitted.request
     generation = request.generation
     elapsed_ms = monotonic_ms() - request.arrived_ms
@@ -88,7 +114,7 @@
         stream.n_tokens,
         stream.admitted.route.objective_ms - elapsed_ms,
         stream.admitted.left_ms,
-        bool(stream.n_sends),
+        may_have_run or bool(stream.n_sends),
     )
 
 
@@ -118,11 +144,9 @@
         # No Retry-After: no engine will ever have the capacity.
         raise AlmonddealError(NO_TARGET, "no engine is large enough for the prompt")
     wait_deadline_ms = monotonic_ms() + max_wait_ms(context.load_view, demand)
-    first_event_deadline_ms = (
-        stream.admitted.request.arrived_ms + stream.admitted.route.objective_ms
-    )
     has_waited = False
-    with queue.enqueue(stream.admitted.priority, first_event_deadline_ms) as entry:
+    deadline_ms = _first_event_deadline_ms(stream)
+    with queue.enqueue(stream.admitted.priority, deadline_ms) as entry:
         while True:
             context.quarantine.check(stream.admitted)
             n_ahead = queue.n_ahead(entry)
--- a/packages/entry/src/almonddeal/relay/attempts.py
+++ b/packages/entry/src/almonddeal/relay/attempts.py
@@ -4,12 +4,15 @@
 
 from almonddeal.relay.forwarding import forward_events, may_continue
 from almonddeal.relay.kv_copies import free_copy, maintain_copy, select_backup
+from almonddeal.relay.moves import claim_move, fell_silent, is_last_crash
 from almonddeal.relay.requests import Attempt
 from almonddeal.relay.run_reports import report_run_start
 from almonddeal.relay.stall import (
     PROBE_INTERVAL_MS,
     PROBE_REPEAT_MS,
+    RECHECK_MS,
     SUSPECT_SILENCE_MS,
+    FirstEventTimer,
     first_event_timeout_ms,
     first_probe_delay_ms,
     probe_gap_ms,
@@ -31,7 +34,6 @@
 
 NOT_RUN_CODES = (NOT_REACHED, TARGET_REFUSED)
 EVENT_LOOP_STALL_MS = 100.0  # a timer later than this shows a stall of this process
-CUT_OFF_MARGIN_MS = 300.0  # a few events; engines that are cut off fall silent together
 MAX_ERROR_BODY_BYTES = 1024 * 1024
 
 log = get_logger("relay")
@@ -67,6 +69,7 @@
     # Without an event, the copy may lack most of the prompt.
     has_whole_prompt = copy is not None and stream.last_event_id is not None
     report_run_start(stream, context, announcement, has_whole_prompt)
+    context.moving_streams.discard(stream)
     started_ms = monotonic_ms()
     stream.n_attempts += 1
     context.named_limits.take(engine)
@@ -118,28 +121,29 @@
 
 
 async def _supervise(stream, context, engine, attempt, progress):
-    """Run an attempt in a scope that is cancelled on a stall or loss of the engine."""
-    # Stands if the scope is cancelled, by its timeout or after a failure of the engine.
+    """Run an attempt in a scope that is cancelled as the stream leaves its engine."""
+    # Stands if the scope is cancelled.
     error = AlmonddealError(TARGET_STALLED, "no event came")
     engine.n_in_flight += 1
+    timeout_ms = _first_event_timeout_ms(stream, context, engine)
+    timer = FirstEventTimer(anyio.current_time() + timeout_ms / 1000)
     async with anyio.create_task_group() as group:
-        engine.request_by_scope[group.cancel_scope] = stream.request_id
-        group.start_soon(_probe_while_silent, context, engine, stream.request_id)
+        leave = _make_leave(stream, context, engine, progress, group.cancel_scope)
+        engine.leave_by_scope[group.cancel_scope] = leave
+        group.start_soon(_probe_while_silent, stream, context, engine, leave)
         group.start_soon(
-            _cancel_if_stalled, stream, context, engine, progress, group.cancel_scope
+            _leave_if_stalled, stream, context, engine, progress, timer, leave
         )
         group.start_soon(maintain_copy, stream, context, engine.announcement)
         group.start_soon(_cancel_if_quarantined, stream, context, group.cancel_scope)
         try:
-            await _send_and_forward(
-                stream, context, engine, attempt, progress, group.cancel_scope
-            )
+            await _send_and_forward(stream, context, engine, attempt, progress, timer)
             error = None
         except AlmonddealError as caught:
             error = caught
         finally:
             engine.n_in_flight -= 1
-            del engine.request_by_scope[group.cancel_scope]
+            del engine.leave_by_scope[group.cancel_scope]
         group.cancel_scope.cancel()
     if error is not None and error.code == TARGET_STALLED:
         return _quarantine_error(stream, context) or error
@@ -162,11 +166,57 @@
     scope.cancel()
 
 
-async def _probe_while_silent(context, engine, request_id):
-    """Probe an engine while no stream of this instance receives events from it.
+def _make_leave(stream, context, engine, progress, scope):
+    """Return a function that cancels an attempt if its request can go on elsewhere.
 
-    A failed probe cancels the attempts at the engine.
+    It returns whether the attempt is cancelled.
     """
+    started_ms = monotonic_ms()
+    has_waited = has_crashed = False
+
+    def leave():
+        nonlocal has_waited, has_crashed
+        if scope.cancel_called:
+            return True
+        silent_since_ms = max(started_ms, progress.last_received_ms)
+        if claim_move(stream, context, engine, progress, silent_since_ms):
+            scope.cancel()
+            return True
+        if not has_crashed and is_last_crash(stream, context, engine, progress):
+            has_crashed = True
+            _record_crash(stream, context, engine, progress)
+        if not has_waited:
+            has_waited = True
+            decide(
+                log,
+                "kept a stream at a silent engine",
+                request=stream.request_id,
+                target=engine.announcement.target,
+                last_event_id=stream.last_event_id,
+                n_sends=stream.n_sends,
+                silence_ms=round(monotonic_ms() - silent_since_ms),
+            )
+        return False
+
+    return leave
+
+
+async def _probe(context, engine, request_id):
+    """Probe an engine; if it does not respond, have its streams leave it."""
+    probed_ms = monotonic_ms()
+    if engine.is_silent and probed_ms - engine.probed_ms < PROBE_REPEAT_MS:
+        return
+    engine.probed_ms = probed_ms
+    if await context.is_alive(engine.announcement):
+        engine.record_activity()
+    elif engine.last_activity_ms < probed_ms:
+        engine.record_silence()
+        context.targets.eject(engine, "liveness probe failed", request_id)
+        engine.leave()
+
+
+async def _probe_while_silent(stream, context, engine, leave):
+    """Probe an engine while no stream of this instance receives events from it."""
     n_unread_tokens = context.load_view.load(engine.announcement).n_unread_tokens
     delay_ms = first_probe_delay_ms(
         n_unread_tokens, context.load_view.typical_prefill_ms_per_token
@@ -176,22 +226,32 @@
         silence_ms = monotonic_ms() - engine.last_activity_ms
         min_silence_ms = SUSPECT_SILENCE_MS if is_suspected else PROBE_INTERVAL_MS
         if silence_ms >= min_silence_ms:
-            if not await context.is_alive(engine.announcement):
-                context.targets.eject(engine, "liveness probe failed", request_id)
-                engine.cancel_attempts()
-                return
-            engine.record_activity()
-        is_suspected = await _wait_for_suspicion(engine, PROBE_INTERVAL_MS)
+            await _probe(context, engine, stream.request_id)
+        if engine.is_silent:
+            leave()
+        interval_ms = RECHECK_MS if engine.is_silent else PROBE_INTERVAL_MS
+        is_suspected = await _wait_for_suspicion(engine, interval_ms)
+
 
+async def _leave_if_late(progress, timer, leave, check_interval_ms):
+    """Have a stream leave an engine that does not send a first event in time."""
+    while not progress.has_event:
+        left_ms = (timer.deadline - anyio.current_time()) * 1000
+        if left_ms <= 0:
+            leave()
+            left_ms = RECHECK_MS
+        await _sleep_unless_stalled(min(left_ms, check_interval_ms), progress)
 
-async def _cancel_if_stalled(stream, context, engine, progress, scope):
-    """Cancel an attempt whose engine stops sending events, until cancelled itself.
 
-    An engine that does not respond to a probe is lost. One that does is sound, and its
-    stream may only be slow, so it gets more time.
+async def _leave_if_stalled(stream, context, engine, progress, timer, leave):
+    """Have a stream leave an engine that sends no events, until cancelled.
+
+    An engine that does not respond to a probe is silent for all its streams. One that
+    does is sound, and its stream may only be slow, so it gets more time.
     """
     max_gap_ms = stream.admitted.route.max_gap_ms
     min_silence_ms = probe_gap_ms(max_gap_ms)
+    await _leave_if_late(progress, timer, leave, min_silence_ms)
     while True:
         now_ms = monotonic_ms()
         silence_ms = progress.silence_ms(now_ms)
@@ -201,19 +261,11 @@
         n_unread_tokens = context.load_view.load(engine.announcement).n_unread_tokens
         limit_ms = stall_gap_ms(max_gap_ms, n_unread_tokens)
         if silence_ms >= limit_ms:
-            scope.cancel()
-            return
+            leave()
         if now_ms - engine.last_activity_ms >= min_silence_ms:
-            if not await context.is_alive(engine.announcement):
-                context.targets.eject(
-                    engine, "liveness probe failed", stream.request_id
-                )
-                engine.cancel_attempts()
-                return
-            engine.record_activity()
-        await _sleep_unless_stalled(
-            min(PROBE_REPEAT_MS, limit_ms - silence_ms), progress
-        )
+            await _probe(context, engine, stream.request_id)
+        left_ms = limit_ms - silence_ms if silence_ms < limit_ms else RECHECK_MS
+        await _sleep_unless_stalled(min(PROBE_REPEAT_MS, left_ms), progress)
 
 
 async def _sleep_unless_stalled(duration_ms, progress):
@@ -236,10 +288,6 @@
     return False
 
 
-def _set_timeout(scope, timeout_ms):
-    scope.deadline = anyio.current_time() + timeout_ms / 1000
-
-
 def _first_event_timeout_ms(stream, context, engine):
     request = stream.admitted.request
     generation = request.generation
@@ -253,8 +301,7 @@
     )
 
 
-async def _send_and_forward(stream, context, engine, attempt, progress, scope):
-    _set_timeout(scope, _first_event_timeout_ms(stream, context, engine))
+async def _send_and_forward(stream, context, engine, attempt, progress, timer):
     async with context.open_attempt(attempt) as response:
         if response.is_of_other_request:
             raise AlmonddealError(LINK_LOST, "answer to another request")
@@ -272,7 +319,7 @@
             raise AlmonddealError(LINK_LOST, "not the target's answer")
         if not may_continue(stream, response):
             raise AlmonddealError(LINK_LOST, "not the rest of the response")
-        await forward_events(stream, context, engine, response, progress, scope)
+        await forward_events(stream, context, engine, response, progress, timer)
 
 
 async def _read_error_response(stream, response):
@@ -284,12 +331,12 @@
     stream.error_response = (response, body)
 
 
-def _fell_silent(context, engine, progress):
-    """Tell whether an engine, and not the network here, failed as it responded."""
-    if not progress.has_response or engine.ejected_until_ms <= monotonic_ms():
-        return False
-    since_ms = progress.last_received_ms + CUT_OFF_MARGIN_MS
-    return context.targets.has_activity(engine.announcement, since_ms)
+def _record_crash(stream, context, engine, progress):
+    crash = context.quarantine.record_crash(
+        stream.admitted, engine.announcement, progress.has_response
+    )
+    if progress.has_response and crash is not None:
+        stream.crashes.append(crash)
 
 
 async def _record_survival(stream, context, engine, progress, error):
@@ -307,13 +354,9 @@
         if await context.is_alive(engine.announcement):
             return
         context.targets.eject(engine, "liveness probe failed", stream.request_id)
-    elif error.code != TARGET_STALLED or not _fell_silent(context, engine, progress):
+    elif error.code != TARGET_STALLED or not fell_silent(context, engine, progress):
         return
-    crash = context.quarantine.record_crash(
-        stream.admitted, engine.announcement, progress.has_response
-    )
-    if progress.has_response and crash is not None:
-        stream.crashes.append(crash)
+    _record_crash(stream, context, engine, progress)
 
 
 def _record_failure(stream, context, engine, error, resumes_copy):
@@ -330,6 +373,6 @@
         # itself is not stalled.
         if silence_ms > probe_gap_ms(stream.admitted.route.max_gap_ms):
             context.targets.eject(engine, "stalled", request_id)
-            engine.cancel_attempts()
+            engine.leave()
     elif error.code == LINK_LOST:
         context.targets.record_connection_loss(engine, request_id)
--- a/packages/entry/src/almonddeal/relay/context.py
+++ b/packages/entry/src/almonddeal/relay/context.py
@@ -88,6 +88,8 @@
     ends_ms : float
         When this instance breaks off its requests, as `monotonic_ms`; infinite until
         it is told to stop.
+    moving_streams : set of Stream
+        Streams that left a silent engine and are not at another one yet.
     """
 
     def __init__(
@@ -120,6 +122,7 @@
         self.named_limits = NamedLimits(instance, self._count_requests)
         self.version = 0
         self.ends_ms = math.inf
+        self.moving_streams = set()
         self._started_ms = monotonic_ms()
         self._retry_limits = retry_limits
         self._retry_window_by_service = {}
--- a/packages/entry/src/almonddeal/relay/forwarding.py
+++ b/packages/entry/src/almonddeal/relay/forwarding.py
@@ -15,7 +15,7 @@
     return kind == (stream.status, stream.media_type)
 
 
-async def forward_events(stream, context, engine, response, progress, scope):
+async def forward_events(stream, context, engine, response, progress, timer):
     """Send the events of a response on to the caller, until it is complete.
 
     Parameters
@@ -25,8 +25,8 @@
     engine : TrackedTarget
     response : TargetResponse
     progress : AttemptProgress
-    scope : anyio.CancelScope
-        Its deadline, for the first event, is lifted once the engine makes progress.
+    timer : FirstEventTimer
+        Its deadline is lifted once the engine makes progress.
 
     Raises
     ------
@@ -44,7 +44,7 @@
             engine.record_activity()
             if not progress.has_event:
                 record_first_event(stream, context, engine)
-        deadline, scope.deadline = scope.deadline, float("inf")
+        deadline, timer.deadline = timer.deadline, float("inf")
         with progress.sending():
             await _send_events(stream, response, events, progress)
         if is_progress:
@@ -53,10 +53,10 @@
             if progress.has_survived and not had_survived:
                 context.quarantine.record_sound(list_suspects(stream.admitted))
         else:
-            scope.deadline = deadline
+            timer.deadline = deadline
     if reader.has_partial_event:
         raise AlmonddealError(LINK_LOST, "the answer ended within an event")
-    scope.deadline = float("inf")
+    timer.deadline = float("inf")
     with progress.sending():
         await _start_response(stream, response)
         await stream.writer.finish()
--- a/packages/entry/src/almonddeal/relay/quarantine.py
+++ b/packages/entry/src/almonddeal/relay/quarantine.py
@@ -133,11 +133,27 @@
         record : SegmentEvidence or None
             None if the request is known to be sound.
         """
+        record = self.make_crash(admitted, announcement, has_response)
+        if record is None:
+            return None
+        decide(
+            log,
+            "recorded a crash of a target under a request",
+            request=record.request,
+            target=record.target,
+            suspects=record.prefix_hashes,
+            has_response=has_response,
+        )
+        self.merge(record)
+        return record
+
+    def make_crash(self, admitted, announcement, has_response):
+        """Return the record of a crash without recording it; see `record_crash`."""
         request = admitted.request
         suspects = self.unproven(list_suspects(admitted))
         if not suspects:
             return None
-        record = SegmentEvidence(
+        return SegmentEvidence(
             key=f"{request.request_id}/{announcement.target}/{announcement.born_ms}",
             instance=self._instance,
             prefix_hashes=suspects,
@@ -149,16 +165,6 @@
             failure_domain=announcement.failure_domain,
             has_response=has_response,
         )
-        decide(
-            log,
-            "recorded a crash of a target under a request",
-            request=request.request_id,
-            target=announcement.target,
-            suspects=suspects,
-            has_response=has_response,
-        )
-        self.merge(record)
-        return record
 
     def record_sound(self, suspects):
         """Record that a target survived a request with these suspects."""
--- a/packages/entry/src/almonddeal/relay/run_reports.py
+++ b/packages/entry/src/almonddeal/relay/run_reports.py
@@ -58,6 +58,7 @@
 
 def report_run_end(stream, context):
     """Report that the run ended; `is_cut` if its response started but did not end."""
+    context.moving_streams.discard(stream)
     run = stream.run
     if run is not None:
         is_cut = stream.is_started and not stream.is_ended
--- a/packages/entry/src/almonddeal/relay/stall.py
+++ b/packages/entry/src/almonddeal/relay/stall.py
@@ -20,6 +20,23 @@
 # then, but resuming elsewhere would cost a prefill and delay others in turn.
 PREFILL_GAP_RATIO = 2.0
 PROBE_REPEAT_MS = 300.0
+# Interval at which a stream that cannot leave a silent engine looks for another one.
+RECHECK_MS = 100.0
+
+
+class FirstEventTimer:
+    """Deadline for the first event of an attempt.
+
+    Parameters
+    ----------
+    deadline : float
+        In seconds of the event loop's clock; infinite if there is none.
+    """
+
+    __slots__ = ("deadline",)
+
+    def __init__(self, deadline):
+        self.deadline = deadline
 
 
 def first_event_timeout_ms(
--- a/packages/entry/src/almonddeal/relay/stream_state.py
+++ b/packages/entry/src/almonddeal/relay/stream_state.py
@@ -161,6 +161,8 @@
     crashes : list of SegmentEvidence
         Crashes of engines that had started to respond, of which this request may be the
         cause.
+    has_retry : bool
+        Whether the retry for the next attempt was taken from the budget already.
     run : Run or None
         Last reported state of the run.
     """
@@ -172,6 +174,7 @@
         "error_response",
         "event_id_step",
         "failed_targets",
+        "has_retry",
         "is_ended",
         "is_started",
         "last_event_id",
@@ -205,6 +208,7 @@
         self.n_sends = 0
         self.n_attempts = 0
         self.crashes = []
+        self.has_retry = False
 
     @property
     def request_id(self):
--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -10,6 +10,7 @@
 from almonddeal.relay.admission_queue import wait_for_engine
 from almonddeal.relay.attempts import run_attempt
 from almonddeal.relay.culprits import count_successive
+from almonddeal.relay.moves import MIN_LEFT_MS, has_attempts_left
 from almonddeal.relay.plain import no_target_error
 from almonddeal.relay.prefix_cache import find_cached_prefix
 from almonddeal.relay.quarantine import MAX_CRASHES
@@ -27,11 +28,9 @@
 from almonddeal_common.logs import decide, get_logger
 
 RETRY_AFTER_MS = 1000  # about the prefill time of one prompt
-MAX_ATTEMPTS = 12  # failed connections included, whatever the route allows
 NO_CAPACITY_BACKOFF_S = 0.1  # before a started response looks for an engine again
 MAX_BUDGET_WAIT_MS = 1000.0  # a caller that resumes its stream itself takes as long
 BUDGET_POLL_INTERVAL_S = 0.05
-MIN_LEFT_MS = 50.0  # below this no further attempt is made
 
 log = get_logger("relay")
 
@@ -163,9 +162,7 @@
     route = stream.admitted.route
     if not is_not_run and not route.may_run_again:
         return False
-    if stream.n_attempts >= MAX_ATTEMPTS or stream.n_sends >= route.max_attempts:
-        return False
-    if stream.admitted.left_ms < MIN_LEFT_MS:
+    if not has_attempts_left(stream, stream.n_sends):
         return False
     if error.code == NOT_REACHED:
         return True
@@ -177,6 +174,9 @@
             n_crashes=len(stream.crashes),
         )
         return False
+    if stream.has_retry:
+        stream.has_retry = False
+        return True
     wait_deadline_ms = monotonic_ms() + MAX_BUDGET_WAIT_MS
     while not context.take_retry(stream.admitted.service.name):
         if monotonic_ms() >= wait_deadline_ms or stream.admitted.left_ms < MIN_LEFT_MS:
--- a/packages/entry/src/almonddeal/relay/targets.py
+++ b/packages/entry/src/almonddeal/relay/targets.py
@@ -37,10 +37,15 @@
         When `reported_counts` was received.
     ejected_until_ms : float
         Until then the target is a candidate only if there is no other.
-    request_by_scope : dict of anyio.CancelScope to str
-        Request ids of attempts in flight, by the scope that cancels the attempt.
+    leave_by_scope : dict of anyio.CancelScope to callable
+        Of attempts in flight, by the scope that cancels the attempt: ``leave()``
+        cancels it if its request can go on elsewhere.
     last_activity_ms : float
         When the last events of a stream arrived, or a probe succeeded.
+    probed_ms : float
+        When the last probe was sent.
+    silent_ms : float
+        When a probe failed last.
     incarnation_since_ms : float
         When the present incarnation of the target became known here.
     suspicion : anyio.Event
@@ -59,18 +64,22 @@
         "incarnation_since_ms",
         "last_activity_ms",
         "latency_ms",
+        "leave_by_scope",
         "n_in_flight",
+        "probed_ms",
         "reported_counts",
-        "request_by_scope",
+        "silent_ms",
         "suspicion",
     )
 
     def __init__(self, announcement):
         self.announcement = announcement
-        self.request_by_scope = {}
+        self.leave_by_scope = {}
         self.suspicion = anyio.Event()
         self.n_in_flight = 0
         self.last_activity_ms = 0.0
+        self.probed_ms = float("-inf")
+        self.silent_ms = float("-inf")
         self.reset()
 
     def __repr__(self):
@@ -119,6 +128,15 @@
         """Record that events arrived or a probe succeeded."""
         self.last_activity_ms = monotonic_ms()
 
+    def record_silence(self):
+        """Record that a probe failed."""
+        self.silent_ms = monotonic_ms()
+
+    @property
+    def is_silent(self):
+        """Whether a probe failed, and nothing has arrived since."""
+        return self.silent_ms > self.last_activity_ms
+
     def start_ejection(self, now_ms):
         """Eject the target with exponential backoff; returns the duration in ms."""
         duration_ms = min(
@@ -139,10 +157,10 @@
         self.suspicion.set()
         self.suspicion = anyio.Event()
 
-    def cancel_attempts(self):
-        """Cancel the attempts of this instance at the target."""
-        for scope in list(self.request_by_scope):
-            scope.cancel()
+    def leave(self):
+        """Cancel the attempts of this instance that can go on at another target."""
+        for leave_attempt in list(self.leave_by_scope.values()):
+            leave_attempt()
 
 
 class TargetTable:
