relay: let late lookups wait if no other target can take them

Callers saw: a lookup that ended with DEADLINE (504) after 40 % of its time, though its plain service was sound, silent for about a second, and would have answered in the time left.

Cause: the attempt was ended at 40 % of the time left whenever the route allowed a further one, before it was known whether there was another target, and a retry in the budget, for it.

Ruled out: orders wait for their target until the deadline already (tests pass before and after). The last attempt that a route allows did so as well.

Change: once late, a lookup goes on elsewhere only if another target that is not ejected can take it and the budget has a retry, which is taken then; otherwise it waits and looks again every 50 ms until its deadline.

Conclusion: a lookup that can go elsewhere does so as soon as before. Not covered: one that left a silent target and is refused or not reached by the last other one.

--- a/packages/entry/src/almonddeal/relay/plain.py
+++ b/packages/entry/src/almonddeal/relay/plain.py
@@ -1,6 +1,8 @@
 """Requests to plain services: lookups are retried, orders only if not executed."""
 
+import asyncio
 import random
+from contextlib import contextmanager, nullcontext
 
 import anyio
 
@@ -24,7 +26,8 @@
 from almonddeal_common.logs import decide, get_logger
 
 RETRY_AFTER_MS = 100  # targets free a slot within tens of milliseconds
-LOOKUP_TIMEOUT_SHARE = 0.4  # of the time left, for an attempt that is not the last
+LOOKUP_TIMEOUT_SHARE = 0.4  # of the time left; then a lookup is sent elsewhere
+RECHECK_INTERVAL_S = 0.05  # at which a late lookup looks for another target
 MAX_UNREACHED = 4  # retries after reaching no target, not counted in max_attempts
 MIN_LEFT_MS = 15.0  # no target responds within less
 MAX_BODY_BYTES = 4 * 1024 * 1024  # of a response, which is kept whole until its end
@@ -80,6 +83,15 @@
     n_sends = n_unreached = 0
     crashes = []
     preferred = None
+    has_retry = False
+
+    def claim_retry():
+        """Take a retry from the budget if the lookup can go on elsewhere now."""
+        nonlocal has_retry
+        if not has_retry and _has_alternative(admitted, context, tried):
+            has_retry = context.take_retry(admitted.service.name)
+        return has_retry
+
     context.record_request(admitted.service.name)
     while True:
         if preferred is None or preferred.is_not_run:
@@ -90,8 +102,10 @@
         if target is None:
             break
         tried.add(target.announcement.target)
-        is_last = n_sends + 1 >= admitted.route.max_attempts
-        outcome = await _run_attempt(admitted, context, target, is_order, is_last)
+        is_last = is_order or n_sends + 1 >= admitted.route.max_attempts
+        outcome = await _run_attempt(
+            admitted, context, target, None if is_last else claim_retry
+        )
         is_unreached = _is_unreached(outcome)
         n_unreached += int(is_unreached)
         n_sends += int(not is_unreached)
@@ -118,7 +132,12 @@
             break
         if admitted.left_ms < MIN_LEFT_MS:
             break
-        if not is_unreached and not context.take_retry(admitted.service.name):
+        has_claimed, has_retry = has_retry, False
+        if (
+            not is_unreached
+            and not has_claimed
+            and not context.take_retry(admitted.service.name)
+        ):
             decide(
                 log,
                 "retry budget exhausted",
@@ -152,6 +171,16 @@
     return context.selection_policy.plain(targets, context.domain, random.random)
 
 
+def _has_alternative(admitted, context, tried):
+    """Tell whether a lookup can be sent to another target now."""
+    if admitted.left_ms < MIN_LEFT_MS:
+        return False
+    if context.quarantine.blocks(list_suspects(admitted)):
+        return False
+    target = _select_target(admitted, context, tried)
+    return target is not None and target.ejected_until_ms <= monotonic_ms()
+
+
 def _is_unreached(outcome):
     """Tell whether no part of the request reached the intended target."""
     if outcome.error is not None:
@@ -218,21 +247,61 @@
     )
 
 
-async def _run_attempt(admitted, context, target, is_order, is_last):
-    """Send the request to one target and read the response; returns an `_Outcome`."""
-    timeout_ms = max(0.0, admitted.left_ms)
-    if not is_order and not is_last:
-        timeout_ms = max(admitted.route.objective_ms, timeout_ms * LOOKUP_TIMEOUT_SHARE)
-        timeout_ms = min(timeout_ms, admitted.left_ms)
+@contextmanager
+def _cancelled_if_late(scope, admitted, claim_retry):
+    """Have a scope cancelled once a lookup in it is late and can go on elsewhere.
+
+    A sound target may be silent for about a second, so the lookup waits for it unless
+    another one can take it.
+    """
+    # A task for this would cost as much as the rest of the relay of a lookup.
+    loop = asyncio.get_running_loop()
+    timeout_ms = max(
+        admitted.route.objective_ms, admitted.left_ms * LOOKUP_TIMEOUT_SHARE
+    )
+
+    def check():
+        nonlocal timer
+        if claim_retry():
+            scope.cancel()
+        else:
+            timer = loop.call_later(RECHECK_INTERVAL_S, check)
+
+    timer = loop.call_later(timeout_ms / 1000, check)
+    try:
+        yield
+    finally:
+        timer.cancel()
+
+
+async def _run_attempt(admitted, context, target, claim_retry):
+    """Send the request to one target and read the response; returns an `_Outcome`.
+
+    Parameters
+    ----------
+    admitted : AdmittedRequest
+    context : RelayContext
+    target : TrackedTarget
+    claim_retry : callable or None
+        Returns whether the request is sent elsewhere if this target is late; None if it
+        waits for this one until its deadline.
+    """
     started_ms = monotonic_ms()
     context.named_limits.take(target)
     target.n_in_flight += 1
-    outcome = _Outcome(error=AlmonddealError(DEADLINE, f"{timeout_ms:.0f} ms passed"))
+    outcome = None
     try:
-        with anyio.move_on_after(timeout_ms / 1000):
-            outcome = await _receive(admitted, context, target)
+        with anyio.move_on_after(max(0.0, admitted.left_ms) / 1000) as scope:
+            late = nullcontext()
+            if claim_retry is not None:
+                late = _cancelled_if_late(scope, admitted, claim_retry)
+            with late:
+                outcome = await _receive(admitted, context, target)
     finally:
         target.n_in_flight -= 1
+    if outcome is None:
+        detail = f"{monotonic_ms() - started_ms:.0f} ms passed"
+        outcome = _Outcome(error=AlmonddealError(DEADLINE, detail))
     _record_outcome(admitted, context, target, outcome, monotonic_ms() - started_ms)
     decide(
         log,
