relay: log the software version of targets

Streams were joined from two software versions of a service, and the logs name the target of an attempt but not its version: whether a stream changed its version within a response, or when its caller resumed it, could not be told from a stream that went on as it should.

The lines on announcements, attempts and first events now have software_version; `version` is that of the configuration, as before. No logic is changed.

--- a/packages/entry/src/almonddeal/relay/attempts.py
+++ b/packages/entry/src/almonddeal/relay/attempts.py
@@ -105,6 +105,7 @@
         fingerprint=stream.admitted.fingerprint,
         target=announcement.target,
         born_ms=announcement.born_ms,
+        software_version=announcement.version,
         version=context.version,
         resumes_copy=attempt.copy is not None,
         prefixes=shared_prefix_hashes(stream.admitted.request),
--- a/packages/entry/src/almonddeal/relay/run_reports.py
+++ b/packages/entry/src/almonddeal/relay/run_reports.py
@@ -38,6 +38,7 @@
         "resumed a stream after a loss" if stream.is_started else "started a stream",
         request=stream.request_id,
         target=engine.announcement.target,
+        software_version=engine.announcement.version,
         n_tries=stream.n_attempts,
         last_event_id=stream.last_event_id,
         pause_ms=round(waited_ms),
--- a/packages/entry/src/almonddeal/relay/targets.py
+++ b/packages/entry/src/almonddeal/relay/targets.py
@@ -192,6 +192,7 @@
             "received an announcement",
             target=announcement.target,
             state=announcement.state,
+            software_version=announcement.version,
             born_ms=announcement.born_ms,
             address=announcement.address,
         )
