relay: go on with a stream at its software version only

Callers received answers whose events two software versions of a service had written, with nothing in the answer to show it (ORDER).

Cause: after a loss, the relay chose among all engines of the service, copied the KV cache to any of them, and took any engine with the prompt in its prefix cache. Nothing recorded which version had begun the stream, and the engines do not check it. Ruled out for these: an engine that starts again under its id is another process by its start time, which was respected for copies; it was not for the choice by prefix, which is made during a query.

Change: a stream has the software version of the engine that sent its first event. From then on only targets of that version are candidates, in one place (TargetTable.candidates), for resuming, waiting and prefix lookups; a KV cache copy lies at an engine of the version of the run. Before the first event any version may take the request. If no target has the version any more, the response is truncated at once, as nobody can go on with it.

Conclusion: within one response, events come from one version. What callers resume at other requests is not covered yet.

--- a/packages/common/src/almonddeal_common/codes.py
+++ b/packages/common/src/almonddeal_common/codes.py
@@ -87,6 +87,7 @@
 NO_CONFIGURATION = _define(206, "NO_CONFIGURATION", 503, 26, NO, SAFE, "The process has no configuration yet.")
 PROMPT_QUARANTINED = _define(207, "PROMPT_QUARANTINED", 503, 27, NO, SAFE, "Engines crashed under a segment of the prompt; it is sent to none.")
 REQUEST_QUARANTINED = _define(208, "REQUEST_QUARANTINED", 503, 28, NO, SAFE, "Targets crashed under the same request; it is sent to none.")
+NOT_RESUMABLE = _define(209, "NOT_RESUMABLE", 503, 29, NO, SAFE, "No live target has the software version that began the stream, or that version is not known.")
 
 ANSWER_UNKNOWN = _define(300, "ANSWER_UNKNOWN", 404, 30, UNKNOWN, SAFE, "No answer is known by this request id.")
 HOLDERS_UNREACHABLE = _define(301, "HOLDERS_UNREACHABLE", 503, 31, UNKNOWN, SAFE, "Too few holders of the answer can be reached just now.")
--- a/packages/entry/src/almonddeal/relay/admission_queue.py
+++ b/packages/entry/src/almonddeal/relay/admission_queue.py
@@ -165,8 +165,7 @@
 
 
 def _untried_engines(stream, context):
-    name = stream.admitted.service.name
-    candidates = context.targets.candidates(name, stream.refusing_targets)
+    candidates = stream.candidates(context.targets, stream.refusing_targets)
     untried = [
         e for e in candidates if e.announcement.target not in stream.failed_targets
     ]
@@ -203,7 +202,7 @@
     if stream.n_sends:
         # An engine may have executed the request: it must not be reported as not run.
         error = AlmonddealError(ATTEMPT_LOST, "no engine has room after a loss")
-    elif not context.targets.candidates(stream.admitted.service.name):
+    elif not stream.candidates(context.targets):
         error = AlmonddealError(
             NO_TARGET,
             "no engine of the service is known",
--- a/packages/entry/src/almonddeal/relay/attempts.py
+++ b/packages/entry/src/almonddeal/relay/attempts.py
@@ -320,7 +320,9 @@
             raise AlmonddealError(LINK_LOST, "not the target's answer")
         if not may_continue(stream, response):
             raise AlmonddealError(LINK_LOST, "not the rest of the response")
-        await forward_events(stream, context, engine, response, progress, timer)
+        await forward_events(
+            stream, context, engine, attempt.target, response, progress, timer
+        )
 
 
 async def _read_error_response(stream, response):
--- a/packages/entry/src/almonddeal/relay/forwarding.py
+++ b/packages/entry/src/almonddeal/relay/forwarding.py
@@ -15,7 +15,9 @@
     return kind == (stream.status, stream.media_type)
 
 
-async def forward_events(stream, context, engine, response, progress, timer):
+async def forward_events(
+    stream, context, engine, announcement, response, progress, timer
+):
     """Send the events of a response on to the caller, until it is complete.
 
     Parameters
@@ -23,6 +25,8 @@
     stream : Stream
     context : RelayContext
     engine : TrackedTarget
+    announcement : AnnouncedTarget
+        Of the engine, as the request was sent.
     response : TargetResponse
     progress : AttemptProgress
     timer : FirstEventTimer
@@ -44,6 +48,8 @@
             engine.record_activity()
             if not progress.has_event:
                 record_first_event(stream, context, engine)
+            if stream.software_version is None:
+                stream.software_version = announcement.version
         deadline, timer.deadline = timer.deadline, float("inf")
         with progress.sending():
             await _send_events(stream, response, events, progress)
--- a/packages/entry/src/almonddeal/relay/kv_copies.py
+++ b/packages/entry/src/almonddeal/relay/kv_copies.py
@@ -34,7 +34,8 @@
     -------
     backup : TrackedTarget or None
         None if the engines do not replicate, requests of the route may run only once,
-        or no engine in another failure domain has capacity.
+        or no engine of the same software version in another failure domain has
+        capacity.
     """
     traits = stream.admitted.service.engine
     if traits is None or not traits.replicates_kv_cache:
@@ -42,7 +43,10 @@
     if not stream.admitted.route.may_run_again:
         return None
     engines = stream.outside_lost_domains(
-        context.targets.candidates(stream.admitted.service.name), monotonic_ms()
+        context.targets.candidates(
+            stream.admitted.service.name, software_version=announcement.version
+        ),
+        monotonic_ms(),
     )
     return context.selection_policy.backup(
         engines, announcement, context.load_view, stream.n_tokens, traits, random.random
--- a/packages/entry/src/almonddeal/relay/moves.py
+++ b/packages/entry/src/almonddeal/relay/moves.py
@@ -122,6 +122,8 @@
     copy = stream.copy
     if copy is None or copy.backup is engine:
         return False
+    if not stream.is_compatible(copy.backup.announcement):
+        return False
     if not copy.is_valid(context.targets, monotonic_ms()):
         return False
     if not context.named_limits.allows(copy.backup):
@@ -142,9 +144,7 @@
     only the connection is lost.
     """
     now_ms = monotonic_ms()
-    candidates = context.targets.candidates(
-        stream.admitted.service.name, stream.refusing_targets
-    )
+    candidates = stream.candidates(context.targets, stream.refusing_targets)
     others = [
         other
         for other in candidates
--- a/packages/entry/src/almonddeal/relay/stream_state.py
+++ b/packages/entry/src/almonddeal/relay/stream_state.py
@@ -137,6 +137,9 @@
         Last event sent to the caller.
     is_started, is_ended : bool
         Whether the response head, and the end of the response, were sent.
+    software_version : str or None
+        Version of the engine that began the stream, which alone may go on with it; None
+        before the first event.
     status : int or None
     media_type : bytes or None
         Status and media type of the response whose head was sent.
@@ -185,6 +188,7 @@
         "n_sends",
         "refusing_targets",
         "run",
+        "software_version",
         "status",
         "writer",
     )
@@ -195,6 +199,7 @@
         self.last_event_id = admitted.request.last_event_id
         self.is_started = False
         self.is_ended = False
+        self.software_version = None
         self.status = None
         self.media_type = None
         self.copy = None
@@ -215,6 +220,23 @@
         """Id of the request."""
         return self.admitted.request.request_id
 
+    def candidates(self, targets, excluded=()):
+        """Return the targets at which the stream may begin or go on, as a list.
+
+        Parameters
+        ----------
+        targets : TargetTable
+        excluded : collection of str
+            Ids of targets to leave out.
+        """
+        return targets.candidates(
+            self.admitted.service.name, excluded, self.software_version
+        )
+
+    def is_compatible(self, announcement):
+        """Tell whether a target has the software version that began the stream."""
+        return self.software_version in (None, announcement.version)
+
     def outside_lost_domains(self, engines, now_ms):
         """Return the engines outside domains where this stream just lost one.
 
--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -21,6 +21,7 @@
     ATTEMPT_LOST,
     DEADLINE,
     NOT_REACHED,
+    NOT_RESUMABLE,
     OVERLOADED,
     TARGET_REFUSED,
     AlmonddealError,
@@ -97,6 +98,8 @@
     backup = context.targets.get(run.backup)
     if backup is None or backup.announcement.born_ms != run.backup_born_ms:
         return
+    if not stream.is_compatible(backup.announcement):
+        return
     stream.copy = KvCopy(backup, run.copy_address, run.copy_id)
     decide(
         log,
@@ -116,17 +119,23 @@
     Raises
     ------
     AlmonddealError
-        If the response has not started and no engine is available in time.
+        If the response has not started and no engine is available in time, or if no
+        target has the software version that began the stream.
     """
     copy, stream.copy = stream.copy, None
     if (
         copy is not None
+        and stream.is_compatible(copy.backup.announcement)
         and copy.is_valid(context.targets, monotonic_ms())
         and context.named_limits.allows(copy.backup)
     ):
         return copy.backup, copy
     service = stream.admitted.service
-    candidates = context.targets.candidates(service.name, stream.refusing_targets)
+    if stream.software_version is not None and not stream.candidates(context.targets):
+        raise AlmonddealError(
+            NOT_RESUMABLE, f"no target has software version {stream.software_version}"
+        )
+    candidates = stream.candidates(context.targets, stream.refusing_targets)
     engines = [
         e for e in candidates if e.announcement.target not in stream.failed_targets
     ] or candidates
@@ -139,7 +148,7 @@
             engine for engine in candidates if context.named_limits.allows(engine)
         ]
         engine = await find_cached_prefix(stream, context, allowed)
-        if engine is not None:
+        if engine is not None and stream.is_compatible(engine.announcement):
             return engine, None
     if not stream.is_started:
         return await wait_for_engine(stream, context), None
--- a/packages/entry/src/almonddeal/relay/targets.py
+++ b/packages/entry/src/almonddeal/relay/targets.py
@@ -215,7 +215,7 @@
             return False
         return self._id_by_address.get(announcement.address) == announcement.target
 
-    def candidates(self, service_name, excluded=()):
+    def candidates(self, service_name, excluded=(), software_version=None):
         """Return the targets of a service for new requests, as a list.
 
         Ejected targets, those whose announcements stopped, and those in a lost failure
@@ -226,6 +226,8 @@
         service_name : str
         excluded : collection of str
             Ids of targets to leave out.
+        software_version : str or None
+            Version that the targets must have; None for any.
         """
         now_ms = monotonic_ms()
         usable = [
@@ -234,6 +236,7 @@
             if target.announcement.service_name == service_name
             and self.is_usable(target)
             and target.announcement.target not in excluded
+            and software_version in (None, target.announcement.version)
         ]
         healthy = [
             target
--- a/packages/entry/src/almonddeal/relay/tests/fakes.py
+++ b/packages/entry/src/almonddeal/relay/tests/fakes.py
@@ -74,9 +74,21 @@
         lines = self.body.split(b"\n")
         return [int(line[3:]) for line in lines if line.startswith(b"id:")]
 
+    @property
+    def versions(self):
+        """Software versions that wrote the events, as a set."""
+        lines = self.body.split(b"\n")
+        return {line[6:].decode() for line in lines if line.startswith(b"data: ")}
+
 
 def make_announcement(
-    target, domain="fd1", born_ms=1000, state=READY, service="s", slots=64
+    target,
+    domain="fd1",
+    born_ms=1000,
+    state=READY,
+    service="s",
+    slots=64,
+    version="v1",
 ):
     number = int(target.rpartition("-")[2])
     return AnnouncedTarget(
@@ -84,7 +96,7 @@
         service,
         f"10.0.0.{number}:80",
         domain,
-        "v1",
+        version,
         slots,
         state,
         born_ms,
@@ -120,9 +132,9 @@
         load_view.merge(make_run(f"{target}-{number}", target, n_unread_tokens=0))
 
 
-def make_event(number):
-    """Return the bytes of one server-sent event."""
-    return b"id:%d\ndata: x\n\n" % number
+def make_event(number, version="v1"):
+    """Return the bytes of one server-sent event, written by a software version."""
+    return b"id:%d\ndata: %s\n\n" % (number, version.encode())
 
 
 class FakeFleet:
@@ -135,9 +147,13 @@
         `ResponseHead`, or raises; then it yields the chunks of the body.
     domain_by_target : dict of str to str
         Failure domains; ``fd1`` if not given.
+    version_by_target : dict of str to str
+        Software versions; ``v1`` if not given.
     """
 
-    def __init__(self, behaviour_by_target, domain_by_target=None):
+    def __init__(
+        self, behaviour_by_target, domain_by_target=None, version_by_target=None
+    ):
         self.behaviour_by_target = behaviour_by_target
         self.attempts = []
         self.n_open = 0
@@ -147,6 +163,7 @@
         self.freed_copy_ids = []
         self.alive = set(behaviour_by_target)
         self._domain_by_target = domain_by_target or {}
+        self._version_by_target = version_by_target or {}
         self.context = self.add_instance("entry-1")
         self.target_table = self.context.targets
 
@@ -155,7 +172,8 @@
         target_table = TargetTable()
         for target in self.behaviour_by_target:
             domain = self._domain_by_target.get(target, "fd1")
-            target_table.merge(make_announcement(target, domain))
+            version = self._version_by_target.get(target, "v1")
+            target_table.merge(make_announcement(target, domain, version=version))
         return RelayContext(
             name,
             failure_domain,
@@ -298,7 +316,7 @@
         start = first if attempt.last_event_id is None else attempt.last_event_id + 1
         for number in range(start, last + 1):
             await anyio.sleep(gap_s)
-            yield make_event(number)
+            yield make_event(number, attempt.target.version)
             if number == lose_at:
                 yield b"id:%d\nda" % (number + 1)
                 raise AlmonddealError(LINK_LOST, "reset within an event")
@@ -333,10 +351,16 @@
     return RoutingTable(3, [route], [Service("s", traits)], None, limits)
 
 
-def make_request(timeout_ms=1000.0, generation=None, last_event_id=None):
+def make_request(
+    timeout_ms=1000.0,
+    generation=None,
+    last_event_id=None,
+    request_id="req1",
+    **changes,
+):
     """Return a request that matches `make_route`."""
     return CallerRequest(
-        "req1",
+        request_id,
         "GET",
         "h",
         "/a/b",
@@ -347,6 +371,7 @@
         None,
         last_event_id,
         generation,
+        **changes,
     )
 
 
@@ -355,10 +380,12 @@
     return AdmittedRequest(make_request(timeout_ms), route, Service("s", None), None)
 
 
-def admit_stream(route=None, timeout_ms=10_000.0, last_event_id=None, n_prompt=1000):
+def admit_stream(
+    route=None, timeout_ms=10_000.0, last_event_id=None, n_prompt=1000, **changes
+):
     """Return an admitted request for a streamed response."""
     generation = Generation(n_prompt, 100, "print1", "part1")
-    request = make_request(timeout_ms, generation, last_event_id)
+    request = make_request(timeout_ms, generation, last_event_id, **changes)
     return AdmittedRequest(
         request, route or make_route(STREAM), Service("s", TRAITS), None
     )
