relay: resume a caller's stream at the version that began it

Callers whose streams had broken off resumed them at any instance as the interface allows.

Cause: which version began a stream was known only to the instance that relayed it, and to nobody once it had restarted; the name of the first request, which callers send, was not read. Class: state that must outlast a process was kept in that process alone. Ruled out as sufficient: guessing from the versions in service, as the old one may just have left.

Change: an instance publishes the origin of a stream, its version by the request that brought the first event, before it sends that event. Origins travel like evidence on crashes, through control to all instances, and are on the disks of control instances. A resumed stream goes on only at the version of its origin, at the service of its origin if the route has it. Without an origin it waits half a second, then it is rejected as not run (NOT_RESUMABLE, 503). Messages gain optional lists only.

Conclusion: no stream goes on at a version that is not known to have begun it.

--- a/idl/almonddeal.thrift
+++ b/idl/almonddeal.thrift
@@ -263,13 +263,20 @@
   5: double limit_per_s, 6: i64 named_age_ms, 7: i32 n_requests
   8: i64 unnamed_age_ms // since a response that named no limit
 }
+// Which software version of a service began a stream: the one of the target whose first
+// event the request brought. Targets of other versions can't resume the stream.
+struct StreamOrigin {
+  1: string request, 2: string service_name, 3: string version, 4: i64 began_ms
+  5: string instance
+}
 struct ShareRuns {
   1: list<Run> runs, 2: bool is_relayed, 3: list<SegmentEvidence> evidence
-  4: list<LimitReport> limits
+  4: list<LimitReport> limits, 5: list<StreamOrigin> origins
 }
 struct Follow { 1: i64 have_version, 2: string instance }
 struct FollowUpdate {
   1: i64 version, 2: binary content, 3: list<AnnouncedTarget> targets
   4: list<string> member_addresses, 5: bool is_fresh, 6: list<Run> runs
   7: i32 n_followers, 8: list<SegmentEvidence> evidence, 9: list<LimitReport> limits
+  10: list<StreamOrigin> origins
 }
--- a/packages/common/src/almonddeal_common/wire/gen/ttypes.py
+++ b/packages/common/src/almonddeal_common/wire/gen/ttypes.py
@@ -6919,6 +6919,122 @@
         return not (self == other)
 
 
+class StreamOrigin(object):
+    """
+    Attributes:
+     - request
+     - service_name
+     - version
+     - began_ms
+     - instance
+
+    """
+
+    __slots__ = (
+        'request',
+        'service_name',
+        'version',
+        'began_ms',
+        'instance',
+    )
+
+
+    def __init__(self, request=None, service_name=None, version=None, began_ms=None, instance=None,):
+        self.request = request
+        self.service_name = service_name
+        self.version = version
+        self.began_ms = began_ms
+        self.instance = instance
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.began_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamOrigin')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRING, 1)
+            oprot.writeString(self.request.encode('utf-8') if sys.version_info[0] == 2 else self.request)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 3)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
+        if self.began_ms is not None:
+            oprot.writeFieldBegin('began_ms', TType.I64, 4)
+            oprot.writeI64(self.began_ms)
+            oprot.writeFieldEnd()
+        if self.instance is not None:
+            oprot.writeFieldBegin('instance', TType.STRING, 5)
+            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ShareRuns(object):
     """
     Attributes:
@@ -6926,6 +7042,7 @@
      - is_relayed
      - evidence
      - limits
+     - origins
 
     """
 
@@ -6934,14 +7051,16 @@
         'is_relayed',
         'evidence',
         'limits',
+        'origins',
     )
 
 
-    def __init__(self, runs=None, is_relayed=None, evidence=None, limits=None,):
+    def __init__(self, runs=None, is_relayed=None, evidence=None, limits=None, origins=None,):
         self.runs = runs
         self.is_relayed = is_relayed
         self.evidence = evidence
         self.limits = limits
+        self.origins = origins
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -6990,6 +7109,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.origins = []
+                    (_etype213, _size210) = iprot.readListBegin()
+                    for _i214 in range(_size210):
+                        _elem215 = StreamOrigin()
+                        _elem215.read(iprot)
+                        self.origins.append(_elem215)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -7003,8 +7133,8 @@
         if self.runs is not None:
             oprot.writeFieldBegin('runs', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.runs))
-            for iter210 in self.runs:
-                iter210.write(oprot)
+            for iter216 in self.runs:
+                iter216.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_relayed is not None:
@@ -7014,15 +7144,22 @@
         if self.evidence is not None:
             oprot.writeFieldBegin('evidence', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.evidence))
-            for iter211 in self.evidence:
-                iter211.write(oprot)
+            for iter217 in self.evidence:
+                iter217.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter212 in self.limits:
-                iter212.write(oprot)
+            for iter218 in self.limits:
+                iter218.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.origins is not None:
+            oprot.writeFieldBegin('origins', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.origins))
+            for iter219 in self.origins:
+                iter219.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -7142,6 +7279,7 @@
      - n_followers
      - evidence
      - limits
+     - origins
 
     """
 
@@ -7155,10 +7293,11 @@
         'n_followers',
         'evidence',
         'limits',
+        'origins',
     )
 
 
-    def __init__(self, version=None, content=None, targets=None, member_addresses=None, is_fresh=None, runs=None, n_followers=None, evidence=None, limits=None,):
+    def __init__(self, version=None, content=None, targets=None, member_addresses=None, is_fresh=None, runs=None, n_followers=None, evidence=None, limits=None, origins=None,):
         self.version = version
         self.content = content
         self.targets = targets
@@ -7168,6 +7307,7 @@
         self.n_followers = n_followers
         self.evidence = evidence
         self.limits = limits
+        self.origins = origins
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -7191,21 +7331,21 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.targets = []
-                    (_etype216, _size213) = iprot.readListBegin()
-                    for _i217 in range(_size213):
-                        _elem218 = AnnouncedTarget()
-                        _elem218.read(iprot)
-                        self.targets.append(_elem218)
+                    (_etype223, _size220) = iprot.readListBegin()
+                    for _i224 in range(_size220):
+                        _elem225 = AnnouncedTarget()
+                        _elem225.read(iprot)
+                        self.targets.append(_elem225)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.member_addresses = []
-                    (_etype222, _size219) = iprot.readListBegin()
-                    for _i223 in range(_size219):
-                        _elem224 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.member_addresses.append(_elem224)
+                    (_etype229, _size226) = iprot.readListBegin()
+                    for _i230 in range(_size226):
+                        _elem231 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.member_addresses.append(_elem231)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -7217,11 +7357,11 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.runs = []
-                    (_etype228, _size225) = iprot.readListBegin()
-                    for _i229 in range(_size225):
-                        _elem230 = Run()
-                        _elem230.read(iprot)
-                        self.runs.append(_elem230)
+                    (_etype235, _size232) = iprot.readListBegin()
+                    for _i236 in range(_size232):
+                        _elem237 = Run()
+                        _elem237.read(iprot)
+                        self.runs.append(_elem237)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -7233,22 +7373,33 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.evidence = []
-                    (_etype234, _size231) = iprot.readListBegin()
-                    for _i235 in range(_size231):
-                        _elem236 = SegmentEvidence()
-                        _elem236.read(iprot)
-                        self.evidence.append(_elem236)
+                    (_etype241, _size238) = iprot.readListBegin()
+                    for _i242 in range(_size238):
+                        _elem243 = SegmentEvidence()
+                        _elem243.read(iprot)
+                        self.evidence.append(_elem243)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype240, _size237) = iprot.readListBegin()
-                    for _i241 in range(_size237):
-                        _elem242 = LimitReport()
-                        _elem242.read(iprot)
-                        self.limits.append(_elem242)
+                    (_etype247, _size244) = iprot.readListBegin()
+                    for _i248 in range(_size244):
+                        _elem249 = LimitReport()
+                        _elem249.read(iprot)
+                        self.limits.append(_elem249)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.origins = []
+                    (_etype253, _size250) = iprot.readListBegin()
+                    for _i254 in range(_size250):
+                        _elem255 = StreamOrigin()
+                        _elem255.read(iprot)
+                        self.origins.append(_elem255)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -7273,15 +7424,15 @@
         if self.targets is not None:
             oprot.writeFieldBegin('targets', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.targets))
-            for iter243 in self.targets:
-                iter243.write(oprot)
+            for iter256 in self.targets:
+                iter256.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.member_addresses is not None:
             oprot.writeFieldBegin('member_addresses', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.member_addresses))
-            for iter244 in self.member_addresses:
-                oprot.writeString(iter244.encode('utf-8') if sys.version_info[0] == 2 else iter244)
+            for iter257 in self.member_addresses:
+                oprot.writeString(iter257.encode('utf-8') if sys.version_info[0] == 2 else iter257)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_fresh is not None:
@@ -7291,8 +7442,8 @@
         if self.runs is not None:
             oprot.writeFieldBegin('runs', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.runs))
-            for iter245 in self.runs:
-                iter245.write(oprot)
+            for iter258 in self.runs:
+                iter258.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.n_followers is not None:
@@ -7302,15 +7453,22 @@
         if self.evidence is not None:
             oprot.writeFieldBegin('evidence', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.evidence))
-            for iter246 in self.evidence:
-                iter246.write(oprot)
+            for iter259 in self.evidence:
+                iter259.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter247 in self.limits:
-                iter247.write(oprot)
+            for iter260 in self.limits:
+                iter260.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.origins is not None:
+            oprot.writeFieldBegin('origins', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.origins))
+            for iter261 in self.origins:
+                iter261.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -7849,6 +8007,15 @@
     (7, TType.I32, 'n_requests', None, None, ),  # 7
     (8, TType.I64, 'unnamed_age_ms', None, None, ),  # 8
 )
+all_structs.append(StreamOrigin)
+StreamOrigin.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'version', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'began_ms', None, None, ),  # 4
+    (5, TType.STRING, 'instance', 'UTF8', None, ),  # 5
+)
 all_structs.append(ShareRuns)
 ShareRuns.thrift_spec = (
     None,  # 0
@@ -7856,6 +8023,7 @@
     (2, TType.BOOL, 'is_relayed', None, None, ),  # 2
     (3, TType.LIST, 'evidence', (TType.STRUCT, [SegmentEvidence, None], False), None, ),  # 3
     (4, TType.LIST, 'limits', (TType.STRUCT, [LimitReport, None], False), None, ),  # 4
+    (5, TType.LIST, 'origins', (TType.STRUCT, [StreamOrigin, None], False), None, ),  # 5
 )
 all_structs.append(Follow)
 Follow.thrift_spec = (
@@ -7875,6 +8043,7 @@
     (7, TType.I32, 'n_followers', None, None, ),  # 7
     (8, TType.LIST, 'evidence', (TType.STRUCT, [SegmentEvidence, None], False), None, ),  # 8
     (9, TType.LIST, 'limits', (TType.STRUCT, [LimitReport, None], False), None, ),  # 9
+    (10, TType.LIST, 'origins', (TType.STRUCT, [StreamOrigin, None], False), None, ),  # 10
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/entry/src/almonddeal/publication/feed.py
+++ b/packages/entry/src/almonddeal/publication/feed.py
@@ -6,6 +6,7 @@
 
 from almonddeal.announced.evidence import EvidenceStore
 from almonddeal.announced.expiring_map import ExpiringMap
+from almonddeal.announced.stream_origins import StreamOrigins
 from almonddeal.announced.versioned_map import VersionedMap
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import AlmonddealError
@@ -31,10 +32,11 @@
     runs: int
     evidence: int
     limits: int
+    origins: int
 
 
 class Feed:
-    """Distributes configuration, announcements, runs and evidence to subscribers.
+    """Distributes configuration, announcements and reports to subscribers.
 
     Parameters
     ----------
@@ -53,6 +55,8 @@
     ----------
     evidence : EvidenceStore
         Evidence on requests and prompt segments, of all instances.
+    origins : StreamOrigins
+        Software versions that began streams, of all instances.
     """
 
     def __init__(
@@ -66,6 +70,7 @@
         self._peer_by_name = peer_by_name
         self._runs = VersionedMap()
         self.evidence = EvidenceStore()
+        self.origins = StreamOrigins()
         self._limits = ExpiringMap(LIMIT_RETENTION_MS)
         self._n_links_by_instance = {}
         # Pairs of the time of receipt in ms and whether the run has ended.
@@ -107,7 +112,7 @@
 
     async def _send_updates(self, message, emit):
         sent_version = message.have_version
-        sent = _Revisions(0, 0, 0, 0)
+        sent = _Revisions(0, 0, 0, 0, 0)
         sent_addresses = sent_is_fresh = None
         while True:
             update = FollowUpdate(sent_version, b"", [], [], self.is_fresh, [], 0)
@@ -123,8 +128,9 @@
                 for run in self._runs.changed_since(sent.runs)
                 if run.instance != message.instance
             ]
-            # Also that of the subscriber itself, which may have restarted.
+            # Also those of the subscriber itself, which may have restarted.
             update.evidence = self.evidence.changed_since(sent.evidence)
+            update.origins = self.origins.changed_since(sent.origins)
             update.limits = [
                 limit
                 for limit in self._limits.changed_since(sent.limits)
@@ -140,6 +146,7 @@
                 or update.runs
                 or update.evidence
                 or update.limits
+                or update.origins
                 or update.member_addresses
                 or sent_is_fresh != update.is_fresh
             ):
@@ -154,6 +161,7 @@
             self._runs.revision,
             self.evidence.revision,
             self._limits.revision,
+            self.origins.revision,
         )
 
     async def _wait_for_change(self, sent_version, sent_revisions, sent_is_fresh):
@@ -188,6 +196,7 @@
                 self.notify_changed()
             self._evict_old_runs()
             self.evidence.evict_stale()
+            self.origins.evict_stale()
             self._limits.evict_stale()
 
     async def accept_announcement(self, announcement, origin):
@@ -242,26 +251,33 @@
         return Ok()
 
     def send_state(self, link):
-        """Send announcements, runs and evidence to a control instance, all of them."""
+        """Send all announcements and reports to a control instance."""
         targets = self._registry.announcements.values()
         if targets:
             link.notify(ShareTargets(targets))
-        if len(self._runs) or len(self.evidence):
-            link.notify(ShareRuns(self._runs.values(), True, self.evidence.values()))
+        reports = ShareRuns(
+            self._runs.values(),
+            True,
+            self.evidence.values(),
+            origins=self.origins.values(),
+        )
+        if reports.runs or reports.evidence or reports.origins:
+            link.notify(reports)
 
     async def handle_share_runs(self, link, message, emit):
         """Relay the reports of subscribers, so that all instances have them."""
         for run in message.runs:
             self._runs.put(run.request, run)
             self._receipt_by_request[run.request] = (monotonic_ms(), run.is_ended)
-        # Both are None in the messages of earlier releases.
+        # These are None in the messages of earlier releases.
+        origins = [o for o in message.origins or [] if self.origins.add(o)]
         evidence = [r for r in message.evidence or [] if self.evidence.add(r)]
         limits = message.limits or []
         for limit in limits:
             self._limits.put((limit.instance, limit.target, limit.born_ms), limit)
         self._registry.announcements.notify()
-        if not message.is_relayed and (message.runs or evidence or limits):
-            relayed_message = ShareRuns(message.runs, True, evidence, limits)
+        if not message.is_relayed and (message.runs or evidence or limits or origins):
+            relayed_message = ShareRuns(message.runs, True, evidence, limits, origins)
             for peer in list(self._peer_by_name.values()):
                 if peer.is_up:
                     peer.require_link().notify(relayed_message)
--- a/packages/entry/src/almonddeal/publication/follower.py
+++ b/packages/entry/src/almonddeal/publication/follower.py
@@ -23,8 +23,9 @@
 class Follower:
     """Receives updates from one control instance; sends it the runs of this instance.
 
-    It also sends the limits of targets, and the evidence on what crashes them: at first
-    all of it, as the control instance may have restarted, then what this instance adds.
+    It also sends the limits of targets, the evidence on what crashes them and the
+    origins of streams: of the last two at first all, as the control instance may have
+    restarted, then what this instance adds.
 
     Parameters
     ----------
@@ -39,9 +40,20 @@
     limits : VersionedMap
         Reports of this instance on the limits of targets.
     evidence : EvidenceStore
+    origins : StreamOrigins
     """
 
-    def __init__(self, settings, hello, on_update, get_version, runs, limits, evidence):
+    def __init__(
+        self,
+        settings,
+        hello,
+        on_update,
+        get_version,
+        runs,
+        limits,
+        evidence,
+        origins,
+    ):
         self._settings = settings
         self._hello = hello
         self._on_update = on_update
@@ -49,6 +61,7 @@
         self._runs = runs
         self._limits = limits
         self._evidence = evidence
+        self._origins = origins
         self._member_addresses = []
         self._domain_by_address = {}
         self._failed_ms_by_address = {}
@@ -152,6 +165,7 @@
             group.start_soon(self._send_runs, link)
             group.start_soon(self._send_limits, link)
             group.start_soon(self._send_evidence, link)
+            group.start_soon(self._send_origins, link)
         if update.member_addresses:
             self._member_addresses = list(update.member_addresses)
         if update.is_fresh:
@@ -177,16 +191,28 @@
         )
 
     async def _send_evidence(self, link):
-        """Send all evidence, then what this instance adds to it."""
-        sent_revision = self._evidence.revision
-        if len(self._evidence):
-            link.notify(ShareRuns([], False, self._evidence.values()))
+        await self._send_records(
+            link, self._evidence, lambda records: ShareRuns([], False, records)
+        )
+
+    async def _send_origins(self, link):
+        await self._send_records(
+            link,
+            self._origins,
+            lambda records: ShareRuns([], False, origins=records),
+        )
+
+    async def _send_records(self, link, store, make_message):
+        """Send all records of a store, then what this instance adds to it."""
+        sent_revision = store.revision
+        if len(store):
+            link.notify(make_message(store.values()))
 
-        def make_message(records):
+        def make_own_message(records):
             own = [r for r in records if r.instance == self._settings.instance]
-            return ShareRuns([], False, own) if own else None
+            return make_message(own) if own else None
 
-        await self._send_changes(link, self._evidence, make_message, sent_revision)
+        await self._send_changes(link, store, make_own_message, sent_revision)
 
     async def _send_changes(self, link, values, make_message, sent_revision=0):
         while True:
--- a/packages/entry/src/almonddeal/publication/tests/test_feed.py
+++ b/packages/entry/src/almonddeal/publication/tests/test_feed.py
@@ -20,6 +20,7 @@
     Run,
     SegmentEvidence,
     ShareRuns,
+    StreamOrigin,
 )
 
 
@@ -257,3 +258,40 @@
 def make_publish_command(version):
     content = compress_content(b"{}")
     return Command(publish=PublishConfiguration(version, content, "x", 0))
+
+
+class TestOrigins:
+    """Pattern: callers resume streams elsewhere after their instances are lost."""
+
+    def share(self, feed, *origins, is_relayed=False):
+        message = ShareRuns([], is_relayed, origins=list(origins))
+        anyio.run(feed.handle_share_runs, None, message, None)
+
+    def origin(self, request, instance="entry-1"):
+        return StreamOrigin(request, "s", "v1", 0, instance)
+
+    # Guards against an instance that restarts and does not know the streams it began.
+    def test_all_subscribers_receive_an_origin_its_sender_too(self, feed):
+        self.share(feed, self.origin("r1"))
+        for update in first_updates(feed, "entry-1", "entry-2"):
+            assert [origin.request for origin in update.origins] == ["r1"]
+
+    # Guards against control instances that flood each other.
+    def test_origins_are_relayed_once(self, feed, peers):
+        self.share(feed, self.origin("r1"))
+        self.share(feed, self.origin("r1"), self.origin("r2"))
+        self.share(feed, self.origin("r3"), is_relayed=True)
+        relayed = [o.request for m in peers["c2"].received for o in m.origins]
+        assert relayed == ["r1", "r2"]
+
+    # Guards against a control instance that restarts and feeds instances without them.
+    def test_restarted_control_instance_receives_all_origins(self, feed, peers):
+        self.share(feed, self.origin("r1"), is_relayed=True)
+        feed.send_state(peers["c3"])
+        assert [o.request for o in peers["c3"].received[-1].origins] == ["r1"]
+
+    # Guards against a failure on reports of a release that has no origins.
+    def test_reports_of_an_earlier_release_have_no_origins(self, feed):
+        anyio.run(feed.handle_share_runs, None, ShareRuns([], False, []), None)
+        (update,) = first_updates(feed, "entry-1")
+        assert not update.origins
--- a/packages/entry/src/almonddeal/relay/context.py
+++ b/packages/entry/src/almonddeal/relay/context.py
@@ -3,6 +3,7 @@
 import math
 import random
 
+from almonddeal.announced.stream_origins import StreamOrigins
 from almonddeal.relay.admission_queue import AdmissionQueue
 from almonddeal.relay.choose import SelectionPolicy
 from almonddeal.relay.named_limits import NamedLimits
@@ -90,6 +91,8 @@
         it is told to stop.
     moving_streams : set of Stream
         Streams that left a silent engine and are not at another one yet.
+    stream_origins : StreamOrigins
+        Software versions that began streams, of all instances.
     """
 
     def __init__(
@@ -123,6 +126,7 @@
         self.version = 0
         self.ends_ms = math.inf
         self.moving_streams = set()
+        self.stream_origins = StreamOrigins()
         self._started_ms = monotonic_ms()
         self._retry_limits = retry_limits
         self._retry_window_by_service = {}
--- a/packages/entry/src/almonddeal/relay/forwarding.py
+++ b/packages/entry/src/almonddeal/relay/forwarding.py
@@ -1,6 +1,7 @@
 """Forwarding of the events of an engine's response to the caller of a stream."""
 
 from almonddeal.relay.events import EventReader
+from almonddeal.relay.resumption import record_origin
 from almonddeal.relay.run_reports import record_first_event
 from almonddeal.relay.suspects import list_suspects
 from almonddeal_common.clock import monotonic_ms
@@ -49,7 +50,7 @@
             if not progress.has_event:
                 record_first_event(stream, context, engine)
             if stream.software_version is None:
-                stream.software_version = announcement.version
+                record_origin(stream, context, announcement)
         deadline, timer.deadline = timer.deadline, float("inf")
         with progress.sending():
             await _send_events(stream, response, events, progress)
--- a/packages/entry/src/almonddeal/relay/gateway.py
+++ b/packages/entry/src/almonddeal/relay/gateway.py
@@ -4,6 +4,12 @@
 
 from almonddeal.relay.plain import relay_plain
 from almonddeal.relay.requests import AdmittedRequest
+from almonddeal.relay.resumption import (
+    MAX_STARTUP_WAIT_MS,
+    POLL_INTERVAL_S,
+    STARTUP_MS,
+    find_origin,
+)
 from almonddeal.relay.streams import relay_stream
 from almonddeal.routing.model import STREAM
 from almonddeal_common.clock import monotonic_ms
@@ -18,15 +24,12 @@
 
 NOT_READY_RETRY_MS = 500  # a new process receives its configuration within this time
 STOPPING_RETRY_MS = 500  # callers are directed to other instances soon after
-STARTUP_MS = 5000  # four announcement intervals
 STARTUP_WAIT_SHARE = 0.25  # of a request's timeout; the rest is for serving it
-MAX_STARTUP_WAIT_MS = 1500.0  # one announcement interval and a margin
-POLL_INTERVAL_S = 0.02
 
 log = get_logger("relay")
 
 
-def admit(request, table):
+def admit(request, table, origin=None):
     """Match a request to its route, customer and service; returns an `AdmittedRequest`.
 
     Parameters
@@ -34,6 +37,8 @@
     request : CallerRequest
     table : RoutingTable or None
         None while no configuration has been received.
+    origin : StreamOrigin, optional
+        Of the stream that the caller resumes; its service is kept if the route has it.
 
     Raises
     ------
@@ -52,7 +57,8 @@
         customer = table.customer_by_key.get(request.key)
         if customer is None:
             raise AlmonddealError(UNAUTHENTICATED, "the key is unknown")
-    return AdmittedRequest(request, route, table.pick_service(route), customer)
+    service = table.pick_service(route, origin.service_name if origin else None)
+    return AdmittedRequest(request, route, service, customer)
 
 
 def check_time_left(admitted, context):
@@ -126,6 +132,16 @@
     return any(context.targets.candidates(name) for name in route.weight_by_service)
 
 
+async def _find_stream_origin(request, context, table):
+    """Return the `StreamOrigin` of a stream that a caller resumes, or None."""
+    if table is None or request.last_event_id is None:
+        return None
+    route = table.find_route(request.host, request.path)
+    if route is None or route.kind != STREAM:
+        return None
+    return await find_origin(request, context)
+
+
 async def serve_request(request, current_table, context, writer):
     """Serve one request until its response, or an error, is sent.
 
@@ -144,9 +160,11 @@
         ``send_error(error)``.
     """
     kind = "none"
-    table = await wait_for_targets(request, context, current_table)
+    await wait_for_targets(request, context, current_table)
+    origin = await _find_stream_origin(request, context, current_table())
+    table = current_table()
     try:
-        admitted = admit(request, table)
+        admitted = admit(request, table, origin)
         kind = admitted.route.kind
         check_time_left(admitted, context)
         if kind == STREAM:
--- a/packages/entry/src/almonddeal/relay/requests.py
+++ b/packages/entry/src/almonddeal/relay/requests.py
@@ -67,6 +67,8 @@
     last_event_id : int or None
         Last event that the caller received, if it resumes a stream.
     generation : Generation or None
+    resumed_request_id : str or None
+        Id of the caller's request that brought the first event of a resumed stream.
 
     Attributes
     ----------
@@ -86,6 +88,7 @@
         "path",
         "path_and_query",
         "request_id",
+        "resumed_request_id",
         "timeout_ms",
     )
 
@@ -102,6 +105,7 @@
         key,
         last_event_id,
         generation,
+        resumed_request_id=None,
     ):
         self.arrived_ms = monotonic_ms()
         self.request_id = request_id
@@ -115,6 +119,7 @@
         self.key = key
         self.last_event_id = last_event_id
         self.generation = generation
+        self.resumed_request_id = resumed_request_id
 
 
 class AdmittedRequest:
--- /dev/null
+++ b/packages/entry/src/almonddeal/relay/resumption.py
@@ -0,0 +1,133 @@
+"""Streams that their callers resume: found out which software version began them.
+
+Texts of two software versions do not fit together and engines do not check it, so a
+stream whose origin is not known is rejected. The instance that began the stream may be
+gone; it has published the origin, which arrives with the other reports.
+"""
+
+import anyio
+
+from almonddeal_common.clock import monotonic_ms, wall_ms
+from almonddeal_common.codes import NOT_RESUMABLE, AlmonddealError
+from almonddeal_common.logs import decide, get_logger
+from almonddeal_common.wire.gen.ttypes import StreamOrigin
+
+STARTUP_MS = 5000  # four announcement intervals
+MAX_STARTUP_WAIT_MS = 1500.0  # one announcement interval and a margin
+MAX_ORIGIN_WAIT_MS = 500.0  # reports of other instances take tens of milliseconds
+UNKNOWN_ORIGIN_RETRY_MS = 500.0
+POLL_INTERVAL_S = 0.02
+
+log = get_logger("relay")
+
+
+def record_origin(stream, context, announcement):
+    """Record the software version of the target that sends the first event of a stream.
+
+    Has to precede the event: the caller may resume as soon as it has the event.
+
+    Parameters
+    ----------
+    stream : Stream
+    context : RelayContext
+    announcement : AnnouncedTarget
+    """
+    stream.software_version = announcement.version
+    context.stream_origins.add(
+        StreamOrigin(
+            stream.request_id,
+            stream.admitted.service.name,
+            announcement.version,
+            wall_ms(),
+            context.instance,
+        )
+    )
+
+
+async def find_origin(request, context):
+    """Return the `StreamOrigin` that a caller names as it resumes a stream, or None.
+
+    Waits for it for a short time from the arrival of the request.
+
+    Parameters
+    ----------
+    request : CallerRequest
+    context : RelayContext
+    """
+    if request.resumed_request_id is None:
+        return None
+    return await _wait_for(
+        lambda: context.stream_origins.get(request.resumed_request_id), request, context
+    )
+
+
+async def _find_version(stream, context):
+    """Return the software version that began a resumed stream, or None.
+
+    A caller that does not name the stream can resume it while all streams of the
+    service began at the same version.
+    """
+    request = stream.admitted.request
+    service_name = stream.admitted.service.name
+    if request.resumed_request_id is None:
+        return await _wait_for(
+            lambda: context.stream_origins.common_version(service_name),
+            request,
+            context,
+        )
+    origin = await find_origin(request, context)
+    return None if origin is None else origin.version
+
+
+async def _wait_for(find, request, context):
+    """Return what `find` finds among the origins, or None once it takes too long."""
+    wait_ms = request.arrived_ms + _max_wait_ms(context) - monotonic_ms()
+    with anyio.move_on_after(max(0.0, wait_ms) / 1000):
+        while find() is None:
+            await context.stream_origins.wait()
+    return find()
+
+
+async def require_compatible_targets(stream, context):
+    """Restrict a resumed stream to the software version that began it.
+
+    Parameters
+    ----------
+    stream : Stream
+    context : RelayContext
+
+    Raises
+    ------
+    AlmonddealError
+        `NOT_RESUMABLE` if that version is not known, or no target has it.
+    """
+    request = stream.admitted.request
+    version = await _find_version(stream, context)
+    if version is None:
+        raise AlmonddealError(
+            NOT_RESUMABLE,
+            f"the origin of stream {request.resumed_request_id} is not known",
+            retry_after_ms=UNKNOWN_ORIGIN_RETRY_MS,
+        )
+    stream.software_version = version
+    decide(
+        log,
+        "found the origin of a resumed stream",
+        request=stream.request_id,
+        resumed=request.resumed_request_id,
+        software_version=version,
+        last_event_id=stream.last_event_id,
+    )
+    while not stream.candidates(context.targets):
+        waited_ms = monotonic_ms() - request.arrived_ms
+        if context.uptime_ms > STARTUP_MS or waited_ms > MAX_STARTUP_WAIT_MS:
+            raise AlmonddealError(
+                NOT_RESUMABLE, f"no target has software version {version}"
+            )
+        await anyio.sleep(POLL_INTERVAL_S)
+
+
+def _max_wait_ms(context):
+    if context.uptime_ms > STARTUP_MS:
+        return MAX_ORIGIN_WAIT_MS
+    return MAX_STARTUP_WAIT_MS
--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -14,6 +14,7 @@
 from almonddeal.relay.plain import no_target_error
 from almonddeal.relay.prefix_cache import find_cached_prefix
 from almonddeal.relay.quarantine import MAX_CRASHES
+from almonddeal.relay.resumption import require_compatible_targets
 from almonddeal.relay.run_reports import report_run_end
 from almonddeal.relay.stream_state import KvCopy, Stream
 from almonddeal_common.clock import monotonic_ms
@@ -65,6 +66,8 @@
 
 
 async def _serve(stream, context):
+    if stream.last_event_id is not None:
+        await require_compatible_targets(stream, context)
     _find_copy(stream, context)
     while not stream.is_ended:
         try:
--- a/packages/entry/src/almonddeal/relay/tests/fakes.py
+++ b/packages/entry/src/almonddeal/relay/tests/fakes.py
@@ -26,7 +26,7 @@
     Service,
 )
 from almonddeal_common.codes import LINK_LOST, NOT_REACHED, AlmonddealError
-from almonddeal_common.wire.gen.ttypes import AnnouncedTarget, Run
+from almonddeal_common.wire.gen.ttypes import AnnouncedTarget, Run, StreamOrigin
 
 TRAITS = EngineTraits(64, 55_000, True, 6, 4000.0)
 SIGNED_HEADERS = [(b"x-signature", b"s")]
@@ -232,6 +232,10 @@
             self.n_open -= 1
             await steps.aclose()
 
+    def add_origin(self, request_id="req0", version="v1"):
+        """Let the first instance know which software version began a stream."""
+        self.context.stream_origins.add(StreamOrigin(request_id, "s", version, 0, ""))
+
     @property
     def tried(self):
         """Targets of all attempts, in order, as a list."""
--- a/packages/entry/src/almonddeal/roles/control.py
+++ b/packages/entry/src/almonddeal/roles/control.py
@@ -16,6 +16,7 @@
 from almonddeal.publication.evidence_file import load_evidence, store_evidence
 from almonddeal.publication.feed import Feed
 from almonddeal.publication.metrics import ControlMetrics
+from almonddeal.publication.record_file import RecordFile
 from almonddeal.publication.state import Publication, compress_content
 from almonddeal.roles.reload import reload_settings
 from almonddeal_common.address import Address
@@ -48,6 +49,7 @@
 PUBLISH_TIMEOUT_MS = 900  # operators call another control instance after 1 s
 READ_TIMEOUT_MS = 900
 HTTP_STOP_TIMEOUT_S = 0.3
+ORIGINS_WRITE_DELAY_S = 0.25  # streams begin several times a second
 
 log = get_logger("control")
 
@@ -86,6 +88,9 @@
         self._parse = parse
         self._publication = Publication()
         self._registry = TargetRegistry()
+        self._origins_file = RecordFile(
+            settings.data_folder, "origins", ORIGINS_WRITE_DELAY_S
+        )
 
     async def publish_configuration(self, content, origin):
         """Validate a configuration and commit it in the control group.
@@ -213,6 +218,7 @@
                 group.start_soon(
                     store_evidence, settings.data_folder, self.feed.evidence
                 )
+                group.start_soon(self._origins_file.store_changes, self.feed.origins)
                 decide(
                     log,
                     "control instance started",
@@ -277,6 +283,8 @@
         )
         for record in load_evidence(settings.data_folder):
             self.feed.evidence.add(record)
+        for origin in self._origins_file.load():
+            self.feed.origins.add(origin)
         return name, store, consensus
 
     def _notify_feed(self):
--- a/packages/entry/src/almonddeal/roles/entry.py
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -127,6 +127,7 @@
             self._relay_context.runs,
             self._relay_context.named_limits.reports,
             self._relay_context.quarantine.evidence,
+            self._relay_context.stream_origins,
         )
 
     @property
@@ -146,7 +147,8 @@
         context = self._relay_context
         _apply_each(context.targets.merge, update.targets)
         _apply_each(context.merge_remote_run, update.runs)
-        # Both are None in the messages of earlier releases.
+        # These are None in the messages of earlier releases.
+        _apply_each(context.stream_origins.add, update.origins or [])
         _apply_each(context.named_limits.merge, update.limits or [])
         _apply_each(
             lambda evidence: context.quarantine.merge(*evidence),
@@ -257,6 +259,7 @@
             self._relay_context.load_view.evict_stale()
             self._relay_context.quarantine.evict_stale()
             self._relay_context.named_limits.refresh()
+            self._relay_context.stream_origins.evict_stale()
             self._relay_context.update_metrics()
             if not self._follower.follows_fresh_instance:
                 # The control addresses in the file may have changed without a SIGHUP.
