relay: ask engines again that refused a started stream

Callers waited for the rest of a stream until their deadline although an engine that could go on with it had room again.

Cause: a target that refused a stream, as all its slots were taken at that moment, was left out for the rest of the stream.

Change: a started stream that all its targets refused asks them again after 300 ms, within the limit of attempts and the retry budget.

--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -31,6 +31,7 @@
 
 RETRY_AFTER_MS = 1000  # about the prefill time of one prompt
 NO_CAPACITY_BACKOFF_S = 0.1  # before a started response looks for an engine again
+REFUSAL_BACKOFF_S = 0.3  # before a started response asks the same engines again
 MAX_BUDGET_WAIT_MS = 1000.0  # a caller that resumes its stream itself takes as long
 BUDGET_POLL_INTERVAL_S = 0.05
 
@@ -139,6 +140,8 @@
             NOT_RESUMABLE, f"no target has software version {stream.software_version}"
         )
     candidates = stream.candidates(context.targets, stream.refusing_targets)
+    if not candidates and stream.is_started:
+        candidates = await _wait_after_refusals(stream, context)
     engines = [
         e for e in candidates if e.announcement.target not in stream.failed_targets
     ] or candidates
@@ -158,6 +161,13 @@
     return context.choose_engine(engines, stream.admitted, stream.n_tokens), None
 
 
+async def _wait_after_refusals(stream, context):
+    """Return the targets that have refused a started stream, after a pause."""
+    await anyio.sleep(REFUSAL_BACKOFF_S)
+    stream.refusing_targets.clear()
+    return stream.candidates(context.targets)
+
+
 def _select_plain_target(stream, context, targets):
     if not targets and not stream.is_started:
         raise no_target_error(stream.admitted.service.name, context)
