relay: choose the engine of a lost stream after its caches were queried

Cause: the engines were listed before the query of their prefix caches, which takes up to 250 ms, and one of that list was used after it.

Ruled out: the wait for an engine of a response that has not begun, and the copy of a run, which are checked when they are used. The test that was meant for this, in test_software_versions.py, could not fail: its stream resumed from a copy and queried nothing. It is replaced by stricter ones that count the queries.

Change: each step lists the candidates as it needs them.

--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -134,41 +134,51 @@
         and context.named_limits.allows(copy.backup)
     ):
         return copy.backup, copy
-    service = stream.admitted.service
     if stream.software_version is not None and not stream.candidates(context.targets):
         raise AlmonddealError(
             NOT_RESUMABLE, f"no target has software version {stream.software_version}"
         )
-    candidates = stream.candidates(context.targets, stream.refusing_targets)
-    if not candidates and stream.is_started:
-        candidates = await _wait_after_refusals(stream, context)
-    engines = [
-        e for e in candidates if e.announcement.target not in stream.failed_targets
-    ] or candidates
-    engines = stream.outside_lost_domains(engines, monotonic_ms())
-    engines = [engine for engine in engines if context.named_limits.allows(engine)]
-    if service.engine is None:
-        return _select_plain_target(stream, context, engines), None
+    if stream.is_started and not _allowed_candidates(stream, context):
+        await _wait_after_refusals(stream)
+    if stream.admitted.service.engine is None:
+        return _select_plain_target(stream, context), None
     if stream.last_event_id is not None:
-        allowed = [
-            engine for engine in candidates if context.named_limits.allows(engine)
-        ]
-        engine = await find_cached_prefix(stream, context, allowed)
-        if engine is not None and stream.is_compatible(engine.announcement):
+        engine = await find_cached_prefix(
+            stream, context, _allowed_candidates(stream, context)
+        )
+        # Targets may have left or restarted during the query.
+        if engine in _allowed_candidates(stream, context):
             return engine, None
     if not stream.is_started:
         return await wait_for_engine(stream, context), None
+    engines = _preferred_candidates(stream, context)
     return context.choose_engine(engines, stream.admitted, stream.n_tokens), None
 
 
-async def _wait_after_refusals(stream, context):
-    """Return the targets that have refused a started stream, after a pause."""
+def _allowed_candidates(stream, context):
+    """Return the targets that have not refused a stream and are below their limit."""
+    candidates = stream.candidates(context.targets, stream.refusing_targets)
+    return [target for target in candidates if context.named_limits.allows(target)]
+
+
+def _preferred_candidates(stream, context):
+    """Return the allowed targets at which no attempt of a stream failed, if any."""
+    candidates = stream.candidates(context.targets, stream.refusing_targets)
+    untried = [
+        t for t in candidates if t.announcement.target not in stream.failed_targets
+    ]
+    targets = stream.outside_lost_domains(untried or candidates, monotonic_ms())
+    return [target for target in targets if context.named_limits.allows(target)]
+
+
+async def _wait_after_refusals(stream):
+    """Pause before the targets that refused a started stream are asked again."""
     await anyio.sleep(REFUSAL_BACKOFF_S)
     stream.refusing_targets.clear()
-    return stream.candidates(context.targets)
 
 
-def _select_plain_target(stream, context, targets):
+def _select_plain_target(stream, context):
+    targets = _preferred_candidates(stream, context)
     if not targets and not stream.is_started:
         raise no_target_error(stream.admitted.service.name, context)
     return min(targets, key=lambda t: t.n_in_flight, default=None)
--- /dev/null
+++ b/packages/entry/src/almonddeal/relay/tests/test_changing_targets.py
@@ -0,0 +1,118 @@
+"""Tests of streams whose engines refuse, or restart with another version, meanwhile.
+
+Engines and versions are those of `test_software_versions`.
+"""
+
+import anyio
+import pytest
+
+from almonddeal.announced.announcement import DEREGISTERED, DRAINING
+from almonddeal.relay.tests.fakes import (
+    make_run,
+    refuses,
+    streams,
+)
+from almonddeal.relay.tests.stream_runs import LAST, relay
+from almonddeal.relay.tests.test_software_versions import (
+    announce,
+    is_whole_and_of,
+    make_fleet,
+    relay_timed,
+    then_lost,
+)
+
+
+def make_fleet_without_copy(change_i_4):
+    """Return a fleet with a stream that is lost, after its backup, and queries caches.
+
+    Parameters
+    ----------
+    change_i_4 : callable
+        ``change_i_4(fleet)`` is called while the caches are queried.
+    """
+
+    def lose_backup():
+        fleet.target_table.get("i-3").announcement.state = DEREGISTERED
+        fleet.target_table.get("i-1").announcement.state = DRAINING
+
+    async def list_cached_prefixes(announcement):
+        fleet.n_queries += 1
+        await anyio.sleep(0.05)
+        if announcement.target == "i-4" and announcement.born_ms == 1000:
+            change_i_4(fleet)
+        return fleet.cached_by_target.get(announcement.target, set())
+
+    fleet = make_fleet(then_lost(7, lose_backup), i_4=streams(1, LAST))
+    fleet.n_queries = 0
+    fleet.context.list_cached_prefixes = list_cached_prefixes
+    fleet.context.load_view.merge(make_run("more-i-4", "i-4", n_tokens=12_000))
+    return fleet
+
+
+class TestRestarts:
+    # Guards against an answer that goes on at an engine that was chosen, by cache or
+    # load, before it restarted with another version.
+    @pytest.mark.parametrize("cached", [set(), {"part1"}])
+    def test_engine_that_restarts_during_the_query_is_left_out(self, cached):
+        def restart(fleet):
+            announce(fleet, "i-4", born_ms=2000, version="v2")
+
+        fleet = make_fleet_without_copy(restart)
+        fleet.cached_by_target = {"i-4": cached}
+        writer = relay(fleet)
+        assert fleet.n_queries
+        assert writer.versions == {"v1"}
+        assert not writer.is_complete
+        assert fleet.tried == ["i-1"]
+
+    # Guards against a request to an engine that drains since the caches were queried.
+    @pytest.mark.parametrize("cached", [set(), {"part1"}])
+    def test_engine_that_drains_during_the_query_is_left_out(self, cached):
+        def drain(fleet):
+            announce(fleet, "i-4", DRAINING)
+
+        fleet = make_fleet_without_copy(drain)
+        fleet.cached_by_target = {"i-4": cached}
+        writer = relay(fleet)
+        assert fleet.n_queries
+        assert fleet.tried == ["i-1"]
+        assert not writer.is_complete
+
+
+def refuses_first(n_refusals, then):
+    """Return a behaviour: no free slot for the first requests, then another one."""
+    n_requests = 0
+
+    async def steps(attempt):
+        nonlocal n_requests
+        n_requests += 1
+        behaviour = refuses() if n_requests <= n_refusals else then
+        async for step in behaviour(attempt):
+            yield step
+
+    return steps
+
+
+class TestRefusals:
+    # Guards against a stream that idles to its deadline as the few engines of its
+    # version had no slot at one moment.
+    @pytest.mark.parametrize("n_refusals", [1, 3])
+    def test_engine_that_refused_is_asked_again(self, n_refusals):
+        fleet = make_fleet(
+            then_lost(7, lambda: announce(fleet, "i-1", DEREGISTERED)),
+            i_3=refuses_first(n_refusals, streams(1, LAST)),
+        )
+        writer, took_ms = relay_timed(fleet)
+        assert is_whole_and_of("v1", writer)
+        assert fleet.tried == ["i-1"] + ["i-3"] * (n_refusals + 1)
+        assert took_ms < 3000
+
+    # Guards against a flood of requests to an engine that stays full.
+    def test_engine_that_stays_full_is_asked_a_few_times(self):
+        fleet = make_fleet(
+            then_lost(7, lambda: announce(fleet, "i-1", DEREGISTERED)), i_3=refuses()
+        )
+        writer, took_ms = relay_timed(fleet)
+        assert not writer.is_complete
+        assert fleet.tried.count("i-3") <= 12
+        assert took_ms > 1000
--- a/packages/entry/src/almonddeal/relay/tests/test_software_versions.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_software_versions.py
@@ -247,20 +247,6 @@
         assert is_whole_and_of("v1", relay(fleet))
         assert fleet.tried == ["i-1", "i-2"]
 
-    # Guards against an answer that goes on at an engine chosen before it restarted.
-    def test_engine_that_restarts_during_the_lookup_of_its_prefixes_is_left_out(self):
-        async def list_cached_prefixes(announcement):
-            if announcement.target != "i-3" or not fleet.attempts:
-                return set()
-            await anyio.sleep(0.05)
-            if announcement.born_ms == 1000:
-                announce(fleet, "i-3", born_ms=2000, version="v2")
-            return {"part1"}
-
-        fleet = make_fleet(then_lost(7))
-        fleet.context.list_cached_prefixes = list_cached_prefixes
-        assert relay(fleet).versions == {"v1"}
-
 
 class TestCopies:
     # Guards against KV-cache copies at engines that can't use them.
@@ -360,42 +346,3 @@
     def test_comment_does_not_join_versions(self):
         fleet = make_fleet(body_of(b": waiting\n\n", b"id:1\nda"), i_3=None)
         assert len(relay(fleet).versions) <= 1
-
-
-def refuses_first(n_refusals, then):
-    """Return a behaviour: no free slot for the first requests, then another one."""
-    n_requests = 0
-
-    async def steps(attempt):
-        nonlocal n_requests
-        n_requests += 1
-        behaviour = refuses() if n_requests <= n_refusals else then
-        async for step in behaviour(attempt):
-            yield step
-
-    return steps
-
-
-class TestRefusals:
-    # Guards against a stream that idles to its deadline as the few engines of its
-    # version had no slot at one moment.
-    @pytest.mark.parametrize("n_refusals", [1, 3])
-    def test_engine_that_refused_is_asked_again(self, n_refusals):
-        fleet = make_fleet(
-            then_lost(7, lambda: announce(fleet, "i-1", DEREGISTERED)),
-            i_3=refuses_first(n_refusals, streams(1, LAST)),
-        )
-        writer, took_ms = relay_timed(fleet)
-        assert is_whole_and_of("v1", writer)
-        assert fleet.tried == ["i-1"] + ["i-3"] * (n_refusals + 1)
-        assert took_ms < 3000
-
-    # Guards against a flood of requests to an engine that stays full.
-    def test_engine_that_stays_full_is_asked_a_few_times(self):
-        fleet = make_fleet(
-            then_lost(7, lambda: announce(fleet, "i-1", DEREGISTERED)), i_3=refuses()
-        )
-        writer, took_ms = relay_timed(fleet)
-        assert not writer.is_complete
-        assert fleet.tried.count("i-3") <= 12
-        assert took_ms > 1000
