relay: leave an engine that restarted before its first event

Callers could receive a stream that was resumed at an engine of another software version (ORDER): the engine had started again under its id, with another version, between the request and its first event, and its new announcement had arrived. A new stream got a record of the earlier version, so that each later resume would be wrong.

Cause: an attempt keeps the announcement that it began with, also once the target announced another process.

Change: if the start time of the engine has changed when the first event arrives, the attempt counts as lost and the stream goes on elsewhere. After the first event the connection itself tells: a process does not outlive it.

--- a/packages/entry/src/almonddeal/relay/forwarding.py
+++ b/packages/entry/src/almonddeal/relay/forwarding.py
@@ -48,6 +48,7 @@
         if is_progress:
             engine.record_activity()
             if not progress.has_event:
+                _check_incarnation(engine, announcement)
                 record_first_event(stream, context, engine)
             if stream.software_version is None:
                 record_origin(stream, context, announcement)
@@ -70,6 +71,20 @@
     stream.is_ended = True
 
 
+def _check_incarnation(engine, announcement):
+    """Check that an engine did not restart before its first event.
+
+    The event may be of another software version than the one that was announced.
+
+    Raises
+    ------
+    AlmonddealError
+        `LINK_LOST` if it did.
+    """
+    if engine.announcement.born_ms != announcement.born_ms:
+        raise AlmonddealError(LINK_LOST, "the engine restarted before its first event")
+
+
 async def _start_response(stream, response):
     if not stream.is_started:
         await stream.writer.start(response.status, response.headers)
--- a/packages/entry/src/almonddeal/relay/tests/test_changing_targets.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_changing_targets.py
@@ -8,6 +8,7 @@
 
 from almonddeal.announced.announcement import DEREGISTERED, DRAINING
 from almonddeal.relay.tests.fakes import (
+    make_event,
     make_run,
     refuses,
     streams,
@@ -78,6 +79,20 @@
         assert fleet.tried == ["i-1"]
         assert not writer.is_complete
 
+    # Guards against a stream that goes on at an engine that is known to have restarted
+    # with another version before it sends an event.
+    def test_restart_that_is_announced_before_the_first_event(self):
+        async def restarted(attempt):
+            yield 200
+            await anyio.sleep(0.05)
+            announce(fleet, "i-3", born_ms=2000, version="v2")
+            await anyio.sleep(0.05)
+            for number in range((attempt.last_event_id or 0) + 1, LAST + 1):
+                yield make_event(number, "v2")
+
+        fleet = make_fleet(then_lost(7), i_3=restarted)
+        assert relay(fleet).versions == {"v1"}
+
 
 def refuses_first(n_refusals, then):
     """Return a behaviour: no free slot for the first requests, then another one."""
