relay: bound the wait for an origin by the caller's time

Callers that resumed a stream of unknown origin shortly before their deadline were told after it: with 200 ms left, after 500 ms, and after 1500 ms at an instance that had just started. A key that is unknown was rejected after the same wait.

Cause: the wait had a limit of its own, and came before the checks of the request.

Change: it takes at most a quarter of the request's time, as the wait for targets does, and comes after the checks; a request on a split route waits once for the service as well.

--- a/packages/entry/src/almonddeal/relay/gateway.py
+++ b/packages/entry/src/almonddeal/relay/gateway.py
@@ -29,7 +29,7 @@
 log = get_logger("relay")
 
 
-def admit(request, table, origin=None):
+def admit(request, table):
     """Match a request to its route, customer and service; returns an `AdmittedRequest`.
 
     Parameters
@@ -37,8 +37,6 @@
     request : CallerRequest
     table : RoutingTable or None
         None while no configuration has been received.
-    origin : StreamOrigin, optional
-        Of the stream that the caller resumes; its service is kept if the route has it.
 
     Raises
     ------
@@ -57,8 +55,7 @@
         customer = table.customer_by_key.get(request.key)
         if customer is None:
             raise AlmonddealError(UNAUTHENTICATED, "the key is unknown")
-    service = table.pick_service(route, origin.service_name if origin else None)
-    return AdmittedRequest(request, route, service, customer)
+    return AdmittedRequest(request, route, table.pick_service(route), customer)
 
 
 def check_time_left(admitted, context):
@@ -132,14 +129,14 @@
     return any(context.targets.candidates(name) for name in route.weight_by_service)
 
 
-async def _find_stream_origin(request, context, table):
-    """Return the `StreamOrigin` of a stream that a caller resumes, or None."""
-    if table is None or request.last_event_id is None:
-        return None
-    route = table.find_route(request.host, request.path)
-    if route is None or route.kind != STREAM:
-        return None
-    return await find_origin(request, context)
+async def _keep_service(admitted, context, table):
+    """Send a resumed stream to the service that began it, if its route is split."""
+    request, route = admitted.request, admitted.route
+    if request.last_event_id is None or len(route.weight_by_service) == 1:
+        return
+    origin = await find_origin(request, context)
+    if origin is not None:
+        admitted.service = table.pick_service(route, origin.service_name)
 
 
 async def serve_request(request, current_table, context, writer):
@@ -160,14 +157,13 @@
         ``send_error(error)``.
     """
     kind = "none"
-    await wait_for_targets(request, context, current_table)
-    origin = await _find_stream_origin(request, context, current_table())
-    table = current_table()
+    table = await wait_for_targets(request, context, current_table)
     try:
-        admitted = admit(request, table, origin)
+        admitted = admit(request, table)
         kind = admitted.route.kind
         check_time_left(admitted, context)
         if kind == STREAM:
+            await _keep_service(admitted, context, table)
             await relay_stream(admitted, context, writer)
         else:
             await relay_plain(admitted, context, writer)
--- a/packages/entry/src/almonddeal/relay/resumption.py
+++ b/packages/entry/src/almonddeal/relay/resumption.py
@@ -1,4 +1,4 @@
-"""Streams that their callers resume: found out which software version began them.
+"""Origins of streams: which software version may go on when a caller resumes one.
 
 Texts of two software versions do not fit together and engines do not check it, so a
 stream whose origin is not known is rejected. The instance that began the stream may be
@@ -14,6 +14,7 @@
 
 STARTUP_MS = 5000  # four announcement intervals
 MAX_STARTUP_WAIT_MS = 1500.0  # one announcement interval and a margin
+MAX_WAIT_SHARE = 0.25  # of a request's timeout; the rest is for serving it
 MAX_ORIGIN_WAIT_MS = 500.0  # reports of other instances take tens of milliseconds
 UNKNOWN_ORIGIN_RETRY_MS = 500.0
 POLL_INTERVAL_S = 0.02
@@ -81,7 +82,7 @@
 
 async def _wait_for(find, request, context):
     """Return what `find` finds among the origins, or None once it takes too long."""
-    wait_ms = request.arrived_ms + _max_wait_ms(context) - monotonic_ms()
+    wait_ms = request.arrived_ms + _max_wait_ms(request, context) - monotonic_ms()
     with anyio.move_on_after(max(0.0, wait_ms) / 1000):
         while find() is None:
             await context.stream_origins.wait()
@@ -120,14 +121,17 @@
     )
     while not stream.candidates(context.targets):
         waited_ms = monotonic_ms() - request.arrived_ms
-        if context.uptime_ms > STARTUP_MS or waited_ms > MAX_STARTUP_WAIT_MS:
+        max_wait_ms = _max_wait_ms(request, context)
+        if context.uptime_ms > STARTUP_MS or waited_ms > max_wait_ms:
             raise AlmonddealError(
                 NOT_RESUMABLE, f"no target has software version {version}"
             )
         await anyio.sleep(POLL_INTERVAL_S)
 
 
-def _max_wait_ms(context):
-    if context.uptime_ms > STARTUP_MS:
-        return MAX_ORIGIN_WAIT_MS
-    return MAX_STARTUP_WAIT_MS
+def _max_wait_ms(request, context):
+    is_starting = context.uptime_ms <= STARTUP_MS
+    wait_ms = MAX_STARTUP_WAIT_MS if is_starting else MAX_ORIGIN_WAIT_MS
+    if request.timeout_ms is None:
+        return wait_ms
+    return min(wait_ms, MAX_WAIT_SHARE * request.timeout_ms)
--- a/packages/entry/src/almonddeal/relay/tests/test_take_ups.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_take_ups.py
@@ -33,6 +33,7 @@
 MAX_WAIT_MS = 500.0  # for the origin of a stream, later
 IMMEDIATELY_MS = 50.0
 LONG_UPTIME_S = 10.0
+SHORT_TIMEOUT_MS = 200.0
 N_STREAMS = 16
 
 
@@ -246,6 +247,19 @@
 
         run_in_virtual_time(main)
 
+    # Guards against an answer that comes only when its caller has given up.
+    @pytest.mark.parametrize("uptime_s", [0.0, LONG_UPTIME_S])
+    def test_wait_for_an_origin_leaves_time_to_serve(self, uptime_s):
+        async def main():
+            fleet = make_fleet()
+            await anyio.sleep(uptime_s)
+            _, took_ms = await relay_rejected(
+                fleet.context, take_up(timeout_ms=SHORT_TIMEOUT_MS)
+            )
+            assert took_ms <= SHORT_TIMEOUT_MS / 2
+
+        run_in_virtual_time(main)
+
     # Guards against a guess where all known engines have one version.
     def test_take_up_is_rejected_although_one_version_is_known(self):
         async def main():
