announced: let origins of streams expire by their age

Control and entry instances could keep origins without end: each that received a record again, after a reconnect or from a file, kept it for another minute. One record of an earlier version was enough for callers that name no request to be rejected, and old records displaced new ones once there were too many.

Cause: records expired by the time of receipt, and the time at which the stream began was read nowhere.

Change: the age of a record counts from there. A clock that is ahead does not make it younger than new.

--- a/packages/entry/src/almonddeal/announced/expiring_map.py
+++ b/packages/entry/src/almonddeal/announced/expiring_map.py
@@ -21,10 +21,18 @@
         self._max_values = max_values
         self._set_ms_by_key = {}
 
-    def put(self, key, value):
-        """Set a value under a new revision, and wake all waiters."""
+    def put(self, key, value, age_ms=0.0):
+        """Set a value under a new revision, and wake all waiters.
+
+        Parameters
+        ----------
+        key : object
+        value : object
+        age_ms : float
+            How long ago the value was set elsewhere.
+        """
         self._set_ms_by_key.pop(key, None)
-        self._set_ms_by_key[key] = monotonic_ms()
+        self._set_ms_by_key[key] = monotonic_ms() - age_ms
         super().put(key, value)
         while self._max_values is not None and len(self) > self._max_values:
             self.discard(self._next_evicted())
--- a/packages/entry/src/almonddeal/announced/stream_origins.py
+++ b/packages/entry/src/almonddeal/announced/stream_origins.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 from almonddeal.announced.expiring_map import ExpiringMap
+from almonddeal_common.clock import wall_ms
 
 RETENTION_MS = 60_000.0  # longer than the longest request timeout of a route
 MAX_ORIGINS = 20_000
@@ -24,7 +25,7 @@
         if origin.request in self:
             return False
         self._count_by_version(origin.service_name)[origin.version] += 1
-        self.put(origin.request, origin)
+        self.put(origin.request, origin, max(0.0, wall_ms() - origin.began_ms))
         return True
 
     def discard(self, key):
