entry: refuse requests that come after the break-off

Callers saw: an idempotent request that was pipelined behind one answered 502 at the end of the grace period got a bare 500 without Retry-After, and a target had begun to run it.

Cause: the break-off ended the requests that were in flight at that moment. One that was read after it, or whose body was complete only then, was served as usual and cut 0.2 s later with its connection.

Change: a request that comes after the break-off is refused at once as STOPPING, with Retry-After, and reaches no target.

Conclusion: what is read whole before the connection closes is answered; a request whose body is still incomplete at the close is not, and ran nowhere.

--- a/packages/entry/src/almonddeal/roles/in_flight.py
+++ b/packages/entry/src/almonddeal/roles/in_flight.py
@@ -37,6 +37,7 @@
 
     def __init__(self):
         self._entry_by_request = {}
+        self._is_broken_off = False
 
     def __len__(self):
         return len(self._entry_by_request)
@@ -44,6 +45,8 @@
     async def serve(self, request, writer, serve_request):
         """Serve a request until its response is sent or `break_off` is called.
 
+        A request that comes after `break_off` is refused.
+
         Parameters
         ----------
         request : CallerRequest
@@ -52,21 +55,24 @@
         serve_request : callable
             ``await serve_request()`` serves the request.
         """
-        entry = self._entry_by_request[request] = _Entry()
-        try:
-            with entry.scope:
-                await serve_request()
-        finally:
-            del self._entry_by_request[request]
-        if entry.scope.cancelled_caught:
-            error = _error(entry.route)
-            decide(
-                log,
-                "request broken off by the stop of the instance",
-                request=request.request_id,
-                code=error.code.name,
-            )
-            await writer.send_error(error)
+        entry = _Entry()
+        if not self._is_broken_off:
+            self._entry_by_request[request] = entry
+            try:
+                with entry.scope:
+                    await serve_request()
+            finally:
+                del self._entry_by_request[request]
+            if not entry.scope.cancelled_caught:
+                return
+        error = _error(entry.route)
+        decide(
+            log,
+            "request broken off by the stop of the instance",
+            request=request.request_id,
+            code=error.code.name,
+        )
+        await writer.send_error(error)
 
     def record_attempt(self, attempt):
         """Record that a request is being sent to a target."""
@@ -75,7 +81,8 @@
             entry.route = attempt.admitted.route
 
     def break_off(self):
-        """End all requests; those without a response get an error."""
+        """End all requests, also later ones; those without a response get an error."""
+        self._is_broken_off = True
         for entry in self._entry_by_request.values():
             entry.scope.cancel()
 
--- a/packages/entry/src/almonddeal/roles/tests/test_in_flight.py
+++ b/packages/entry/src/almonddeal/roles/tests/test_in_flight.py
@@ -82,3 +82,23 @@
 
         run_in_virtual_time(main)
         assert writer.error is None
+
+    # Guards against a request that is sent to a target after the others were broken
+    # off, and is cut there without an answer.
+    def test_request_that_is_read_after_the_break_off_is_refused(self):
+        requests, writer = RequestsInFlight(), FakeResponseWriter()
+        request = admit_plain(make_route(LOOKUP)).request
+        served = []
+
+        async def serve_request():
+            served.append(request)
+
+        async def main():
+            requests.break_off()
+            await requests.serve(request, writer, serve_request)
+            assert len(requests) == 0
+
+        run_in_virtual_time(main)
+        assert not served
+        assert writer.error.code == STOPPING
+        assert writer.error.retry_after_ms > 0
