relay: treat an event id of too many digits as a loss

Callers saw: a stream broke off, without going on at another engine, when an engine sent an event whose id is a number of more than 4300 digits. A shorter one in the second place was forwarded, and taken for the step between ids; in the first place, for the point from which to resume.

Cause: Python refuses to read such long integers, and the exception is none that ends an attempt alone. Shorter numbers were read whatever their size, and went on to other engines in Last-Event-Id.

Ruled out: passing such an event on as one without an id. Events without an id are forwarded wherever they are, so that the caller would get a piece whose place is unknown. Ids that are no numbers are still taken for none.

Change: an id of more than 19 digits is the loss of the attempt (LINK_LOST), as is an event that is too long.

Conclusion: ids of engines that are compared, added or sent to other engines have at most 19 digits.

--- a/packages/entry/src/almonddeal/relay/events.py
+++ b/packages/entry/src/almonddeal/relay/events.py
@@ -3,10 +3,17 @@
 from almonddeal_common.codes import LINK_LOST, AlmonddealError
 
 MAX_EVENT_BYTES = 1024 * 1024
+MAX_EVENT_ID_DIGITS = 19  # as in an integer of 64 bits
 
 
 class Event:
-    """One event: its raw bytes with the blank line, and its id if that is numeric."""
+    """One event: its raw bytes with the blank line, and its id if that is numeric.
+
+    Raises
+    ------
+    AlmonddealError
+        `LINK_LOST` if the id has more than `MAX_EVENT_ID_DIGITS`.
+    """
 
     __slots__ = ("event_id", "raw")
 
@@ -24,7 +31,11 @@
     for line in raw.splitlines():
         if line.startswith(b"id:"):
             value = line[3:].strip()
-            return int(value) if value.isdigit() else None
+            if not value.isdigit():
+                return None
+            if len(value) > MAX_EVENT_ID_DIGITS:
+                raise AlmonddealError(LINK_LOST, "the id of an event is too long")
+            return int(value)
     return None
 
 
@@ -47,7 +58,8 @@
         Raises
         ------
         AlmonddealError
-            `LINK_LOST` if an event does not end within `MAX_EVENT_BYTES`.
+            `LINK_LOST` if an event does not end within `MAX_EVENT_BYTES` or has an id
+            of too many digits.
         """
         self._buffer += data
         events = []
--- a/packages/entry/src/almonddeal/relay/tests/test_streams.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_streams.py
@@ -214,3 +214,35 @@
             {"i-1": responds_with_head(ResponseHead(200, is_authentic=False))}
         )
         assert rejection(fleet).code in (ATTEMPT_LOST, OVERLOADED)
+
+
+class TestEventIds:
+    """Pattern: an engine sends an event whose id is a very long number."""
+
+    # Guards against a stream that ends with an exception, and against an event that is
+    # forwarded although its place in the stream is unknown.
+    @pytest.mark.parametrize("n_digits", [20, 4000, 5000])
+    @pytest.mark.parametrize("n_events", [0, 1, 7])
+    def test_stream_goes_on_elsewhere(self, n_digits, n_events):
+        async def send_long_id(attempt):
+            yield 200
+            for event_id in range(1, n_events + 1):
+                yield make_event(event_id)
+            yield b"id: %s\ndata: x\n\n" % (n_digits * b"9")
+            await anyio.sleep(60)
+
+        engines = {"i-1": send_long_id, "i-2": streams(1, LAST)}
+        fleet = FakeFleet(engines, TWO_DOMAINS)
+        writer = relay(fleet)
+        assert is_complete_response(writer)
+        assert 20 * b"9" not in writer.body
+
+    def test_error_text_with_a_long_id_does_not_begin_a_resumed_stream(self):
+        async def send_long_id(attempt):
+            yield 200
+            yield b"id: %s\ndata: x\n\n" % (5000 * b"9")
+
+        engines = {"i-1": streams(1, LAST, lose_at=7), "i-2": send_long_id}
+        engines["i-3"] = streams(1, LAST)
+        fleet = FakeFleet(engines, {**TWO_DOMAINS, "i-3": "fd3"})
+        assert is_complete_response(relay(fleet))
