http: read on from one task after a request that is broken

Callers saw: nothing beside the end of their connection; the application saw two things. The end of a response to a request with a bad chunk failed as "Error in ASGI Framework" (read() called while another coroutine is already waiting). And the application learned up to 1 s late that its response had nowhere to go, with a target at work on it meanwhile.

Cause: the bytes behind the bad chunk were read by whichever task closed the connection, the reading one or that of the response, at worst both. The reading task told the application only when it was through with them.

Ruled out: responses that came before the end of a body without fault; in this state only the reading task read.

Evidence: test_broken_requests.py, a bad chunk during a response and before one, before: 3 failed; after: 3 passed. With test_limits, test_closing and test_connections, after: 63 passed there.

Change: only the reading task reads; others wait for its end, up to 1 s as before. It ends the request for the application first.

Conclusion: the application is told in the step in which the server ends its side of the connection.

--- a/packages/common/src/almonddeal_common/connections.py
+++ b/packages/common/src/almonddeal_common/connections.py
@@ -109,6 +109,7 @@
         self._terminated = context.terminated
         self._opened_s = self.loop.time()
         self._has_request = False
+        self._reading_task = None
         self._input_ended = asyncio.Event()
 
     def _has_further_request(self):
@@ -137,19 +138,22 @@
         protocol = self.protocol.protocol
         if not isinstance(protocol, H11Protocol):
             return
-        state = protocol.connection.their_state
-        if state not in (h11.SEND_BODY, h11.ERROR):
+        if protocol.connection.their_state not in (h11.SEND_BODY, h11.ERROR):
             return
         with suppress(NotImplementedError, OSError, RuntimeError):
             self.writer.write_eof()
         with anyio.move_on_after(DISCARD_TIMEOUT_S), suppress(OSError):
-            # In SEND_BODY, the task that reads the connection discards the body.
-            while state is h11.ERROR and not self.reader.at_eof():
-                await self.reader.read(MAX_RECV)
-            if state is h11.SEND_BODY:
+            if asyncio.current_task() is not self._reading_task:
+                # The other task reads on, and discards what no request waits for.
                 await self._input_ended.wait()
+                return
+            # The application may still be at work on a response.
+            await self.protocol.handle(Closed())
+            while not self.reader.at_eof():
+                await self.reader.read(MAX_RECV)
 
     async def _read_data(self):
+        self._reading_task = asyncio.current_task()
         await super()._read_data()
         self._input_ended.set()
         # Otherwise a connection closed by its client stays open until the idle timeout.
