http: bound the wait for received bytes before an idle close

Callers saw: nothing so far. If the task that reads a connection is stuck while bytes are received, the idle connection is not closed and the process uses a whole core.

Cause: before an idle connection is closed, bytes that were received are waited for step by step of the event loop, without a bound.

Ruled out: requests that cross the close; the check and the close are still one step (the tests of each step of the loop are unchanged).

Evidence: test_closing.py, a connection whose reading task hangs, before: 1 failed (not closed within 3.3 s); after: 1 passed, closed with less than half of a core used. With test_connections and test_limits 64 passed.

Change: the wait polls every 10 ms, up to 100 times, then the connection is closed. Polls are counted, so that a process that was held up still reads first.

Conclusion: an idle close takes at most a second more than its time limit.

--- a/packages/common/src/almonddeal_common/connections.py
+++ b/packages/common/src/almonddeal_common/connections.py
@@ -23,6 +23,8 @@
 CANCEL_TIMEOUT_S = 0.5  # for cancelled connections to close
 DISCARD_TIMEOUT_S = 1.0  # for clients to read a response before the connection closes
 FIRST_REQUEST_TIMEOUT_S = 0.3  # after a stop, for connections that were just accepted
+READ_POLL_INTERVAL_S = 0.01
+MAX_READ_POLLS = 100  # for bytes that were received to be read
 
 log = get_logger("http")
 
@@ -167,8 +169,10 @@
         await _receive_pending()
         # A request that has been received stops this task once it is read. Nothing
         # may be awaited between the check and the close.
-        while self.reader.n_unread:
-            await asyncio.sleep(0)
+        for _ in range(MAX_READ_POLLS):
+            if not self.reader.n_unread:
+                break
+            await asyncio.sleep(READ_POLL_INTERVAL_S)
         self.writer.close()
 
     def _idle_left_s(self, idle_since_s):
--- a/packages/common/src/almonddeal_common/tests/test_closing.py
+++ b/packages/common/src/almonddeal_common/tests/test_closing.py
@@ -14,7 +14,12 @@
 import pytest
 
 from almonddeal_common.address import Address
-from almonddeal_common.connections import HAS_FURTHER_REQUEST
+from almonddeal_common.connections import (
+    HAS_FURTHER_REQUEST,
+    MAX_READ_POLLS,
+    READ_POLL_INTERVAL_S,
+    _Connection,
+)
 from almonddeal_common.http import make_config, serve_http
 
 ADDRESS = Address("127.0.0.1", 11_733)
@@ -191,6 +196,29 @@
 
         anyio.run(main)
 
+    # Guards against an idle connection that is held, and keeps a core busy, while the
+    # bytes that it has received are not read.
+    def test_bytes_that_are_not_read_do_not_hold_up_the_close(self, monkeypatch):
+        async def hang(connection):
+            await anyio.sleep(3600)
+
+        async def main():
+            app, stop = RecordingApp(), anyio.Event()
+            timeouts = {"keep_alive_timeout": IDLE_TIMEOUT_S, "graceful_timeout": 0.1}
+            async with serve(app, stop, **timeouts):
+                monkeypatch.setattr(_Connection, "_read_data", hang)
+                client = Client()
+                client.send(REQUEST)
+                wait_s = IDLE_TIMEOUT_S + MAX_READ_POLLS * READ_POLL_INTERVAL_S
+                used_s = time.process_time()
+                with anyio.fail_after(3 * wait_s):
+                    assert await client.read() == b""
+                used_s = time.process_time() - used_s
+                client.close()
+            assert used_s < wait_s / 2
+
+        anyio.run(main)
+
 
 class TestAccept:
     # Guards against connections that are accepted in the last steps before the end of
