http: describe the connections as they are

The docstrings of the module, the reader and the connection described only the time limit for request heads. They now name the close after received requests, the count of unread bytes, what the application is told, and the rest of a request that is discarded after its response.

--- a/packages/common/src/almonddeal_common/connections.py
+++ b/packages/common/src/almonddeal_common/connections.py
@@ -1,8 +1,13 @@
-"""HTTP connections with a time limit for the head of a request.
+"""HTTP connections that are closed after the requests they have received.
 
-The head is the request line and the headers. Hypercorn only limits how long a
-connection may be idle, and a client may send a head byte by byte for all of that time.
-The limit here runs from the first byte of the head.
+Hypercorn closes a connection, when it is idle or the server stops, without regard to
+what it has received. It also closes one at once after a response that comes before the
+end of its request, so that the client may lose the response. Here the rest of such a
+request is read for a time and discarded.
+
+The head of a request, its request line and headers, has a time limit from its first
+byte. Hypercorn only limits how long a connection may be idle, and a client may send a
+head byte by byte for all of that time.
 """
 
 import asyncio
@@ -42,7 +47,9 @@
 
 
 class _HeadLimitedReader(asyncio.StreamReader):
-    """Reads one connection; `read` raises `TimeoutError` when a head takes too long.
+    """Reads one connection and counts what was received and not read.
+
+    `read` raises `TimeoutError` when a head takes too long.
 
     Attributes
     ----------
@@ -99,7 +106,12 @@
 
 
 class _Connection(TCPServer):
-    """A connection that tells its reader when a head ends and the next may start."""
+    """A connection that is closed after what it has received.
+
+    The time limit for heads is kept by its reader, which it tells when a head ends and
+    the next may start. The application is told of further requests by
+    `HAS_FURTHER_REQUEST`, and of a disconnect when the client breaks the protocol.
+    """
 
     def __init__(self, app, loop, config, context, reader, writer):
         state = {HAS_FURTHER_REQUEST: self._has_further_request}
