entry: leave out only the evidence that cannot be merged

Callers saw: nothing so far. With one record of evidence without suspects or without a time in an update, an instance lost the others of the update. A crash without a time was kept all the same, and from then on each search of the evidence failed, so that no request went into quarantine there.

Cause: the records are merged as one value, and are not checked before they are stored.

Change: each record is checked alone, one that fails is logged and left out; the others are merged as a whole.

Conclusion: records without a target, a request or a failure domain are accepted as before, they harm no search. Control instances still pass odd records on.

--- a/packages/entry/src/almonddeal/announced/evidence.py
+++ b/packages/entry/src/almonddeal/announced/evidence.py
@@ -3,12 +3,40 @@
 from collections import Counter
 
 from almonddeal.announced.expiring_map import ExpiringMap
+from almonddeal_common.wire.gen.ttypes import SegmentEvidence
 
 RETENTION_MS = 600_000.0  # a suspect is tried again later, as targets may be updated
 MAX_RECORDS = 1000
 REPEATED = 3  # records on a suspect, from which on it may explain crashes
 
 
+def check_record(record):
+    """Return a record, if it has what instances derive from it.
+
+    Parameters
+    ----------
+    record : SegmentEvidence
+
+    Returns
+    -------
+    record : SegmentEvidence
+
+    Raises
+    ------
+    ValueError
+        If the record has no key, no time or no suspects.
+    """
+    if not (
+        isinstance(record, SegmentEvidence)
+        and isinstance(record.key, str)
+        and isinstance(record.observed_ms, int)
+        and record.prefix_hashes
+        and all(isinstance(suspect, str) for suspect in record.prefix_hashes)
+    ):
+        raise ValueError("evidence without a key, a time or suspects")
+    return record
+
+
 class EvidenceStore(ExpiringMap):
     """Records of `SegmentEvidence` by key; each is accepted once, and kept for a time.
 
--- a/packages/entry/src/almonddeal/roles/entry.py
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from almonddeal.announced.evidence import check_record
 from almonddeal.announced.versioned_map import VersionedMap
 from almonddeal.publication.follower import Follower
 from almonddeal.publication.state import decompress_content
@@ -150,10 +151,12 @@
         # These are None in the messages of earlier releases.
         _apply_each(context.stream_origins.add, update.origins or [])
         _apply_each(context.named_limits.merge, update.limits or [])
+        evidence = []
         _apply_each(
-            lambda evidence: context.quarantine.merge(*evidence),
-            [update.evidence or []],
+            lambda record: evidence.append(check_record(record)), update.evidence or []
         )
+        # Merged as a whole, as each merge searches all evidence.
+        _apply_each(lambda records: context.quarantine.merge(*records), [evidence])
         if update.content and update.version > self._version():
             self._apply_configuration(update.version, update.content)
 
--- a/packages/entry/src/almonddeal/roles/tests/test_entry.py
+++ b/packages/entry/src/almonddeal/roles/tests/test_entry.py
@@ -4,11 +4,13 @@
 
 from almonddeal.publication.state import compress_content
 from almonddeal.publication.tests.test_follower import make_settings
+from almonddeal.relay import quarantine
 from almonddeal.relay.context import TargetClient
 from almonddeal.relay.tests.fakes import NoMetrics
 from almonddeal.roles import entry
 from almonddeal.routing.model import RequestLimits, RoutingTable
 from almonddeal_common.address import Address
+from almonddeal_common.clock import wall_ms
 from almonddeal_common.codes import DOCUMENT_INVALID, AlmonddealError
 from almonddeal_common.wire.gen.ttypes import (
     AnnouncedTarget,
@@ -54,6 +56,38 @@
     return target
 
 
+def make_crash(name, **changes):
+    """Return a record of a target that crashed under the same request as others."""
+    record = SegmentEvidence(
+        key=f"r/{name}/9",
+        instance="e-2",
+        prefix_hashes=["request:f"],
+        is_sound=False,
+        observed_ms=int(wall_ms()),
+        request="r",
+        target=name,
+        born_ms=9,
+        failure_domain=f"fd-{name}",
+        has_response=True,
+    )
+    for field, value in changes.items():
+        setattr(record, field, value)
+    return record
+
+
+BAD_EVIDENCE = {
+    "no record": None,
+    "list as a key": make_crash("bad", key=[]),
+    "no suspects": make_crash("bad", prefix_hashes=None),
+    "list as a suspect": make_crash("bad", prefix_hashes=[["request:f"]]),
+    "number as a suspect": make_crash("bad", prefix_hashes=[7]),
+    "crash without a time": make_crash("bad", observed_ms=None),
+    "crash without a failure domain": make_crash("bad", failure_domain=None),
+    "crash without a target": make_crash("bad", target=None),
+    "crash without a request": make_crash("bad", request=None),
+    "survival without a time": make_crash("bad", is_sound=True, observed_ms=None),
+    "survival without suspects": make_crash("bad", is_sound=True, prefix_hashes=[]),
+}
 BAD_PARTS = {
     "target without a start time": {
         "targets": [make_target("i-1"), make_target("i-1", born_ms=None)]
@@ -78,6 +112,33 @@
         assert role.table.version == 7
         assert "i-2" in role._relay_context.targets.target_by_id
 
+    # Guards against one record that keeps the evidence of a whole update from an
+    # instance.
+    @pytest.mark.parametrize("name", BAD_EVIDENCE)
+    def test_rest_of_the_evidence_is_merged(self, role, name):
+        evidence = [make_crash(f"i-{k}") for k in range(3)]
+        evidence.insert(1, BAD_EVIDENCE[name])
+        role._apply_update(make_update(7, evidence=evidence))
+        merged = role._relay_context.quarantine
+        assert {"i-0", "i-1", "i-2"} <= {r.target for r in merged.evidence.values()}
+        assert merged.blocks(["request:f"])
+        # Later evidence is merged as well.
+        role._apply_update(make_update(8, evidence=[make_crash("i-3")]))
+        assert "i-3" in {r.target for r in merged.evidence.values()}
+
+    # Guards against a search of the evidence for each record.
+    def test_evidence_is_searched_once_an_update(self, role, monkeypatch):
+        searches = []
+
+        def find(crashes, is_sound):
+            searches.append(len(crashes))
+            return []
+
+        monkeypatch.setattr(quarantine, "find_culprits", find)
+        evidence = [make_crash(f"i-{k}") for k in range(5)]
+        role._apply_update(make_update(7, evidence=evidence))
+        assert searches == [5]
+
     @pytest.mark.parametrize("content", [b"invalid", b"overflow", b"text"])
     def test_configuration_that_fails_leaves_the_earlier_one(self, role, content):
         role._apply_update(make_update(7))
