wire: try each record once as bad ones are left out

Receivers saw: a list that the sender does not have arrived as an empty one, if a record of another list in the same message could not be encoded.

Cause: all lists of records were replaced by their encodable part, with an empty one for None. Each record was also encoded twice to find the good and the bad ones.

Ruled out: messages that can be encoded as they are; None stays None there.

Change: one pass over the lists that are present sorts their records.

Conclusion: a filtered message differs from its original by the bad records alone.

--- a/packages/common/src/almonddeal_common/wire/codec.py
+++ b/packages/common/src/almonddeal_common/wire/codec.py
@@ -106,10 +106,15 @@
     filtered = copy(message)
     bad_records = []
     for _, field_type, name, element, _ in filter(None, type(message).thrift_spec):
-        if field_type == TType.LIST and element[0] == TType.STRUCT:
-            records = getattr(message, name) or []
-            bad_records += [r for r in records if not _is_encodable(r)]
-            setattr(filtered, name, [r for r in records if _is_encodable(r)])
+        records = getattr(message, name)
+        is_list_of_records = field_type == TType.LIST and element[0] == TType.STRUCT
+        if not is_list_of_records or records is None:
+            continue
+        good_records = []
+        for record in records:
+            kept = good_records if _is_encodable(record) else bad_records
+            kept.append(record)
+        setattr(filtered, name, good_records)
     try:
         body = encode(filtered)
     except Exception as error:
--- a/packages/common/src/almonddeal_common/wire/tests/test_encoding.py
+++ b/packages/common/src/almonddeal_common/wire/tests/test_encoding.py
@@ -6,7 +6,8 @@
 import pytest
 
 from almonddeal_common.codes import INTERNAL, AlmonddealError
-from almonddeal_common.wire.codec import FrameReader, encode_frame
+from almonddeal_common.wire import codec
+from almonddeal_common.wire.codec import FrameReader, encode, encode_frame
 from almonddeal_common.wire.gen.ttypes import (
     AnnouncedTarget,
     AppendLog,
@@ -69,6 +70,26 @@
         message = ShareRuns(runs, False, [], [])
         assert resend(Phase.NOTICE, message).runs == runs[:1]
 
+    # Guards against lists that reach a receiver although the sender has none.
+    def test_list_that_is_missing_stays_missing(self):
+        runs = [Run(request="r1"), Run(request="r2", n_tokens=2**31)]
+        received = resend(Phase.NOTICE, ShareRuns(runs, False, None, None))
+        assert received.runs == runs[:1]
+        assert (received.evidence, received.limits) == (None, None)
+
+    # Guards against records that are encoded again and again to be filtered.
+    def test_each_record_is_tried_once(self, monkeypatch):
+        tried = []
+
+        def count(message):
+            tried.append(type(message))
+            return encode(message)
+
+        monkeypatch.setattr(codec, "encode", count)
+        targets = [make_target("i-1"), BAD_TARGETS["fraction"], make_target("i-2")]
+        assert resend(Phase.NOTICE, ShareTargets(targets)).targets == targets[::2]
+        assert tried.count(AnnouncedTarget) == len(targets)
+
     def test_one_line_is_logged_for_a_message(self, caplog):
         targets = [make_target("bad" * 1000, born_ms=2**63)] * 100
         with caplog.at_level(logging.ERROR):
