http: close connections whose requests are left unread

Callers saw: after a refusal that came before the end of a body in many small chunks, or after a failure of the application there, the connection was not closed, and not when its client left either; the server kept it until its own stop.

Cause: parts of the body go to the application through a queue of 10. When it is full, the task that reads the connection waits for room; so does the end of the response, which is put into the same queue, and nobody takes from it any more.

Ruled out: bodies of few parts, as those with a Content-Length; they seldom fill the queue before the response.

Change: the queue has no bound. The applications here read a body at once, up to their limit, or reject it; after the response nothing is queued.

Conclusion: an application that puts off reading would need a bound of its own.

--- a/packages/common/src/almonddeal_common/http.py
+++ b/packages/common/src/almonddeal_common/http.py
@@ -13,6 +13,7 @@
 KEEP_ALIVE_TIMEOUT_S = 30.0
 HEAD_TIMEOUT_S = 10.0  # clients send a head at once; this bounds slow ones
 BACKLOG = 2048
+UNBOUNDED = 0  # size of a queue
 BIND_ERRNOS = (errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EACCES)
 
 
@@ -26,6 +27,9 @@
     # A client that receives a long stream sends nothing for minutes. Slow requests are
     # bounded by the time limits for the head and the body instead.
     config.read_timeout = None
+    # A full queue is never emptied after the response, and would hold the connection.
+    # Applications read bodies at once, up to their limit, or reject them.
+    config.max_app_queue_size = UNBOUNDED
     config.backlog = BACKLOG
     config.accesslog = None
     config.errorlog = logging.getLogger("almonddeal.http")
--- a/packages/common/src/almonddeal_common/tests/test_broken_requests.py
+++ b/packages/common/src/almonddeal_common/tests/test_broken_requests.py
@@ -1,4 +1,4 @@
-"""Tests of requests that break the protocol while they are answered."""
+"""Tests of requests that break the protocol, or are left unread by the application."""
 
 import asyncio
 import gc
@@ -101,3 +101,36 @@
         expected = b"200" if starts_response else b"400"
         app = StreamingApp(10 * DISCARD_TIMEOUT_S, starts_response)
         assert not run_with_broken_request(app, test)
+
+
+class TestUnreadBodies:
+    # Guards against a connection that is held for good by parts of a body that its
+    # application leaves unread.
+    @pytest.mark.parametrize("fails", [False, True])
+    def test_response_before_many_small_chunks_ends_the_connection(self, fails):
+        chunks = 100 * b"1\r\nx\r\n"
+
+        async def app(scope, receive, send):
+            await anyio.sleep(RUN_S)
+            if fails:
+                raise ValueError("x")
+            headers = [(b"content-length", b"2")]
+            start = {"type": "http.response.start", "status": 413, "headers": headers}
+            await send(start)
+            await send({"type": "http.response.body", "body": b"no"})
+
+        async def main():
+            stop = anyio.Event()
+            with anyio.fail_after(20):
+                async with anyio.create_task_group() as group:
+                    group.start_soon(serve_http, app, ADDRESS, stop)
+                    async with await connect() as connection:
+                        await connection.send(HEAD + chunks)
+                        with anyio.move_on_after(3 * DISCARD_TIMEOUT_S) as scope:
+                            received = await read_all(connection)
+                    stop.set()
+            assert not scope.cancelled_caught
+            return received
+
+        received = anyio.run(main)
+        assert received.startswith(b"HTTP/1.1 500" if fails else b"HTTP/1.1 413")
