--- a/packages/entry/src/almonddeal/relay/tests/take_ups.py
+++ b/packages/entry/src/almonddeal/relay/tests/resumed_requests.py
@@ -1,4 +1,4 @@
-"""Take-ups: requests of callers that resume a stream after a broken connection.
+"""Requests of callers that resume a stream after a broken connection.
 
 The fakes write their software version into the events. i-1, of version v2, is in the
 failure domain of the instances and has no load; i-2 and i-3, of version v1, have some.
@@ -62,8 +62,10 @@
     assert context.targets.merge(announcement)
 
 
-def take_up(last_event_id=LAST_RECEIVED, request_id="req2", resumed="req1", **changes):
-    """Return the request with which a caller takes its stream up."""
+def resume_request(
+    last_event_id=LAST_RECEIVED, request_id="req2", resumed="req1", **changes
+):
+    """Return the request with which a caller resumes its stream."""
     if resumed is not None:
         changes["resumed_request_id"] = resumed
     return admit_stream(last_event_id=last_event_id, request_id=request_id, **changes)
@@ -97,5 +99,5 @@
     )
 
 
-def is_promise_not_to_run(error):
+def is_not_run(error):
     return error.code.http_status == 503 and error.code.was_run == NO
--- a/packages/entry/src/almonddeal/relay/tests/test_take_ups.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_resumed_requests.py
@@ -1,4 +1,4 @@
-"""Tests of callers that take a stream up after a broken connection."""
+"""Tests of callers that resume a stream after a broken connection."""
 
 import anyio
 import pytest
@@ -13,18 +13,18 @@
     make_run,
     streams,
 )
-from almonddeal.relay.tests.stream_runs import LAST
-from almonddeal.relay.tests.take_ups import (
+from almonddeal.relay.tests.resumed_requests import (
     LAST_RECEIVED,
     add_origin,
     announce,
-    is_promise_not_to_run,
+    is_not_run,
     is_rest_of,
     make_fleet,
     relay_rejected,
     relay_whole,
-    take_up,
+    resume_request,
 )
+from almonddeal.relay.tests.stream_runs import LAST
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import LINK_LOST, AlmonddealError
 from almonddeal_common.virtual_time import run_in_virtual_time
@@ -38,23 +38,23 @@
 
 
 class TestKnownOrigin:
-    # Guards against a take-up that goes on at the nearest engine of any version.
+    # Guards against a resumed request that goes to the nearest engine of any version.
     def test_stream_goes_on_at_the_version_that_began_it(self):
         async def main():
             fleet = make_fleet()
             add_origin(fleet.context)
-            assert is_rest_of("v1", await relay_whole(fleet.context, take_up()))
+            assert is_rest_of("v1", await relay_whole(fleet.context, resume_request()))
             assert fleet.attempts[0].last_event_id == LAST_RECEIVED
 
         run_in_virtual_time(main)
 
-    # Guards against a take-up that goes on wherever its prompt is cached.
+    # Guards against a resumed request that goes on wherever its prompt is cached.
     def test_cached_prefix_at_another_version_is_not_used(self):
         async def main():
             fleet = make_fleet()
             fleet.cached_by_target = {"i-1": {"part1"}}
             add_origin(fleet.context)
-            assert is_rest_of("v1", await relay_whole(fleet.context, take_up()))
+            assert is_rest_of("v1", await relay_whole(fleet.context, resume_request()))
 
         run_in_virtual_time(main)
 
@@ -76,11 +76,11 @@
             )
             fleet.context.load_view.merge(earlier)
             add_origin(fleet.context)
-            assert is_rest_of("v1", await relay_whole(fleet.context, take_up()))
+            assert is_rest_of("v1", await relay_whole(fleet.context, resume_request()))
 
         run_in_virtual_time(main)
 
-    # Guards against a take-up that loses the copy of its own version.
+    # Guards against a resumed request that loses the copy of its own version.
     def test_copy_at_the_same_version_is_used_while_the_first_run_is_known(self):
         async def main():
             fleet = make_fleet()
@@ -95,7 +95,7 @@
             )
             fleet.context.load_view.merge(earlier)
             add_origin(fleet.context)
-            assert is_rest_of("v1", await relay_whole(fleet.context, take_up()))
+            assert is_rest_of("v1", await relay_whole(fleet.context, resume_request()))
             assert fleet.tried == ["i-3"]
             assert fleet.attempts[0].copy.copy_id == "req1"
 
@@ -108,19 +108,19 @@
                 i_2=streams(1, LAST, lose_at=12), i_3=streams(1, LAST, lose_at=12)
             )
             add_origin(fleet.context)
-            assert is_rest_of("v1", await relay_whole(fleet.context, take_up()))
+            assert is_rest_of("v1", await relay_whole(fleet.context, resume_request()))
             assert len(fleet.attempts) == 2
 
         run_in_virtual_time(main)
 
-    # Guards against the other version before the first event of a take-up.
-    def test_take_up_stays_at_its_version_before_its_first_event(self):
+    # Guards against the other version before the first event of a resumed request.
+    def test_resumed_request_stays_at_its_version_before_its_first_event(self):
         async def main():
             fleet = make_fleet()
             add_origin(fleet.context)
             fleet.behaviour_by_target["i-2"] = loses_connection
             fleet.context.load_view.merge(make_run("more", "i-3", n_tokens=12_000))
-            assert is_rest_of("v1", await relay_whole(fleet.context, take_up()))
+            assert is_rest_of("v1", await relay_whole(fleet.context, resume_request()))
             assert fleet.tried == ["i-2", "i-3"]
 
         run_in_virtual_time(main)
@@ -131,22 +131,22 @@
             fleet = make_fleet()
             add_origin(fleet.context)
             announce(fleet.context, "i-2", born_ms=2000, version="v2")
-            assert is_rest_of("v1", await relay_whole(fleet.context, take_up()))
+            assert is_rest_of("v1", await relay_whole(fleet.context, resume_request()))
             assert fleet.tried == ["i-3"]
 
         run_in_virtual_time(main)
 
-    # Guards against a take-up that is answered by the only engines left.
+    # Guards against a resumed request that is answered by the only engines left.
     @pytest.mark.parametrize("state", [DEREGISTERED, DRAINING])
-    def test_take_up_is_rejected_at_once_if_its_version_has_left(self, state):
+    def test_resumed_request_is_rejected_at_once_if_its_version_has_left(self, state):
         async def main():
             fleet = make_fleet()
             add_origin(fleet.context)
             await anyio.sleep(LONG_UPTIME_S)
             for target in ("i-2", "i-3"):
                 announce(fleet.context, target, state)
-            error, took_ms = await relay_rejected(fleet.context, take_up())
-            assert is_promise_not_to_run(error)
+            error, took_ms = await relay_rejected(fleet.context, resume_request())
+            assert is_not_run(error)
             assert fleet.attempts == []
             assert took_ms < IMMEDIATELY_MS
 
@@ -160,7 +160,7 @@
             for target in ("i-2", "i-3"):
                 ejected = fleet.target_table.get(target)
                 fleet.target_table.eject(ejected, "connection failed", "other")
-            assert is_rest_of("v1", await relay_whole(fleet.context, take_up()))
+            assert is_rest_of("v1", await relay_whole(fleet.context, resume_request()))
 
         run_in_virtual_time(main)
 
@@ -174,7 +174,7 @@
                 writers.append(
                     await relay_whole(
                         fleet.context,
-                        take_up(
+                        resume_request(
                             request_id=f"second{number}",
                             resumed=f"first{number}",
                             timeout_ms=20_000.0,
@@ -196,16 +196,16 @@
     # Guards against a guess at the version of a stream.
     @pytest.mark.parametrize("uptime_s", [0.0, LONG_UPTIME_S])
     @pytest.mark.parametrize("resumed", ["req1", None])
-    def test_take_up_is_rejected_after_a_short_wait(self, uptime_s, resumed):
+    def test_resumed_request_is_rejected_after_a_short_wait(self, uptime_s, resumed):
         async def main():
             fleet = make_fleet()
             add_origin(fleet.context, "v2", "unrelated")
             add_origin(fleet.context, "v1", "other")
             await anyio.sleep(uptime_s)
             error, took_ms = await relay_rejected(
-                fleet.context, take_up(resumed=resumed)
+                fleet.context, resume_request(resumed=resumed)
             )
-            assert is_promise_not_to_run(error)
+            assert is_not_run(error)
             assert error.retry_after_ms
             assert fleet.attempts == []
             limit_ms = MAX_WAIT_MS if uptime_s else MAX_WAIT_AT_START_MS
@@ -219,7 +219,7 @@
         async def main():
             fleet = make_fleet()
             add_origin(fleet.context, "v1", "other")
-            writer = await relay_whole(fleet.context, take_up(resumed=None))
+            writer = await relay_whole(fleet.context, resume_request(resumed=None))
             assert is_rest_of("v1", writer)
 
         run_in_virtual_time(main)
@@ -228,8 +228,8 @@
     def test_unnamed_stream_is_rejected_if_no_origin_is_known(self):
         async def main():
             fleet = make_fleet()
-            error, _ = await relay_rejected(fleet.context, take_up(resumed=None))
-            assert is_promise_not_to_run(error)
+            error, _ = await relay_rejected(fleet.context, resume_request(resumed=None))
+            assert is_not_run(error)
             assert fleet.attempts == []
 
         run_in_virtual_time(main)
@@ -242,7 +242,7 @@
             await anyio.sleep(RETENTION_MS / 1000 + 1)
             fleet.context.stream_origins.evict_stale()
             add_origin(fleet.context, "v1", "other")
-            writer = await relay_whole(fleet.context, take_up(resumed=None))
+            writer = await relay_whole(fleet.context, resume_request(resumed=None))
             assert is_rest_of("v1", writer)
 
         run_in_virtual_time(main)
@@ -254,36 +254,36 @@
             fleet = make_fleet()
             await anyio.sleep(uptime_s)
             _, took_ms = await relay_rejected(
-                fleet.context, take_up(timeout_ms=SHORT_TIMEOUT_MS)
+                fleet.context, resume_request(timeout_ms=SHORT_TIMEOUT_MS)
             )
             assert took_ms <= SHORT_TIMEOUT_MS / 2
 
         run_in_virtual_time(main)
 
     # Guards against a guess where all known engines have one version.
-    def test_take_up_is_rejected_although_one_version_is_known(self):
+    def test_resumed_request_is_rejected_although_one_version_is_known(self):
         async def main():
             fleet = make_fleet()
             for target in ("i-2", "i-3"):
                 announce(fleet.context, target, DEREGISTERED)
-            error, _ = await relay_rejected(fleet.context, take_up())
-            assert is_promise_not_to_run(error)
+            error, _ = await relay_rejected(fleet.context, resume_request())
+            assert is_not_run(error)
             assert fleet.attempts == []
 
         run_in_virtual_time(main)
 
-    # Guards against take-ups that are lost because control is a moment behind.
+    # Guards against resumed requests that are lost because control is a moment behind.
     @pytest.mark.parametrize(
         ("uptime_s", "late_s"), [(0.0, 0.3), (0.0, 1.2), (LONG_UPTIME_S, 0.3)]
     )
-    def test_take_up_goes_on_when_its_origin_arrives(self, uptime_s, late_s):
+    def test_resumed_request_goes_on_when_its_origin_arrives(self, uptime_s, late_s):
         async def main():
             fleet = make_fleet()
             await anyio.sleep(uptime_s)
             writers = []
 
             async def serve():
-                writers.append(await relay_whole(fleet.context, take_up()))
+                writers.append(await relay_whole(fleet.context, resume_request()))
 
             async with anyio.create_task_group() as group:
                 group.start_soon(serve)
@@ -314,8 +314,8 @@
                 assert not n_comments
             assert fleet.context.stream_origins.get("req1") is None
             del fleet.attempts[:]
-            error, _ = await relay_rejected(fleet.context, take_up())
-            assert is_promise_not_to_run(error)
+            error, _ = await relay_rejected(fleet.context, resume_request())
+            assert is_not_run(error)
             assert fleet.attempts == []
 
         run_in_virtual_time(main)
--- a/packages/entry/src/almonddeal/relay/tests/test_stream_origins.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_stream_origins.py
@@ -10,15 +10,15 @@
     make_event,
     streams,
 )
-from almonddeal.relay.tests.stream_runs import LAST
-from almonddeal.relay.tests.take_ups import (
+from almonddeal.relay.tests.resumed_requests import (
     announce,
     is_rest_of,
     make_fleet,
     relay_whole,
+    resume_request,
     share_origins,
-    take_up,
 )
+from almonddeal.relay.tests.stream_runs import LAST
 from almonddeal_common.virtual_time import run_in_virtual_time
 
 
@@ -38,7 +38,7 @@
             fleet.behaviour_by_target[target] = streams(1, LAST, gap_s=0.02)
         return main()
 
-    # Guards against streams that can't be taken up, as their version was not recorded.
+    # Guards against streams that can't be resumed, as their version was not recorded.
     def test_stream_is_taken_up_at_another_instance(self):
         async def main():
             fleet = make_fleet()
@@ -47,12 +47,12 @@
             share_origins(fleet.context, other)
             (version,) = begun.versions
             last = begun.event_ids[-1]
-            rest = await relay_whole(other, take_up(last))
+            rest = await relay_whole(other, resume_request(last))
             assert is_rest_of(version, rest, last)
 
         run_in_virtual_time(main)
 
-    # Guards against a stream that changes its version when it is taken up again.
+    # Guards against a stream that changes its version when it is resumed again.
     def test_stream_is_taken_up_twice(self):
         async def main():
             fleet = make_fleet()
@@ -63,12 +63,12 @@
             part = FakeResponseWriter()
             with anyio.move_on_after(0.1):
                 last = begun.event_ids[-1]
-                await relay_stream(take_up(last), second, part)
+                await relay_stream(resume_request(last), second, part)
             assert part.versions == {"v2"}
             third = fleet.add_instance("entry-3", "fd3")
             share_origins(second, third)
             last = part.event_ids[-1]
-            rest = await relay_whole(third, take_up(last, "req3"))
+            rest = await relay_whole(third, resume_request(last, "req3"))
             assert is_rest_of("v2", rest, last)
 
         run_in_virtual_time(main)
--- a/packages/entry/src/almonddeal/relay/tests/versioned_service.py
+++ b/packages/entry/src/almonddeal/relay/tests/versioned_service.py
@@ -135,8 +135,8 @@
     begun : list of bool
         Whether the first tries of callers brought events.
     resumed : list of bool
-        Whether take-ups brought events, of those that were answered while two engines
-        served the version of the stream.
+        Whether resumed requests brought events, of those that were answered while two
+        engines served the version of the stream.
     """
 
     def __init__(self, seed):
@@ -368,7 +368,7 @@
         return sum(engine.version in versions for engine in self._serving) >= 2
 
     async def _call(self, caller):
-        """Send the request of a caller; take its stream up until it is complete."""
+        """Send the request of a caller; resume its stream until it is complete."""
         for n_tries in range(MAX_TRIES):
             if not self._instances:
                 await anyio.sleep(self._rng.uniform(*RESUME_DELAYS_S))
