entry: leave time to exit within a short grace period

Cause: of the 0.375 s between breaking requests off and the end of the grace, 0.2 s were for the last responses and 0.1 s for the last reports, whatever the grace; the rest, 75 ms, did not suffice for the exit of the process.

Change: both are shares of that margin, 20% and 10%. With a grace of 8 s or more nothing changes; with 3 s, 0.26 s are left to exit.

--- a/packages/entry/src/almonddeal/roles/entry.py
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -32,8 +32,9 @@
 # To break off the last requests and report their KV-cache copies.
 MAX_STOP_MARGIN_S = 1.0
 MAX_STOP_MARGIN_SHARE = 0.125  # of the stop timeout
-BREAK_OFF_TIMEOUT_S = 0.2  # for the responses of the last requests
-LAST_REPORTS_DELAY_S = 0.1  # for reports of truncated streams to reach other instances
+BREAK_OFF_SHARE = 0.2  # of the stop margin; for the responses of the last requests
+# Of the stop margin, for reports of truncated streams to reach other instances.
+LAST_REPORTS_SHARE = 0.1
 MAX_LOGGED_CHARACTERS = 300  # of a part of an update that fails
 DEFAULT_IDLE_TIMEOUT_S = 60.0  # until a configuration is applied
 
@@ -47,8 +48,12 @@
 
 def response_timeout_s(stop_timeout_s):
     """Return when a stopping instance breaks off requests, from SIGTERM, in s."""
-    margin_s = min(MAX_STOP_MARGIN_S, MAX_STOP_MARGIN_SHARE * stop_timeout_s)
-    return stop_timeout_s - margin_s
+    return stop_timeout_s - stop_margin_s(stop_timeout_s)
+
+
+def stop_margin_s(stop_timeout_s):
+    """Return the time in s from breaking off requests to the end of the process."""
+    return min(MAX_STOP_MARGIN_S, MAX_STOP_MARGIN_SHARE * stop_timeout_s)
 
 
 def _apply_each(apply, values):
@@ -93,9 +98,12 @@
         self.http_config = make_config(settings.callers)
         self._drain_delay_s = drain_delay_s(settings.stop_timeout_s)
         self._response_timeout_s = response_timeout_s(settings.stop_timeout_s)
+        self._stop_margin_s = stop_margin_s(settings.stop_timeout_s)
         # Reached only by connections whose caller does not read its response.
         self.http_config.graceful_timeout = (
-            self._response_timeout_s + BREAK_OFF_TIMEOUT_S - self._drain_delay_s
+            self._response_timeout_s
+            + BREAK_OFF_SHARE * self._stop_margin_s
+            - self._drain_delay_s
         )
         self.http_config.keep_alive_timeout = DEFAULT_IDLE_TIMEOUT_S
         self._parse = parse
@@ -228,7 +236,7 @@
             servers.start_soon(serve_http, metrics_app, settings.metrics, stop_others)
             await self._wait_for_stop_signal()
             await self._drain(stop_callers, callers_stopped)
-            await anyio.sleep(LAST_REPORTS_DELAY_S)
+            await anyio.sleep(LAST_REPORTS_SHARE * self._stop_margin_s)
             stop_others.set()
 
     async def _serve_callers(self, app, stop, stopped):
