http: drop what arrives after a response

Callers saw: nothing. The rest of a request that came in small chunks, after its response, was kept in memory for up to 1 s.

Cause: the bytes were still given to the parser, which takes one chunk of each read once the request has no stream, and keeps the others.

Ruled out: rests with a Content-Length, which the parser takes whole, and rests behind a bad chunk, which were dropped already.

Change: the reader drops bytes itself from the end of the server's side on.

Conclusion: the second in which the client may read its response costs no memory.

--- a/packages/common/src/almonddeal_common/connections.py
+++ b/packages/common/src/almonddeal_common/connections.py
@@ -62,6 +62,7 @@
         self.n_unread = 0
         self._config = config
         self._is_reading_head = True
+        self._is_discarding = False
         self._deadline_s = None
 
     def set_awaiting_head(self, is_awaiting_head):
@@ -69,11 +70,21 @@
         self._is_reading_head = is_awaiting_head
         self._deadline_s = None
 
+    def discard(self):
+        """Drop all further bytes; `read` returns only at the end of the input."""
+        self._is_discarding = True
+
     def feed_data(self, data):
         self.n_unread += len(data)
         super().feed_data(data)
 
     async def read(self, max_bytes):
+        data = await self._read(max_bytes)
+        while data and self._is_discarding:
+            data = await self._read(max_bytes)
+        return data
+
+    async def _read(self, max_bytes):
         try:
             async with asyncio.timeout_at(self._deadline_s):
                 data = await super().read(max_bytes)
@@ -156,15 +167,14 @@
             return
         with suppress(NotImplementedError, OSError, RuntimeError):
             self.writer.write_eof()
+        self.reader.discard()
         with anyio.move_on_after(DISCARD_TIMEOUT_S), suppress(OSError):
             if asyncio.current_task() is not self._reading_task:
-                # The other task reads on, and discards what no request waits for.
                 await self._input_ended.wait()
                 return
             # The application may still be at work on a response.
             await self.protocol.handle(Closed())
-            while not self.reader.at_eof():
-                await self.reader.read(MAX_RECV)
+            await self.reader.read(MAX_RECV)
 
     async def _read_data(self):
         self._reading_task = asyncio.current_task()
--- a/packages/common/src/almonddeal_common/tests/test_limits.py
+++ b/packages/common/src/almonddeal_common/tests/test_limits.py
@@ -4,6 +4,8 @@
 
 import anyio
 import pytest
+from hypercorn.events import RawData
+from hypercorn.protocol.h11 import H11Protocol
 
 from almonddeal_common.http import make_config, serve_http
 from almonddeal_common.tests.test_connections import (
@@ -15,6 +17,7 @@
     read_response,
 )
 
+CHUNKED_HEAD = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
 BODY_BYTES = 4 * 1024 * 1024
 
 
@@ -94,3 +97,29 @@
             assert received.startswith(b"HTTP/1.1 413")
 
         anyio.run(main)
+
+    # Guards against a server that keeps in memory what it reads after a response.
+    def test_small_chunks_after_the_response_are_dropped(self, monkeypatch):
+        handled = []
+        handle = H11Protocol.handle
+
+        async def count(protocol, event):
+            if isinstance(event, RawData):
+                handled.append(len(event.data))
+            await handle(protocol, event)
+
+        async def main():
+            stop = anyio.Event()
+            with anyio.fail_after(20):
+                async with anyio.create_task_group() as group:
+                    group.start_soon(serve_http, reject, ADDRESS, stop)
+                    async with await connect() as connection:
+                        await connection.send(CHUNKED_HEAD + b"1\r\nx\r\n")
+                        await read_response(connection)
+                        with anyio.fail_after(5):
+                            await connection.send(BODY_BYTES // 6 * b"1\r\nx\r\n")
+                    stop.set()
+
+        monkeypatch.setattr(H11Protocol, "handle", count)
+        anyio.run(main)
+        assert sum(handled) < BODY_BYTES / 8
