tests: keep new tests with shared addresses on one worker

A run of all tests failed in 51 tests, each as an address was in use: the modules that came with this change start processes or servers at fixed addresses, and the plugin that distributes tests over four workers did not know them. One group may hold several modules now, as three of them use the port of test_connections.py. Its own test names the groups and has cases for modules that share a port.

--- a/tools/almonddeal_tools/scheduling.py
+++ b/tools/almonddeal_tools/scheduling.py
@@ -1,27 +1,39 @@
 """Pytest plugin that distributes tests over the workers of pytest-xdist.
 
 Tests that share addresses run in sequence on one worker: those of a class that
-shares a fleet of processes, and those of a module that shares a port. All others are
+shares a fleet of processes, and those of modules that share a port. All others are
 distributed one by one.
 """
 
 from xdist.scheduler import LoadScopeScheduling
 
-MODULES_WITH_A_FLEET_BY_CLASS = ("test_recovery.py", "test_serving.py")
-MODULES_WITH_A_PORT = (
-    "test_connections.py",
-    "test_faulty_targets.py",
-    "test_follower.py",
-    "test_http.py",
+MODULES_WITH_A_FLEET_BY_CLASS = (
+    "test_changes.py",
+    "test_odd_records.py",
+    "test_recovery.py",
+    "test_serving.py",
+    "test_software_versions.py",
+    "test_stops.py",
 )
+# Modules with the same group use the same port.
+PORT_GROUP_BY_MODULE = {
+    "test_broken_requests.py": "connections",
+    "test_closing.py": "closing",
+    "test_connections.py": "connections",
+    "test_faulty_targets.py": "faulty targets",
+    "test_follower.py": "follower",
+    "test_follower_failures.py": "follower",
+    "test_http.py": "http",
+    "test_limits.py": "connections",
+}
 
 
 def scope_of(nodeid):
     """Return the name of the group with which a test runs, from its node id."""
     path, *parts = nodeid.partition("[")[0].split("::")
     module = path.rpartition("/")[2]
-    if module in MODULES_WITH_A_PORT:
-        return path
+    if module in PORT_GROUP_BY_MODULE:
+        return PORT_GROUP_BY_MODULE[module]
     if module in MODULES_WITH_A_FLEET_BY_CLASS:
         return "::".join((path, *parts[:-1]))
     return nodeid
--- a/tools/almonddeal_tools/tests/test_scheduling.py
+++ b/tools/almonddeal_tools/tests/test_scheduling.py
@@ -8,7 +8,10 @@
 @pytest.mark.parametrize(
     ("nodeid", "scope"),
     [
-        ("a/tests/test_http.py::TestTls::test_x", "a/tests/test_http.py"),
+        ("a/tests/test_http.py::TestTls::test_x", "http"),
+        ("a/tests/test_http.py::TestLimits::test_y[1]", "http"),
+        ("a/tests/test_limits.py::TestLongBodies::test_x", "connections"),
+        ("a/tests/test_connections.py::TestShutdown::test_x", "connections"),
         (
             "p/test_serving.py::TestRoutes::test_x[a::b]",
             "p/test_serving.py::TestRoutes",
