control: count removed log entries as not written

What can happen: a control instance whose log was cut back to that of a new leader, and whose next write failed or whose call was given up, took the removed entries for written. As leader it did not write the entries that took their place, but counted its own copy: changes were acknowledged with one copy too few. Once the log was longer than before, it was written on, with a gap; the process did not start again (DATA_DAMAGED: log entry 6 where 1 belongs).

Cause: the index up to which the log is on disk was not lowered as entries were removed, only set after the append that follows. Between the two lie a write that fails on a full disk, and the point at which a call is cancelled once the leader has waited 500 ms. Ruled out: the removal of entries that failed to be written by a leader, which begins after that index.

Change: the index is lowered with the log. Entries are removed from memory after the disk, so that a call cancelled before the disk is reached changes neither.

--- a/packages/entry/src/almonddeal/control/following.py
+++ b/packages/entry/src/almonddeal/control/following.py
@@ -83,8 +83,9 @@
         if from_index <= self._log.last_index:
             assert from_index > self.commit_index, "a committed entry would be changed"
             self._pending_proposals.fail_from(from_index)
-            self._truncate_log(from_index)
+            # A call that is cancelled before the disk is reached changes neither.
             await self._run_disk_io(self._store.truncate_from, from_index)
+            self._truncate_log(from_index)
         await self._run_disk_io(self._store.append, entries_to_store)
         for entry in entries_to_store:
             self._log.append(entry)
--- a/packages/entry/src/almonddeal/control/membership.py
+++ b/packages/entry/src/almonddeal/control/membership.py
@@ -55,6 +55,7 @@
 
     def _truncate_log(self, from_index):
         self._log.truncate_from(from_index)
+        self._durable_index = min(self._durable_index, self._log.last_index)
         if self._connect is not None and self.members_index >= from_index:
             self._load_members_from_log()
 
