control: repair the log after any write that failed

What can happen: a write refused by a full disk was undone by cutting the file. If that was refused as well (as by file systems that copy on write), a leader's process ended with a traceback, and a follower answered with an internal error. A sync refused for lack of space ended the process (71), and the next start took the bytes for stored, as the kernel reports a failed sync once. A file that could not be opened again after the log was replaced stayed closed for good. A first start on a full disk ended with a traceback.

Cause: only the write itself was handled. The steps that undo it were taken to succeed.

Change: the store keeps the size that its log should have, and whether a sync was lost. Before the next write, it removes stale bytes, or copies the synced records into a new file if a sync was lost; until then it refuses with STORAGE_FULL, and works again once there is room. Removed entries count as removed at once; they may be loaded again after a crash, as if the leader had not been heard. A folder that cannot be synced after the log was replaced still ends the process, and so does any other error. The new log is written through the file object that stays open.

--- a/packages/entry/src/almonddeal/control/identity.py
+++ b/packages/entry/src/almonddeal/control/identity.py
@@ -3,8 +3,8 @@
 import secrets
 from pathlib import Path
 
+from almonddeal.control.files import read_checksummed_file, write_checksummed_file
 from almonddeal.control.members import Members
-from almonddeal.control.storage import read_checksummed_file, write_checksummed_file
 from almonddeal_common.logs import get_logger
 from almonddeal_common.wire.gen.ttypes import Snapshot
 
--- a/packages/entry/src/almonddeal/control/storage.py
+++ b/packages/entry/src/almonddeal/control/storage.py
@@ -5,26 +5,29 @@
 entry are synced. Methods block; callers run them in a worker thread, one at a time.
 """
 
-import errno
 import os
 import struct
 import zlib
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager, suppress
 from pathlib import Path
 
+from almonddeal.control.files import (
+    DISK_FULL_ERRNOS,
+    read_checksummed_file,
+    removed_on_error,
+    sync_directory,
+    write_checksummed_file,
+)
 from almonddeal_common.codes import DATA_DAMAGED, STORAGE_FULL, AlmonddealError
 from almonddeal_common.logs import get_logger
 from almonddeal_common.wire.codec import decode, encode
 from almonddeal_common.wire.gen.ttypes import LogEntry, Meta, Snapshot
 
 FORMAT_VERSION = 1
-DISK_FULL_ERRNOS = (errno.ENOSPC, errno.EDQUOT)
 LOG_MAGIC = b"ALMDLOG1"
 RECORD_MAGIC = b"\xa1\xd5"
 # magic, CRC of the rest, payload length, file size at the last completed sync
 RECORD_HEADER = struct.Struct(">2sIIQ")
-CHECKSUMMED_FILE_HEADER = struct.Struct(">4sI")
-CHECKSUMMED_FILE_MAGIC = b"ALMD"
 
 log = get_logger("storage")
 
@@ -66,59 +69,14 @@
     return False
 
 
-def sync_directory(folder):
-    """Sync a directory, so that its entries are durable."""
-    descriptor = os.open(folder, os.O_RDONLY)
-    try:
-        os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
-
-
-def write_checksummed_file(path, payload):
-    """Replace a file durably by a payload with its checksum.
-
-    Writes a temporary file, syncs it, renames it and syncs the directory.
-    """
-    header = CHECKSUMMED_FILE_HEADER.pack(CHECKSUMMED_FILE_MAGIC, zlib.crc32(payload))
-    with _removed_on_error(path.with_suffix(".tmp")) as temporary:
-        with open(temporary, "wb") as file:
-            file.write(header + payload)
-            file.flush()
-            os.fsync(file.fileno())
-        os.replace(temporary, path)
-    sync_directory(path.parent)
-
-
 @contextmanager
-def _removed_on_error(temporary):
-    """Remove a temporary file if it cannot be written, as it takes up a full disk."""
-    try:
-        yield temporary
-    except OSError:
-        temporary.unlink(missing_ok=True)
-        raise
-
-
-def read_checksummed_file(path):
-    """Return the payload that `write_checksummed_file` wrote; None without a file.
-
-    Raises
-    ------
-    AlmonddealError
-        `DATA_DAMAGED` if it is truncated or its checksum is wrong.
-    """
+def _refused_on_full_disk(name):
     try:
-        data = path.read_bytes()
-    except FileNotFoundError:
-        return None
-    if len(data) < CHECKSUMMED_FILE_HEADER.size:
-        raise AlmonddealError(DATA_DAMAGED, f"{path.name} is too short")
-    magic, checksum = CHECKSUMMED_FILE_HEADER.unpack_from(data)
-    payload = data[CHECKSUMMED_FILE_HEADER.size :]
-    if magic != CHECKSUMMED_FILE_MAGIC or zlib.crc32(payload) != checksum:
-        raise AlmonddealError(DATA_DAMAGED, f"{path.name} fails its checksum")
-    return payload
+        yield
+    except OSError as error:
+        if error.errno not in DISK_FULL_ERRNOS:
+            raise
+        raise AlmonddealError(STORAGE_FULL, f"{name} has no room") from None
 
 
 class LogStore:
@@ -150,20 +108,29 @@
         self._offset_by_index = {}
         self._size = 0
         self._n_synced_bytes = 0
+        self._has_stale_bytes = False
+        self._is_sync_lost = False
         self.meta = Meta(FORMAT_VERSION, 0, "")
         self.snapshot = Snapshot(FORMAT_VERSION, 0, 0, b"")
         self.entries = []
 
     def __enter__(self):
-        self._folder.mkdir(parents=True, exist_ok=True)
-        self._load_meta()
-        self._load_snapshot()
-        self._load_log()
+        with _refused_on_full_disk("the data folder"):
+            self._folder.mkdir(parents=True, exist_ok=True)
+            self._load_meta()
+            self._load_snapshot()
+            self._load_log()
+            sync_directory(self._folder)
         return self
 
     def __exit__(self, *exc_info):
+        self._close_file()
+
+    def _close_file(self):
+        # Its buffer may hold bytes of a write that failed.
         if self._file is not None:
-            self._file.close()
+            with suppress(OSError):
+                self._file.close()
 
     def _load_meta(self):
         payload = read_checksummed_file(self._folder / "meta")
@@ -179,24 +146,25 @@
 
     def _load_log(self):
         path = self._folder / "log"
+        self._close_file()
         if not path.exists():
-            self._replace_log([])
-            return
+            self._replace_log_file([LOG_MAGIC])
         data = path.read_bytes()
         if data[: len(LOG_MAGIC)] != LOG_MAGIC:
             raise AlmonddealError(DATA_DAMAGED, "the log has no header")
-        end = self._read_records(data)
+        self._size = self._n_synced_bytes = self._read_records(data)
         self._file = open(path, "r+b")
-        if end < len(data):
+        if self._size < len(data):
             log.warning(
-                "removed %d bytes of a torn write at the end of the log",
-                len(data) - end,
+                "removed %d bytes at the end of the log", len(data) - self._size
             )
-            self._file.truncate(end)
-            os.fsync(self._file.fileno())
-        self._size = self._n_synced_bytes = end
+            self._has_stale_bytes = True
+        self._repair_log()
 
     def _read_records(self, data):
+        """Read the entries after the snapshot; return the size of the log."""
+        self.entries = []
+        self._offset_by_index = {}
         offset = len(LOG_MAGIC)
         while offset < len(data):
             record = _read_record(data, offset)
@@ -220,38 +188,65 @@
             raise AlmonddealError(DATA_DAMAGED, detail)
 
     def _replace_log(self, entries):
-        path = self._folder / "log"
-        temporary = path.with_suffix(".tmp")
         offset_by_index = {}
         size = len(LOG_MAGIC)
-        with _removed_on_error(temporary):
-            with open(temporary, "wb") as file:
-                file.write(LOG_MAGIC)
-                for entry in entries:
-                    offset_by_index[entry.index] = size
-                    record = _pack_record(encode(entry), 0)
-                    file.write(record)
-                    size += len(record)
-                file.flush()
-                os.fsync(file.fileno())
+        records = [LOG_MAGIC]
+        for entry in entries:
+            offset_by_index[entry.index] = size
+            records.append(_pack_record(encode(entry), 0))
+            size += len(records[-1])
+        self._replace_log_file(records)
+        self._offset_by_index = offset_by_index
+        self._size = self._n_synced_bytes = size
+        self._sync_folder_of_log()
+
+    def _replace_log_file(self, records):
+        path = self._folder / "log"
+        temporary = path.with_suffix(".tmp")
+        with removed_on_error(temporary), ExitStack() as stack:
+            file = open(temporary, "w+b")
+            stack.callback(file.close)
+            file.writelines(records)
+            file.flush()
+            os.fsync(file.fileno())
             os.replace(temporary, path)
+            stack.pop_all()
+        self._close_file()
+        self._file = file
+        self._has_stale_bytes = self._is_sync_lost = False
+
+    def _sync_folder_of_log(self):
         try:
             sync_directory(self._folder)
         except OSError as error:
             # After a loss of power, the old log may be back under this name, without
             # what is appended from here on.
             self._end_process(f"could not sync the folder of the log: {error}")
-        if self._file is not None:
-            self._file.close()
-        self._file = open(path, "r+b")
-        self._offset_by_index = offset_by_index
-        self._size = self._n_synced_bytes = size
 
-    def _sync(self, file):
+    def _sync(self):
         try:
-            os.fsync(file.fileno())
-        except OSError as error:
-            self._end_process(f"could not sync the log: {error}")
+            os.fsync(self._file.fileno())
+        except OSError:
+            # A later sync may succeed without the bytes that this one did not write.
+            self._is_sync_lost = self._has_stale_bytes = True
+            with suppress(OSError):
+                self._file.truncate(self._size)
+            raise
+
+    def _repair_log(self):
+        """Bring the file back to the records that it should have, after an error."""
+        if self._is_sync_lost:
+            data = (self._folder / "log").read_bytes()
+            self._replace_log_file([data[: self._size]])
+            self._sync_folder_of_log()
+        elif self._has_stale_bytes:
+            # The buffer of the old file object may still have the bytes that failed; a
+            # new file object does not.
+            self._close_file()
+            self._file = open(self._folder / "log", "r+b")
+            self._file.truncate(self._size)
+            self._sync()
+            self._has_stale_bytes = False
 
     def append(self, entries):
         """Append entries to the log and sync it.
@@ -262,43 +257,46 @@
             `STORAGE_FULL`; the log is then unchanged.
         """
         records = []
+        offset_by_index = {}
         size = self._size
         for entry in entries:
-            record = _pack_record(encode(entry), self._n_synced_bytes)
-            self._offset_by_index[entry.index] = size
-            records.append(record)
-            size += len(record)
-        try:
-            self._file.seek(self._size)
-            self._file.write(b"".join(records))
-            self._file.flush()
-        except OSError as error:
-            self._undo_write(entries)
-            if error.errno in DISK_FULL_ERRNOS:
-                raise AlmonddealError(STORAGE_FULL, "the log cannot grow") from None
-            self._end_process(f"could not write the log: {error}")
-        self._sync(self._file)
+            offset_by_index[entry.index] = size
+            records.append(_pack_record(encode(entry), self._n_synced_bytes))
+            size += len(records[-1])
+        with self._handle_write_errors("the log"):
+            self._repair_log()
+            try:
+                self._file.seek(self._size)
+                self._file.write(b"".join(records))
+                self._file.flush()
+                self._sync()
+            except OSError:
+                self._has_stale_bytes = True
+                # Stale bytes take up room. If they stay, the next write removes them.
+                with suppress(OSError):
+                    self._repair_log()
+                raise
+        self._offset_by_index |= offset_by_index
         self._size = self._n_synced_bytes = size
 
-    def _undo_write(self, entries):
-        for entry in entries:
-            self._offset_by_index.pop(entry.index, None)
-        # The buffer of the old file object may still have the bytes that failed; a new
-        # file object does not.
-        path = self._folder / "log"
-        self._file = open(path, "r+b")
-        self._file.truncate(self._size)
-
     def truncate_from(self, index):
-        """Remove the entry at `index` and all later ones, durably."""
+        """Remove the entry at `index` and all later ones.
+
+        On a full disk that refuses this, they are removed before the next write. After
+        a restart before that, they are loaded again.
+        """
         offset = self._offset_by_index.get(index)
         if offset is None:
             return
-        self._file.truncate(offset)
-        self._sync(self._file)
-        self._size = self._n_synced_bytes = offset
         for later in [i for i in self._offset_by_index if i >= index]:
             del self._offset_by_index[later]
+        self._size = self._n_synced_bytes = offset
+        self._has_stale_bytes = True
+        try:
+            with self._handle_write_errors("the log"):
+                self._repair_log()
+        except AlmonddealError as error:
+            log.warning("entries are not removed from the log yet: %s", error)
 
     def save_meta(self, term, voted_for):
         """Store the term and the vote durably.
@@ -329,8 +327,7 @@
     @contextmanager
     def _handle_write_errors(self, name):
         try:
-            yield
+            with _refused_on_full_disk(name):
+                yield
         except OSError as error:
-            if error.errno in DISK_FULL_ERRNOS:
-                raise AlmonddealError(STORAGE_FULL, f"{name} has no room") from None
             self._end_process(f"could not write {name}: {error}")
--- a/packages/entry/src/almonddeal/publication/record_file.py
+++ b/packages/entry/src/almonddeal/publication/record_file.py
@@ -9,7 +9,7 @@
 import anyio
 from anyio import to_thread
 
-from almonddeal.control.storage import read_checksummed_file, write_checksummed_file
+from almonddeal.control.files import read_checksummed_file, write_checksummed_file
 from almonddeal_common.codes import AlmonddealError
 from almonddeal_common.logs import get_logger
 from almonddeal_common.wire.codec import decode, encode
