control: sync the records that are loaded at a start

What can happen: a process is killed after it wrote entries and before it synced them. It loads them at its next start and reports them to the leader as stored, so that they are committed and acknowledged. If all then lose power, they are gone at this member, and the two others can elect a leader without them.

Cause: the loaded log was taken for synced.

Change: the log is synced once it is loaded.

--- a/packages/entry/src/almonddeal/control/storage.py
+++ b/packages/entry/src/almonddeal/control/storage.py
@@ -160,6 +160,8 @@
             )
             self._has_stale_bytes = True
         self._repair_log()
+        # The process that wrote the last records may have ended before it synced them.
+        self._sync()
 
     def _read_records(self, data):
         """Read the entries after the snapshot; return the size of the log."""
--- a/packages/entry/src/almonddeal/control/tests/test_storage_faults.py
+++ b/packages/entry/src/almonddeal/control/tests/test_storage_faults.py
@@ -228,7 +228,26 @@
 
 
 class TestUnsyncedRecords:
-    # Guards against entries that count as stored although their sync failed.
+    # Guards against entries that are acknowledged again after a restart, but that the
+    # earlier process had not synced.
+    def test_records_are_synced_when_loaded(self, tmp_path, disks):
+        disk = disks.disk(tmp_path)
+        with LogStore(tmp_path, end_process) as store:
+            store.append(entries(1, 2))
+            n_synced = (tmp_path / "log").stat().st_size
+            store.append(entries(3, 3))
+        data = (tmp_path / "log").read_bytes()
+        (tmp_path / "log").write_bytes(data[:n_synced])
+        with (tmp_path / "log").open("r+b") as file:
+            disk.record_sync(file.fileno())
+            file.seek(n_synced)
+            file.write(data[n_synced:])
+        with LogStore(tmp_path, end_process) as store:
+            assert [entry.index for entry in store.entries] == [1, 2, 3]
+        disk.lose_power()
+        with LogStore(tmp_path, end_process) as store:
+            assert [entry.index for entry in store.entries] == [1, 2, 3]
+
     def test_records_whose_sync_failed_are_not_loaded(self, tmp_path, monkeypatch):
         # The second sync succeeds without them: the kernel reports an error once.
         with LogStore(tmp_path, end_process) as store:
