--- a/packages/entry/src/almonddeal/control/storage.py
+++ b/packages/entry/src/almonddeal/control/storage.py
@@ -176,6 +176,10 @@
                 break
             payload, _, end = record
             entry = decode(LogEntry, payload)
+            if entry.index == self.snapshot.index and entry.term != self.snapshot.term:
+                # The snapshot was installed in place of this log.
+                self._offset_by_index = {}
+                return len(LOG_MAGIC)
             if entry.index > self.snapshot.index:
                 self._check_index(entry)
                 self.entries.append(entry)
--- a/packages/entry/src/almonddeal/control/tests/test_storage_faults.py
+++ b/packages/entry/src/almonddeal/control/tests/test_storage_faults.py
@@ -278,3 +278,19 @@
         disk.lose_power()
         with LogStore(tmp_path, end_process) as store:
             assert [entry.index for entry in store.entries] == [1, 2, 3, 4]
+
+
+class TestSnapshotOfAnotherLog:
+    # Guards against entries of a former leader after the snapshot that replaced them.
+    def test_entries_after_it_are_dropped(self, tmp_path, disks):
+        disk = disks.disk(tmp_path)
+        with LogStore(tmp_path, end_process) as store:
+            store.append(entries(1, 9))
+            disk.fail_between(4, 1)
+            with pytest.raises(AlmonddealError, match="STORAGE_FULL"):
+                store.save_snapshot(Snapshot(1, 6, 4, b"state"), [])
+        with LogStore(tmp_path, end_process) as store:
+            assert (store.snapshot.index, store.entries) == (6, [])
+            store.append(entries(7, 7, term=4))
+        with LogStore(tmp_path, end_process) as store:
+            assert [entry.term for entry in store.entries] == [4]
