--- a/packages/entry/src/almonddeal/control/storage.py
+++ b/packages/entry/src/almonddeal/control/storage.py
@@ -117,6 +117,8 @@
     def __enter__(self):
         with _refused_on_full_disk("the data folder"):
             self._folder.mkdir(parents=True, exist_ok=True)
+            for leftover in self._folder.glob("*.tmp"):
+                leftover.unlink()
             self._load_meta()
             self._load_snapshot()
             self._load_log()
--- a/packages/entry/src/almonddeal/control/tests/test_storage_faults.py
+++ b/packages/entry/src/almonddeal/control/tests/test_storage_faults.py
@@ -294,3 +294,13 @@
             store.append(entries(7, 7, term=4))
         with LogStore(tmp_path, end_process) as store:
             assert [entry.term for entry in store.entries] == [4]
+
+
+class TestLeftoverFiles:
+    # Guards against files of a write that a kill cut off, which take up a full disk.
+    def test_they_are_removed_at_the_start(self, tmp_path):
+        with LogStore(tmp_path, end_process):
+            pass
+        (tmp_path / "snapshot.tmp").write_bytes(b"x" * 1000)
+        with LogStore(tmp_path, end_process):
+            assert list(tmp_path.glob("*.tmp")) == []
