relay: conclude on a version only after catching up

Callers of deployments with one software version resume a stream without naming the request that began it. The instance then took the version of all streams of the service that it knew of.

Cause: a conclusion from the absence of records, with nothing to show that the records are complete.

Now the instance asks its control instance after the request arrived. That one asks the others, and replies once a majority has; as messages on a link keep their order, the reply follows all updates of before the question.

--- a/packages/entry/src/almonddeal/announced/stream_origins.py
+++ b/packages/entry/src/almonddeal/announced/stream_origins.py
@@ -47,6 +47,11 @@
         return self._count_by_version_by_service.setdefault(service_name, Counter())
 
     def common_version(self, service_name):
-        """Return the version that began all known streams of a service, or None."""
+        """Return the version that began all known streams of a service, or None.
+
+        None as well while there are so many records that some were evicted.
+        """
+        if len(self) >= MAX_ORIGINS:
+            return None
         count_by_version = self._count_by_version_by_service.get(service_name, {})
         return next(iter(count_by_version)) if len(count_by_version) == 1 else None
--- a/packages/entry/src/almonddeal/publication/feed.py
+++ b/packages/entry/src/almonddeal/publication/feed.py
@@ -9,15 +9,23 @@
 from almonddeal.announced.stream_origins import StreamOrigins
 from almonddeal.announced.versioned_map import VersionedMap
 from almonddeal_common.clock import monotonic_ms
-from almonddeal_common.codes import AlmonddealError
+from almonddeal_common.codes import NO_QUORUM, OK, AlmonddealError
 from almonddeal_common.logs import decide, get_logger
-from almonddeal_common.wire.gen.ttypes import FollowUpdate, Ok, ShareRuns, ShareTargets
+from almonddeal_common.wire.gen.ttypes import (
+    FollowUpdate,
+    Ok,
+    ReadFresh,
+    ReadFreshReply,
+    ShareRuns,
+    ShareTargets,
+)
 
 # Tolerates a lost round of Raft heartbeats and a retry of the leader.
 STALE_AGE_MS = 900
 CHECK_INTERVAL_WHILE_FRESH_S = 0.25
 CHECK_INTERVAL_WHILE_STALE_S = 0.03  # subscribers get no configuration until fresh
 REPLICATION_TIMEOUT_MS = 600  # targets wait at most 1 s for an acknowledgement
+CATCH_UP_TIMEOUT_MS = 300  # subscribers wait a little longer for the reply
 ENDED_RUN_RETENTION_MS = 3000  # subscribers receive the end within milliseconds
 LIMIT_RETENTION_MS = 3000  # instances repeat their reports every second
 RUN_RETENTION_MS = 30_000  # longer than the longest request timeout of a route
@@ -73,6 +81,7 @@
         self.origins = StreamOrigins()
         self._limits = ExpiringMap(LIMIT_RETENTION_MS)
         self._n_links_by_instance = {}
+        self._sent_by_link = {}
         # Pairs of the time of receipt in ms and whether the run has ended.
         self._receipt_by_request = {}
         self._was_fresh = False
@@ -103,14 +112,15 @@
             log, "subscriber connected", instance=instance, version=message.have_version
         )
         try:
-            await self._send_updates(message, emit)
+            await self._send_updates(link, message, emit)
         finally:
+            self._sent_by_link.pop(link, None)
             self._n_links_by_instance[instance] -= 1
             if not self._n_links_by_instance[instance]:
                 del self._n_links_by_instance[instance]
             decide(log, "subscriber disconnected", instance=instance)
 
-    async def _send_updates(self, message, emit):
+    async def _send_updates(self, link, message, emit):
         sent_version = message.have_version
         sent = _Revisions(0, 0, 0, 0, 0)
         sent_addresses = sent_is_fresh = None
@@ -153,8 +163,32 @@
                 sent_is_fresh = update.is_fresh
                 update.n_followers = self.n_followers
                 emit(update)
+            self._sent_by_link[link] = sent
             await self._wait_for_change(sent_version, sent, sent_is_fresh)
 
+    async def handle_read_fresh(self, link, message, emit):
+        """Reply to a subscriber behind all that a majority of the group has now.
+
+        Messages on a link arrive in order: what another control instance has sent here
+        precedes its reply, and the updates to the subscriber precede this one.
+        """
+        is_confirmed = await self._call_peers(ReadFresh(), CATCH_UP_TIMEOUT_MS)
+        due = self._revisions()
+        while is_confirmed and not self._has_sent(link, due):
+            if link not in self._sent_by_link:
+                is_confirmed = False
+            self.notify_changed()
+            await anyio.lowlevel.checkpoint()
+        code = OK if is_confirmed else NO_QUORUM
+        return ReadFreshReply(code.number, 0, self._name, 0)
+
+    def _has_sent(self, link, due):
+        sent = self._sent_by_link.get(link)
+        return sent is not None and all(
+            revision >= due_revision
+            for revision, due_revision in zip(sent, due, strict=True)
+        )
+
     def _revisions(self):
         return _Revisions(
             self._registry.announcements.revision,
@@ -217,12 +251,15 @@
 
     async def replicate_announcement(self, announcement):
         """Replicate an announcement; return whether a majority acknowledged it."""
-        is_replicated = await self._replicate_to_peers(ShareTargets([announcement]))
+        is_replicated = await self._call_peers(
+            ShareTargets([announcement]), REPLICATION_TIMEOUT_MS
+        )
         if is_replicated:
             self._registry.record_acknowledgement(announcement)
         return is_replicated
 
-    async def _replicate_to_peers(self, message):
+    async def _call_peers(self, message, timeout_ms):
+        """Call the other control instances; return whether a majority replied."""
         members = self._consensus.members
         n_acknowledged = 1
         n_required = members.quorum
@@ -230,12 +267,10 @@
         async def call(peer):
             nonlocal n_acknowledged
             try:
-                await peer.call(message, REPLICATION_TIMEOUT_MS)
+                await peer.call(message, timeout_ms)
                 n_acknowledged += 1
             except AlmonddealError as error:
-                log.info(
-                    "could not replicate to control instance %s: %s", peer.name, error
-                )
+                log.info("call of control instance %s failed: %s", peer.name, error)
 
         async with anyio.create_task_group() as group:
             for name in members.voters_except(self._name):
--- a/packages/entry/src/almonddeal/publication/follower.py
+++ b/packages/entry/src/almonddeal/publication/follower.py
@@ -6,15 +6,16 @@
 
 from almonddeal_common.address import Address
 from almonddeal_common.clock import monotonic_ms
-from almonddeal_common.codes import AlmonddealError
+from almonddeal_common.codes import OK, AlmonddealError
 from almonddeal_common.logs import decide, get_logger
 from almonddeal_common.wire.connect import dial
-from almonddeal_common.wire.gen.ttypes import Follow, ShareRuns
+from almonddeal_common.wire.gen.ttypes import Follow, ReadFresh, ShareRuns
 
 STALE_TIMEOUT_MS = 700  # after it, a subscriber leaves a stale control instance
 CONNECT_TIMEOUT_S = 0.4  # two unreachable instances cost less than a second
 UNREACHABLE_BACKOFF_MS = 5000  # an instance that failed is tried last for this long
 RETRY_INTERVAL_S = 0.15
+CATCH_UP_TIMEOUT_MS = 400  # two round trips, of which one may meet a lost peer
 SEND_INTERVAL_S = 0.005  # run changes within it are sent in one message
 
 log = get_logger("follower")
@@ -73,6 +74,27 @@
         """Whether this instance is subscribed to a fresh control instance."""
         return self.link is not None and self._stale_since_ms is None
 
+    async def catch_up(self):
+        """Receive all that the control group had at the time of the call.
+
+        The reply of the control instance follows the updates that it sent before, also
+        if this process was stopped and has not read them yet.
+
+        Returns
+        -------
+        has_caught_up : bool
+            False if no majority of the control group can be reached.
+        """
+        link = self.link
+        if link is None:
+            return False
+        try:
+            reply = await link.call(ReadFresh(), CATCH_UP_TIMEOUT_MS)
+        except AlmonddealError as error:
+            log.info("could not catch up with the control group: %s", error)
+            return False
+        return reply.code == OK.number and self.link is link
+
     def _candidate_addresses(self):
         """Return the addresses to try: own failure domain first, failed ones last."""
         known = list(
--- a/packages/entry/src/almonddeal/relay/context.py
+++ b/packages/entry/src/almonddeal/relay/context.py
@@ -93,6 +93,9 @@
         Streams that left a silent engine and are not at another one yet.
     stream_origins : StreamOrigins
         Software versions that began streams, of all instances.
+    catch_up : callable
+        ``catch_up()`` receives all that the control group has; an async function that
+        returns whether it did.
     """
 
     def __init__(
@@ -127,6 +130,7 @@
         self.ends_ms = math.inf
         self.moving_streams = set()
         self.stream_origins = StreamOrigins()
+        self.catch_up = _never_catch_up
         self._started_ms = monotonic_ms()
         self._retry_limits = retry_limits
         self._retry_window_by_service = {}
@@ -198,3 +202,7 @@
         if run.is_ended:
             for queue in self._admission_queue_by_service.values():
                 queue.wake()
+
+
+async def _never_catch_up():
+    return False
--- a/packages/entry/src/almonddeal/relay/resumption.py
+++ b/packages/entry/src/almonddeal/relay/resumption.py
@@ -65,25 +65,40 @@
 async def _find_version(stream, context):
     """Return the software version that began a resumed stream, or None.
 
-    A caller that does not name the stream can resume it while all streams of the
-    service began at the same version.
+    A caller that does not name the stream can resume it while all streams and targets
+    of the service have the same version. An instance may have been cut off or stopped
+    while another version joined, so it first catches up.
     """
     request = stream.admitted.request
     service_name = stream.admitted.service.name
     if request.resumed_request_id is None:
+        if not await _catch_up(request, context):
+            return None
         return await _wait_for(
-            lambda: context.stream_origins.common_version(service_name),
-            request,
-            context,
+            lambda: _common_version(service_name, context), request, context
         )
     origin = await find_origin(request, context)
     return None if origin is None else origin.version
 
 
+async def _catch_up(request, context):
+    """Return whether the instance has what control had when the request arrived."""
+    with anyio.move_on_after(_left_wait_s(request, context)):
+        while not await context.catch_up():
+            await anyio.sleep(POLL_INTERVAL_S)
+        return True
+    return False
+
+
+def _common_version(service_name, context):
+    version = context.stream_origins.common_version(service_name)
+    announced = context.targets.announced_versions(service_name)
+    return version if announced <= {version} else None
+
+
 async def _wait_for(find, request, context):
     """Return what `find` finds among the origins, or None once it takes too long."""
-    wait_ms = request.arrived_ms + _max_wait_ms(request, context) - monotonic_ms()
-    with anyio.move_on_after(max(0.0, wait_ms) / 1000):
+    with anyio.move_on_after(_left_wait_s(request, context)):
         while find() is None:
             await context.stream_origins.wait()
     return find()
@@ -129,6 +144,12 @@
         await anyio.sleep(POLL_INTERVAL_S)
 
 
+def _left_wait_s(request, context):
+    """Return how much longer a request may wait for an origin, in s."""
+    wait_ms = request.arrived_ms + _max_wait_ms(request, context) - monotonic_ms()
+    return max(0.0, wait_ms) / 1000
+
+
 def _max_wait_ms(request, context):
     is_starting = context.uptime_ms <= STARTUP_MS
     wait_ms = MAX_STARTUP_WAIT_MS if is_starting else MAX_ORIGIN_WAIT_MS
--- a/packages/entry/src/almonddeal/relay/targets.py
+++ b/packages/entry/src/almonddeal/relay/targets.py
@@ -5,6 +5,7 @@
 import anyio
 
 from almonddeal.announced.announcement import DEREGISTERED, DRAINING, READY, supersedes
+from almonddeal.announced.stream_origins import RETENTION_MS
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.logs import decide, get_logger
 
@@ -170,6 +171,7 @@
         self.target_by_id = {}
         self._id_by_address = {}
         self._ejected_ms_by_domain = {}
+        self._announced_ms_by_version_by_service = {}
 
     def merge(self, announcement):
         """Merge an announcement; returns whether it was newer than the known one."""
@@ -183,9 +185,11 @@
                 announcement
             )
         else:
+            self._record_version(target.announcement)
             if announcement.born_ms != target.announcement.born_ms:
                 target.reset()
             target.announcement = announcement
+        self._record_version(announcement)
         self._claim_address(announcement)
         decide(
             log,
@@ -198,6 +202,31 @@
         )
         return True
 
+    def _record_version(self, announcement):
+        announced_ms_by_version = self._announced_ms_by_version_by_service.setdefault(
+            announcement.service_name, {}
+        )
+        announced_ms_by_version[announcement.version] = monotonic_ms()
+
+    def announced_versions(self, service_name):
+        """Return the software versions of a service, as a set.
+
+        Includes those of targets that left while streams that they began may still be
+        resumed.
+        """
+        oldest_ms = monotonic_ms() - RETENTION_MS
+        announced_ms_by_version = self._announced_ms_by_version_by_service.get(
+            service_name, {}
+        )
+        left = {v for v, ms in announced_ms_by_version.items() if ms >= oldest_ms}
+        present = {
+            target.announcement.version
+            for target in self.target_by_id.values()
+            if target.announcement.service_name == service_name
+            and target.announcement.state in (READY, DRAINING)
+        }
+        return present | left
+
     def _claim_address(self, announcement):
         """Assign an address to the target that started last."""
         owner = self.target_by_id.get(self._id_by_address.get(announcement.address))
--- a/packages/entry/src/almonddeal/roles/control.py
+++ b/packages/entry/src/almonddeal/roles/control.py
@@ -49,6 +49,7 @@
 PUBLISH_TIMEOUT_MS = 900  # operators call another control instance after 1 s
 READ_TIMEOUT_MS = 900
 HTTP_STOP_TIMEOUT_S = 0.3
+ENTRY_ROLE = "entry"  # in the handshake of subscribers
 ORIGINS_WRITE_DELAY_S = 0.25  # streams begin several times a second
 
 log = get_logger("control")
@@ -301,12 +302,17 @@
             InstallSnapshot: consensus.handle_snapshot,
             JoinGroup: consensus.handle_join,
             Propose: self._control_client.handle_propose,
-            ReadFresh: self._control_client.handle_read_fresh,
+            ReadFresh: self._handle_read_fresh,
             Follow: self.feed.handle_follow,
             ShareTargets: self.feed.handle_share_targets,
             ShareRuns: self.feed.handle_share_runs,
         }
 
+    async def _handle_read_fresh(self, link, message, emit):
+        if link.peer.role == ENTRY_ROLE:
+            return await self.feed.handle_read_fresh(link, message, emit)
+        return await self._control_client.handle_read_fresh(link, message, emit)
+
     async def _wait_for_stop_signal(self):
         with anyio.open_signal_receiver(SIGTERM, SIGINT, SIGHUP) as signals:
             async for signal in signals:
--- a/packages/entry/src/almonddeal/roles/entry.py
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -138,6 +138,7 @@
             self._relay_context.quarantine.evidence,
             self._relay_context.stream_origins,
         )
+        self._relay_context.catch_up = self._follower.catch_up
 
     @property
     def is_ready(self):
