relay: send nothing to a target that said it leaves

Callers saw nothing at first, but their requests went on to a target for as long as it announced that it was ready, although each of its responses said that it was about to leave: 2 s after the first such response, 40 of 40 lookups, 40 of 40 orders and 40 of 40 streams reached it in the test with real processes.

Cause: the header was not read. TargetResponse.is_leaving stood for closed connections, which occur in other responses as well; nothing read it.

Ruled out: reading it from probes and queries of engines. Their responses carry no id of the target, and addresses are used again by others. Waiting for the users' time before the target is left out: it serves what it has anyway, and the others are as good.

The table of targets keeps the fact with the incarnation that was asked, and TargetTable.is_usable, which all choices share, reads it. It holds until another incarnation is announced. A response counts if it is of the target: not a 421, not of another request, and signed if it is a success.

Conclusion: from the first such response on, this instance sends the target no request, copy or resume; what runs there goes on to its end.

--- a/packages/entry/src/almonddeal/relay/attempts.py
+++ b/packages/entry/src/almonddeal/relay/attempts.py
@@ -306,6 +306,7 @@
     async with context.open_attempt(attempt) as response:
         if response.is_of_other_request:
             raise AlmonddealError(LINK_LOST, "answer to another request")
+        context.targets.record_response(attempt.target, response, stream.request_id)
         if response.is_success:
             progress.record_response(monotonic_ms())
         progress.request_limit_per_s = response.request_limit_per_s
--- a/packages/entry/src/almonddeal/relay/plain.py
+++ b/packages/entry/src/almonddeal/relay/plain.py
@@ -321,10 +321,15 @@
 
 
 async def _receive(admitted, context, target):
-    last_event_id = admitted.request.last_event_id
-    attempt = Attempt(admitted, target.announcement, last_event_id=last_event_id)
+    request = admitted.request
+    attempt = Attempt(
+        admitted, target.announcement, last_event_id=request.last_event_id
+    )
     try:
         async with context.open_attempt(attempt) as response:
+            context.targets.record_response(
+                attempt.target, response, request.request_id
+            )
             body = await read_limited(response.chunks, MAX_BODY_BYTES)
     except AlmonddealError as error:
         return _Outcome(error=error)
--- a/packages/entry/src/almonddeal/relay/requests.py
+++ b/packages/entry/src/almonddeal/relay/requests.py
@@ -233,7 +233,7 @@
         Whether the response has a signature header, whose value is not verified, and
         the id of the request.
     is_leaving : bool
-        Whether the target closes its connections.
+        Whether the response states that the target is about to leave.
     reported_counts : tuple of int or None
         Number of running and of waiting requests, and of slots; None if not reported.
     request_limit_per_s : float or None
@@ -286,6 +286,16 @@
         """Whether the status is 2xx."""
         return 200 <= self.status < 300
 
+    @property
+    def is_of_target(self):
+        """Whether the response is of the target to which the request was sent.
+
+        Error responses may have no signature.
+        """
+        if self.is_misdirected or self.is_of_other_request:
+            return False
+        return self.is_authentic or not self.is_success
+
     @property
     def media_type(self):
         """Media type of the body, without parameters; None if not given."""
--- a/packages/entry/src/almonddeal/relay/targets.py
+++ b/packages/entry/src/almonddeal/relay/targets.py
@@ -49,6 +49,8 @@
         When a probe failed last.
     incarnation_since_ms : float
         When the present incarnation of the target became known here.
+    is_leaving : bool
+        Whether the present incarnation stated in a response that it is about to leave.
     suspicion : anyio.Event
         Set, and replaced by a new event, when the target may be lost, so that attempts
         probe it at once.
@@ -63,6 +65,7 @@
         "counts_reported_ms",
         "ejected_until_ms",
         "incarnation_since_ms",
+        "is_leaving",
         "last_activity_ms",
         "latency_ms",
         "leave_by_scope",
@@ -89,8 +92,9 @@
         )
 
     def reset(self):
-        """Discard measurements and ejection of an earlier incarnation of the target."""
+        """Discard what was observed of an earlier incarnation of the target."""
         self.incarnation_since_ms = monotonic_ms()
+        self.is_leaving = False
         self.latency_ms = PRIOR_LATENCY_MS
         self.ejected_until_ms = 0.0
         self.reported_counts = None
@@ -238,9 +242,9 @@
         return self.target_by_id.get(target_id)
 
     def is_usable(self, target):
-        """Tell whether a target is registered, holds its address and does not drain."""
+        """Tell whether a target is registered, holds its address and is not leaving."""
         announcement = target.announcement
-        if announcement.state in (DEREGISTERED, DRAINING):
+        if target.is_leaving or announcement.state in (DEREGISTERED, DRAINING):
             return False
         return self._id_by_address.get(announcement.address) == announcement.target
 
@@ -302,6 +306,36 @@
             pause_ms=round(duration_ms),
         )
 
+    def record_response(self, announcement, response, request_id):
+        """Record whether a target states in a response that it is about to leave.
+
+        That stands until another incarnation of the target is announced, whatever this
+        one announces.
+
+        Parameters
+        ----------
+        announcement : AnnouncedTarget
+            Of the target, as the request was sent.
+        response : TargetResponse
+        request_id : str
+            For the log.
+        """
+        if not (response.is_leaving and response.is_of_target):
+            return
+        target = self.target_by_id.get(announcement.target)
+        if target is None or target.announcement.born_ms != announcement.born_ms:
+            return
+        if target.is_leaving:
+            return
+        target.is_leaving = True
+        decide(
+            log,
+            "target is leaving",
+            target=announcement.target,
+            born_ms=announcement.born_ms,
+            request=request_id,
+        )
+
     def record_connection_loss(self, target, request_id):
         """Record a lost connection; the second one in a short time ejects the target.
 
--- a/packages/entry/src/almonddeal/relay/tests/fakes.py
+++ b/packages/entry/src/almonddeal/relay/tests/fakes.py
@@ -203,7 +203,7 @@
                 head.is_not_run,
                 head.is_misdirected,
                 head.is_authentic,
-                False,
+                head.is_leaving,
                 None,
                 steps,
                 head.request_limit_per_s,
@@ -232,8 +232,10 @@
         is_misdirected=False,
         is_authentic=True,
         request_limit_per_s=None,
+        is_leaving=False,
     ):
         self.request_limit_per_s = request_limit_per_s
+        self.is_leaving = is_leaving
         self.status = status
         self.is_not_run = is_not_run
         self.is_misdirected = is_misdirected
--- a/tools/almonddeal_tools/scheduling.py
+++ b/tools/almonddeal_tools/scheduling.py
@@ -9,6 +9,7 @@
 
 MODULES_WITH_A_FLEET_BY_CLASS = (
     "test_changes.py",
+    "test_leaving.py",
     "test_odd_records.py",
     "test_recovery.py",
     "test_serving.py",
