relay: keep silent streams at an engine that takes no new requests

Callers saw: a stream at the only engine of its service broke off as the engine paused for 1.5 s, if the engine had said or announced that it was about to leave, and not otherwise.

Cause: if there is no other engine, a stream may leave the connection for a new one to the same engine. That alternative was not checked: the attempt was ended, and then the engine was no candidate.

Ruled out: sending the resume there all the same; it is a new request to an engine that leaves.

Change: the engine itself is an alternative only if it is usable.

Evidence: test_silent_stream_stays_at_the_only_engine: 2 of 2 failed before, and pass; the tests of silent streams pass as before.

Conclusion: such a stream waits for its engine until its deadline.

--- a/packages/entry/src/almonddeal/relay/moves.py
+++ b/packages/entry/src/almonddeal/relay/moves.py
@@ -140,8 +140,8 @@
 def _list_alternatives(stream, context, engine, silent_since_ms):
     """Return the targets at which a stream may go on, in the order of its selection.
 
-    The engine itself is one, if there are no others, unless it was silent for all: then
-    only the connection is lost.
+    If there are no others, the engine itself is one if it takes new requests, unless it
+    was silent for all: then only the connection is lost.
     """
     now_ms = monotonic_ms()
     candidates = stream.candidates(context.targets, stream.refusing_targets)
@@ -162,7 +162,11 @@
         engines = [e for e in engines if e.announcement.failure_domain != domain] or (
             engines
         )
-    if not others and _is_responsive(engine, silent_since_ms, now_ms):
+    if (
+        not others
+        and context.targets.is_usable(engine)
+        and _is_responsive(engine, silent_since_ms, now_ms)
+    ):
         engines = [engine]
     return [other for other in engines if context.named_limits.allows(other)]
 
--- a/packages/entry/src/almonddeal/relay/tests/test_leaving_engines.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_leaving_engines.py
@@ -1,13 +1,18 @@
 """Tests of streams and engines that state that they are about to leave."""
 
 import anyio
+import pytest
 
+from almonddeal.announced.announcement import DRAINING
 from almonddeal.relay.streams import relay_stream
 from almonddeal.relay.tests.fakes import (
     FakeFleet,
     FakeResponseWriter,
+    ResponseHead,
     admit_stream,
     fill_engine,
+    make_announcement,
+    make_event,
     make_run,
     streams,
 )
@@ -18,6 +23,7 @@
     relay,
     streams_leaving,
 )
+from almonddeal.relay.tests.silent_targets import SilentFleet
 from almonddeal.relay.tests.stream_runs import LAST, is_complete_response
 from almonddeal_common.codes import NO_TARGET
 from almonddeal_common.virtual_time import run_in_virtual_time
@@ -163,3 +169,27 @@
         assert writer.error.was_run == "no"
         assert writer.error.retry_after_ms > 0
         assert took_s < 0.1
+
+    @pytest.mark.parametrize("is_announced", [False, True])
+    def test_silent_stream_stays_at_the_only_engine(self, is_announced):
+        """Guards against a stream cut for an engine that gets no new requests."""
+
+        async def main():
+            fleet = SilentFleet({"i-1": []}, DOMAINS, n_events=LAST)
+
+            async def pauses(attempt):
+                yield ResponseHead(200, is_leaving=not is_announced)
+                if is_announced:
+                    draining = make_announcement("i-1", state=DRAINING)
+                    draining.sequence = 2
+                    assert fleet.target_table.merge(draining)
+                for number in range(1, LAST + 1):
+                    await anyio.sleep(1.5 if number == 8 else 0.02)
+                    yield make_event(number)
+
+            fleet.behaviour_by_target["i-1"] = pauses
+            return fleet, await relay(fleet.context, admit_stream())
+
+        fleet, writer = run_in_virtual_time(main)
+        assert fleet.tried == ["i-1"]
+        assert is_complete_response(writer)
