relay: check a backup again before its copy is refreshed

Engines saw: a KV cache transferred to a backup that had said, half a second before, that it is about to leave. The copy could not be used there, and another engine got it only after that.

Cause: a transferred copy is refreshed at intervals. The backup was checked before the wait and not after it.

Change: it is checked after the wait as well.

Conclusion: no copy is sent to an engine that is known to leave.

--- a/packages/entry/src/almonddeal/relay/kv_copies.py
+++ b/packages/entry/src/almonddeal/relay/kv_copies.py
@@ -74,7 +74,8 @@
             if copy.issuer_address == announcement.address:
                 # A transferred copy, which does not grow by itself.
                 await anyio.sleep(REFRESH_INTERVAL_S)
-                await _transfer_copy(stream, context, announcement, copy.backup)
+                if copy.is_valid(context.targets, monotonic_ms()):
+                    await _transfer_copy(stream, context, announcement, copy.backup)
             continue
         backup = select_backup(stream, context, announcement)
         if backup is not None:
--- a/packages/entry/src/almonddeal/relay/tests/test_leaving_engines.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_leaving_engines.py
@@ -193,3 +193,21 @@
         fleet, writer = run_in_virtual_time(main)
         assert fleet.tried == ["i-1"]
         assert is_complete_response(writer)
+
+    def test_copy_is_not_refreshed_at_the_engine(self):
+        async def main():
+            fleet = self.fleet(i_1=streams(1, 200, gap_s=0.01))
+            async with anyio.create_task_group() as group:
+                group.start_soon(relay, fleet.context, admit_stream())
+                await anyio.sleep(0.05)
+                address = fleet.attempts[0].backup_address
+                first = next(t for t in DOMAINS if address == f"10.0.0.{t[2:]}:80")
+                mark_leaving(fleet.context, first)
+                await anyio.sleep(0.3)
+                # The copy was transferred to the third engine, which leaves as well.
+                (third,) = set(DOMAINS) - {"i-1", first}
+                assert [to for _, to in fleet.transfers] == [f"10.0.0.{third[2:]}:80"]
+                mark_leaving(fleet.context, third)
+            return fleet.transfers
+
+        assert len(run_in_virtual_time(main)) == 1
