relay: send targets nothing for as long as they ask

Callers saw nothing of it: a target that rejects requests may say in Retry-After for how long it wants none from an instance, and the header was not read.

Ruled out: ejection. An ejected target is used if there is no other, its end does not follow what the target asked, and the failure rate only makes plain services prefer others.

Change: the adapter reads the header of a 503 as `retry_after_ms` (seconds, fractions allowed; what is no number is logged and ignored, more than an hour counts as an hour). relay/hold_offs.py keeps until when each target process holds off; the latest end counts. `RelayContext.allows` asks it and the named limits, `RelayContext.candidates` leaves such targets out before ejected ones are considered. Lookups, orders, streams, resumes, moves, backups, queries of cached prefixes and calls for copies obey it; probes of engines that run streams and the streams themselves go on.

If all targets hold off, requests are rejected at once as not run with the time left, spread over a quarter of it. A lookup or order waits for up to 100 ms, a new stream while it can be on time; it keeps no request with another engine waiting. A response that has begun waits for the end, with its copy, or ends at once if its time is shorter.

--- a/packages/entry/src/almonddeal/relay/admission_queue.py
+++ b/packages/entry/src/almonddeal/relay/admission_queue.py
@@ -24,12 +24,20 @@
 
 
 class QueueEntry:
-    """One waiting request; entries sort by priority, deadline and arrival."""
+    """One waiting request; entries sort by priority, deadline and arrival.
 
-    __slots__ = ("_key",)
+    Attributes
+    ----------
+    is_paused : bool
+        Whether all engines that the request might get hold off. It does not keep those
+        after it waiting, which may get others.
+    """
+
+    __slots__ = ("_key", "is_paused")
 
     def __init__(self, key):
         self._key = key
+        self.is_paused = False
 
     def __lt__(self, other):
         return self._key < other._key
@@ -64,14 +72,22 @@
             self._entries.remove(entry)
             self.wake()
 
+    def __len__(self):
+        return len(self._entries)
+
     def n_ahead(self, entry):
         """Return the number of entries before this one."""
         return self._entries.index(entry)
 
-    def n_before(self, priority, deadline_ms):
-        """Return the number of entries before one that would be added now."""
+    def is_first(self, entry):
+        """Tell whether no entry before this one could get an engine now."""
+        return all(other.is_paused for other in self._entries[: self.n_ahead(entry)])
+
+    def would_be_first(self, priority, deadline_ms):
+        """Tell the same of an entry that would be added now."""
         entry = QueueEntry((priority, deadline_ms, self._n_enqueued + 1))
-        return bisect_left(self._entries, entry)
+        n_ahead = bisect_left(self._entries, entry)
+        return all(other.is_paused for other in self._entries[:n_ahead])
 
     def wake(self):
         """Wake all waiting requests so that they check for capacity."""
@@ -94,7 +110,8 @@
     engines : list of TrackedTarget
     """
     queue = context.admission_queue(stream.admitted.service.name)
-    if queue.n_before(stream.admitted.priority, _first_event_deadline_ms(stream)):
+    deadline_ms = _first_event_deadline_ms(stream)
+    if not queue.would_be_first(stream.admitted.priority, deadline_ms):
         return False
     demand = _make_demand(stream, may_have_run=True)
     return _choose(stream, context, engines, demand) is not None
@@ -152,10 +169,17 @@
             n_ahead = queue.n_ahead(entry)
             engines = _untried_engines(stream, context)
             demand = _make_demand(stream)
-            engine = _choose(stream, context, engines, demand) if not n_ahead else None
-            if engine is not None:
-                return engine
-            wait_ms = _expected_wait_ms(stream, context, engines, demand, n_ahead)
+            paused = _paused_engines(stream, context)
+            entry.is_paused = bool(paused) and not engines
+            if queue.is_first(entry):
+                engine = _choose(stream, context, engines, demand)
+                if engine is not None:
+                    return engine
+            wait_ms = min(
+                _expected_wait_ms(stream, context, engines, demand, n_ahead),
+                context.hold_offs.left_ms(paused)
+                + _expected_wait_ms(stream, context, paused, demand, n_ahead),
+            )
             if monotonic_ms() + wait_ms > wait_deadline_ms:
                 _reject(stream, context, queue, engines, demand, wait_ms)
             if not has_waited:
@@ -165,15 +189,23 @@
 
 
 def _untried_engines(stream, context):
-    candidates = stream.candidates(context.targets, stream.refusing_targets)
+    candidates = stream.unpaused_candidates(context)
     untried = [
         e for e in candidates if e.announcement.target not in stream.failed_targets
     ]
     return stream.outside_lost_domains(untried or candidates, monotonic_ms())
 
 
+def _paused_engines(stream, context):
+    """Return the engines that hold off and have not refused a stream, as a list."""
+    if not context.hold_offs:
+        return []
+    candidates = stream.candidates(context.targets, stream.refusing_targets)
+    return [e for e in candidates if not context.hold_offs.allows(e.announcement)]
+
+
 def _choose(stream, context, engines, demand):
-    allowed = [engine for engine in engines if context.named_limits.allows(engine)]
+    allowed = [engine for engine in engines if context.allows(engine)]
     admissible = admissible_engines(allowed, context.load_view, demand)
     return context.choose_engine(admissible, stream.admitted, stream.n_tokens)
 
@@ -209,8 +241,10 @@
             retry_after_ms=NO_ENGINE_RETRY_MS,
         )
     else:
-        retry_after_ms = queue.retry_schedule.retry_after_ms(
-            wait_ms, retry_spacing_ms(engines, context.load_view, demand, traits)
+        spacing_ms = retry_spacing_ms(engines, context.load_view, demand, traits)
+        retry_after_ms = context.retry_after_ms(
+            stream.candidates(context.targets),
+            lambda: queue.retry_schedule.retry_after_ms(wait_ms, spacing_ms),
         )
         error = AlmonddealError(
             OVERLOADED, "no engine has room", retry_after_ms=retry_after_ms
--- a/packages/entry/src/almonddeal/relay/attempts.py
+++ b/packages/entry/src/almonddeal/relay/attempts.py
@@ -111,6 +111,7 @@
         prefixes=shared_prefix_hashes(stream.admitted.request),
         has_response=progress.has_response,
         limit_per_s=progress.request_limit_per_s,
+        retry_after_ms=progress.retry_after_ms,
         backup=backup,
         last_event_id=stream.last_event_id,
         outcome="OK" if error is None else error.code.name,
@@ -304,6 +305,8 @@
 
 async def _send_and_forward(stream, context, engine, attempt, progress, timer):
     async with context.open_attempt(attempt) as response:
+        context.hold_offs.record(attempt.target, response, stream.request_id)
+        progress.retry_after_ms = response.retry_after_ms
         if response.is_of_other_request:
             raise AlmonddealError(LINK_LOST, "answer to another request")
         context.targets.record_response(attempt.target, response, stream.request_id)
--- a/packages/entry/src/almonddeal/relay/context.py
+++ b/packages/entry/src/almonddeal/relay/context.py
@@ -6,6 +6,7 @@
 from almonddeal.announced.stream_origins import StreamOrigins
 from almonddeal.relay.admission_queue import AdmissionQueue
 from almonddeal.relay.choose import SelectionPolicy
+from almonddeal.relay.hold_offs import HoldOffs
 from almonddeal.relay.named_limits import NamedLimits
 from almonddeal.relay.quarantine import Quarantine
 from almonddeal.relay.retry_window import RetryWindow
@@ -126,6 +127,7 @@
         self.selection_policy = selection_policy or SelectionPolicy()
         self.quarantine = quarantine or Quarantine(instance)
         self.named_limits = NamedLimits(instance, self._count_requests)
+        self.hold_offs = HoldOffs()
         self.version = 0
         self.ends_ms = math.inf
         self.moving_streams = set()
@@ -167,6 +169,46 @@
             service_name, AdmissionQueue()
         )
 
+    def allows(self, target):
+        """Tell whether a request may be sent to a `TrackedTarget` now.
+
+        It may unless the target asked for a pause, or named a limit of which the share
+        of this instance is used up.
+        """
+        return self.hold_offs.allows(target.announcement) and self.named_limits.allows(
+            target
+        )
+
+    def candidates(self, service_name, excluded=(), software_version=None):
+        """Return the targets of a service that do not hold off, as a list.
+
+        As of `TargetTable.candidates`: one that is ejected is included if all others
+        hold off.
+
+        Parameters
+        ----------
+        service_name : str
+        excluded : collection of str
+            Ids of targets to leave out.
+        software_version : str or None
+            Version that the targets must have; None for any.
+        """
+        excluded = self.hold_offs.paused_ids(self.targets).union(excluded)
+        return self.targets.candidates(service_name, excluded, software_version)
+
+    def retry_after_ms(self, targets, otherwise):
+        """Return the Retry-After time of a request that no target took, in ms.
+
+        Parameters
+        ----------
+        targets : list of TrackedTarget
+            The targets that might serve the request.
+        otherwise : callable
+            Returns the time if one of them does not hold off.
+        """
+        retry_after_ms = self.hold_offs.retry_after_ms(targets)
+        return otherwise() if retry_after_ms is None else retry_after_ms
+
     def choose_engine(self, engines, admitted, n_tokens):
         """Return the engine for a request, or None if none has capacity."""
         return self.selection_policy.engine(
--- a/packages/entry/src/almonddeal/relay/kv_copies.py
+++ b/packages/entry/src/almonddeal/relay/kv_copies.py
@@ -43,7 +43,7 @@
     if not stream.admitted.route.may_run_again:
         return None
     engines = stream.outside_lost_domains(
-        context.targets.candidates(
+        context.candidates(
             stream.admitted.service.name, software_version=announcement.version
         ),
         monotonic_ms(),
@@ -83,6 +83,8 @@
 
 
 async def _transfer_copy(stream, context, announcement, backup):
+    if not context.hold_offs.allows(announcement):
+        return
     copy_id = await context.send_kv_copy(
         announcement, stream.request_id, backup.announcement.address
     )
@@ -104,5 +106,8 @@
 async def free_copy(stream, context, announcement):
     """Free the copy of an ended run if it was transferred by `maintain_copy`."""
     copy = stream.copy
+    if not context.hold_offs.allows(announcement):
+        # The engine frees the copy itself after the copy's lifetime.
+        return
     if copy is not None and copy.issuer_address == announcement.address:
         await context.free_kv_copy(announcement, copy.copy_id)
--- a/packages/entry/src/almonddeal/relay/moves.py
+++ b/packages/entry/src/almonddeal/relay/moves.py
@@ -120,13 +120,7 @@
     the backup has a part of what the stream needs.
     """
     copy = stream.copy
-    if copy is None or copy.backup is engine:
-        return False
-    if not stream.is_compatible(copy.backup.announcement):
-        return False
-    if not copy.is_valid(context.targets, monotonic_ms()):
-        return False
-    if not context.named_limits.allows(copy.backup):
+    if not stream.can_use_copy(context) or copy.backup is engine:
         return False
     n_moving = sum(
         other.copy is not None and other.copy.backup is copy.backup
@@ -144,7 +138,7 @@
     was silent for all: then only the connection is lost.
     """
     now_ms = monotonic_ms()
-    candidates = stream.candidates(context.targets, stream.refusing_targets)
+    candidates = stream.unpaused_candidates(context)
     others = [
         other
         for other in candidates
@@ -168,7 +162,7 @@
         and _is_responsive(engine, silent_since_ms, now_ms)
     ):
         engines = [engine]
-    return [other for other in engines if context.named_limits.allows(other)]
+    return [other for other in engines if context.allows(other)]
 
 
 def _is_responsive(engine, silent_since_ms, now_ms):
--- a/packages/entry/src/almonddeal/relay/plain.py
+++ b/packages/entry/src/almonddeal/relay/plain.py
@@ -28,6 +28,8 @@
 RETRY_AFTER_MS = 100  # targets free a slot within tens of milliseconds
 LOOKUP_TIMEOUT_SHARE = 0.4  # of the time left; then a lookup is sent elsewhere
 RECHECK_INTERVAL_S = 0.05  # at which a late lookup looks for another target
+MAX_PAUSE_WAIT_MS = 100.0  # for targets that hold off; well within most objectives
+PAUSE_MARGIN_MS = 1.0  # after the end of a pause; timers are not exact
 MAX_UNREACHED = 4  # retries after reaching no target, not counted in max_attempts
 MIN_LEFT_MS = 15.0  # no target responds within less
 MAX_BODY_BYTES = 4 * 1024 * 1024  # of a response, which is kept whole until its end
@@ -55,6 +57,10 @@
     def request_limit_per_s(self):
         return None if self.response is None else self.response.request_limit_per_s
 
+    @property
+    def retry_after_ms(self):
+        return None if self.response is None else self.response.retry_after_ms
+
     @property
     def label(self):
         if self.error is not None:
@@ -100,6 +106,8 @@
             break
         target = _select_target(admitted, context, tried)
         if target is None:
+            if await _wait_out_pause(admitted, context, tried):
+                continue
             break
         tried.add(target.announcement.target)
         is_last = is_order or n_sends + 1 >= admitted.route.max_attempts
@@ -166,11 +174,23 @@
 
 
 def _select_target(admitted, context, tried):
-    targets = context.targets.candidates(admitted.service.name, tried)
-    targets = [target for target in targets if context.named_limits.allows(target)]
+    targets = context.candidates(admitted.service.name, tried)
+    targets = [target for target in targets if context.allows(target)]
     return context.selection_policy.plain(targets, context.domain, random.random)
 
 
+async def _wait_out_pause(admitted, context, tried):
+    """Wait if all targets hold off for a short time; returns whether it did."""
+    targets = context.targets.candidates(admitted.service.name, tried)
+    pause_ms = context.hold_offs.left_ms(targets)
+    elapsed_ms = monotonic_ms() - admitted.request.arrived_ms
+    max_wait_ms = min(MAX_PAUSE_WAIT_MS, admitted.route.objective_ms - elapsed_ms)
+    if not 0 < pause_ms <= min(max_wait_ms, admitted.left_ms - MIN_LEFT_MS):
+        return False
+    await anyio.sleep((pause_ms + PAUSE_MARGIN_MS) / 1000)
+    return True
+
+
 def _has_alternative(admitted, context, tried):
     """Tell whether a lookup can be sent to another target now."""
     if admitted.left_ms < MIN_LEFT_MS:
@@ -222,8 +242,11 @@
         )
         return
     if preferred.is_not_run:
+        targets = context.targets.candidates(admitted.service.name)
         raise AlmonddealError(
-            OVERLOADED, "no target took the request", retry_after_ms=RETRY_AFTER_MS
+            OVERLOADED,
+            "no target took the request",
+            retry_after_ms=context.retry_after_ms(targets, lambda: RETRY_AFTER_MS),
         )
     if preferred.error.code == DEADLINE:
         raise AlmonddealError(DEADLINE, "the target did not answer in time")
@@ -242,8 +265,13 @@
         )
     return AlmonddealError(
         OVERLOADED,
-        "all targets have their limit of requests",
-        retry_after_ms=context.named_limits.retry_after_ms(service_name, targets),
+        "all targets have their limit of requests or asked for a pause",
+        retry_after_ms=context.retry_after_ms(
+            targets,
+            lambda: context.named_limits.retry_after_ms(
+                service_name, context.candidates(service_name)
+            ),
+        ),
     )
 
 
@@ -314,6 +342,7 @@
         outcome=outcome.label,
         not_run=outcome.is_not_run,
         limit_per_s=outcome.request_limit_per_s,
+        retry_after_ms=outcome.retry_after_ms,
         took_ms=round(monotonic_ms() - started_ms),
         left_ms=round(admitted.left_ms),
     )
@@ -327,9 +356,10 @@
     )
     try:
         async with context.open_attempt(attempt) as response:
-            context.targets.record_response(
-                attempt.target, response, request.request_id
-            )
+            # Before the body, which may be slow.
+            request_id = request.request_id
+            context.targets.record_response(attempt.target, response, request_id)
+            context.hold_offs.record(attempt.target, response, request_id)
             body = await read_limited(response.chunks, MAX_BODY_BYTES)
     except AlmonddealError as error:
         return _Outcome(error=error)
--- a/packages/entry/src/almonddeal/relay/requests.py
+++ b/packages/entry/src/almonddeal/relay/requests.py
@@ -241,6 +241,9 @@
     is_of_other_request : bool
         Whether the response has the id of another request: nothing is known then about
         the one that was sent.
+    retry_after_ms : float or None
+        For how long the target, which rejects the request, wants none from this
+        instance; None if it did not say.
     chunks : async iterator of bytes
     """
 
@@ -254,6 +257,7 @@
         "is_of_other_request",
         "reported_counts",
         "request_limit_per_s",
+        "retry_after_ms",
         "status",
     )
 
@@ -269,6 +273,7 @@
         chunks,
         request_limit_per_s=None,
         is_of_other_request=False,
+        retry_after_ms=None,
     ):
         self.status = status
         self.headers = headers
@@ -280,6 +285,7 @@
         self.chunks = chunks
         self.request_limit_per_s = request_limit_per_s
         self.is_of_other_request = is_of_other_request
+        self.retry_after_ms = retry_after_ms
 
     @property
     def is_success(self):
--- a/packages/entry/src/almonddeal/relay/stream_state.py
+++ b/packages/entry/src/almonddeal/relay/stream_state.py
@@ -2,6 +2,8 @@
 
 from contextlib import contextmanager
 
+from almonddeal_common.clock import monotonic_ms
+
 LOST_DOMAIN_MS = 1500.0  # for which a failure domain may stay without its engines
 
 
@@ -52,6 +54,8 @@
         Whether the engine has started its response, which it does with the first token.
     request_limit_per_s : float or None
         Limit that the engine named in the head of its response.
+    retry_after_ms : float or None
+        Pause for which the engine asked there.
     has_event : bool
         Whether the attempt has received an event.
     """
@@ -65,6 +69,7 @@
         "has_event",
         "has_response",
         "request_limit_per_s",
+        "retry_after_ms",
     )
 
     def __init__(self):
@@ -73,6 +78,7 @@
         self._n_events = 0
         self.has_response = False
         self.request_limit_per_s = None
+        self.retry_after_ms = None
         self._last_event_ms = 0.0
         self._silent_since_ms = 0.0
         self.has_event = False
@@ -233,10 +239,36 @@
             self.admitted.service.name, excluded, self.software_version
         )
 
+    def unpaused_candidates(self, context):
+        """Return the candidates that neither refused the stream nor hold off.
+
+        Parameters
+        ----------
+        context : RelayContext
+        """
+        return context.candidates(
+            self.admitted.service.name, self.refusing_targets, self.software_version
+        )
+
     def is_compatible(self, announcement):
         """Tell whether a target has the software version that began the stream."""
         return self.software_version in (None, announcement.version)
 
+    def can_use_copy(self, context):
+        """Tell whether the stream may resume from its copy now.
+
+        Parameters
+        ----------
+        context : RelayContext
+        """
+        copy = self.copy
+        return (
+            copy is not None
+            and self.is_compatible(copy.backup.announcement)
+            and copy.is_valid(context.targets, monotonic_ms())
+            and context.allows(copy.backup)
+        )
+
     def outside_lost_domains(self, engines, now_ms):
         """Return the engines outside domains where this stream just lost one.
 
--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -31,6 +31,7 @@
 
 RETRY_AFTER_MS = 1000  # about the prefill time of one prompt
 NO_CAPACITY_BACKOFF_S = 0.1  # before a started response looks for an engine again
+PAUSE_MARGIN_S = 0.001  # after the end of a pause; timers are not exact
 REFUSAL_BACKOFF_S = 0.3  # before a started response asks the same engines again
 MAX_BUDGET_WAIT_MS = 1000.0  # a caller that resumes its stream itself takes as long
 BUDGET_POLL_INTERVAL_S = 0.05
@@ -78,7 +79,7 @@
         except AlmonddealError as error:
             if not stream.n_sends:
                 raise
-            await _fail(stream, error)
+            await _fail(stream, context, error)
             return
         if engine is None:
             await anyio.sleep(NO_CAPACITY_BACKOFF_S)
@@ -87,7 +88,7 @@
         if error is None:
             return
         if not await _consume_retry(stream, context, error):
-            await _fail(stream, error)
+            await _fail(stream, context, error)
             return
 
 
@@ -126,20 +127,18 @@
         If the response has not started and no engine is available in time, or if no
         target has the software version that began the stream.
     """
-    copy, stream.copy = stream.copy, None
-    if (
-        copy is not None
-        and stream.is_compatible(copy.backup.announcement)
-        and copy.is_valid(context.targets, monotonic_ms())
-        and context.named_limits.allows(copy.backup)
-    ):
-        return copy.backup, copy
     if stream.software_version is not None and not stream.candidates(context.targets):
         raise AlmonddealError(
             NOT_RESUMABLE, f"no target has software version {stream.software_version}"
         )
-    if stream.is_started and not _allowed_candidates(stream, context):
-        await _wait_after_refusals(stream)
+    if stream.is_started and not _can_go_on(stream, context):
+        await _wait_for_candidates(stream, context)
+        if not _can_go_on(stream, context):
+            return None, None
+    copy = stream.copy if stream.can_use_copy(context) else None
+    stream.copy = None
+    if copy is not None:
+        return copy.backup, copy
     if stream.admitted.service.engine is None:
         return _select_plain_target(stream, context), None
     if stream.last_event_id is not None:
@@ -155,25 +154,41 @@
     return context.choose_engine(engines, stream.admitted, stream.n_tokens), None
 
 
+def _can_go_on(stream, context):
+    """Tell whether a target may get a request of a stream now."""
+    return stream.can_use_copy(context) or bool(_allowed_candidates(stream, context))
+
+
 def _allowed_candidates(stream, context):
-    """Return the targets that have not refused a stream and are below their limit."""
-    candidates = stream.candidates(context.targets, stream.refusing_targets)
-    return [target for target in candidates if context.named_limits.allows(target)]
+    """Return the targets that have not refused a stream and may get requests."""
+    candidates = stream.unpaused_candidates(context)
+    return [target for target in candidates if context.allows(target)]
 
 
 def _preferred_candidates(stream, context):
     """Return the allowed targets at which no attempt of a stream failed, if any."""
-    candidates = stream.candidates(context.targets, stream.refusing_targets)
+    candidates = stream.unpaused_candidates(context)
     untried = [
         t for t in candidates if t.announcement.target not in stream.failed_targets
     ]
     targets = stream.outside_lost_domains(untried or candidates, monotonic_ms())
-    return [target for target in targets if context.named_limits.allows(target)]
+    return [target for target in targets if context.allows(target)]
+
 
+async def _wait_for_candidates(stream, context):
+    """Wait before the targets that a started stream cannot use are asked again.
 
-async def _wait_after_refusals(stream):
-    """Pause before the targets that refused a started stream are asked again."""
-    await anyio.sleep(REFUSAL_BACKOFF_S)
+    Raises
+    ------
+    AlmonddealError
+        If all of them hold off for longer than the stream has time left.
+    """
+    pause_ms = context.hold_offs.left_ms(stream.candidates(context.targets))
+    if pause_ms > stream.admitted.left_ms - MIN_LEFT_MS:
+        raise AlmonddealError(ATTEMPT_LOST, "all engines hold off until the deadline")
+    wait_s = pause_ms / 1000 + PAUSE_MARGIN_S if pause_ms else REFUSAL_BACKOFF_S
+    # Another target may appear meanwhile.
+    await anyio.sleep(min(wait_s, REFUSAL_BACKOFF_S))
     stream.refusing_targets.clear()
 
 
@@ -218,7 +233,7 @@
     return True
 
 
-async def _fail(stream, error):
+async def _fail(stream, context, error):
     decide(
         log,
         "gave up a stream",
@@ -235,6 +250,10 @@
         return
     if stream.n_sends == 0:
         raise AlmonddealError(
-            OVERLOADED, "no engine took the request", retry_after_ms=RETRY_AFTER_MS
+            OVERLOADED,
+            "no engine took the request",
+            retry_after_ms=context.retry_after_ms(
+                stream.candidates(context.targets), lambda: RETRY_AFTER_MS
+            ),
         )
     raise AlmonddealError(ATTEMPT_LOST, "the engine was lost")
--- a/packages/entry/src/almonddeal/relay/tests/fakes.py
+++ b/packages/entry/src/almonddeal/relay/tests/fakes.py
@@ -207,6 +207,7 @@
                 None,
                 steps,
                 head.request_limit_per_s,
+                retry_after_ms=head.retry_after_ms,
             )
         finally:
             self.n_open -= 1
@@ -233,7 +234,9 @@
         is_authentic=True,
         request_limit_per_s=None,
         is_leaving=False,
+        retry_after_ms=None,
     ):
+        self.retry_after_ms = retry_after_ms
         self.request_limit_per_s = request_limit_per_s
         self.is_leaving = is_leaving
         self.status = status
--- a/packages/entry/src/almonddeal/relay/tests/test_leaving_day.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_leaving_day.py
@@ -171,7 +171,7 @@
             if process.is_leaving and key not in self.told_ms_by_key:
                 self.told_ms_by_key[key] = monotonic_ms()
                 queue = self.fleets[instance].context.admission_queue("s")
-                self.n_waiting_at_leave.append(queue.n_before(1, math.inf))
+                self.n_waiting_at_leave.append(len(queue))
             yield ResponseHead(
                 503 if is_refused else 200,
                 is_not_run=is_refused,
--- a/packages/entry/src/almonddeal/roles/entry.py
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -271,6 +271,7 @@
             self._relay_context.load_view.evict_stale()
             self._relay_context.quarantine.evict_stale()
             self._relay_context.named_limits.refresh()
+            self._relay_context.hold_offs.evict_stale()
             self._relay_context.stream_origins.evict_stale()
             self._relay_context.update_metrics()
             if not self._follower.follows_fresh_instance:
--- a/tools/almonddeal_tools/scheduling.py
+++ b/tools/almonddeal_tools/scheduling.py
@@ -11,6 +11,7 @@
     "test_changes.py",
     "test_leaving.py",
     "test_odd_records.py",
+    "test_pauses.py",
     "test_recovery.py",
     "test_serving.py",
     "test_software_versions.py",
