relay: check that an engine has not restarted

A target may start again under its id and address with another software version. An instance that was cut off or stood still has the earlier announcement: it went on with a stream there, as the version seemed to fit, or began one there and recorded the earlier version as its origin, so that other instances joined two versions in good faith. Callers received events of two versions under status 200 (ORDER).

The header that names the expected target does not help, as the id is the same. Asking before the request is sent does not either: the engine may restart, or this process stand still, between the reply and the request.

Now the first event of an attempt waits for the start time in the engine's report, a query that takes no slot, if the stream has a version already, or if no message of a fresh control instance has come within 150 ms (counted with the time for which the machine was suspended). The engine that reports the announced start time after it has responded has sent the event. One that reports another time is left, and not used for 3 s unless it announces. One without the field is taken as announced, one that does not respond for 1.5 s is left. Plain services are not asked, as the query would wait for a slot there.

--- a/packages/common/src/almonddeal_common/clock.py
+++ b/packages/common/src/almonddeal_common/clock.py
@@ -25,6 +25,16 @@
     return _clock_source.now_s() * 1000.0
 
 
+def boot_ms():
+    """Return the time in milliseconds since the machine started.
+
+    Unlike `monotonic_ms`, it also counts the time for which the machine was suspended.
+    """
+    if _clock_source.now_s is not time.monotonic:
+        return monotonic_ms()
+    return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
+
+
 def wall_ms():
     """Return the wall-clock time in milliseconds since 1970.
 
--- a/packages/common/src/almonddeal_common/wire/link.py
+++ b/packages/common/src/almonddeal_common/wire/link.py
@@ -4,13 +4,12 @@
 closed, so that no call waits longer for a process that is paused or partitioned.
 """
 
-from collections import deque
 from inspect import iscoroutinefunction
 
 import anyio
 from anyio import create_task_group, fail_after
 
-from almonddeal_common.clock import monotonic_ms
+from almonddeal_common.clock import boot_ms, monotonic_ms
 from almonddeal_common.codes import (
     DEADLINE,
     INTERNAL,
@@ -20,6 +19,7 @@
     error_from_wire,
 )
 from almonddeal_common.logs import get_logger
+from almonddeal_common.wire.calls import IncomingStream, OutgoingCall
 from almonddeal_common.wire.codec import KIND_BY_TYPE, FrameReader, encode_frame
 from almonddeal_common.wire.gen.constants import PROTOCOL_VERSION
 from almonddeal_common.wire.gen.ttypes import Fault, Hello, Ok, Phase, Ping
@@ -44,68 +44,6 @@
 log = get_logger("wire")
 
 
-class _OutgoingCall:
-    """State of one outgoing call or stream, in flight or completed."""
-
-    __slots__ = ("changed", "error", "is_done", "items", "reply")
-
-    def __init__(self):
-        self.items = deque()
-        self.reply = None
-        self.error = None
-        self.is_done = False
-        self.changed = anyio.Event()
-
-    def complete(self, reply=None, error=None):
-        if self.is_done:
-            return
-        self.reply = reply
-        self.error = error
-        self.is_done = True
-        self.changed.set()
-
-
-class IncomingStream:
-    """Items that the peer sends in reply to one streaming call.
-
-    Leaving the context before the end of the stream cancels the peer's handler.
-
-    Attributes
-    ----------
-    reply : object
-        Final reply of the peer, once the stream has ended.
-    """
-
-    __slots__ = ("_call", "_call_id", "_link", "reply")
-
-    def __init__(self, link, call_id, call):
-        self._link = link
-        self._call_id = call_id
-        self._call = call
-        self.reply = None
-
-    async def __aenter__(self):
-        return self
-
-    async def __aexit__(self, *exc_info):
-        self._link.discard_call(self._call_id, cancel=not self._call.is_done)
-
-    def __aiter__(self):
-        return self
-
-    async def __anext__(self):
-        call = self._call
-        while not call.items:
-            if call.error is not None:
-                raise call.error
-            if call.is_done:
-                self.reply = call.reply
-                raise StopAsyncIteration
-            call.changed = anyio.Event()
-            await call.changed.wait()
-        return call.items.popleft()
-
-
 class Link:
     """A connection over which both processes can call each other.
 
@@ -127,6 +65,8 @@
         Set after the handshake.
     closed : anyio.Event
         Set when the link has closed.
+    last_received_boot_ms : float
+        When the peer was last heard, as `boot_ms`.
     """
 
     def __init__(self, stream, hello, handler_by_type):
@@ -140,6 +80,7 @@
         self._outgoing_bytes = 0
         self._outgoing_ready = anyio.Event()
         self._last_received_ms = monotonic_ms()
+        self.last_received_boot_ms = boot_ms()
         self._last_sent_ms = 0.0
         self._group = None
         self._closed_reason = None
@@ -210,6 +151,7 @@
                 self._closed_reason = "closed by peer"
                 return
             self._last_received_ms = monotonic_ms()
+            self.last_received_boot_ms = boot_ms()
             self.n_received_bytes += len(data)
             for frame in reader.feed(data):
                 self._dispatch(frame)
@@ -337,7 +279,7 @@
             raise AlmonddealError(LINK_LOST, "link is not open")
         self._next_id += 1
         self._send(Phase.CALL, self._next_id, message)
-        call = self._call_by_id[self._next_id] = _OutgoingCall()
+        call = self._call_by_id[self._next_id] = OutgoingCall()
         return self._next_id, call
 
     def discard_call(self, call_id, cancel):
--- a/packages/entry/src/almonddeal/publication/follower.py
+++ b/packages/entry/src/almonddeal/publication/follower.py
@@ -5,7 +5,7 @@
 import anyio
 
 from almonddeal_common.address import Address
-from almonddeal_common.clock import monotonic_ms
+from almonddeal_common.clock import boot_ms, monotonic_ms
 from almonddeal_common.codes import OK, AlmonddealError
 from almonddeal_common.logs import decide, get_logger
 from almonddeal_common.wire.connect import dial
@@ -15,6 +15,7 @@
 CONNECT_TIMEOUT_S = 0.4  # two unreachable instances cost less than a second
 UNREACHABLE_BACKOFF_MS = 5000  # an instance that failed is tried last for this long
 RETRY_INTERVAL_S = 0.15
+MAX_SILENCE_MS = 150  # while streams begin, updates come more often
 CATCH_UP_TIMEOUT_MS = 400  # two round trips, of which one may meet a lost peer
 SEND_INTERVAL_S = 0.005  # run changes within it are sent in one message
 
@@ -74,6 +75,16 @@
         """Whether this instance is subscribed to a fresh control instance."""
         return self.link is not None and self._stale_since_ms is None
 
+    @property
+    def is_current(self):
+        """Whether a fresh control instance was heard within `MAX_SILENCE_MS`.
+
+        False after a time for which this process was stopped, until it is heard again.
+        """
+        if not self.follows_fresh_instance:
+            return False
+        return boot_ms() - self.link.last_received_boot_ms <= MAX_SILENCE_MS
+
     async def catch_up(self):
         """Receive all that the control group had at the time of the call.
 
--- a/packages/entry/src/almonddeal/publication/tests/test_follower.py
+++ b/packages/entry/src/almonddeal/publication/tests/test_follower.py
@@ -8,9 +8,15 @@
 from almonddeal.announced.evidence import EvidenceStore
 from almonddeal.announced.stream_origins import StreamOrigins
 from almonddeal.announced.versioned_map import VersionedMap
-from almonddeal.publication.follower import STALE_TIMEOUT_MS, Follower
+from almonddeal.publication import follower as follower_module
+from almonddeal.publication.follower import (
+    MAX_SILENCE_MS,
+    STALE_TIMEOUT_MS,
+    Follower,
+)
 from almonddeal.roles.settings import RetryLimits, RoleSettings
 from almonddeal_common.address import Address
+from almonddeal_common.clock import boot_ms
 from almonddeal_common.codes import NO_QUORUM, OK
 from almonddeal_common.wire.connect import listen, serve_links
 from almonddeal_common.wire.gen.constants import PROTOCOL_VERSION
@@ -267,6 +273,36 @@
         run_follower([control], [ADDRESS_1], test, limits=limits)
 
 
+class TestCurrency:
+    # Guards against an instance that trusts what it has although it hears nothing.
+    def test_instance_is_current_while_it_hears_a_fresh_control_instance(self):
+        control = FakeControlInstance(ADDRESS_1)
+
+        async def test(follower, runs):
+            assert not follower.is_current
+            await wait_for(lambda: follower.is_current)
+            await anyio.sleep(MAX_SILENCE_MS / 1000 + 0.05)
+            assert not follower.is_current
+            await follower.catch_up()
+            assert follower.is_current
+
+        run_follower([control], [ADDRESS_1], test)
+
+    # Guards against an instance that takes itself for current as it wakes.
+    def test_instance_that_was_suspended_is_not_current(self, monkeypatch):
+        control = FakeControlInstance(ADDRESS_1)
+
+        async def test(follower, runs):
+            await wait_for(lambda: follower.is_current)
+            await follower.catch_up()
+            woken_ms = boot_ms() + 4000
+            monkeypatch.setattr(follower_module, "boot_ms", lambda: woken_ms)
+            assert follower.follows_fresh_instance
+            assert not follower.is_current
+
+        run_follower([control], [ADDRESS_1], test)
+
+
 class TestCatchUp:
     # Guards against a conclusion before the updates that were sent earlier are applied.
     def test_updates_of_before_the_reply_are_applied(self):
--- a/packages/entry/src/almonddeal/relay/context.py
+++ b/packages/entry/src/almonddeal/relay/context.py
@@ -35,6 +35,10 @@
     list_cached_prefixes : callable
         ``list_cached_prefixes(announcement)`` returns the hashes of the prompt segments
         in the prefix cache of an engine, as a set; empty if the query fails.
+    read_start_ms : callable
+        ``read_start_ms(announcement)`` returns the start time in ms of the engine that
+        responds at the address of a target, or None if it reports none. Raises
+        `NOT_REACHED` without a response.
     """
 
     __slots__ = (
@@ -43,6 +47,7 @@
         "is_reachable",
         "list_cached_prefixes",
         "open_attempt",
+        "read_start_ms",
         "send_kv_copy",
     )
 
@@ -54,6 +59,7 @@
         send_kv_copy,
         free_kv_copy,
         list_cached_prefixes,
+        read_start_ms,
     ):
         self.open_attempt = open_attempt
         self.is_alive = is_alive
@@ -61,6 +67,7 @@
         self.send_kv_copy = send_kv_copy
         self.free_kv_copy = free_kv_copy
         self.list_cached_prefixes = list_cached_prefixes
+        self.read_start_ms = read_start_ms
 
 
 class RelayContext:
@@ -94,6 +101,8 @@
         Streams that left a silent engine and are not at another one yet.
     stream_origins : StreamOrigins
         Software versions that began streams, of all instances.
+    is_current : callable
+        ``is_current()`` returns whether updates of control arrive without a gap.
     catch_up : callable
         ``catch_up()`` receives all that the control group has; an async function that
         returns whether it did.
@@ -123,6 +132,7 @@
         self.send_kv_copy = client.send_kv_copy
         self.free_kv_copy = client.free_kv_copy
         self.list_cached_prefixes = client.list_cached_prefixes
+        self.read_start_ms = client.read_start_ms
         self.metrics = metrics
         self.selection_policy = selection_policy or SelectionPolicy()
         self.quarantine = quarantine or Quarantine(instance)
@@ -132,6 +142,7 @@
         self.ends_ms = math.inf
         self.moving_streams = set()
         self.stream_origins = StreamOrigins()
+        self.is_current = lambda: False
         self.catch_up = _never_catch_up
         self._started_ms = monotonic_ms()
         self._retry_limits = retry_limits
--- a/packages/entry/src/almonddeal/relay/forwarding.py
+++ b/packages/entry/src/almonddeal/relay/forwarding.py
@@ -1,5 +1,7 @@
 """Forwarding of the events of an engine's response to the caller of a stream."""
 
+import anyio
+
 from almonddeal.relay.events import EventReader
 from almonddeal.relay.resumption import record_origin
 from almonddeal.relay.run_reports import record_first_event
@@ -7,6 +9,9 @@
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import LINK_LOST, AlmonddealError
 
+MAX_START_WAIT_S = 1.5  # a sound engine may fall silent for about a second
+START_RETRY_INTERVAL_S = 0.1
+
 
 def may_continue(stream, response):
     """Tell whether a response can be the rest of the one that the caller receives."""
@@ -48,7 +53,7 @@
         if is_progress:
             engine.record_activity()
             if not progress.has_event:
-                _check_incarnation(engine, announcement)
+                await _check_incarnation(stream, context, engine, announcement)
                 record_first_event(stream, context, engine)
             if stream.software_version is None:
                 record_origin(stream, context, announcement)
@@ -71,20 +76,47 @@
     stream.is_ended = True
 
 
-def _check_incarnation(engine, announcement):
+async def _check_incarnation(stream, context, engine, announcement):
     """Check that an engine did not restart before its first event.
 
-    The event may be of another software version than the one that was announced.
+    The event may be of another software version than the one that was announced. An
+    engine that responds now and has not restarted has sent the event, too.
 
     Raises
     ------
     AlmonddealError
-        `LINK_LOST` if it did.
+        `LINK_LOST` if it did, or does not tell.
     """
+    if _needs_start_time(stream, context):
+        start_ms = await _read_start_ms(context, announcement)
+        if start_ms not in (None, announcement.born_ms):
+            if engine.announcement.born_ms == announcement.born_ms:
+                context.targets.record_restart(engine, start_ms, stream.request_id)
+            raise AlmonddealError(LINK_LOST, "the engine restarted after it announced")
     if engine.announcement.born_ms != announcement.born_ms:
         raise AlmonddealError(LINK_LOST, "the engine restarted before its first event")
 
 
+def _needs_start_time(stream, context):
+    """Tell whether the announcement of an engine does not suffice.
+
+    Targets of plain services are not asked, as the query would wait for a slot.
+    """
+    if stream.admitted.service.engine is None or not stream.admitted.route.is_resumable:
+        return False
+    return stream.software_version is not None or not context.is_current()
+
+
+async def _read_start_ms(context, announcement):
+    with anyio.move_on_after(MAX_START_WAIT_S):
+        while True:
+            try:
+                return await context.read_start_ms(announcement)
+            except AlmonddealError:
+                await anyio.sleep(START_RETRY_INTERVAL_S)
+    raise AlmonddealError(LINK_LOST, "the engine does not report its start time")
+
+
 async def _start_response(stream, response):
     if not stream.is_started:
         await stream.writer.start(response.status, response.headers)
--- a/packages/entry/src/almonddeal/relay/targets.py
+++ b/packages/entry/src/almonddeal/relay/targets.py
@@ -17,6 +17,7 @@
 REPEATED_LOSS_MS = 400  # a second connection loss within this time ejects a target
 MIN_DOMAIN_EJECTIONS = 2  # in one failure domain, for it to count as lost
 DOMAIN_LOSS_MS = 1000  # window of these ejections, and how long the domain is avoided
+OUTDATED_MS = 3000  # more than two announcement intervals
 
 log = get_logger("targets")
 
@@ -38,6 +39,8 @@
         When `reported_counts` was received.
     ejected_until_ms : float
         Until then the target is a candidate only if there is no other.
+    outdated_until_ms : float
+        Until then the target is not used, as it restarted after its announcement.
     leave_by_scope : dict of anyio.CancelScope to callable
         Of attempts in flight, by the scope that cancels the attempt: ``leave()``
         cancels it if its request can go on elsewhere.
@@ -70,6 +73,7 @@
         "latency_ms",
         "leave_by_scope",
         "n_in_flight",
+        "outdated_until_ms",
         "probed_ms",
         "reported_counts",
         "silent_ms",
@@ -97,6 +101,7 @@
         self.is_leaving = False
         self.latency_ms = PRIOR_LATENCY_MS
         self.ejected_until_ms = 0.0
+        self.outdated_until_ms = 0.0
         self.reported_counts = None
         self.counts_reported_ms = 0.0
         self._failure_rate = 0.0
@@ -242,10 +247,15 @@
         return self.target_by_id.get(target_id)
 
     def is_usable(self, target):
-        """Tell whether a target is registered, holds its address and is not leaving."""
+        """Tell whether a target is registered, holds its address and is not leaving.
+
+        A target that restarted after its announcement is not used until the next one.
+        """
         announcement = target.announcement
         if target.is_leaving or announcement.state in (DEREGISTERED, DRAINING):
             return False
+        if target.outdated_until_ms > monotonic_ms():
+            return False
         return self._id_by_address.get(announcement.address) == announcement.target
 
     def candidates(self, service_name, excluded=(), software_version=None):
@@ -336,6 +346,18 @@
             request=request_id,
         )
 
+    def record_restart(self, target, start_ms, request_id):
+        """Record that a target started at another time than its announcement says."""
+        target.outdated_until_ms = monotonic_ms() + OUTDATED_MS
+        decide(
+            log,
+            "target restarted after its announcement",
+            target=target.announcement.target,
+            born_ms=target.announcement.born_ms,
+            reported_ms=start_ms,
+            request=request_id,
+        )
+
     def record_connection_loss(self, target, request_id):
         """Record a lost connection; the second one in a short time ejects the target.
 
--- a/packages/entry/src/almonddeal/relay/tests/fakes.py
+++ b/packages/entry/src/almonddeal/relay/tests/fakes.py
@@ -136,6 +136,9 @@
         self.transfers = []
         self.cached_by_target = {}
         self.freed_copy_ids = []
+        # Instead of the announced start times; an error stands for no response.
+        self.start_ms_by_target = {}
+        self.start_queries = []
         self.alive = set(behaviour_by_target)
         self._domain_by_target = domain_by_target or {}
         self._version_by_target = version_by_target or {}
@@ -162,11 +165,13 @@
                 self.send_kv_copy,
                 self.free_kv_copy,
                 self.list_cached_prefixes,
+                self.read_start_ms,
             ),
             RetryLimits(0.8, 10.0, 150.0),
             NoMetrics(),
         )
         context.catch_up = self.catch_up
+        context.is_current = lambda: True
         return context
 
     async def catch_up(self):
@@ -182,6 +187,15 @@
     async def list_cached_prefixes(self, announcement):
         return self.cached_by_target.get(announcement.target, set())
 
+    async def read_start_ms(self, announcement):
+        self.start_queries.append(announcement.target)
+        start_ms = self.start_ms_by_target.get(
+            announcement.target, announcement.born_ms
+        )
+        if isinstance(start_ms, AlmonddealError):
+            raise start_ms
+        return start_ms
+
     async def send_kv_copy(self, announcement, request_id, address):
         self.transfers.append((announcement.target, address))
         return f"copy-{len(self.transfers)}"
--- a/packages/entry/src/almonddeal/relay/tests/test_out_of_step.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_out_of_step.py
@@ -1,6 +1,7 @@
-"""Streams that are resumed at an instance that was cut off or stood still.
+"""Callers that name no stream and resume at an instance that is out of step.
 
-Meanwhile engines of another version joined the service, and streams began at them.
+While it was cut off or stood still, engines of another version joined the service, and
+streams began at them.
 """
 
 import anyio
--- a/packages/entry/src/almonddeal/relay/tests/versioned_service.py
+++ b/packages/entry/src/almonddeal/relay/tests/versioned_service.py
@@ -139,6 +139,8 @@
         engines served the version of the stream.
     """
 
+    _make_caller = Caller
+
     def __init__(self, seed):
         self._rng = random.Random(seed)
         self._fleet = FakeFleet({})
@@ -360,13 +362,16 @@
             end_ms = monotonic_ms() + DURATION_S * 1000
             while monotonic_ms() < end_ms:
                 await anyio.sleep(self._rng.expovariate(STREAM_RATE_PER_S))
-                caller = Caller(f"c{len(self.callers)}")
+                caller = self._make_caller(f"c{len(self.callers)}")
                 self.callers.append(caller)
                 group.start_soon(self._call, caller)
 
     def _serves_twice(self, versions):
         return sum(engine.version in versions for engine in self._serving) >= 2
 
+    async def _serve(self, instance, request, writer):
+        await serve_request(request, lambda: TABLE, instance.context, writer)
+
     async def _call(self, caller):
         """Send the request of a caller; resume its stream until it is complete."""
         for n_tries in range(MAX_TRIES):
@@ -380,7 +385,7 @@
             writer = FakeResponseWriter()
             with anyio.CancelScope() as scope:
                 instance.scopes.add(scope)
-                await serve_request(request, lambda: TABLE, instance.context, writer)
+                await self._serve(instance, request, writer)
             instance.scopes.discard(scope)
             has_brought = caller.add(request, writer)
             if counts and instance.is_up and not n_tries:
--- a/packages/entry/src/almonddeal/roles/entry.py
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -139,6 +139,7 @@
             self._relay_context.stream_origins,
         )
         self._relay_context.catch_up = self._follower.catch_up
+        self._relay_context.is_current = lambda: self._follower.is_current
 
     @property
     def is_ready(self):
--- a/packages/entry/src/almonddeal/roles/tests/test_entry.py
+++ b/packages/entry/src/almonddeal/roles/tests/test_entry.py
@@ -36,7 +36,7 @@
     monkeypatch.setattr(entry, "RelayMetrics", NoMetrics)
     settings = make_settings([])
     settings.callers = Address("127.0.0.1", 0)
-    client = TargetClient(*[None] * 6)
+    client = TargetClient(*[None] * 7)
     return entry.EntryRole(settings, parse, client, lambda: settings)
 
 
--- a/tools/almonddeal_tools/lab/fleet.py
+++ b/tools/almonddeal_tools/lab/fleet.py
@@ -128,12 +128,14 @@
                 self._send_kv_copy,
                 self._free_kv_copy,
                 self._list_cached_prefixes,
+                self._read_start_ms,
             ),
             RetryLimits(*RETRY_LIMITS),
             NoMetrics(),
             selection_policy,
             Quarantine(f"entry-{index}", monotonic_ms),
         )
+        instance.is_current = lambda: True
         self.instances.append(instance)
         self._group.start_soon(self._share_evidence, instance)
 
@@ -308,6 +310,9 @@
             return frozenset()
         return _CachedPrefixes(engine)
 
+    async def _read_start_ms(self, target):
+        return target.born_ms if await self._is_alive(target) else None
+
 
 class _CachedPrefixes:
     """Set-like view of the prompt prefixes in the KV cache of an engine."""
