relay: log which waiting and rejected requests resume a stream

Callers that came back for the rest of their streams on an overloaded service got 503 within 20 ms. The lines on waiting and rejected requests did not tell these callers from new ones, nor how many were ahead at a rejection or how much time the caller had left.

Both lines have last_event_id and software_version now, and the one on rejections n_ahead and left_ms. No logic is changed.

--- a/packages/entry/src/almonddeal/relay/admission_queue.py
+++ b/packages/entry/src/almonddeal/relay/admission_queue.py
@@ -181,7 +181,7 @@
                 + _expected_wait_ms(stream, context, paused, demand, n_ahead),
             )
             if monotonic_ms() + wait_ms > wait_deadline_ms:
-                _reject(stream, context, queue, engines, demand, wait_ms)
+                _reject(stream, context, queue, engines, demand, wait_ms, n_ahead)
             if not has_waited:
                 has_waited = True
                 _log_wait(stream, n_ahead, len(engines), wait_ms)
@@ -222,6 +222,8 @@
         log,
         "queued a request for an engine",
         request=stream.request_id,
+        last_event_id=stream.last_event_id,
+        software_version=stream.software_version,
         n_ahead=n_ahead,
         n_engines=n_engines,
         expected_ms=round(wait_ms),
@@ -229,7 +231,7 @@
     )
 
 
-def _reject(stream, context, queue, engines, demand, wait_ms):
+def _reject(stream, context, queue, engines, demand, wait_ms, n_ahead):
     traits = stream.admitted.service.engine
     if stream.n_sends:
         # An engine may have executed the request: it must not be reported as not run.
@@ -253,12 +255,16 @@
         log,
         "rejected a request without an available engine",
         request=stream.request_id,
+        last_event_id=stream.last_event_id,
+        software_version=stream.software_version,
+        n_ahead=n_ahead,
         n_engines=len(engines),
         n_refused=len(stream.refusing_targets),
         n_sends=stream.n_sends,
         code=error.code.name,
         expected_ms=round(min(wait_ms, 1e9)),
         objective_left_ms=round(demand.objective_left_ms),
+        left_ms=round(demand.left_ms),
         after_ms=error.retry_after_ms,
     )
     raise error
