relay: let resumed streams go on before new ones begin

Callers that held a part of a response came back to a service without room and were rejected within 20 ms, by the forecast of a wait of 6.9 to 31 s, with a Retry-After of up to 10 s that they did not have: they waited as if their response was to begin, behind new requests, within the objective of a first event, and their times to come back were spaced behind those of new callers.

The same cause elsewhere: a response that had lost its engine looked for room every 100 ms, outside the queue, so that waiting requests, which are woken by each end of a run, took every free place before it.

Ruled out by the log: engines that refuse or hold up resumed streams (they got none of those that were rejected), unknown origins, versions without targets.

Now both have a place in the queue, before all new requests. A resumed stream is not rejected by a forecast, waits until no event could come in time, and may take any engine with room. Entries have a software version; a new request passes a waiting stream at engines of other versions. Memory of the engines is not exceeded, as that would preempt other streams.

--- a/packages/entry/src/almonddeal/relay/admission.py
+++ b/packages/entry/src/almonddeal/relay/admission.py
@@ -2,7 +2,8 @@
 
 A request waits only while it can still meet its latency objective, or briefly once the
 objective is missed. Otherwise it is rejected at once with a Retry-After time at which
-an engine is expected to have capacity. This module performs no I/O.
+an engine is expected to have capacity. A request that resumes a stream waits as long as
+its caller does. This module performs no I/O.
 """
 
 from almonddeal.relay.choose import KV_CACHE_SHARE
@@ -31,6 +32,8 @@
     may_have_run : bool
         Whether an engine may have executed the request, so that it can no longer be
         rejected as not executed.
+    resumes : bool
+        Whether the caller has received a part of the response.
     """
 
     __slots__ = (
@@ -39,12 +42,20 @@
         "n_prompt_tokens",
         "n_tokens",
         "objective_left_ms",
+        "resumes",
     )
 
     def __init__(
-        self, n_prompt_tokens, n_tokens, objective_left_ms, left_ms, may_have_run=False
+        self,
+        n_prompt_tokens,
+        n_tokens,
+        objective_left_ms,
+        left_ms,
+        may_have_run=False,
+        resumes=False,
     ):
         self.may_have_run = may_have_run
+        self.resumes = resumes
         self.n_prompt_tokens = n_prompt_tokens
         self.n_tokens = n_tokens
         self.objective_left_ms = objective_left_ms
@@ -70,7 +81,7 @@
 
     These are the engines that would send the first event on time, or, for a late
     request, those with few other prompt tokens to prefill. If there are none, a request
-    that may have run before may start at any engine.
+    that may have run before, or that resumes a stream, may start at any engine.
 
     Parameters
     ----------
@@ -87,7 +98,9 @@
         )
         <= max_first_event_ms
     ]
-    return engines if demand.may_have_run and not admissible else admissible
+    if admissible:
+        return admissible
+    return engines if demand.may_have_run or demand.resumes else []
 
 
 def _max_first_event_ms(load_view, demand):
@@ -153,13 +166,24 @@
 
 
 def max_wait_ms(load_view, demand):
-    """Return how long a request may wait from now, in ms.
+    """Return how long a request may wait from now for a forecast to come true, in ms.
+
+    One that resumes a stream waits as long as an idle engine could still send an event
+    to its caller, others as of `max_start_wait_ms`.
+    """
+    if demand.resumes:
+        return max(demand.left_ms - _prefill_ms(load_view, demand), 0.0)
+    return max_start_wait_ms(load_view, demand)
+
+
+def max_start_wait_ms(load_view, demand):
+    """Return how long a request may wait from now to start as if new, in ms.
 
     It may wait as long as an idle engine could still send the first event on time. A
     late request waits a short time, if enough time is left for a run. A request that
     may have run before waits as long as enough time is left.
     """
-    prefill_ms = demand.n_prompt_tokens * load_view.typical_prefill_ms_per_token
+    prefill_ms = _prefill_ms(load_view, demand)
     on_time_ms = ON_TIME_SHARE * demand.objective_left_ms - prefill_ms
     if demand.may_have_run:
         return max(on_time_ms, demand.left_ms - load_view.mean_run_ms, 0.0)
@@ -168,6 +192,15 @@
     return min(MAX_LATE_WAIT_MS, max(0.0, demand.left_ms - load_view.mean_run_ms))
 
 
+def _prefill_ms(load_view, demand):
+    return demand.n_prompt_tokens * load_view.typical_prefill_ms_per_token
+
+
+def bounded_retry_ms(wait_ms):
+    """Return the Retry-After time in ms for an expected wait in ms."""
+    return min(MAX_RETRY_MS, max(MIN_RETRY_MS, wait_ms))
+
+
 class RetrySchedule:
     """Spaces the Retry-After times of rejected requests, so that none coincide."""
 
@@ -187,7 +220,7 @@
             Least time between two retries; see `retry_spacing_ms`.
         """
         now_ms = monotonic_ms()
-        wait_ms = min(MAX_RETRY_MS, max(MIN_RETRY_MS, wait_ms))
+        wait_ms = bounded_retry_ms(wait_ms)
         self._last_retry_ms = max(now_ms + wait_ms, self._last_retry_ms + spacing_ms)
         self._last_retry_ms = min(self._last_retry_ms, now_ms + MAX_RETRY_MS)
         return round(self._last_retry_ms - now_ms)
--- a/packages/entry/src/almonddeal/relay/admission_queue.py
+++ b/packages/entry/src/almonddeal/relay/admission_queue.py
@@ -1,4 +1,7 @@
-"""Queue of requests that wait for an engine at this instance."""
+"""Queue of requests that wait for an engine at this instance.
+
+A caller that holds a part of a response goes on before new responses begin.
+"""
 
 from bisect import bisect_left, insort
 from contextlib import contextmanager
@@ -9,7 +12,9 @@
     Demand,
     RetrySchedule,
     admissible_engines,
+    bounded_retry_ms,
     expected_wait_ms,
+    max_start_wait_ms,
     max_wait_ms,
     retry_spacing_ms,
 )
@@ -24,7 +29,23 @@
 
 
 class QueueEntry:
-    """One waiting request; entries sort by priority, deadline and arrival.
+    """One waiting request.
+
+    Entries sort by whether they resume a stream, then by priority, time at which an
+    event is due, and arrival.
+
+    Parameters
+    ----------
+    priority : int
+        0 is the most urgent.
+    due_ms : float
+        When the next event is due.
+    number : int
+        In the order of arrival.
+    resumes : bool
+        Whether the caller has received a part of the response.
+    software_version : str or None
+        Version of the engines that may take the request; None for any.
 
     Attributes
     ----------
@@ -33,15 +54,24 @@
         after it waiting, which may get others.
     """
 
-    __slots__ = ("_key", "is_paused")
+    __slots__ = ("_key", "is_paused", "software_version")
 
-    def __init__(self, key):
-        self._key = key
+    def __init__(self, priority, due_ms, number, resumes, software_version):
+        self._key = (not resumes, priority, due_ms, number)
+        self.software_version = software_version
         self.is_paused = False
 
     def __lt__(self, other):
         return self._key < other._key
 
+    def competes_with(self, other):
+        """Tell whether some engine may take either request."""
+        return (
+            self.software_version is None
+            or other.software_version is None
+            or self.software_version == other.software_version
+        )
+
 
 class AdmissionQueue:
     """Waiting requests of one service, earliest deadline first within a priority."""
@@ -53,18 +83,20 @@
         self._changed = anyio.Event()
 
     @contextmanager
-    def enqueue(self, priority, deadline_ms):
+    def enqueue(self, priority, due_ms, resumes=False, software_version=None):
         """Keep a `QueueEntry` in the queue for as long as the context lasts.
 
         Parameters
         ----------
         priority : int
-            0 is the most urgent.
-        deadline_ms : float
-            When the first event is due.
+        due_ms : float
+        resumes : bool
+        software_version : str or None
         """
         self._n_enqueued += 1
-        entry = QueueEntry((priority, deadline_ms, self._n_enqueued))
+        entry = QueueEntry(
+            priority, due_ms, self._n_enqueued, resumes, software_version
+        )
         insort(self._entries, entry)
         try:
             yield entry
@@ -76,18 +108,22 @@
         return len(self._entries)
 
     def n_ahead(self, entry):
-        """Return the number of entries before this one."""
-        return self._entries.index(entry)
-
-    def is_first(self, entry):
-        """Tell whether no entry before this one could get an engine now."""
-        return all(other.is_paused for other in self._entries[: self.n_ahead(entry)])
-
-    def would_be_first(self, priority, deadline_ms):
-        """Tell the same of an entry that would be added now."""
-        entry = QueueEntry((priority, deadline_ms, self._n_enqueued + 1))
-        n_ahead = bisect_left(self._entries, entry)
-        return all(other.is_paused for other in self._entries[:n_ahead])
+        """Return the number of entries before this one that compete with it."""
+        return sum(entry.competes_with(other) for other in self._ahead(entry))
+
+    def unclaimed(self, entry, engines):
+        """Return those of some engines that no entry before this one waits for."""
+        versions = {
+            other.software_version
+            for other in self._ahead(entry)
+            if not other.is_paused
+        }
+        if None in versions:
+            return []
+        return [e for e in engines if e.announcement.version not in versions]
+
+    def _ahead(self, entry):
+        return self._entries[: bisect_left(self._entries, entry)]
 
     def wake(self):
         """Wake all waiting requests so that they check for capacity."""
@@ -100,6 +136,21 @@
             await self._changed.wait()
 
 
+def _enqueue(stream, context):
+    """Return a context manager that keeps a stream in the queue of its service."""
+    admitted = stream.admitted
+    if stream.is_started:
+        due_ms = stream.last_sent_ms + admitted.route.max_gap_ms
+    else:
+        due_ms = admitted.request.arrived_ms + admitted.route.objective_ms
+    return context.admission_queue(admitted.service.name).enqueue(
+        admitted.priority,
+        due_ms,
+        stream.last_event_id is not None,
+        stream.software_version,
+    )
+
+
 def can_start_now(stream, context, engines):
     """Tell whether a request that may have run would start at one of some engines.
 
@@ -110,16 +161,42 @@
     engines : list of TrackedTarget
     """
     queue = context.admission_queue(stream.admitted.service.name)
-    deadline_ms = _first_event_deadline_ms(stream)
-    if not queue.would_be_first(stream.admitted.priority, deadline_ms):
-        return False
+    with _enqueue(stream, context) as entry:
+        unclaimed = queue.unclaimed(entry, engines)
     demand = _make_demand(stream, may_have_run=True)
-    return _choose(stream, context, engines, demand) is not None
+    return _choose(stream, context, unclaimed, demand) is not None
 
 
-def _first_event_deadline_ms(stream):
-    admitted = stream.admitted
-    return admitted.request.arrived_ms + admitted.route.objective_ms
+async def wait_for_room(stream, context, list_engines):
+    """Wait until an engine has room for a stream whose response has started.
+
+    Parameters
+    ----------
+    stream : Stream
+    context : RelayContext
+    list_engines : callable
+        Returns the engines that may take the stream now, as a list.
+
+    Returns
+    -------
+    engine : TrackedTarget or None
+        None if no engine may take the stream.
+
+    Raises
+    ------
+    AlmonddealError
+        If its prompt is put in quarantine meanwhile.
+    """
+    queue = context.admission_queue(stream.admitted.service.name)
+    with _enqueue(stream, context) as entry:
+        while engines := list_engines():
+            context.quarantine.check(stream.admitted)
+            unclaimed = queue.unclaimed(entry, engines)
+            engine = context.choose_engine(unclaimed, stream.admitted, stream.n_tokens)
+            if engine is not None:
+                return engine
+            await queue.wait(POLL_INTERVAL_S)
+    return None
 
 
 def _make_demand(stream, may_have_run=False):
@@ -132,6 +209,7 @@
         stream.admitted.route.objective_ms - elapsed_ms,
         stream.admitted.left_ms,
         may_have_run or bool(stream.n_sends),
+        stream.last_event_id is not None,
     )
 
 
@@ -160,10 +238,11 @@
     if demand.n_prompt_tokens > stream.admitted.service.engine.n_cache_tokens:
         # No Retry-After: no engine will ever have the capacity.
         raise AlmonddealError(NO_TARGET, "no engine is large enough for the prompt")
-    wait_deadline_ms = monotonic_ms() + max_wait_ms(context.load_view, demand)
+    now_ms = monotonic_ms()
+    wait_deadline_ms = now_ms + max_wait_ms(context.load_view, demand)
+    pause_deadline_ms = now_ms + max_start_wait_ms(context.load_view, demand)
     has_waited = False
-    deadline_ms = _first_event_deadline_ms(stream)
-    with queue.enqueue(stream.admitted.priority, deadline_ms) as entry:
+    with _enqueue(stream, context) as entry:
         while True:
             context.quarantine.check(stream.admitted)
             n_ahead = queue.n_ahead(entry)
@@ -171,16 +250,17 @@
             demand = _make_demand(stream)
             paused = _paused_engines(stream, context)
             entry.is_paused = bool(paused) and not engines
-            if queue.is_first(entry):
-                engine = _choose(stream, context, engines, demand)
-                if engine is not None:
-                    return engine
+            unclaimed = queue.unclaimed(entry, engines)
+            engine = _choose(stream, context, unclaimed, demand)
+            if engine is not None:
+                return engine
             wait_ms = min(
                 _expected_wait_ms(stream, context, engines, demand, n_ahead),
                 context.hold_offs.left_ms(paused)
                 + _expected_wait_ms(stream, context, paused, demand, n_ahead),
             )
-            if monotonic_ms() + wait_ms > wait_deadline_ms:
+            deadline_ms = pause_deadline_ms if entry.is_paused else wait_deadline_ms
+            if _is_wait_over(demand, wait_ms, entry.is_paused, deadline_ms):
                 _reject(stream, context, queue, engines, demand, wait_ms, n_ahead)
             if not has_waited:
                 has_waited = True
@@ -188,6 +268,17 @@
             await queue.wait(POLL_INTERVAL_S)
 
 
+def _is_wait_over(demand, wait_ms, is_paused, deadline_ms):
+    """Tell whether a waiting request is to be rejected.
+
+    Forecasts err, so one that resumes a stream is not rejected by its forecast. The end
+    of a pause is known.
+    """
+    if demand.resumes and wait_ms < float("inf") and not is_paused:
+        wait_ms = 0.0
+    return monotonic_ms() + wait_ms > deadline_ms
+
+
 def _untried_engines(stream, context):
     candidates = stream.unpaused_candidates(context)
     untried = [
@@ -231,6 +322,15 @@
     )
 
 
+def _scheduled_retry_ms(context, queue, engines, demand, wait_ms, traits):
+    if demand.resumes:
+        # It goes before those that come back at the times of the schedule.
+        return round(bounded_retry_ms(wait_ms))
+    return queue.retry_schedule.retry_after_ms(
+        wait_ms, retry_spacing_ms(engines, context.load_view, demand, traits)
+    )
+
+
 def _reject(stream, context, queue, engines, demand, wait_ms, n_ahead):
     traits = stream.admitted.service.engine
     if stream.n_sends:
@@ -243,10 +343,11 @@
             retry_after_ms=NO_ENGINE_RETRY_MS,
         )
     else:
-        spacing_ms = retry_spacing_ms(engines, context.load_view, demand, traits)
         retry_after_ms = context.retry_after_ms(
             stream.candidates(context.targets),
-            lambda: queue.retry_schedule.retry_after_ms(wait_ms, spacing_ms),
+            lambda: _scheduled_retry_ms(
+                context, queue, engines, demand, wait_ms, traits
+            ),
         )
         error = AlmonddealError(
             OVERLOADED, "no engine has room", retry_after_ms=retry_after_ms
--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from almonddeal.relay.admission_queue import wait_for_engine
+from almonddeal.relay.admission_queue import wait_for_engine, wait_for_room
 from almonddeal.relay.attempts import run_attempt
 from almonddeal.relay.culprits import count_successive
 from almonddeal.relay.moves import MIN_LEFT_MS, has_attempts_left
@@ -30,7 +30,7 @@
 from almonddeal_common.logs import decide, get_logger
 
 RETRY_AFTER_MS = 1000  # about the prefill time of one prompt
-NO_CAPACITY_BACKOFF_S = 0.1  # before a started response looks for an engine again
+NO_TARGET_BACKOFF_S = 0.1  # before a started response looks for a target again
 PAUSE_MARGIN_S = 0.001  # after the end of a pause; timers are not exact
 REFUSAL_BACKOFF_S = 0.3  # before a started response asks the same engines again
 MAX_BUDGET_WAIT_MS = 1000.0  # a caller that resumes its stream itself takes as long
@@ -82,7 +82,7 @@
             await _fail(stream, context, error)
             return
         if engine is None:
-            await anyio.sleep(NO_CAPACITY_BACKOFF_S)
+            await anyio.sleep(NO_TARGET_BACKOFF_S)
             continue
         error = await run_attempt(stream, context, engine, copy)
         if error is None:
@@ -150,8 +150,10 @@
             return engine, None
     if not stream.is_started:
         return await wait_for_engine(stream, context), None
-    engines = _preferred_candidates(stream, context)
-    return context.choose_engine(engines, stream.admitted, stream.n_tokens), None
+    engine = await wait_for_room(
+        stream, context, lambda: _preferred_candidates(stream, context)
+    )
+    return engine, None
 
 
 def _can_go_on(stream, context):
