relay: log that an instance could not catch up with control

A stream whose caller names no request is rejected with "the origin of stream None is not known", whether streams had several versions or the instance was cut off.

--- a/packages/entry/src/almonddeal/relay/resumption.py
+++ b/packages/entry/src/almonddeal/relay/resumption.py
@@ -87,6 +87,11 @@
         while not await context.catch_up():
             await anyio.sleep(POLL_INTERVAL_S)
         return True
+    decide(
+        log,
+        "could not catch up with control to resume a stream",
+        request=request.request_id,
+    )
     return False
 
 
