control: test groups whose disks are full in turn

What operators reported: disks were full for a few seconds each, never two at once; long after, changes were refused or stayed unanswered while all processes ran.

Then a change has to be acknowledged and applied everywhere within 4 s, and all acknowledged ones again after a loss of power.

--- /dev/null
+++ b/packages/entry/src/almonddeal/control/tests/test_full_disks.py
@@ -0,0 +1,155 @@
+"""Tests of the control group while disks are full."""
+
+import random
+
+import anyio
+import pytest
+
+from almonddeal.control import consensus, elections, leading
+from almonddeal.control.tests.changing_group import SEEDS, ChangingGroup
+from almonddeal.control.tests.faulty_disk import CREATE, TRUNCATE, WRITE, Disks
+from almonddeal.publication.state import compress_content
+from almonddeal_common.codes import NOT_LEADER, AlmonddealError
+from almonddeal_common.wire.gen.ttypes import (
+    Command,
+    PublishConfiguration,
+)
+
+N_SEEDS = 12
+N_ROUNDS = 2
+MAX_CONTENT_BYTES = 60_000
+ACKNOWLEDGE_S = 4.0  # for a change, once all disks have room
+TIME_SCALE = 0.2  # of the timeouts of elections
+SCALED_NAMES = {
+    consensus: (
+        "ELECTION_TIMEOUT_MIN_MS",
+        "ELECTION_TIMEOUT_MAX_MS",
+        "FIRST_ELECTION_TIMEOUT_MIN_MS",
+        "FIRST_ELECTION_TIMEOUT_MAX_MS",
+    ),
+    elections: ("ELECTION_TIMEOUT_MIN_MS", "ELECTION_TIMEOUT_MAX_MS", "TICK_MS"),
+    leading: ("LEADER_HEARTBEAT_INTERVAL_MS", "TICK_MS"),
+}
+
+
+@pytest.fixture
+def disks(monkeypatch):
+    disks = Disks()
+    disks.install(monkeypatch)
+    yield disks
+    disks.close()
+
+
+class Writers:
+    """Operators that publish all the time, each change until it is acknowledged."""
+
+    def __init__(self, group, seed):
+        self._group = group
+        self._random = random.Random(seed)
+        self._last_version = 0
+        self.acknowledged = {}
+
+    async def publish_periodically(self):
+        while True:
+            await self.publish()
+            await anyio.sleep(self._random.uniform(0, 0.03))
+
+    async def publish(self):
+        """Send a new version unchanged until it is acknowledged."""
+        self._last_version += 1
+        version = self._last_version
+        n_bytes = self._random.choice((10, 2000, MAX_CONTENT_BYTES))
+        content = compress_content(self._random.randbytes(n_bytes))
+        command = Command(publish=PublishConfiguration(version, content, "test", 0))
+        while True:
+            try:
+                leader = self._group.leader()
+                if leader is None:
+                    raise AlmonddealError(NOT_LEADER, "nobody leads")
+                await leader.consensus.propose(command, 300)
+            except AlmonddealError:
+                await anyio.sleep(0.01)
+            else:
+                self.acknowledged[version] = content
+                return
+
+
+async def compact_periodically(group):
+    while True:
+        await anyio.sleep(0.05)
+        for address, process in list(group.process_by_address.items()):
+            if group.process_by_address.get(address) is process:
+                await process.consensus.compact()
+
+
+async def fill_disks_in_turn(group, disks, generator, is_restarted):
+    """Fill one disk after the other, each as the one before has room again."""
+    for _ in range(N_ROUNDS):
+        addresses = list(SEEDS)
+        generator.shuffle(addresses)
+        for address in addresses:
+            disk = disks.disk(group.folder / address)
+            disk.n_free_bytes = generator.choice((0, 100))
+            disk.refused_kinds = {CREATE, WRITE, generator.choice((WRITE, TRUNCATE))}
+            disk.is_full = True
+            await anyio.sleep(generator.uniform(0.05, 0.5))
+            if is_restarted:
+                restarted = generator.choice(SEEDS)
+                await group.kill(restarted)
+                await anyio.sleep(generator.uniform(0, 0.1))
+                group.start(restarted)
+                await anyio.sleep(generator.uniform(0, 0.3))
+            disk.is_full = False
+
+
+async def check_acknowledged(group, acknowledged):
+    """Check that all processes apply all acknowledged changes, the newest in force."""
+    newest = max(acknowledged)
+    for address in SEEDS:
+        await group.wait_version(address, newest)
+        process = group.process_by_address[address]
+        details = {record["detail"] for record in process.state_machine.audit.dump()}
+        lost = [v for v in acknowledged if f"version {v}" not in details]
+        assert not lost, f"{address} has lost versions {lost}"
+
+
+class TestDisksFullInTurn:
+    # Guards against changes that are refused after each disk was full for a while, and
+    # against acknowledged changes that are lost then.
+    @pytest.mark.parametrize("is_restarted", [False, True])
+    @pytest.mark.parametrize("seed", range(N_SEEDS))
+    def test_changes_are_acknowledged_once_the_disks_have_room(
+        self, tmp_path, monkeypatch, disks, seed, is_restarted
+    ):
+        for module, names in SCALED_NAMES.items():
+            for name in names:
+                monkeypatch.setattr(module, name, getattr(module, name) * TIME_SCALE)
+        monkeypatch.setattr(consensus, "SNAPSHOT_INTERVAL_ENTRIES", 20)
+        generator = random.Random(seed)
+
+        async def main():
+            async with anyio.create_task_group() as tasks:
+                group = ChangingGroup(tmp_path, tasks, SEEDS)
+                for address in SEEDS:
+                    group.start(address, is_bootstrap=True)
+                tasks.start_soon(compact_periodically, group)
+                writers = Writers(group, seed)
+                async with anyio.create_task_group() as clients:
+                    for _ in range(3):
+                        clients.start_soon(writers.publish_periodically)
+                    await fill_disks_in_turn(group, disks, generator, is_restarted)
+                    with anyio.fail_after(ACKNOWLEDGE_S):
+                        await writers.publish()
+                        await check_acknowledged(group, dict(writers.acknowledged))
+                    clients.cancel_scope.cancel()
+                for address in SEEDS:
+                    await group.kill(address)
+                for address in SEEDS:
+                    disks.disk(tmp_path / address).lose_power()
+                for address in SEEDS:
+                    group.start(address)
+                await writers.publish()
+                await check_acknowledged(group, writers.acknowledged)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
