control: wait for room at a start

What can happen: a process that starts for the first time, or in place of one that was lost, on a disk that is full ends with an error, and again at each start until there is room.

Cause: the member name, the empty log and the first members were written once; a refusal ended the process.

Change: the store is opened again every 200 ms while the disk is full, with a warning. A sync of the folder that fails after the first members were stored still ends the process.

--- a/packages/entry/src/almonddeal/control/files.py
+++ b/packages/entry/src/almonddeal/control/files.py
@@ -6,7 +6,7 @@
 import zlib
 from contextlib import contextmanager
 
-from almonddeal_common.codes import DATA_DAMAGED, AlmonddealError
+from almonddeal_common.codes import DATA_DAMAGED, STORAGE_FULL, AlmonddealError
 
 DISK_FULL_ERRNOS = (errno.ENOSPC, errno.EDQUOT)
 CHECKSUMMED_FILE_HEADER = struct.Struct(">4sI")
@@ -22,6 +22,17 @@
         os.close(descriptor)
 
 
+@contextmanager
+def refused_on_full_disk(name):
+    """Raise `STORAGE_FULL` in place of an `OSError` for lack of space."""
+    try:
+        yield
+    except OSError as error:
+        if error.errno not in DISK_FULL_ERRNOS:
+            raise
+        raise AlmonddealError(STORAGE_FULL, f"{name} has no room") from None
+
+
 @contextmanager
 def removed_on_error(temporary):
     """Remove a temporary file if it cannot be written, as it takes up a full disk."""
--- a/packages/entry/src/almonddeal/control/identity.py
+++ b/packages/entry/src/almonddeal/control/identity.py
@@ -3,12 +3,21 @@
 import secrets
 from pathlib import Path
 
-from almonddeal.control.files import read_checksummed_file, write_checksummed_file
+import anyio
+
+from almonddeal.control.files import (
+    read_checksummed_file,
+    refused_on_full_disk,
+    write_checksummed_file,
+)
 from almonddeal.control.members import Members
+from almonddeal.control.storage import LogStore
+from almonddeal_common.codes import STORAGE_FULL, AlmonddealError
 from almonddeal_common.logs import get_logger
 from almonddeal_common.wire.gen.ttypes import Snapshot
 
 FILE_NAME = "identity"
+OPEN_RETRY_INTERVAL_S = 0.2  # while the disk is full
 
 log = get_logger("control")
 
@@ -37,9 +46,13 @@
     name : str
     initial_addresses : list of str
         Link addresses of the initial voters; empty if this is not one of them.
+
+    Raises
+    ------
+    AlmonddealError
+        `STORAGE_FULL`
     """
     folder = Path(folder)
-    folder.mkdir(parents=True, exist_ok=True)
     path = folder / FILE_NAME
     payload = read_checksummed_file(path)
     if payload is not None:
@@ -54,7 +67,9 @@
     initial_addresses = list(seed_addresses) if is_initial_voter else []
     # Name and initial voters are stored together: a process that ends before it wrote
     # the initial members to its log store writes them at its next start.
-    write_checksummed_file(path, ",".join([name, *initial_addresses]).encode())
+    with refused_on_full_disk(FILE_NAME):
+        folder.mkdir(parents=True, exist_ok=True)
+        write_checksummed_file(path, ",".join([name, *initial_addresses]).encode())
     log.info("data folder has no identity, member name is now %s", name)
     return name, initial_addresses
 
@@ -73,3 +88,37 @@
     )
     snapshot = Snapshot(store.snapshot.format, 0, 0, b"", members.to_wire())
     store.save_snapshot(snapshot, [])
+
+
+async def open_member_store(folder, address, seed_addresses, is_bootstrap, end_process):
+    """Open the log store of this process; wait while its disk is full.
+
+    Parameters
+    ----------
+    folder, address, seed_addresses, is_bootstrap
+        As for `load_identity`.
+    end_process : callable
+        As for `LogStore`.
+
+    Returns
+    -------
+    name : str
+        Member name.
+    store : LogStore
+        The caller exits it.
+    """
+    store = LogStore(folder, end_process)
+    while True:
+        try:
+            name, initial_addresses = load_identity(
+                folder, address, seed_addresses, is_bootstrap
+            )
+            store.__enter__()
+            store_initial_members(store, initial_addresses)
+            return name, store
+        except AlmonddealError as error:
+            store.__exit__(None, None, None)
+            if error.code != STORAGE_FULL:
+                raise
+            log.warning("cannot start yet: %s", error)
+        await anyio.sleep(OPEN_RETRY_INTERVAL_S)
--- a/packages/entry/src/almonddeal/control/storage.py
+++ b/packages/entry/src/almonddeal/control/storage.py
@@ -12,13 +12,13 @@
 from pathlib import Path
 
 from almonddeal.control.files import (
-    DISK_FULL_ERRNOS,
     read_checksummed_file,
+    refused_on_full_disk,
     removed_on_error,
     sync_directory,
     write_checksummed_file,
 )
-from almonddeal_common.codes import DATA_DAMAGED, STORAGE_FULL, AlmonddealError
+from almonddeal_common.codes import DATA_DAMAGED, AlmonddealError
 from almonddeal_common.logs import get_logger
 from almonddeal_common.wire.codec import decode, encode
 from almonddeal_common.wire.gen.ttypes import LogEntry, Meta, Snapshot
@@ -69,16 +69,6 @@
     return False
 
 
-@contextmanager
-def _refused_on_full_disk(name):
-    try:
-        yield
-    except OSError as error:
-        if error.errno not in DISK_FULL_ERRNOS:
-            raise
-        raise AlmonddealError(STORAGE_FULL, f"{name} has no room") from None
-
-
 class LogStore:
     """Durable term, vote, snapshot and log of one member of the control group.
 
@@ -115,7 +105,7 @@
         self.entries = []
 
     def __enter__(self):
-        with _refused_on_full_disk("the data folder"):
+        with refused_on_full_disk("the data folder"):
             self._folder.mkdir(parents=True, exist_ok=True)
             for leftover in self._folder.glob("*.tmp"):
                 leftover.unlink()
@@ -335,7 +325,7 @@
     @contextmanager
     def _handle_write_errors(self, name):
         try:
-            with _refused_on_full_disk(name):
+            with refused_on_full_disk(name):
                 yield
         except OSError as error:
             self._end_process(f"could not write {name}: {error}")
--- a/packages/entry/src/almonddeal/control/tests/test_full_disks.py
+++ b/packages/entry/src/almonddeal/control/tests/test_full_disks.py
@@ -6,6 +6,7 @@
 import pytest
 
 from almonddeal.control import consensus, elections, leading
+from almonddeal.control.identity import initial_voter_name, open_member_store
 from almonddeal.control.tests.changing_group import SEEDS, ChangingGroup
 from almonddeal.control.tests.faulty_disk import CREATE, TRUNCATE, WRITE, Disks
 from almonddeal.publication.state import compress_content
@@ -153,3 +154,23 @@
                 tasks.cancel_scope.cancel()
 
         anyio.run(main)
+
+
+class TestStartOnAFullDisk:
+    # Guards against a process that ends at its first start, or never starts, if any of
+    # its file operations fails but the last, whose failure ends it.
+    @pytest.mark.parametrize("first", range(20))
+    def test_process_starts_once_there_is_room(self, tmp_path, disks, first):
+        disk = disks.disk(tmp_path)
+        disk.fail_between(first, 3)
+
+        async def main():
+            with anyio.fail_after(10):
+                return await open_member_store(
+                    tmp_path, SEEDS[0], SEEDS, True, ChangingGroup.end_process
+                )
+
+        name, store = anyio.run(main)
+        assert name == initial_voter_name(SEEDS[0])
+        assert sorted(store.snapshot.members.address_by_name.values()) == SEEDS
+        store.__exit__(None, None, None)
--- a/packages/entry/src/almonddeal/roles/control.py
+++ b/packages/entry/src/almonddeal/roles/control.py
@@ -10,9 +10,8 @@
 from almonddeal.announced.registry import TargetRegistry
 from almonddeal.control.client import ControlClient
 from almonddeal.control.consensus import Consensus
-from almonddeal.control.identity import load_identity, store_initial_members
+from almonddeal.control.identity import open_member_store
 from almonddeal.control.peers import PeerSet
-from almonddeal.control.storage import LogStore
 from almonddeal.publication.evidence_file import load_evidence, store_evidence
 from almonddeal.publication.feed import Feed
 from almonddeal.publication.metrics import ControlMetrics
@@ -207,7 +206,7 @@
         with ExitStack() as stack:
             listener = await listen(settings.link_address)
             async with anyio.create_task_group() as group:
-                name, store, consensus = self._build_member(stack, group)
+                name, store, consensus = await self._build_member(stack, group)
                 handlers = self._handlers(consensus)
                 group.start_soon(serve_links, listener, self._hello, handlers)
                 group.start_soon(consensus.run)
@@ -244,17 +243,16 @@
             await self._wait_for_stop_signal()
             stop.set()
 
-    def _build_member(self, stack, task_group):
+    async def _build_member(self, stack, task_group):
         settings = self.settings
-        address = str(settings.link_address)
-        name, initial_addresses = load_identity(
+        name, store = await open_member_store(
             settings.data_folder,
-            address,
+            str(settings.link_address),
             settings.seed_addresses,
             settings.is_bootstrap,
+            end_process,
         )
-        store = stack.enter_context(LogStore(settings.data_folder, end_process))
-        store_initial_members(store, initial_addresses)
+        stack.push(store)
         self._hello = Hello(
             PROTOCOL_VERSION,
             LOWEST_PROTOCOL_VERSION,
