control: stand for election once the disk has room

What can happen: a leader whose disk was full for a moment stands for election 5.6 to 6.2 s later at the earliest, also if nobody else can lead, as another member is lost or lacks the last entries. Changes are refused until then. A member whose disk takes small writes only stands after that time again and again; it is elected and steps down at the next large change.

Cause: the backoff after a refused write was a fixed time.

Change: for 5 s after a refused write, a member writes as many bytes to a temporary file before it stands for election. If that is refused, it does not stand ("cannot stand for election: STORAGE_FULL: the log has no room"). After 5 s it stands as before, so that a change that fits on no disk does not keep all members from leading.

--- a/packages/entry/src/almonddeal/control/constants.py
+++ b/packages/entry/src/almonddeal/control/constants.py
@@ -10,7 +10,8 @@
 EVENT_LOOP_STALL_MS = 200
 RPC_TIMEOUT_MS = 500  # covers a sync on a disk that is thirty times slower than usual
 CHUNK_TIMEOUT_MS = 2000  # one snapshot chunk over a slow link, and its sync
-STORAGE_FULL_BACKOFF_MS = 5000  # before a member with a full disk stands for election
+# After a refused write, a member stands for election without a check of its room.
+STORAGE_FULL_BACKOFF_MS = 5000
 # A member that started more elections asks to join, in case it was removed.
 MAX_ELECTIONS_WITHOUT_LEADER = 2
 MAX_ENTRIES_PER_APPEND = 512
--- a/packages/entry/src/almonddeal/control/elections.py
+++ b/packages/entry/src/almonddeal/control/elections.py
@@ -89,6 +89,10 @@
 
     async def _start_election(self):
         self._n_elections_without_leader += 1
+        if self._store.is_room_unknown:
+            # Without room, the first write as leader would end its term.
+            async with self.disk_lock:
+                await self._run_disk_io(self._store.check_room)
         if not await self._collect_votes(self.term + 1, is_pre_vote=True):
             return
         async with self.disk_lock:
--- a/packages/entry/src/almonddeal/control/files.py
+++ b/packages/entry/src/almonddeal/control/files.py
@@ -43,6 +43,14 @@
         raise
 
 
+def write_file(path, data):
+    """Write a file and sync it, but not its folder."""
+    with open(path, "wb") as file:
+        file.write(data)
+        file.flush()
+        os.fsync(file.fileno())
+
+
 def write_checksummed_file(path, payload):
     """Replace a file durably by a payload with its checksum.
 
@@ -50,10 +58,7 @@
     """
     header = CHECKSUMMED_FILE_HEADER.pack(CHECKSUMMED_FILE_MAGIC, zlib.crc32(payload))
     with removed_on_error(path.with_suffix(".tmp")) as temporary:
-        with open(temporary, "wb") as file:
-            file.write(header + payload)
-            file.flush()
-            os.fsync(file.fileno())
+        write_file(temporary, header + payload)
         os.replace(temporary, path)
     sync_directory(path.parent)
 
--- a/packages/entry/src/almonddeal/control/leading.py
+++ b/packages/entry/src/almonddeal/control/leading.py
@@ -14,7 +14,6 @@
     MAX_BYTES_PER_APPEND,
     MAX_ENTRIES_PER_APPEND,
     RPC_TIMEOUT_MS,
-    STORAGE_FULL_BACKOFF_MS,
     TICK_MS,
 )
 from almonddeal.control.snapshots import snapshot_chunks
@@ -97,7 +96,7 @@
         # the proposers get an unknown outcome.
         self._pending_proposals.fail_from(from_index)
         self._truncate_log(from_index)
-        self._election_timer_start_ms = monotonic_ms() + STORAGE_FULL_BACKOFF_MS
+        self._election_timer_start_ms = monotonic_ms()
         self._become_follower(None)
 
     async def _replicate_in_scope(self, name, scope):
--- a/packages/entry/src/almonddeal/control/storage.py
+++ b/packages/entry/src/almonddeal/control/storage.py
@@ -11,13 +11,16 @@
 from contextlib import ExitStack, contextmanager, suppress
 from pathlib import Path
 
+from almonddeal.control.constants import STORAGE_FULL_BACKOFF_MS
 from almonddeal.control.files import (
     read_checksummed_file,
     refused_on_full_disk,
     removed_on_error,
     sync_directory,
     write_checksummed_file,
+    write_file,
 )
+from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import DATA_DAMAGED, AlmonddealError
 from almonddeal_common.logs import get_logger
 from almonddeal_common.wire.codec import decode, encode
@@ -100,6 +103,8 @@
         self._n_synced_bytes = 0
         self._has_stale_bytes = False
         self._is_sync_lost = False
+        self._n_refused_bytes = 0
+        self._refused_at_ms = 0.0
         self.meta = Meta(FORMAT_VERSION, 0, "")
         self.snapshot = Snapshot(FORMAT_VERSION, 0, 0, b"")
         self.entries = []
@@ -261,22 +266,50 @@
             offset_by_index[entry.index] = size
             records.append(_pack_record(encode(entry), self._n_synced_bytes))
             size += len(records[-1])
+        n_bytes = size - self._size
         with self._handle_write_errors("the log"):
-            self._repair_log()
             try:
+                self._repair_log()
                 self._file.seek(self._size)
                 self._file.write(b"".join(records))
                 self._file.flush()
                 self._sync()
             except OSError:
+                self._n_refused_bytes = max(self._n_refused_bytes, n_bytes)
+                self._refused_at_ms = monotonic_ms()
                 self._has_stale_bytes = True
                 # Stale bytes take up room. If they stay, the next write removes them.
                 with suppress(OSError):
                     self._repair_log()
                 raise
+        if n_bytes >= self._n_refused_bytes:
+            self._n_refused_bytes = 0
         self._offset_by_index |= offset_by_index
         self._size = self._n_synced_bytes = size
 
+    @property
+    def is_room_unknown(self):
+        """Whether a write was refused a short time ago, and no larger one succeeded.
+
+        A change too large for all disks must not keep all members from leading.
+        """
+        age_ms = monotonic_ms() - self._refused_at_ms
+        return self._n_refused_bytes > 0 and age_ms < STORAGE_FULL_BACKOFF_MS
+
+    def check_room(self):
+        """Check that as large a write as was last refused would succeed now.
+
+        Raises
+        ------
+        AlmonddealError
+            `STORAGE_FULL`
+        """
+        temporary = self._folder / "room.tmp"
+        with self._handle_write_errors("the log"), removed_on_error(temporary):
+            write_file(temporary, bytes(self._n_refused_bytes))
+            temporary.unlink()
+        self._n_refused_bytes = 0
+
     def truncate_from(self, index):
         """Remove the entry at `index` and all later ones.
 
--- a/packages/entry/src/almonddeal/control/tests/test_full_disks.py
+++ b/packages/entry/src/almonddeal/control/tests/test_full_disks.py
@@ -5,7 +5,8 @@
 import anyio
 import pytest
 
-from almonddeal.control import consensus, elections, leading
+from almonddeal.control import consensus, elections, leading, storage
+from almonddeal.control.constants import ELECTION_TIMEOUT_MAX_MS
 from almonddeal.control.identity import initial_voter_name, open_member_store
 from almonddeal.control.tests.changing_group import SEEDS, ChangingGroup
 from almonddeal.control.tests.faulty_disk import CREATE, TRUNCATE, WRITE, Disks
@@ -174,3 +175,71 @@
         assert name == initial_voter_name(SEEDS[0])
         assert sorted(store.snapshot.members.address_by_name.values()) == SEEDS
         store.__exit__(None, None, None)
+
+
+class TestElectionOnAFullDisk:
+    # Guards against members that stand for election as long as their disk is full, and
+    # against a group that waits for an election although the disk has room again.
+    def test_member_leads_again_once_there_is_room(self, tmp_path, disks):
+        disk = disks.disk(tmp_path / SEEDS[0])
+
+        async def main():
+            async with anyio.create_task_group() as tasks:
+                group = ChangingGroup(tmp_path, tasks, SEEDS[:1])
+                group.start(SEEDS[0], is_bootstrap=True)
+                await group.publish(1)
+                # Enough for the term and the vote, and for the first entry of a term.
+                disk.refused_kinds = {WRITE}
+                disk.n_free_bytes = 500
+                disk.is_full = True
+                content = compress_content(random.Random(0).randbytes(2000))
+                command = Command(publish=PublishConfiguration(2, content, "test", 0))
+                with pytest.raises(AlmonddealError, match="CHANGE_OUTCOME_UNKNOWN"):
+                    await group.leader().consensus.propose(command, 1000)
+                with anyio.move_on_after(2 * ELECTION_TIMEOUT_MAX_MS / 1000):
+                    while group.leader() is None:
+                        await anyio.sleep(0.02)
+                assert group.leader() is None
+                disk.is_full = False
+                with anyio.fail_after(2 * ELECTION_TIMEOUT_MAX_MS / 1000):
+                    await group.publish(3)
+                assert list(disk.folder.glob("*.tmp")) == []
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+
+    # Guards against a group that no member leads any more, since each of them was
+    # refused a change that fits on no disk.
+    def test_too_large_a_change_does_not_stop_later_ones(
+        self, tmp_path, monkeypatch, disks
+    ):
+        monkeypatch.setattr(storage, "STORAGE_FULL_BACKOFF_MS", 1000)
+
+        async def main():
+            async with anyio.create_task_group() as tasks:
+                group = ChangingGroup(tmp_path, tasks, SEEDS)
+                for address in SEEDS:
+                    group.start(address, is_bootstrap=True)
+                await group.publish(1)
+                for address in SEEDS:
+                    disk = disks.disk(group.folder / address)
+                    disk.refused_kinds = {WRITE}
+                    disk.n_free_bytes = 2000
+                    disk.is_full = True
+                content = compress_content(random.Random(0).randbytes(4000))
+                command = Command(publish=PublishConfiguration(2, content, "test", 0))
+                refused = set()
+                with anyio.fail_after(20):
+                    while len(refused) < len(SEEDS):
+                        leader = group.leader()
+                        if leader is None:
+                            await anyio.sleep(0.02)
+                            continue
+                        with pytest.raises(AlmonddealError):
+                            await leader.consensus.propose(command, 300)
+                        refused.add(leader.name)
+                with anyio.fail_after(5):
+                    await group.publish(3)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
