relay: check a target again once it is connected

Targets saw: a request of an instance that they had told, up to half a second before, that they are about to leave, if the instance was connecting to them meanwhile.

Cause: a target is checked as it is chosen; then the request waits for a place among the connections and for the connection, a quarter of a second each.

Change: an attempt carries a function that tells whether its target still takes requests.

--- a/packages/entry/src/almonddeal/relay/attempts.py
+++ b/packages/entry/src/almonddeal/relay/attempts.py
@@ -63,6 +63,7 @@
         backup.announcement.address if backup is not None else None,
         copy,
         stream.last_event_id,
+        lambda: context.targets.is_usable(engine),
     )
     if backup is not None:
         stream.copy = KvCopy(backup, backup.announcement.address, stream.request_id)
--- a/packages/entry/src/almonddeal/relay/plain.py
+++ b/packages/entry/src/almonddeal/relay/plain.py
@@ -352,7 +352,10 @@
 async def _receive(admitted, context, target):
     request = admitted.request
     attempt = Attempt(
-        admitted, target.announcement, last_event_id=request.last_event_id
+        admitted,
+        target.announcement,
+        last_event_id=request.last_event_id,
+        may_send=lambda: context.targets.is_usable(target),
     )
     try:
         async with context.open_attempt(attempt) as response:
--- a/packages/entry/src/almonddeal/relay/requests.py
+++ b/packages/entry/src/almonddeal/relay/requests.py
@@ -192,6 +192,9 @@
         Copy of the KV cache from which the target resumes.
     last_event_id : int or None
         Event after which the target resumes.
+    may_send : callable
+        ``may_send()`` tells whether the target still takes requests. Connecting to it
+        takes time, so this is asked again just before the request is sent.
     """
 
     __slots__ = (
@@ -199,6 +202,7 @@
         "backup_address",
         "copy",
         "last_event_id",
+        "may_send",
         "target",
     )
 
@@ -209,12 +213,14 @@
         backup_address=None,
         copy=None,
         last_event_id=None,
+        may_send=lambda: True,
     ):
         self.admitted = admitted
         self.target = target
         self.backup_address = backup_address
         self.copy = copy
         self.last_event_id = last_event_id
+        self.may_send = may_send
 
 
 class TargetResponse:
