relay: split targets from their table, header tests from the rest

`TrackedTarget` moved to relay/tracked_target.py, the tests of decoded response headers to test_response_headers.py, both unchanged. No behaviour changes.

--- a/packages/entry/src/almonddeal/relay/choose.py
+++ b/packages/entry/src/almonddeal/relay/choose.py
@@ -1,6 +1,6 @@
 """Target selection: plain services by latency, engines by load and KV cache."""
 
-from almonddeal.relay.targets import PRIOR_LATENCY_MS
+from almonddeal.relay.tracked_target import PRIOR_LATENCY_MS
 from almonddeal_common.clock import monotonic_ms
 
 FAILURE_COST_MS = 400.0  # a failed lookup loses most of its deadline
--- a/packages/entry/src/almonddeal/relay/tests/test_hold_offs.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_hold_offs.py
@@ -7,7 +7,6 @@
 
 from almonddeal.relay.hold_offs import HoldOffs
 from almonddeal.relay.requests import TargetResponse
-from almonddeal.relay.targets import TrackedTarget
 from almonddeal.relay.tests.fakes import make_announcement
 from almonddeal.relay.tests.pausing_service import (
     KINDS,
@@ -15,6 +14,7 @@
     RESUMED,
     PausingService,
 )
+from almonddeal.relay.tracked_target import TrackedTarget
 from almonddeal.routing.model import LOOKUP, ORDER, STREAM
 from almonddeal_common.codes import OVERLOADED
 from almonddeal_common.virtual_time import run_in_virtual_time
--- a/packages/entry/src/almonddeal/relay/tests/test_named_limits.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_named_limits.py
@@ -14,7 +14,6 @@
 from almonddeal.relay.plain import relay_plain
 from almonddeal.relay.requests import TargetResponse
 from almonddeal.relay.streams import relay_stream
-from almonddeal.relay.targets import TrackedTarget
 from almonddeal.relay.tests.fakes import (
     FakeFleet,
     FakeResponseWriter,
@@ -26,6 +25,7 @@
     make_route,
 )
 from almonddeal.relay.tests.stream_runs import LAST, is_complete_response
+from almonddeal.relay.tracked_target import TrackedTarget
 from almonddeal.routing.model import LOOKUP, ORDER
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import OVERLOADED, AlmonddealError
