relay: send streams that go on as more urgent than new ones

Engines preempt the newest of their least urgent runs when memory runs out. A stream that went on at another engine had the priority of new ones and was the newest: the caller that had already had a pause was the first to have another.

Cause: the priority that engines get was that of the route or customer alone. An attempt of a stream that goes on is one step more urgent than a new one now, and not more urgent than a new one of the class above. Plain requests keep theirs.

--- a/packages/entry/src/almonddeal/relay/requests.py
+++ b/packages/entry/src/almonddeal/relay/requests.py
@@ -222,6 +222,17 @@
         self.last_event_id = last_event_id
         self.may_send = may_send
 
+    @property
+    def priority(self):
+        """Priority at the target, 0 is the most urgent.
+
+        At an engine, a stream that goes on is one step more urgent than a new one:
+        engines preempt the newest of the least urgent runs, which it would be.
+        """
+        is_new = self.last_event_id is None
+        has_generation = self.admitted.request.generation is not None
+        return self.admitted.priority + (has_generation and is_new)
+
 
 class TargetResponse:
     """Response of a target: the head, and the body as a stream of chunks.
--- a/packages/entry/src/almonddeal/relay/tests/test_resumed_under_load.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_resumed_under_load.py
@@ -3,11 +3,13 @@
 import anyio
 import pytest
 
+from almonddeal.relay.requests import Attempt
 from almonddeal.relay.streams import relay_stream
 from almonddeal.relay.tests.fakes import (
     FakeResponseWriter,
     admit_stream,
     fill_engine,
+    make_announcement,
     make_route,
     make_run,
     streams,
@@ -246,3 +248,20 @@
 
         attempts = run_in_virtual_time(main)
         assert attempts[:2] == [("second", "i-2"), ("second", "i-3")]
+
+
+class TestPriorityAtEngines:
+    def priority(self, priority, last_event_id=None):
+        route = make_route(STREAM, priority=priority)
+        admitted = admit_stream(route, last_event_id=last_event_id)
+        target = make_announcement("i-1")
+        return Attempt(admitted, target, last_event_id=last_event_id).priority
+
+    # Guards against a stream that its engine preempts at once, as the newest run.
+    @pytest.mark.parametrize("priority", [0, 1, 4])
+    def test_stream_that_goes_on_is_more_urgent_than_a_new_one(self, priority):
+        assert self.priority(priority, 7) < self.priority(priority)
+
+    # Guards against streams that put more urgent new ones behind them.
+    def test_stream_that_goes_on_is_not_more_urgent_than_a_new_more_urgent_one(self):
+        assert self.priority(2, 7) >= self.priority(1)
