control: test a replacement while another disk is full

Change: a member that lost its disk is replaced while the disk of one of the two others is full for 2 s. Once there is room, a change has to be acknowledged within 4 s, the new member has to vote, and all apply it.

--- a/packages/entry/src/almonddeal/control/tests/test_full_disks.py
+++ b/packages/entry/src/almonddeal/control/tests/test_full_disks.py
@@ -156,6 +156,33 @@
 
         anyio.run(main)
 
+    # Guards against a group that cannot replace a member any more, as the disk of
+    # another was full meanwhile.
+    @pytest.mark.parametrize("address", SEEDS[1:])
+    def test_member_is_replaced_while_another_disk_is_full(
+        self, tmp_path, disks, address
+    ):
+        async def main():
+            async with anyio.create_task_group() as tasks:
+                group = ChangingGroup(tmp_path, tasks, SEEDS)
+                for seed_address in SEEDS:
+                    group.start(seed_address, is_bootstrap=True)
+                await group.publish(1)
+                disk = disks.disk(tmp_path / address)
+                disk.is_full = True
+                await group.kill(SEEDS[0], wipe=True)
+                group.start(SEEDS[0])
+                await anyio.sleep(2.0)
+                disk.is_full = False
+                with anyio.fail_after(ACKNOWLEDGE_S):
+                    await group.publish(2)
+                await group.wait_voters(SEEDS)
+                for seed_address in SEEDS:
+                    await group.wait_version(seed_address, 2)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+
 
 class TestStartOnAFullDisk:
     # Guards against a process that ends at its first start, or never starts, if any of
