control: do not stand in a later term than the pre-vote

What can happen: two members stand at once after a leader has stepped down. One wins; the other, which voted for it during its own pre-vote, takes the next term and deposes it.

Cause: the term to stand in was taken after the pre-vote, which had asked for an earlier one.

Change: a member whose term has changed during its pre-vote does not stand.

Figures: test_candidate_that_votes_during_its_pre_vote_does_not_stand fails before (term 2, votes for itself), passes now.

--- a/packages/entry/src/almonddeal/control/elections.py
+++ b/packages/entry/src/almonddeal/control/elections.py
@@ -93,15 +93,18 @@
             # Without room, the first write as leader would end its term.
             async with self.disk_lock:
                 await self._run_disk_io(self._store.check_room)
-        if not await self._collect_votes(self.term + 1, is_pre_vote=True):
+        term = self.term + 1
+        if not await self._collect_votes(term, is_pre_vote=True):
             return
         async with self.disk_lock:
-            await self._run_disk_io(self._store.save_meta, self.term + 1, self.name)
-            self.term += 1
+            if self.term + 1 != term:
+                # This member has voted, or a leader was elected meanwhile.
+                return
+            await self._run_disk_io(self._store.save_meta, term, self.name)
+            self.term = term
             self._voted_for = self.name
             self.role = CANDIDATE
             self.leader = None
-        term = self.term
         is_elected = await self._collect_votes(term, is_pre_vote=False)
         if is_elected and self.term == term and self.role == CANDIDATE:
             self._become_leader()
--- a/packages/entry/src/almonddeal/control/tests/test_consensus.py
+++ b/packages/entry/src/almonddeal/control/tests/test_consensus.py
@@ -151,6 +151,29 @@
 
         run_with_group(tmp_path, 7, test)
 
+    def test_candidate_that_votes_during_its_pre_vote_does_not_stand(self, tmp_path):
+        # Regression: it took the term after the one it had voted in, and so deposed the
+        # leader that it had just elected.
+        async def test(group):
+            for name in ("entry1", "entry2"):
+                await group.kill(name)
+            member = group.member_by_name["entry0"].consensus
+            collect_votes = member._collect_votes
+            other = Vote(member.term + 1, "entry1", 99, 50, False)
+
+            async def vote_meanwhile(term, is_pre_vote):
+                if is_pre_vote and member.term == other.term - 1:
+                    reply = await member.handle_vote(None, other, None)
+                    assert reply.granted
+                    return True
+                return await collect_votes(term, is_pre_vote)
+
+            member._collect_votes = vote_meanwhile
+            await member._start_election()
+            assert (member.term, member._voted_for) == (other.term, "entry1")
+
+        run_with_group(tmp_path, 8, test)
+
     def test_partitioned_leader_cannot_confirm_reads(self, tmp_path):
         async def test(group):
             leader = await wait_leader(group)
