relay: offer a resumed stream again to engines that refused it

A caller that resumed its stream was rejected, with 10 s to come back, as soon as the engines of its software version, which may be two, had refused it once for want of a slot.

Cause: only a response that had begun waited and asked the same engines again. A stream that its caller resumes does so now, after the same 300 ms, within its attempts and the retry budget.

Test: test_stream_that_all_engines_refused_is_offered_to_them_again; it failed before.

--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -32,7 +32,7 @@
 RETRY_AFTER_MS = 1000  # about the prefill time of one prompt
 NO_TARGET_BACKOFF_S = 0.1  # before a started response looks for a target again
 PAUSE_MARGIN_S = 0.001  # after the end of a pause; timers are not exact
-REFUSAL_BACKOFF_S = 0.3  # before a started response asks the same engines again
+REFUSAL_BACKOFF_S = 0.3  # before a stream that goes on asks the same engines again
 MAX_BUDGET_WAIT_MS = 1000.0  # a caller that resumes its stream itself takes as long
 BUDGET_POLL_INTERVAL_S = 0.05
 
@@ -135,6 +135,8 @@
         await _wait_for_candidates(stream, context)
         if not _can_go_on(stream, context):
             return None, None
+    elif _is_refused_by_all(stream, context):
+        await _wait_after_refusals(stream)
     copy = stream.copy if stream.can_use_copy(context) else None
     stream.copy = None
     if copy is not None:
@@ -177,6 +179,19 @@
     return [target for target in targets if context.allows(target)]
 
 
+def _is_refused_by_all(stream, context):
+    """Tell whether all targets refused to go on with a stream that has not started."""
+    if stream.last_event_id is None or not stream.refusing_targets:
+        return False
+    return not stream.candidates(context.targets, stream.refusing_targets)
+
+
+async def _wait_after_refusals(stream):
+    """Pause before the targets that refused to go on with a stream are asked again."""
+    await anyio.sleep(REFUSAL_BACKOFF_S)
+    stream.refusing_targets.clear()
+
+
 async def _wait_for_candidates(stream, context):
     """Wait before the targets that a started stream cannot use are asked again.
 
--- a/packages/entry/src/almonddeal/relay/tests/test_resumed_under_load.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_resumed_under_load.py
@@ -7,6 +7,7 @@
 from almonddeal.relay.streams import relay_stream
 from almonddeal.relay.tests.fakes import (
     FakeResponseWriter,
+    ResponseHead,
     admit_stream,
     fill_engine,
     make_announcement,
@@ -17,8 +18,10 @@
 from almonddeal.relay.tests.overloaded_service import play_overloaded_day
 from almonddeal.relay.tests.resumed_requests import (
     add_origin,
+    is_rest_of,
     make_fleet,
     relay_rejected,
+    relay_whole,
     resume_request,
 )
 from almonddeal.relay.tests.stream_runs import LAST
@@ -195,6 +198,22 @@
         first_ms, again_ms = run_in_virtual_time(main)
         assert again_ms <= first_ms
 
+    # Guards against a caller that is rejected as soon as the few engines of its version
+    # have refused its stream once.
+    def test_stream_that_all_engines_refused_is_offered_to_them_again(self):
+        async def refuses_first(attempt):
+            fleet.behaviour_by_target[attempt.target.target] = streams(1, LAST)
+            yield ResponseHead(503, is_not_run=True)
+
+        fleet = make_fleet(i_2=refuses_first, i_3=refuses_first)
+
+        async def main():
+            add_origin(fleet.context)
+            return await relay_whole(fleet.context, resumed())
+
+        assert is_rest_of("v1", run_in_virtual_time(main))
+        assert len(fleet.attempts) == 3
+
     # Guards against a stream without room that holds up its instance for good.
     def test_stream_whose_version_leaves_stops_waiting(self):
         async def main():
