relay: claim for waiting streams only engines that could take them

A resumed stream that an engine had refused once was held for 9050 of 10,000 ms with that engine idle, then rejected; with no engine at all it was held until its deadline (504 with real processes, test_software_versions).

Cause: the claim was for a version, not for what the entry could use; the refusals of a stream that has not started were kept for good, as failures as well; and its wait was bounded by its deadline only.

Change: an entry that resumes a stream claims the engines on its list with room for it now. Refusals are forgotten after 300 ms. A resumed stream waits for half of the time left, or as long as it can be on time, and is then rejected as not run, with time for its caller to come back. A pause of up to 300 ms does not end the wait.

Tests of relay/: all pass.

--- a/packages/entry/src/almonddeal/relay/admission.py
+++ b/packages/entry/src/almonddeal/relay/admission.py
@@ -12,6 +12,7 @@
 ON_TIME_SHARE = 0.75  # of the objective; forecasts of the first event err by a quarter
 # A late request starts where its first event takes at most this many times its prefill.
 LATE_PREFILL_RATIO = 1.25
+RESUMED_WAIT_SHARE = 0.5  # of the time that is left to a caller that resumes a stream
 MAX_LATE_WAIT_MS = 3000.0  # of late requests; about as long as those on time may wait
 MIN_RETRY_MS = 250.0  # in which a few engines finish a prefill
 MAX_RETRY_MS = 10_000.0  # longer forecasts are not reliable
@@ -165,26 +166,27 @@
     return free + in_use or [excess_ms]
 
 
-def max_wait_ms(load_view, demand):
-    """Return how long a request may wait from now for a forecast to come true, in ms.
+def _prefill_ms(load_view, demand):
+    return demand.n_prompt_tokens * load_view.typical_prefill_ms_per_token
 
-    One that resumes a stream waits as long as an idle engine could still send an event
-    to its caller, others as of `max_start_wait_ms`.
-    """
-    if demand.resumes:
-        return max(demand.left_ms - _prefill_ms(load_view, demand), 0.0)
-    return max_start_wait_ms(load_view, demand)
+
+def on_time_wait_ms(load_view, demand):
+    """Return in how many ms at the latest a request has to start to be on time."""
+    return ON_TIME_SHARE * demand.objective_left_ms - _prefill_ms(load_view, demand)
 
 
-def max_start_wait_ms(load_view, demand):
-    """Return how long a request may wait from now to start as if new, in ms.
+def max_wait_ms(load_view, demand):
+    """Return how long a request may wait from now, in ms.
 
     It may wait as long as an idle engine could still send the first event on time. A
     late request waits a short time, if enough time is left for a run. A request that
-    may have run before waits as long as enough time is left.
+    may have run before waits as long as enough time is left. One that resumes a stream
+    waits for a share of the time left, after which its caller has time to come back.
     """
-    prefill_ms = _prefill_ms(load_view, demand)
-    on_time_ms = ON_TIME_SHARE * demand.objective_left_ms - prefill_ms
+    on_time_ms = on_time_wait_ms(load_view, demand)
+    if demand.resumes:
+        wait_ms = max(on_time_ms, RESUMED_WAIT_SHARE * demand.left_ms)
+        return max(0.0, min(wait_ms, demand.left_ms - _prefill_ms(load_view, demand)))
     if demand.may_have_run:
         return max(on_time_ms, demand.left_ms - load_view.mean_run_ms, 0.0)
     if on_time_ms > 0:
@@ -192,10 +194,6 @@
     return min(MAX_LATE_WAIT_MS, max(0.0, demand.left_ms - load_view.mean_run_ms))
 
 
-def _prefill_ms(load_view, demand):
-    return demand.n_prompt_tokens * load_view.typical_prefill_ms_per_token
-
-
 def bounded_retry_ms(wait_ms):
     """Return the Retry-After time in ms for an expected wait in ms."""
     return min(MAX_RETRY_MS, max(MIN_RETRY_MS, wait_ms))
--- a/packages/entry/src/almonddeal/relay/admission_queue.py
+++ b/packages/entry/src/almonddeal/relay/admission_queue.py
@@ -3,6 +3,7 @@
 A caller that holds a part of a response goes on before new responses begin.
 """
 
+import math
 from bisect import bisect_left, insort
 from contextlib import contextmanager
 
@@ -14,15 +15,17 @@
     admissible_engines,
     bounded_retry_ms,
     expected_wait_ms,
-    max_start_wait_ms,
     max_wait_ms,
+    on_time_wait_ms,
     retry_spacing_ms,
 )
+from almonddeal.relay.choose import KV_CACHE_SHARE
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import ATTEMPT_LOST, NO_TARGET, OVERLOADED, AlmonddealError
 from almonddeal_common.logs import decide, get_logger
 
 POLL_INTERVAL_S = 0.05  # engines also become admissible without the end of a run
+REFUSAL_BACKOFF_MS = 300.0  # before a resumed stream asks the same engines again
 NO_ENGINE_RETRY_MS = 1000.0  # about the interval of announcements
 
 log = get_logger("relay")
@@ -52,12 +55,17 @@
     is_paused : bool
         Whether all engines that the request might get hold off. It does not keep those
         after it waiting, which may get others.
+    could_take : callable
+        ``could_take(engine)`` tells whether a request that resumes a stream could start
+        at an engine now. It keeps those after it waiting for these engines only.
     """
 
-    __slots__ = ("_key", "is_paused", "software_version")
+    __slots__ = ("_key", "could_take", "is_paused", "resumes", "software_version")
 
     def __init__(self, priority, due_ms, number, resumes, software_version):
         self._key = (not resumes, priority, due_ms, number)
+        self.resumes = resumes
+        self.could_take = lambda engine: True
         self.software_version = software_version
         self.is_paused = False
 
@@ -113,14 +121,10 @@
 
     def unclaimed(self, entry, engines):
         """Return those of some engines that no entry before this one waits for."""
-        versions = {
-            other.software_version
-            for other in self._ahead(entry)
-            if not other.is_paused
-        }
-        if None in versions:
+        ahead = [other for other in self._ahead(entry) if not other.is_paused]
+        if not all(other.resumes for other in ahead):
             return []
-        return [e for e in engines if e.announcement.version not in versions]
+        return [e for e in engines if not any(other.could_take(e) for other in ahead)]
 
     def _ahead(self, entry):
         return self._entries[: bisect_left(self._entries, entry)]
@@ -191,6 +195,7 @@
     with _enqueue(stream, context) as entry:
         while engines := list_engines():
             context.quarantine.check(stream.admitted)
+            entry.could_take = _make_could_take(stream, context, engines)
             unclaimed = queue.unclaimed(entry, engines)
             engine = context.choose_engine(unclaimed, stream.admitted, stream.n_tokens)
             if engine is not None:
@@ -199,6 +204,24 @@
     return None
 
 
+def _make_could_take(stream, context, engines):
+    """Return the `could_take` of the entry of a stream that may use some engines."""
+    target_ids = {engine.announcement.target for engine in engines}
+    n_usable_tokens = KV_CACHE_SHARE * stream.admitted.service.engine.n_cache_tokens
+
+    def could_take(engine):
+        announcement = engine.announcement
+        if announcement.target not in target_ids:
+            return False
+        load = context.load_view.load(announcement)
+        return (
+            load.n_runs < announcement.n_slots
+            and load.n_reserved_tokens + stream.n_tokens <= n_usable_tokens
+        )
+
+    return could_take
+
+
 def _make_demand(stream, may_have_run=False):
     request = stream.admitted.request
     generation = request.generation
@@ -240,16 +263,20 @@
         raise AlmonddealError(NO_TARGET, "no engine is large enough for the prompt")
     now_ms = monotonic_ms()
     wait_deadline_ms = now_ms + max_wait_ms(context.load_view, demand)
-    pause_deadline_ms = now_ms + max_start_wait_ms(context.load_view, demand)
+    refusals_end_ms = now_ms + REFUSAL_BACKOFF_MS
     has_waited = False
     with _enqueue(stream, context) as entry:
         while True:
             context.quarantine.check(stream.admitted)
+            if stream.last_event_id is not None and monotonic_ms() >= refusals_end_ms:
+                refusals_end_ms = monotonic_ms() + REFUSAL_BACKOFF_MS
+                stream.forget_refusals()
             n_ahead = queue.n_ahead(entry)
             engines = _untried_engines(stream, context)
             demand = _make_demand(stream)
             paused = _paused_engines(stream, context)
             entry.is_paused = bool(paused) and not engines
+            entry.could_take = _make_could_take(stream, context, engines)
             unclaimed = queue.unclaimed(entry, engines)
             engine = _choose(stream, context, unclaimed, demand)
             if engine is not None:
@@ -259,8 +286,16 @@
                 context.hold_offs.left_ms(paused)
                 + _expected_wait_ms(stream, context, paused, demand, n_ahead),
             )
-            deadline_ms = pause_deadline_ms if entry.is_paused else wait_deadline_ms
-            if _is_wait_over(demand, wait_ms, entry.is_paused, deadline_ms):
+            pause_ms = context.hold_offs.left_ms(paused) if entry.is_paused else 0.0
+            if demand.resumes and wait_ms < math.inf:
+                late_ms = wait_ms - on_time_wait_ms(context.load_view, demand)
+                is_over = monotonic_ms() > wait_deadline_ms or (
+                    # Forecasts err, but the end of a pause is known.
+                    pause_ms > REFUSAL_BACKOFF_MS and late_ms > 0
+                )
+            else:
+                is_over = monotonic_ms() + wait_ms > wait_deadline_ms
+            if is_over:
                 _reject(stream, context, queue, engines, demand, wait_ms, n_ahead)
             if not has_waited:
                 has_waited = True
@@ -268,17 +303,6 @@
             await queue.wait(POLL_INTERVAL_S)
 
 
-def _is_wait_over(demand, wait_ms, is_paused, deadline_ms):
-    """Tell whether a waiting request is to be rejected.
-
-    Forecasts err, so one that resumes a stream is not rejected by its forecast. The end
-    of a pause is known.
-    """
-    if demand.resumes and wait_ms < float("inf") and not is_paused:
-        wait_ms = 0.0
-    return monotonic_ms() + wait_ms > deadline_ms
-
-
 def _untried_engines(stream, context):
     candidates = stream.unpaused_candidates(context)
     untried = [
--- a/packages/entry/src/almonddeal/relay/stream_state.py
+++ b/packages/entry/src/almonddeal/relay/stream_state.py
@@ -250,6 +250,11 @@
             self.admitted.service.name, self.refusing_targets, self.software_version
         )
 
+    def forget_refusals(self):
+        """Let the targets that refused the stream be tried again."""
+        self.failed_targets -= self.refusing_targets
+        self.refusing_targets.clear()
+
     def is_compatible(self, announcement):
         """Tell whether a target has the software version that began the stream."""
         return self.software_version in (None, announcement.version)
--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -7,7 +7,11 @@
 
 import anyio
 
-from almonddeal.relay.admission_queue import wait_for_engine, wait_for_room
+from almonddeal.relay.admission_queue import (
+    REFUSAL_BACKOFF_MS,
+    wait_for_engine,
+    wait_for_room,
+)
 from almonddeal.relay.attempts import run_attempt
 from almonddeal.relay.culprits import count_successive
 from almonddeal.relay.moves import MIN_LEFT_MS, has_attempts_left
@@ -31,8 +35,7 @@
 
 RETRY_AFTER_MS = 1000  # about the prefill time of one prompt
 NO_TARGET_BACKOFF_S = 0.1  # before a started response looks for a target again
-PAUSE_MARGIN_S = 0.001  # after the end of a pause; timers are not exact
-REFUSAL_BACKOFF_S = 0.3  # before a stream that goes on asks the same engines again
+PAUSE_MARGIN_MS = 1.0  # after the end of a pause; timers are not exact
 MAX_BUDGET_WAIT_MS = 1000.0  # a caller that resumes its stream itself takes as long
 BUDGET_POLL_INTERVAL_S = 0.05
 
@@ -188,8 +191,8 @@
 
 async def _wait_after_refusals(stream):
     """Pause before the targets that refused to go on with a stream are asked again."""
-    await anyio.sleep(REFUSAL_BACKOFF_S)
-    stream.refusing_targets.clear()
+    await anyio.sleep(REFUSAL_BACKOFF_MS / 1000)
+    stream.forget_refusals()
 
 
 async def _wait_for_candidates(stream, context):
@@ -203,10 +206,10 @@
     pause_ms = context.hold_offs.left_ms(stream.candidates(context.targets))
     if pause_ms > stream.admitted.left_ms - MIN_LEFT_MS:
         raise AlmonddealError(ATTEMPT_LOST, "all engines hold off until the deadline")
-    wait_s = pause_ms / 1000 + PAUSE_MARGIN_S if pause_ms else REFUSAL_BACKOFF_S
+    wait_ms = pause_ms + PAUSE_MARGIN_MS if pause_ms else REFUSAL_BACKOFF_MS
     # Another target may appear meanwhile.
-    await anyio.sleep(min(wait_s, REFUSAL_BACKOFF_S))
-    stream.refusing_targets.clear()
+    await anyio.sleep(min(wait_ms, REFUSAL_BACKOFF_MS) / 1000)
+    stream.forget_refusals()
 
 
 def _select_plain_target(stream, context):
