tests: give a large waiting stream the time that it needs

The test of small requests beside a large resumed stream passed on the code that it guards against: with 10 s, the large one was rejected at once and waited for nobody. It has 25 s now.

One comment is reworded. No product code.

--- a/packages/entry/src/almonddeal/publication/tests/test_follower.py
+++ b/packages/entry/src/almonddeal/publication/tests/test_follower.py
@@ -274,7 +274,7 @@
 
 
 class TestCurrency:
-    # Guards against an instance that trusts what it has although it hears nothing.
+    # Guards against an instance that does not notice that control sends nothing.
     def test_instance_is_current_while_it_hears_a_fresh_control_instance(self):
         control = FakeControlInstance(ADDRESS_1)
 
--- a/packages/entry/src/almonddeal/relay/tests/test_queue_claims.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_queue_claims.py
@@ -27,6 +27,7 @@
 from almonddeal_common.virtual_time import run_in_virtual_time
 
 TIMEOUT_MS = 10_000.0
+LONG_TIMEOUT_MS = 25_000.0  # in which an engine could read the large prompt
 N_RUNS_WHEN_FULL = 10
 SOON_MS = 1000.0
 
@@ -63,8 +64,8 @@
     return fleet
 
 
-def resumed(**values):
-    return resume_request(timeout_ms=TIMEOUT_MS, **values)
+def resumed(timeout_ms=TIMEOUT_MS, **values):
+    return resume_request(timeout_ms=timeout_ms, **values)
 
 
 async def relay_timed(fleet, admitted):
@@ -113,8 +114,8 @@
             for target in ONE_VERSION:
                 fill_engine(fleet.context.load_view, target, 4)  # 24k of 55k tokens
             async with anyio.create_task_group() as group:
-                route = make_route(STREAM, priority=5, timeout_ms=TIMEOUT_MS)
-                large = resumed(route=route, n_prompt=40_000)
+                route = make_route(STREAM, priority=5, timeout_ms=LONG_TIMEOUT_MS)
+                large = resumed(LONG_TIMEOUT_MS, route=route, n_prompt=40_000)
                 group.start_soon(relay_timed, fleet, large)
                 await anyio.sleep(0.1)
                 for number in range(5):
