tests: let only the member under test stand for election

Cause, in the test: after the refused append the log of entry0 is empty, as that of entry1, so either may win the election, which is random.

What the test checks is unchanged.

--- a/packages/entry/src/almonddeal/control/tests/test_diverged_logs.py
+++ b/packages/entry/src/almonddeal/control/tests/test_diverged_logs.py
@@ -63,6 +63,8 @@
                 assert (await member.consensus.handle_append(None, old, None)).ok
                 await fail(member, append_of("entry2", term + 1))
                 group.start("entry1")
+                # Its log is as new as that of `member`, which is to be elected.
+                group.member_by_name["entry1"].consensus.election_timeout_ms = 60_000
                 with anyio.fail_after(20):
                     while not member.consensus.is_leader:
                         await anyio.sleep(0.02)
