wire: leave records that cannot be encoded out of replies

A reply that carries records failed as a whole on one that cannot be encoded, such as an announcement with a start time beyond 64 bits. No message was sent that way so far; a member of the control group is to reply with its announcements, and one bad record, which no majority can have acknowledged, would have kept all others from the caller for the 120 s for which it is retained.

Only calls are encoded as a whole now, as their reply stands for all of their records. The new test fails without the change (INTERNAL).

--- a/packages/common/src/almonddeal_common/wire/codec.py
+++ b/packages/common/src/almonddeal_common/wire/codec.py
@@ -68,7 +68,6 @@
 RECORD_TYPES = frozenset(
     (messages.ShareTargets, messages.ShareRuns, messages.FollowUpdate)
 )
-ONE_WAY_PHASES = frozenset((messages.Phase.NOTICE, messages.Phase.ITEM))
 
 
 def encode(message):
@@ -84,8 +83,8 @@
 def encode_frame(phase, call_id, message):
     """Return the bytes of a frame: header and serialized message.
 
-    Records that cannot be encoded are left out of notices and items. A call is encoded
-    as a whole, since its reply stands for all of its records.
+    Records that cannot be encoded are left out, but not of a call: it is encoded as a
+    whole, since its reply stands for all of its records.
 
     Raises
     ------
@@ -96,7 +95,7 @@
     try:
         body = encode(message)
     except Exception as error:
-        if phase not in ONE_WAY_PHASES or type(message) not in RECORD_TYPES:
+        if phase == messages.Phase.CALL or type(message) not in RECORD_TYPES:
             raise _encoding_error(message, error) from error
         body = _encode_without_bad_records(message)
     return FRAME_HEADER.pack(len(body), phase, kind, call_id) + body
--- a/packages/common/src/almonddeal_common/wire/tests/test_encoding.py
+++ b/packages/common/src/almonddeal_common/wire/tests/test_encoding.py
@@ -70,6 +70,12 @@
         message = ShareRuns(runs, False, [], [])
         assert resend(Phase.NOTICE, message).runs == runs[:1]
 
+    # Guards against one record that keeps a member from replying with all others.
+    def test_reply_is_sent_without_bad_records(self):
+        targets = [make_target("i-1"), BAD_TARGETS["integer beyond 64 bits"]]
+        received = resend(Phase.REPLY, ShareTargets(targets))
+        assert received.targets == targets[:1]
+
     # Guards against lists that reach a receiver although the sender has none.
     def test_list_that_is_missing_stays_missing(self):
         runs = [Run(request="r1"), Run(request="r2", n_tokens=2**31)]
@@ -104,7 +110,7 @@
             encode_frame(Phase.CALL, 1, message)
         assert caught.value.code == INTERNAL
 
-    @pytest.mark.parametrize("phase", [Phase.CALL, Phase.NOTICE])
+    @pytest.mark.parametrize("phase", [Phase.CALL, Phase.NOTICE, Phase.REPLY])
     def test_entries_of_a_log_are_not_left_out(self, phase):
         entries = [LogEntry(1, 1, 1, b""), LogEntry(1, 2**63, 1, b"")]
         with pytest.raises(AlmonddealError) as caught:
