publication: carry announcements in the replies to a catch-up

Callers that name no stream may have resumed it at the wrong version: after a cut, a control instance confirmed a catch-up that lacked an announcement which a majority had acknowledged during the cut.

Cause: the question travelled over the asker's links, announcements over the links of the other members, which return by themselves up to a second later (backoff of Peer). Ruled out: counting only members whose own links are back, and a call over these links before the reply (both reject callers for up to that second after each cut); notices ahead of the reply on the asker's link (state for each link, and errors in the log of an earlier release).

Change: the question is a ShareTargets without announcements, the reply one with all that the member has; no new field or kind. The asker merges them before it counts the reply. A reply of an earlier release has none and does not count, so that unnamed streams are rejected until a majority is upgraded; questions of an earlier release are answered as before, and reads of the group are not touched.

The fake members of test_feed.py checked that the question is a ReadFresh; they check the new question as strictly and reply to it, the assertions of their tests are the same. Three new tests there failed before: a reply that only brings the announcement, a member of an earlier release, and replication that is not answered with all announcements.

--- a/idl/almonddeal.thrift
+++ b/idl/almonddeal.thrift
@@ -240,6 +240,7 @@
   5: string version, 6: i32 n_slots, 7: i32 state, 8: i64 born_ms, 9: i64 sequence
   10: i64 warmup_ms, 11: i64 age_ms
 }
+// A call without targets asks for those of the receiver; the reply is a ShareTargets.
 struct ShareTargets { 1: list<AnnouncedTarget> targets }
 struct Run {
   1: string request, 2: string instance, 3: string target, 4: i64 born_ms
--- a/packages/entry/src/almonddeal/publication/feed.py
+++ b/packages/entry/src/almonddeal/publication/feed.py
@@ -14,7 +14,6 @@
 from almonddeal_common.wire.gen.ttypes import (
     FollowUpdate,
     Ok,
-    ReadFresh,
     ReadFreshReply,
     ShareRuns,
     ShareTargets,
@@ -167,12 +166,14 @@
             await self._wait_for_change(sent_version, sent, sent_is_fresh)
 
     async def handle_read_fresh(self, link, message, emit):
-        """Reply to a subscriber behind all that a majority of the group has now.
+        """Reply to a subscriber behind all that a majority acknowledged before.
 
-        Messages on a link arrive in order: what another control instance has sent here
-        precedes its reply, and the updates to the subscriber precede this one.
+        The other members reply with their announcements, since their own links to this
+        one may be down. The updates to the subscriber precede the reply to it.
         """
-        is_confirmed = await self._call_peers(ReadFresh(), CATCH_UP_TIMEOUT_MS)
+        is_confirmed = await self._call_peers(
+            ShareTargets([]), CATCH_UP_TIMEOUT_MS, self._merge_reply
+        )
         due = self._revisions()
         while is_confirmed and not self._has_sent(link, due):
             if link not in self._sent_by_link:
@@ -182,6 +183,15 @@
         code = OK if is_confirmed else NO_QUORUM
         return ReadFreshReply(code.number, 0, self._name, 0)
 
+    def _merge_reply(self, peer, reply):
+        """Merge the announcements of a member; return whether it replied with them."""
+        if not isinstance(reply, ShareTargets):
+            log.info("control instance %s does not reply with announcements", peer.name)
+            return False
+        for announcement in reply.targets:
+            self._registry.merge(announcement, peer.name)
+        return True
+
     def _has_sent(self, link, due):
         sent = self._sent_by_link.get(link)
         return sent is not None and all(
@@ -258,8 +268,16 @@
             self._registry.record_acknowledgement(announcement)
         return is_replicated
 
-    async def _call_peers(self, message, timeout_ms):
-        """Call the other control instances; return whether a majority replied."""
+    async def _call_peers(self, message, timeout_ms, accepts=lambda peer, reply: True):
+        """Call the other control instances; return whether a majority replied.
+
+        Parameters
+        ----------
+        message : ShareTargets
+        timeout_ms : float
+        accepts : callable
+            ``accepts(peer, reply)`` returns whether a reply counts.
+        """
         members = self._consensus.members
         n_acknowledged = 1
         n_required = members.quorum
@@ -267,8 +285,8 @@
         async def call(peer):
             nonlocal n_acknowledged
             try:
-                await peer.call(message, timeout_ms)
-                n_acknowledged += 1
+                reply = await peer.call(message, timeout_ms)
+                n_acknowledged += accepts(peer, reply)
             except AlmonddealError as error:
                 log.info("call of control instance %s failed: %s", peer.name, error)
 
@@ -280,7 +298,15 @@
         return n_acknowledged >= n_required
 
     async def handle_share_targets(self, link, message, emit):
-        """Merge announcements replicated by another control instance."""
+        """Merge announcements replicated by another control instance.
+
+        Returns
+        -------
+        reply : Ok or ShareTargets
+            All announcements of this instance if the message has none.
+        """
+        if not message.targets:
+            return ShareTargets(self._registry.announcements.values())
         for announcement in message.targets:
             self._registry.merge(announcement, link.peer.instance)
         return Ok()
--- a/packages/entry/src/almonddeal/publication/tests/test_feed.py
+++ b/packages/entry/src/almonddeal/publication/tests/test_feed.py
@@ -16,6 +16,7 @@
     Follow,
     Hello,
     LimitReport,
+    Ok,
     Phase,
     PublishConfiguration,
     ReadFresh,
@@ -308,9 +309,10 @@
         self.peer = Hello(instance=name)
         self.feed = feed
         self.messages = messages
+        self.reply = ShareTargets([])
 
     async def call(self, message, timeout_ms):
-        assert message == ReadFresh()
+        assert message == ShareTargets([])
         await anyio.sleep(0.001)
         if self.is_silent:
             raise AlmonddealError(LINK_LOST, "cut")
@@ -319,6 +321,7 @@
                 await self.feed.handle_share_targets(self, sent, None)
             else:
                 await self.feed.handle_share_runs(self, sent, None)
+        return self.reply
 
 
 class TestCatchUp:
@@ -370,6 +373,43 @@
             peers[name].is_silent = number < n_silent
         assert self.ask(feed)[0] == code.number
 
+    # Guards against a catch-up without what only the reply of a member brings.
+    def test_announcements_in_a_reply_precede_the_confirmation(self, feed, peers):
+        peers["c2"] = RelayingPeer("c2", feed)
+        peers["c2"].reply = ShareTargets(
+            [
+                AnnouncedTarget(
+                    "i-2", "s", "10.0.0.2:80", "fd1", "v2", 8, READY, 1000, 1, 0, 0
+                )
+            ]
+        )
+        peers["c3"].is_up = False
+        code, received = self.ask(feed)
+        assert code == OK.number
+        assert [t.target for update in received for t in update.targets] == ["i-2"]
+
+    # Guards against the confirmation of a member that did not say what it has.
+    def test_member_of_an_earlier_release_confirms_nothing(self, feed, peers):
+        for name in peers:
+            peers[name] = RelayingPeer(name, feed)
+            peers[name].reply = Ok()
+        assert self.ask(feed)[0] == NO_QUORUM.number
+
+    # Guards against replies to replication that carry all announcements.
+    def test_only_a_message_without_announcements_asks_for_them(self, feed):
+        target = AnnouncedTarget(
+            "i-2", "s", "10.0.0.2:80", "fd1", "v2", 8, READY, 1000, 1, 0, 0
+        )
+        peer = RelayingPeer("c2", feed)
+
+        def share(*targets):
+            return anyio.run(
+                feed.handle_share_targets, peer, ShareTargets(list(targets)), None
+            )
+
+        assert share(target) == Ok()
+        assert share() == ShareTargets([target])
+
     # Guards against a link that gets replies and no updates.
     def test_instance_without_a_subscription_has_not_caught_up(self, feed, peers):
         for name in peers:
