publication: count an instance for a majority only as a voter

A control instance that is no voter, as while it joins the group, counted itself beside the voters: with three of them, one reply made a majority, and while it knew no members, it made one alone. It could acknowledge an announcement that one voter had, or none, and confirm a catch-up without what the other voters had acknowledged.

It now counts itself only if it is a voter. Two new tests failed before: an announcement was acknowledged with one of three voters reachable, and without a group.

--- a/packages/entry/src/almonddeal/publication/feed.py
+++ b/packages/entry/src/almonddeal/publication/feed.py
@@ -279,7 +279,7 @@
             ``accepts(peer, reply)`` returns whether a reply counts.
         """
         members = self._consensus.members
-        n_acknowledged = 1
+        n_acknowledged = int(self._name in members)
         n_required = members.quorum
 
         async def call(peer):
--- a/packages/entry/src/almonddeal/publication/tests/test_feed.py
+++ b/packages/entry/src/almonddeal/publication/tests/test_feed.py
@@ -105,6 +105,23 @@
         assert not announce(feed, DRAINING, 3)
         assert not announce(feed, READY, 2)
 
+    # Guards against a process that joins and counts itself for a majority.
+    @pytest.mark.parametrize("n_reachable", [1, 2])
+    def test_instance_that_is_no_voter_needs_a_majority_of_the_voters(
+        self, peers, n_reachable
+    ):
+        peers["c1"] = Peer("c1")
+        for name in list(peers)[n_reachable:]:
+            peers[name].is_up = False
+        feed = Feed("c4", Publication(), TargetRegistry(), Freshness(), Group(), peers)
+        assert announce(feed, READY, 1) == (n_reachable == 2)
+
+    # Guards against an acknowledgement by a process that has not found the group yet.
+    def test_instance_without_a_group_acknowledges_nothing(self, monkeypatch):
+        monkeypatch.setattr(Group, "members", Members({}, 0))
+        feed = Feed("c4", Publication(), TargetRegistry(), Freshness(), Group(), {})
+        assert not announce(feed, READY, 1)
+
     def test_heartbeats_without_news_are_not_replicated(self, feed, peers):
         for sequence in range(1, 6):
             assert announce(feed, READY, sequence)
