control: send large entries in parts, and resume transfers

What operators would see: a change whose log entry takes longer than 500 ms to send to a member is sent again and again. Neither it nor any later change is acknowledged, while all processes run. It also keeps a member that is behind from ever catching up, so that changes stay unanswered once another member is down.

Cause: a call had 500 ms whatever it carried, and a single entry above 128 KiB was sent as one message.

Ruled out: batches of small entries make progress also without the change (100 kB each at 640 kB/s).

Change: an entry above 64 KiB is sent in parts of that size, as optional fields of AppendLog. To a member of an earlier release such a message is an append without entries, and its reply lacks the number of received bytes; it then gets the entry as a whole.

A call may take longer by the time for its bytes. The message classes were changed by hand as the compiler writes them.

--- a/idl/almonddeal.thrift
+++ b/idl/almonddeal.thrift
@@ -173,8 +173,11 @@
 struct AppendLog {
   1: i64 term, 2: string leader, 3: i64 prev_index, 4: i64 prev_term
   5: list<LogEntry> entries, 6: i64 commit_index, 7: string recipient
+  8: optional LogEntry part, 9: i64 part_offset, 10: i64 part_n_bytes
+}
+struct AppendLogReply {
+  1: i64 term, 2: bool ok, 3: i64 match_index, 4: optional i64 n_received_bytes
 }
-struct AppendLogReply { 1: i64 term, 2: bool ok, 3: i64 match_index }
 struct InstallSnapshot {
   1: i64 term, 2: string leader, 3: Snapshot snapshot, 4: string recipient
   5: i64 offset, 6: i64 n_bytes
--- a/packages/common/src/almonddeal_common/wire/gen/ttypes.py
+++ b/packages/common/src/almonddeal_common/wire/gen/ttypes.py
@@ -3848,6 +3848,9 @@
      - entries
      - commit_index
      - recipient
+     - part
+     - part_offset
+     - part_n_bytes
 
     """
 
@@ -3859,10 +3862,13 @@
         'entries',
         'commit_index',
         'recipient',
+        'part',
+        'part_offset',
+        'part_n_bytes',
     )
 
 
-    def __init__(self, term=None, leader=None, prev_index=None, prev_term=None, entries=None, commit_index=None, recipient=None,):
+    def __init__(self, term=None, leader=None, prev_index=None, prev_term=None, entries=None, commit_index=None, recipient=None, part=None, part_offset=None, part_n_bytes=None,):
         self.term = term
         self.leader = leader
         self.prev_index = prev_index
@@ -3870,6 +3876,9 @@
         self.entries = entries
         self.commit_index = commit_index
         self.recipient = recipient
+        self.part = part
+        self.part_offset = part_offset
+        self.part_n_bytes = part_n_bytes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3921,6 +3930,22 @@
                     self.recipient = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRUCT:
+                    self.part = LogEntry()
+                    self.part.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.part_offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.part_n_bytes = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3962,6 +3987,18 @@
             oprot.writeFieldBegin('recipient', TType.STRING, 7)
             oprot.writeString(self.recipient.encode('utf-8') if sys.version_info[0] == 2 else self.recipient)
             oprot.writeFieldEnd()
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.STRUCT, 8)
+            self.part.write(oprot)
+            oprot.writeFieldEnd()
+        if self.part_offset is not None:
+            oprot.writeFieldBegin('part_offset', TType.I64, 9)
+            oprot.writeI64(self.part_offset)
+            oprot.writeFieldEnd()
+        if self.part_n_bytes is not None:
+            oprot.writeFieldBegin('part_n_bytes', TType.I64, 10)
+            oprot.writeI64(self.part_n_bytes)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3993,6 +4030,7 @@
      - term
      - ok
      - match_index
+     - n_received_bytes
 
     """
 
@@ -4000,13 +4038,15 @@
         'term',
         'ok',
         'match_index',
+        'n_received_bytes',
     )
 
 
-    def __init__(self, term=None, ok=None, match_index=None,):
+    def __init__(self, term=None, ok=None, match_index=None, n_received_bytes=None,):
         self.term = term
         self.ok = ok
         self.match_index = match_index
+        self.n_received_bytes = n_received_bytes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4032,6 +4072,11 @@
                     self.match_index = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.n_received_bytes = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4054,6 +4099,10 @@
             oprot.writeFieldBegin('match_index', TType.I64, 3)
             oprot.writeI64(self.match_index)
             oprot.writeFieldEnd()
+        if self.n_received_bytes is not None:
+            oprot.writeFieldBegin('n_received_bytes', TType.I64, 4)
+            oprot.writeI64(self.n_received_bytes)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -7782,6 +7831,9 @@
     (5, TType.LIST, 'entries', (TType.STRUCT, [LogEntry, None], False), None, ),  # 5
     (6, TType.I64, 'commit_index', None, None, ),  # 6
     (7, TType.STRING, 'recipient', 'UTF8', None, ),  # 7
+    (8, TType.STRUCT, 'part', [LogEntry, None], None, ),  # 8
+    (9, TType.I64, 'part_offset', None, None, ),  # 9
+    (10, TType.I64, 'part_n_bytes', None, None, ),  # 10
 )
 all_structs.append(AppendLogReply)
 AppendLogReply.thrift_spec = (
@@ -7789,6 +7841,7 @@
     (1, TType.I64, 'term', None, None, ),  # 1
     (2, TType.BOOL, 'ok', None, None, ),  # 2
     (3, TType.I64, 'match_index', None, None, ),  # 3
+    (4, TType.I64, 'n_received_bytes', None, None, ),  # 4
 )
 all_structs.append(InstallSnapshot)
 InstallSnapshot.thrift_spec = (
--- a/packages/entry/src/almonddeal/control/consensus.py
+++ b/packages/entry/src/almonddeal/control/consensus.py
@@ -32,7 +32,7 @@
 from almonddeal.control.members import Members
 from almonddeal.control.membership import MembershipMixin
 from almonddeal.control.proposals import PendingProposals
-from almonddeal.control.snapshots import SnapshotAssembler
+from almonddeal.control.transfers import ChunkAssembler
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import (
     NO_QUORUM,
@@ -101,7 +101,7 @@
         self._replication_scope_by_name = {}
         self._join_request_by_name = {}
         self._task_group = None
-        self._snapshot_assembler = SnapshotAssembler()
+        self._assembler = ChunkAssembler()
         self._write_started_ms = None
         self._voted_for = store.meta.voted_for
         self._log = EntryLog(store.snapshot, store.entries)
@@ -113,6 +113,8 @@
         self._match_index_by_name = {}
         self._next_index_by_name = {}
         self._acknowledged_ms_by_name = {}
+        self._transfer_by_name = {}
+        self._names_without_parts = set()
         self._pending_proposals = PendingProposals()
         self._wake_event_by_name = {}
         self._appended_event = anyio.Event()
--- a/packages/entry/src/almonddeal/control/constants.py
+++ b/packages/entry/src/almonddeal/control/constants.py
@@ -9,13 +9,15 @@
 # After a longer stall, messages of the leader may be unread, so the timer restarts.
 EVENT_LOOP_STALL_MS = 200
 RPC_TIMEOUT_MS = 500  # covers a sync on a disk that is thirty times slower than usual
-CHUNK_TIMEOUT_MS = 2000  # one snapshot chunk over a slow link, and its sync
+# A call takes longer by the time for its bytes on the slowest link and disk.
+MIN_LINK_BYTES_PER_MS = 128
+MIN_DISK_BYTES_PER_MS = 1024
 # After a refused write, a member stands for election without a check of its room.
 STORAGE_FULL_BACKOFF_MS = 5000
 # A member that started more elections asks to join, in case it was removed.
 MAX_ELECTIONS_WITHOUT_LEADER = 2
 MAX_ENTRIES_PER_APPEND = 512
-MAX_BYTES_PER_APPEND = 128 * 1024  # takes a fifth of a second on a slow link
+MAX_BYTES_PER_APPEND = 64 * 1024  # takes a tenth of a second on a link of 5 Mbit/s
 DISK_STALL_MS = 1000  # a sync takes milliseconds, on a slow disk 100 ms
 DISK_STALL_BACKOFF_MS = 5000  # before a member with a stalled disk stands for election
 
--- a/packages/entry/src/almonddeal/control/elections.py
+++ b/packages/entry/src/almonddeal/control/elections.py
@@ -185,6 +185,8 @@
         self._next_index_by_name = dict.fromkeys(
             self._peer_by_name, self._log.last_index + 1
         )
+        self._transfer_by_name = {}
+        self._names_without_parts = set()
         self._first_index_of_term = self._log.last_index + 1
         self._join_request_by_name = {}
         # The first entry of the term; once committed, it commits all earlier ones.
--- a/packages/entry/src/almonddeal/control/following.py
+++ b/packages/entry/src/almonddeal/control/following.py
@@ -10,6 +10,7 @@
 )
 from almonddeal.control.entries import EntryLog
 from almonddeal.control.members import Members
+from almonddeal.control.transfers import add_part, add_snapshot_chunk
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.logs import get_logger
 from almonddeal_common.wire.codec import decode
@@ -37,11 +38,31 @@
             self._discard_unwritten_entries()
             if self._log.term_at(message.prev_index) != message.prev_term:
                 return self._mismatch_reply(message.prev_index)
-            await self._store_entries(message.entries)
-            match = message.prev_index + len(message.entries)
+            entries = message.entries
+            n_received_bytes = None
+            if message.part is not None:
+                entries, n_received_bytes = self._add_part(message)
+            await self._store_entries(entries)
+            match = message.prev_index + len(entries)
             self.commit_index = max(self.commit_index, min(message.commit_index, match))
         self._apply_committed()
-        return AppendLogReply(self.term, True, match)
+        return AppendLogReply(self.term, True, match, n_received_bytes)
+
+    def _add_part(self, message):
+        """Add a part of a large entry.
+
+        Returns
+        -------
+        entries : list of LogEntry
+            The entry, once all of it has arrived or if the log has it; else empty.
+        n_received_bytes : int
+        """
+        part = message.part
+        if self._log.term_at(part.index) == part.term:
+            return [part], message.part_n_bytes
+        entry = add_part(self._assembler, message)
+        entries = [] if entry is None else [entry]
+        return entries, self._assembler.n_received_bytes
 
     async def _accept_leader(self, term, leader):
         await self._adopt_term(term)
@@ -93,6 +114,7 @@
                 members = Members.from_wire(decode(MemberSet, entry.command))
                 self._set_members(members, entry.index)
         self._durable_index = self._log.last_index
+        self._assembler.clear()
 
     async def handle_snapshot(self, link, message, emit):
         """Handle one chunk of a snapshot; install the snapshot with the last one.
@@ -104,9 +126,10 @@
             if message.term < self.term:
                 return AppendLogReply(self.term, False, 0)
             await self._accept_leader(message.term, message.leader)
-            is_in_order, snapshot = self._snapshot_assembler.add(message)
+            is_in_order, snapshot = add_snapshot_chunk(self._assembler, message)
             if snapshot is None:
-                return AppendLogReply(self.term, is_in_order, 0)
+                n_received_bytes = self._assembler.n_received_bytes
+                return AppendLogReply(self.term, is_in_order, 0, n_received_bytes)
             if snapshot.index > self.commit_index:
                 await self._run_disk_io(self._store.save_snapshot, snapshot, [])
                 self._log = EntryLog(snapshot, [])
@@ -117,4 +140,5 @@
                 if self._connect is not None:
                     self._load_members_from_log()
                 self._notify_applied()
+            self._assembler.clear()
         return AppendLogReply(self.term, True, max(snapshot.index, self.commit_index))
--- a/packages/entry/src/almonddeal/control/leading.py
+++ b/packages/entry/src/almonddeal/control/leading.py
@@ -6,17 +6,18 @@
 import anyio
 
 from almonddeal.control.constants import (
-    CHUNK_TIMEOUT_MS,
     KIND_COMMAND,
     KIND_MEMBERS,
     LEADER,
     LEADER_HEARTBEAT_INTERVAL_MS,
     MAX_BYTES_PER_APPEND,
     MAX_ENTRIES_PER_APPEND,
+    MIN_DISK_BYTES_PER_MS,
+    MIN_LINK_BYTES_PER_MS,
     RPC_TIMEOUT_MS,
     TICK_MS,
 )
-from almonddeal.control.snapshots import snapshot_chunks
+from almonddeal.control.transfers import EntryTransfer, SnapshotTransfer
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import (
     CHANGE_OUTCOME_UNKNOWN,
@@ -33,6 +34,11 @@
 log = get_logger("control")
 
 
+def _call_timeout_ms(n_sent_bytes, n_written_bytes):
+    link_ms = n_sent_bytes / MIN_LINK_BYTES_PER_MS
+    return RPC_TIMEOUT_MS + link_ms + n_written_bytes / MIN_DISK_BYTES_PER_MS
+
+
 class LeaderMixin:
     """Proposals, replication and commit of `Consensus`."""
 
@@ -130,12 +136,8 @@
     async def _send_to_peer(self, name, peer):
         term = self.term
         started_ms = monotonic_ms()
-        next_index = self._next_index_by_name[name]
-        if next_index < self._log.first_index:
-            reply = await self._send_snapshot(name, peer)
-        else:
-            message = self._make_append_message(next_index, name)
-            reply = await peer.call(message, RPC_TIMEOUT_MS)
+        message, timeout_ms = self._next_message(name)
+        reply = await peer.call(message, timeout_ms)
         if reply.term > self.term:
             async with self.disk_lock:
                 await self._adopt_term(reply.term)
@@ -149,17 +151,45 @@
         self._acknowledged_ms_by_name[name] = started_ms
         self._process_reply(name, reply)
 
-    async def _send_snapshot(self, name, peer):
-        """Send the chunks in order; return the reply to the last or a refused one."""
-        messages = snapshot_chunks(self.term, self.name, self._log.snapshot, name)
-        for message in messages:
-            reply = await peer.call(message, CHUNK_TIMEOUT_MS)
-            if not reply.ok or reply.term > self.term:
-                break
-        return reply
-
-    def _make_append_message(self, next_index, name):
-        entries = self._entries_for_append(next_index)
+    def _next_message(self, name):
+        """Return the next message to a peer, and the time in ms that it may take."""
+        next_index = self._next_index_by_name[name]
+        transfer = self._update_transfer(name, next_index)
+        if transfer is None:
+            entries = self._entries_for_append(next_index)
+            n_bytes = sum(len(entry.command) for entry in entries)
+            return (
+                self._make_append_message(next_index, entries, name),
+                _call_timeout_ms(n_bytes, n_bytes),
+            )
+        if next_index < self._log.first_index:
+            message = transfer.message(self.term, self.name, name)
+        else:
+            message = self._make_append_message(next_index, [], name)
+            transfer.add_part(message)
+        n_written_bytes = len(transfer.data) if transfer.is_last_chunk else 0
+        return message, _call_timeout_ms(len(transfer.chunk), n_written_bytes)
+
+    def _update_transfer(self, name, next_index):
+        """Return the present transfer to a peer, or None; start one if it is due."""
+        transfer = self._transfer_by_name.get(name)
+        if next_index < self._log.first_index:
+            if not isinstance(transfer, SnapshotTransfer):
+                transfer = SnapshotTransfer(self._log.snapshot)
+        elif self._is_sent_in_parts(name, next_index):
+            if not isinstance(transfer, EntryTransfer) or transfer.index != next_index:
+                transfer = EntryTransfer(self._log.entry(next_index))
+        else:
+            transfer = None
+        self._transfer_by_name[name] = transfer
+        return transfer
+
+    def _is_sent_in_parts(self, name, index):
+        if index > self._log.last_index or name in self._names_without_parts:
+            return False
+        return len(self._log.entry(index).command) > MAX_BYTES_PER_APPEND
+
+    def _make_append_message(self, next_index, entries, name):
         prev_index = next_index - 1
         return AppendLog(
             self.term,
@@ -181,6 +211,11 @@
         return entries
 
     def _process_reply(self, name, reply):
+        transfer = self._transfer_by_name.get(name)
+        if transfer is not None and self._is_transfer_open(name, transfer, reply):
+            self._notify_progress()
+            return
+        self._transfer_by_name.pop(name, None)
         if reply.ok:
             self._match_index_by_name[name] = max(
                 self._match_index_by_name[name], reply.match_index
@@ -192,6 +227,24 @@
             self._next_index_by_name[name] = max(1, reply.match_index + 1)
         self._notify_progress()
 
+    def _is_transfer_open(self, name, transfer, reply):
+        """Record the progress of a transfer; return whether the peer needs more of it.
+
+        A member of an earlier release takes snapshots in chunks and entries as a whole,
+        and does not tell what it has received.
+        """
+        if reply.ok and reply.match_index >= transfer.index:
+            return False
+        if reply.n_received_bytes is not None:
+            transfer.offset = reply.n_received_bytes
+            return True
+        if isinstance(transfer, EntryTransfer):
+            if reply.ok:
+                self._names_without_parts.add(name)
+            return False
+        transfer.offset = transfer.offset + len(transfer.chunk) if reply.ok else 0
+        return True
+
     def _advance_commit(self):
         if self.role != LEADER:
             return
--- a/packages/entry/src/almonddeal/control/tests/changing_group.py
+++ b/packages/entry/src/almonddeal/control/tests/changing_group.py
@@ -9,6 +9,7 @@
 from almonddeal.control.storage import LogStore
 from almonddeal.control.tests.fakes import HandlerCalls, ProcessEnded
 from almonddeal.publication.state import Publication, compress_content
+from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import LINK_LOST, NOT_LEADER, NOT_REACHED, AlmonddealError
 from almonddeal_common.wire.codec import decode, encode
 from almonddeal_common.wire.gen.ttypes import (
@@ -40,9 +41,10 @@
         if not self.is_up:
             raise AlmonddealError(NOT_REACHED, self._address)
         process = self._group.process_by_address[self._address]
-        copied = decode(type(message), encode(message))
+        data = encode(message)
+        copied = decode(type(message), data)
         with anyio.move_on_after(timeout_ms / 1000):
-            await anyio.sleep(0.001)
+            await self._group.transmit(self._source, self._address, len(data))
             handler = process.handler_by_type[type(message)]
             reply = await process.handler_calls.run(handler, copied)
             if not self.is_up:
@@ -118,6 +120,11 @@
     tasks : anyio.abc.TaskGroup
     seeds : list of str
         Link addresses of the initial voters.
+
+    Attributes
+    ----------
+    link_bytes_per_s : float
+        Rate of each link in each direction.
     """
 
     def __init__(self, folder, tasks, seeds):
@@ -125,6 +132,8 @@
         self.seeds = seeds
         self.process_by_address = {}
         self.cut_addresses = set()
+        self.link_bytes_per_s = float("inf")
+        self._busy_until_ms_by_link = {}
         self._tasks = tasks
 
     @staticmethod
@@ -135,6 +144,17 @@
         is_cut = source in self.cut_addresses or address in self.cut_addresses
         return address in self.process_by_address and not is_cut
 
+    async def transmit(self, source, address, n_bytes):
+        """Wait until a link has transmitted a message, behind those before it.
+
+        A message occupies the link until its end, also if its caller stops waiting.
+        """
+        now_ms = monotonic_ms()
+        busy_until_ms = self._busy_until_ms_by_link.get((source, address), now_ms)
+        arrival_ms = max(now_ms, busy_until_ms) + n_bytes / self.link_bytes_per_s * 1000
+        self._busy_until_ms_by_link[source, address] = arrival_ms
+        await anyio.sleep((arrival_ms - now_ms) / 1000 + 0.001)
+
     def start(self, address, is_bootstrap=False):
         process = Process(self, address, is_bootstrap)
         self.process_by_address[address] = process
--- /dev/null
+++ b/packages/entry/src/almonddeal/control/tests/test_slow_links.py
@@ -0,0 +1,137 @@
+"""Tests of large changes over links that take a while for them."""
+
+import random
+
+import anyio
+import pytest
+
+from almonddeal.control.tests.changing_group import SEEDS, ChangingGroup
+from almonddeal.publication.state import compress_content
+from almonddeal_common.wire.gen.ttypes import AppendLog, Command, PublishConfiguration
+
+SLOW_LINK_BYTES_PER_S = 640_000  # 5 Mbit/s
+LARGE_BYTES = 2_000_000
+
+
+def change_of(version, n_bytes):
+    """Return a command with a configuration that cannot be compressed."""
+    content = compress_content(random.Random(version).randbytes(n_bytes))
+    return Command(publish=PublishConfiguration(version, content, "test", 0))
+
+
+def without_parts(handle_append):
+    """Return a handler of appends as in an earlier release."""
+
+    async def handle(link, message, emit):
+        message.part = None
+        reply = await handle_append(link, message, emit)
+        reply.n_received_bytes = None
+        return reply
+
+    return handle
+
+
+def run_slow_group(folder, test):
+    """Run a test with a group whose links can be slowed down."""
+
+    async def main():
+        async with anyio.create_task_group() as tasks:
+            group = ChangingGroup(folder, tasks, SEEDS)
+            for address in SEEDS:
+                group.start(address, is_bootstrap=True)
+            await group.publish(1)
+            await test(group)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+class TestLargeChange:
+    # Guards against a change that takes longer to send than a call may last: it was
+    # sent again and again, and neither it nor later changes were ever acknowledged.
+    def test_it_is_acknowledged_over_slow_links(self, tmp_path):
+        async def test(group):
+            leader = group.leader()
+            term = leader.consensus.term
+            group.link_bytes_per_s = SLOW_LINK_BYTES_PER_S
+            await leader.consensus.propose(change_of(2, LARGE_BYTES), 10_000)
+            assert (await group.publish(3)).version_in_force == 3
+            assert group.leader() is leader
+            assert leader.consensus.term == term
+
+        run_slow_group(tmp_path, test)
+
+    # Guards against a change that is sent again from its start after each lost reply.
+    def test_it_is_acknowledged_over_links_that_break(self, tmp_path):
+        async def test(group):
+            async def break_links_periodically():
+                while True:
+                    await anyio.sleep(0.8)
+                    group.cut_addresses.update(SEEDS)
+                    await anyio.sleep(0.1)
+                    group.cut_addresses.clear()
+
+            leader = group.leader()
+            group.link_bytes_per_s = SLOW_LINK_BYTES_PER_S
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(break_links_periodically)
+                await leader.consensus.propose(change_of(2, LARGE_BYTES), 15_000)
+                tasks.cancel_scope.cancel()
+
+        run_slow_group(tmp_path, test)
+
+    # Guards against a leader that waits for a member of an earlier release, which takes
+    # an append of a part for one without entries.
+    def test_it_reaches_members_of_an_earlier_release(self, tmp_path):
+        async def test(group):
+            leader = group.leader()
+            for process in group.process_by_address.values():
+                handlers = process.handler_by_type
+                handlers[AppendLog] = without_parts(handlers[AppendLog])
+            await leader.consensus.propose(change_of(2, LARGE_BYTES), 10_000)
+            for address in SEEDS:
+                await group.wait_version(address, 2)
+
+        run_slow_group(tmp_path, test)
+
+
+class TestMemberBehind:
+    # Guards against a member that never catches up over a slow link, and so against
+    # changes that stay unanswered while no other member can acknowledge them.
+    @pytest.mark.parametrize("n_bytes", [100_000, 400_000, LARGE_BYTES])
+    def test_changes_are_acknowledged_once_it_has_caught_up(self, tmp_path, n_bytes):
+        async def test(group):
+            leader = group.leader()
+            behind, killed = (a for a in SEEDS if a != leader.address)
+            group.cut_addresses.add(behind)
+            n_changes = LARGE_BYTES // n_bytes
+            for version in range(2, n_changes + 2):
+                await leader.consensus.propose(change_of(version, n_bytes), 10_000)
+            group.link_bytes_per_s = SLOW_LINK_BYTES_PER_S
+            await group.kill(killed)
+            group.cut_addresses.clear()
+            with anyio.fail_after(15):
+                await group.publish(n_changes + 2)
+
+        run_slow_group(tmp_path, test)
+
+    # Guards against a snapshot that is sent again from its start, as the leader had no
+    # reply of a majority until its end.
+    def test_snapshot_is_received_over_a_slow_link(self, tmp_path, monkeypatch):
+        monkeypatch.setattr("almonddeal.control.consensus.SNAPSHOT_INTERVAL_ENTRIES", 1)
+
+        async def test(group):
+            leader = group.leader()
+            behind, killed = (a for a in SEEDS if a != leader.address)
+            group.cut_addresses.add(behind)
+            await leader.consensus.propose(change_of(2, LARGE_BYTES // 2), 10_000)
+            await leader.consensus.compact()
+            term = leader.consensus.term
+            group.link_bytes_per_s = SLOW_LINK_BYTES_PER_S
+            await group.kill(killed)
+            group.cut_addresses.clear()
+            with anyio.fail_after(15):
+                await group.publish(3)
+            assert leader.consensus.term == term
+
+        run_slow_group(tmp_path, test)
