control: stay in touch with members during a large write

What operators would see: a change that a slow disk takes more than a second to write is not acknowledged. The leader steps down, or the members stand for election, and the next leader begins again.

Cause: a member in the middle of a write answers nothing, so that neither it nor its leader knows whether the other is alive. A leader took its disk for stalled after 1 s, however much it wrote.

Change: beside a call that takes longer than a heartbeat interval, the leader sends heartbeats, which a member answers without its disk. They are sent only beside such a call: a leader whose entries are refused at once still steps down, so that an entry for which the others have no room does not keep it in office.

--- a/packages/entry/src/almonddeal/control/consensus.py
+++ b/packages/entry/src/almonddeal/control/consensus.py
@@ -103,6 +103,7 @@
         self._task_group = None
         self._assembler = ChunkAssembler()
         self._write_started_ms = None
+        self._n_bytes_in_write = 0
         self._voted_for = store.meta.voted_for
         self._log = EntryLog(store.snapshot, store.entries)
         self._durable_index = self._log.last_index
@@ -113,6 +114,7 @@
         self._match_index_by_name = {}
         self._next_index_by_name = {}
         self._acknowledged_ms_by_name = {}
+        self._call_started_ms_by_name = {}
         self._transfer_by_name = {}
         self._names_without_parts = set()
         self._pending_proposals = PendingProposals()
--- a/packages/entry/src/almonddeal/control/constants.py
+++ b/packages/entry/src/almonddeal/control/constants.py
@@ -18,7 +18,8 @@
 MAX_ELECTIONS_WITHOUT_LEADER = 2
 MAX_ENTRIES_PER_APPEND = 512
 MAX_BYTES_PER_APPEND = 64 * 1024  # takes a tenth of a second on a link of 5 Mbit/s
-DISK_STALL_MS = 1000  # a sync takes milliseconds, on a slow disk 100 ms
+# A sync takes milliseconds, on a slow disk 100 ms; large writes may take longer.
+DISK_STALL_MS = 1000
 DISK_STALL_BACKOFF_MS = 5000  # before a member with a stalled disk stands for election
 
 FOLLOWER = "follower"
--- a/packages/entry/src/almonddeal/control/elections.py
+++ b/packages/entry/src/almonddeal/control/elections.py
@@ -15,6 +15,7 @@
     EVENT_LOOP_STALL_MS,
     KIND_NO_OP,
     LEADER,
+    MIN_DISK_BYTES_PER_MS,
     RPC_TIMEOUT_MS,
     TICK_MS,
 )
@@ -67,7 +68,8 @@
     def _step_down_if_disk_stalls(self, now_ms):
         """Step down if a log write stalls, so that another member can lead."""
         started_ms = self._write_started_ms
-        if started_ms is not None and now_ms - started_ms > DISK_STALL_MS:
+        limit_ms = DISK_STALL_MS + self._n_bytes_in_write / MIN_DISK_BYTES_PER_MS
+        if started_ms is not None and now_ms - started_ms > limit_ms:
             log.warning(
                 "stepped down as leader, a log write has taken %.0f ms",
                 now_ms - started_ms,
--- a/packages/entry/src/almonddeal/control/following.py
+++ b/packages/entry/src/almonddeal/control/following.py
@@ -31,6 +31,10 @@
     async def handle_append(self, link, message, emit):
         """Append entries of the leader; reply once they are synced."""
         self._check_recipient(message.recipient)
+        if self._is_heartbeat_of_leader(message):
+            # A large write may hold the lock for longer than an election timeout.
+            self._record_leader_contact()
+            return AppendLogReply(self.term, True, 0)
         async with self.disk_lock:
             if message.term < self.term:
                 return AppendLogReply(self.term, False, 0)
@@ -64,11 +68,19 @@
         entries = [] if entry is None else [entry]
         return entries, self._assembler.n_received_bytes
 
+    def _is_heartbeat_of_leader(self, message):
+        is_empty = not message.entries and message.part is None
+        is_known = message.term == self.term and message.leader == self.leader
+        return is_empty and message.prev_index == 0 and is_known
+
+    def _record_leader_contact(self):
+        self._election_timer_start_ms = self._last_leader_contact_ms = monotonic_ms()
+        self._n_elections_without_leader = 0
+
     async def _accept_leader(self, term, leader):
         await self._adopt_term(term)
         assert self.role != LEADER, f"two leaders in term {term}"
-        self._election_timer_start_ms = self._last_leader_contact_ms = monotonic_ms()
-        self._n_elections_without_leader = 0
+        self._record_leader_contact()
         if self.leader != leader:
             log.info("accepted %s as leader of term %d", leader, term)
             self.election_timeout_ms = self._random_election_timeout_ms()
--- a/packages/entry/src/almonddeal/control/leading.py
+++ b/packages/entry/src/almonddeal/control/leading.py
@@ -4,6 +4,7 @@
 """
 
 import anyio
+from anyio import create_task_group
 
 from almonddeal.control.constants import (
     KIND_COMMAND,
@@ -86,6 +87,7 @@
                 if not entries:
                     continue
                 self._write_started_ms = monotonic_ms()
+                self._n_bytes_in_write = sum(len(entry.command) for entry in entries)
                 try:
                     await self._run_disk_io(self._store.append, entries)
                 except AlmonddealError as error:
@@ -107,7 +109,9 @@
 
     async def _replicate_in_scope(self, name, scope):
         with scope:
-            await self._replicate_periodically(name, scope)
+            async with create_task_group() as tasks:
+                tasks.start_soon(self._send_heartbeats_periodically, name, scope)
+                await self._replicate_periodically(name, scope)
 
     async def _replicate_periodically(self, name, scope):
         # Cancellation reaches a runnable task only at its next await. By then the peer
@@ -137,19 +141,55 @@
         term = self.term
         started_ms = monotonic_ms()
         message, timeout_ms = self._next_message(name)
-        reply = await peer.call(message, timeout_ms)
+        self._call_started_ms_by_name[name] = started_ms
+        try:
+            reply = await peer.call(message, timeout_ms)
+        finally:
+            self._call_started_ms_by_name.pop(name, None)
         if reply.term > self.term:
             async with self.disk_lock:
                 await self._adopt_term(reply.term)
             return
+        if self._record_acknowledgement(name, term, started_ms):
+            self._process_reply(name, reply)
+
+    def _record_acknowledgement(self, name, term, started_ms):
+        """Record a reply; return False if this member no longer leads that peer."""
         if (
             self.role != LEADER
             or self.term != term
             or name not in self._next_index_by_name
         ):
+            return False
+        self._acknowledged_ms_by_name[name] = max(
+            self._acknowledged_ms_by_name[name], started_ms
+        )
+        return True
+
+    async def _send_heartbeats_periodically(self, name, scope):
+        """Send heartbeats beside calls that take long, such as a large write."""
+        while not scope.cancel_called:
+            if self.role != LEADER:
+                await self._progress_event.wait()
+                continue
+            await anyio.sleep(LEADER_HEARTBEAT_INTERVAL_MS / 1000)
+            started_ms = self._call_started_ms_by_name.get(name, float("inf"))
+            if monotonic_ms() - started_ms > LEADER_HEARTBEAT_INTERVAL_MS:
+                await self._send_heartbeat(name)
+
+    async def _send_heartbeat(self, name):
+        term = self.term
+        started_ms = monotonic_ms()
+        # Without a position in the log, the peer replies without access to its disk.
+        message = AppendLog(term, self.name, 0, 0, [], 0, name)
+        try:
+            reply = await self._peer_by_name[name].call(message, RPC_TIMEOUT_MS)
+        except AlmonddealError:
+            # The call beside it ends as well, or takes longer.
             return
-        self._acknowledged_ms_by_name[name] = started_ms
-        self._process_reply(name, reply)
+        if reply.term == term:
+            self._record_acknowledgement(name, term, started_ms)
+            self._notify_progress()
 
     def _next_message(self, name):
         """Return the next message to a peer, and the time in ms that it may take."""
--- a/packages/entry/src/almonddeal/control/tests/faulty_disk.py
+++ b/packages/entry/src/almonddeal/control/tests/faulty_disk.py
@@ -7,6 +7,7 @@
 import errno
 import io
 import os
+import time
 from pathlib import Path
 
 from almonddeal.control import files, storage
@@ -33,6 +34,8 @@
     n_free_bytes : int
         Largest write that succeeds although it is full.
     refused_kinds : set of str
+    bytes_per_s : float
+        Rate of writes.
     n_operations : int
         Operations since `fail_between` was called.
     last_kind : str
@@ -44,6 +47,7 @@
         self.is_full = False
         self.n_free_bytes = 0
         self.refused_kinds = {CREATE, WRITE}
+        self.bytes_per_s = float("inf")
         self.n_operations = 0
         self.last_kind = None
         self._failing_operations = range(0)
@@ -75,6 +79,7 @@
         is_small = kind != WRITE or n_bytes > self.n_free_bytes
         if self.is_full and kind in self.refused_kinds and is_small:
             raise OSError(errno.ENOSPC, "no space left")
+        time.sleep(n_bytes / self.bytes_per_s)
         return n_bytes
 
     def record_sync(self, descriptor):
