control: compact the log by its size as well

What operators would see: disks that large configurations fill refuse every later change, for good, while all processes run.

Cause: the log was compacted after 4096 entries, however large.

--- a/packages/entry/src/almonddeal/control/consensus.py
+++ b/packages/entry/src/almonddeal/control/consensus.py
@@ -24,6 +24,8 @@
     KIND_MEMBERS,
     LEADER,
     MAX_ELECTIONS_WITHOUT_LEADER,
+    SNAPSHOT_INTERVAL_BYTES,
+    SNAPSHOT_INTERVAL_ENTRIES,
 )
 from almonddeal.control.elections import ElectionMixin
 from almonddeal.control.entries import EntryLog
@@ -47,8 +49,6 @@
     Snapshot,
 )
 
-SNAPSHOT_INTERVAL_ENTRIES = 4096
-
 log = get_logger("control")
 
 
@@ -107,6 +107,7 @@
         self._voted_for = store.meta.voted_for
         self._log = EntryLog(store.snapshot, store.entries)
         self._durable_index = self._log.last_index
+        self._n_applied_bytes = 0  # of the entries after the snapshot
         self.members_index = 0
         self.members = Members(dict.fromkeys([name, *peer_by_name], ""), 0)
         if connect is not None:
@@ -210,6 +211,7 @@
                     index, decode(Command, entry.command)
                 )
             self.applied_index = index
+            self._n_applied_bytes += len(entry.command)
             self._pending_proposals.resolve(entry, result)
         self._notify_applied()
 
@@ -218,15 +220,23 @@
             self._on_applied()
         self._notify_progress()
 
-    async def compact(self):
-        """Replace the applied entries by a snapshot.
+    def _is_compaction_due(self):
+        snapshot = self._log.snapshot
+        n_entries = self.applied_index - snapshot.index
+        # A log as large as the snapshot pays for writing and sending it.
+        limit_bytes = max(SNAPSHOT_INTERVAL_BYTES, len(snapshot.state))
+        return (
+            n_entries >= SNAPSHOT_INTERVAL_ENTRIES
+            or self._n_applied_bytes >= limit_bytes
+        )
 
-        Does nothing until `SNAPSHOT_INTERVAL_ENTRIES` were applied since the last one.
-        """
-        if self.applied_index - self._log.snapshot.index < SNAPSHOT_INTERVAL_ENTRIES:
+    async def compact(self):
+        """Replace the applied entries by a snapshot, once there are enough of them."""
+        if not self._is_compaction_due():
             return
         async with self.disk_lock:
             index = self.applied_index
+            n_bytes = self._n_applied_bytes
             state = self._state_machine.dump()
             snapshot = Snapshot(
                 self._log.snapshot.format,
@@ -243,6 +253,7 @@
                 log.error("could not write a snapshot, log is not compacted: %s", error)
                 return
             self._log.compact(snapshot)
+            self._n_applied_bytes -= n_bytes
             log.info("compacted the log into a snapshot at entry %d", index)
 
     def _members_at(self, index):
--- a/packages/entry/src/almonddeal/control/constants.py
+++ b/packages/entry/src/almonddeal/control/constants.py
@@ -21,6 +21,9 @@
 # A sync takes milliseconds, on a slow disk 100 ms; large writes may take longer.
 DISK_STALL_MS = 1000
 DISK_STALL_BACKOFF_MS = 5000  # before a member with a stalled disk stands for election
+# The log is compacted after so many entries, or bytes if the snapshot is not larger.
+SNAPSHOT_INTERVAL_ENTRIES = 4096
+SNAPSHOT_INTERVAL_BYTES = 4 * 1024 * 1024
 
 FOLLOWER = "follower"
 CANDIDATE = "candidate"
--- a/packages/entry/src/almonddeal/control/following.py
+++ b/packages/entry/src/almonddeal/control/following.py
@@ -147,6 +147,7 @@
                 self._log = EntryLog(snapshot, [])
                 self._durable_index = snapshot.index
                 self.commit_index = self.applied_index = snapshot.index
+                self._n_applied_bytes = 0
                 if snapshot.state:
                     self._state_machine.restore(snapshot.state)
                 if self._connect is not None:
--- a/packages/entry/src/almonddeal/control/tests/changing_group.py
+++ b/packages/entry/src/almonddeal/control/tests/changing_group.py
@@ -178,6 +178,10 @@
         """Commit a version, retrying with the current leader."""
         content = compress_content(b"version %d" % version)
         command = Command(publish=PublishConfiguration(version, content, "test", 0))
+        return await self.submit(command)
+
+    async def submit(self, command):
+        """Commit a command, retrying with the current leader."""
         with anyio.fail_after(20):
             while True:
                 leader = self.leader()
--- a/packages/entry/src/almonddeal/control/tests/faulty_disk.py
+++ b/packages/entry/src/almonddeal/control/tests/faulty_disk.py
@@ -33,6 +33,8 @@
         Whether it refuses the operations of `refused_kinds`.
     n_free_bytes : int
         Largest write that succeeds although it is full.
+    n_bytes : float
+        Size of the disk, for the files in the folder.
     refused_kinds : set of str
     bytes_per_s : float
         Rate of writes.
@@ -46,6 +48,7 @@
         self.folder = Path(folder)
         self.is_full = False
         self.n_free_bytes = 0
+        self.n_bytes = float("inf")
         self.refused_kinds = {CREATE, WRITE}
         self.bytes_per_s = float("inf")
         self.n_operations = 0
@@ -56,6 +59,11 @@
         self._synced_by_inode = {}
         self._inode_by_name = {}
 
+    @property
+    def n_used_bytes(self):
+        """Size of all files in the folder."""
+        return sum(path.stat().st_size for path in self.folder.iterdir())
+
     def fail_between(self, first, n_failures, is_write_short=False):
         """Let operations fail by their number, whatever their kind.
 
@@ -79,6 +87,8 @@
         is_small = kind != WRITE or n_bytes > self.n_free_bytes
         if self.is_full and kind in self.refused_kinds and is_small:
             raise OSError(errno.ENOSPC, "no space left")
+        if n_bytes and self.n_used_bytes + n_bytes > self.n_bytes:
+            raise OSError(errno.ENOSPC, "no space left")
         time.sleep(n_bytes / self.bytes_per_s)
         return n_bytes
 
