relay: read what targets state in responses to queries

What callers would see: a target that says that it leaves, or rejects with 503 and Retry-After, does so in all its responses, but an instance read that in responses to requests only.

Cause: the queries of the platform's client return the status and the body of their responses, and nobody looked at the headers. Ruled out: that such a response is of somebody else in a way that matters. It carries no id, but if another process has the address, the announced one is gone.

Change: the client calls TargetClient.observe with the head of each response to a query, before its body; RelayContext records it as it does those of requests, for the announced incarnation.

--- a/packages/entry/src/almonddeal/relay/context.py
+++ b/packages/entry/src/almonddeal/relay/context.py
@@ -39,6 +39,12 @@
         ``read_start_ms(announcement)`` returns the start time in ms of the engine that
         responds at the address of a target, or None if it reports none. Raises
         `NOT_REACHED` without a response.
+
+    Attributes
+    ----------
+    observe : callable
+        ``observe(announcement, response)`` is called with the `QueryResponse` of each
+        response to a query, before its body is read.
     """
 
     __slots__ = (
@@ -46,6 +52,7 @@
         "is_alive",
         "is_reachable",
         "list_cached_prefixes",
+        "observe",
         "open_attempt",
         "read_start_ms",
         "send_kv_copy",
@@ -68,6 +75,11 @@
         self.free_kv_copy = free_kv_copy
         self.list_cached_prefixes = list_cached_prefixes
         self.read_start_ms = read_start_ms
+        self.observe = _ignore
+
+
+def _ignore(announcement, response):
+    pass
 
 
 class RelayContext:
@@ -138,6 +150,7 @@
         self.quarantine = quarantine or Quarantine(instance)
         self.named_limits = NamedLimits(instance, self._count_requests)
         self.hold_offs = HoldOffs()
+        client.observe = self._record_query_response
         self.version = 0
         self.ends_ms = math.inf
         self.moving_streams = set()
@@ -190,6 +203,10 @@
             target
         )
 
+    def _record_query_response(self, announcement, response):
+        self.targets.record_response(announcement, response, None)
+        self.hold_offs.record(announcement, response, None)
+
     def may_send(self, target):
         """Tell whether a `TrackedTarget` that was chosen still takes requests."""
         return self.targets.is_usable(target) and self.hold_offs.allows(
--- a/packages/entry/src/almonddeal/relay/hold_offs.py
+++ b/packages/entry/src/almonddeal/relay/hold_offs.py
@@ -37,9 +37,9 @@
         ----------
         announcement : AnnouncedTarget
             Of the target, as the request was sent.
-        response : TargetResponse
-        request_id : str
-            For the log.
+        response : TargetResponse or QueryResponse
+        request_id : str or None
+            For the log; None of a query.
         """
         if not response.retry_after_ms or response.is_of_other_request:
             return
--- a/packages/entry/src/almonddeal/relay/requests.py
+++ b/packages/entry/src/almonddeal/relay/requests.py
@@ -234,6 +234,27 @@
         return self.admitted.priority + (has_generation and is_new)
 
 
+class QueryResponse:
+    """What the response of a target to a query states of the target.
+
+    A query has no id, so that its response is taken for one of the target.
+
+    Parameters
+    ----------
+    is_leaving, retry_after_ms
+        As of a `TargetResponse`.
+    """
+
+    __slots__ = ("is_leaving", "retry_after_ms")
+
+    is_of_target = True
+    is_of_other_request = False
+
+    def __init__(self, is_leaving=False, retry_after_ms=None):
+        self.is_leaving = is_leaving
+        self.retry_after_ms = retry_after_ms
+
+
 class TargetResponse:
     """Response of a target: the head, and the body as a stream of chunks.
 
--- a/packages/entry/src/almonddeal/relay/targets.py
+++ b/packages/entry/src/almonddeal/relay/targets.py
@@ -166,9 +166,9 @@
         ----------
         announcement : AnnouncedTarget
             Of the target, as the request was sent.
-        response : TargetResponse
-        request_id : str
-            For the log.
+        response : TargetResponse or QueryResponse
+        request_id : str or None
+            For the log; None of a query.
         """
         if not (response.is_leaving and response.is_of_target):
             return
