--- a/packages/entry/src/almonddeal/relay/context.py
+++ b/packages/entry/src/almonddeal/relay/context.py
@@ -38,7 +38,7 @@
     read_start_ms : callable
         ``read_start_ms(announcement)`` returns the start time in ms of the engine that
         responds at the address of a target, or None if it reports none. Raises
-        `NOT_REACHED` without a response.
+        `NOT_REACHED` without a report, for the time being.
 
     Attributes
     ----------
