publication: return once a majority of the control group replied

Callers that resume an unnamed stream waited 300 ms, and targets 600 ms for the acknowledgement of an announcement, while one of three control instances was silent (stopped, or cut off for less than 1.5 s). At its timeout, the call was withdrawn from the silent member, which then lacked the announcement if it had not handled it.

Cause: the calls to the members were awaited to the last, though a majority decides.

Change: the wait ends with the reply that makes the majority. The calls have been sent by then and are not withdrawn (`Link.call(..., is_cancellable=False)`), so that a member that was silent handles them when it resumes; if its link closes, it receives the state with the next one, as before.

The fakes of test_feed.py take the new argument.

--- a/packages/common/src/almonddeal_common/wire/connect.py
+++ b/packages/common/src/almonddeal_common/wire/connect.py
@@ -129,9 +129,9 @@
         if self.connected.is_set():
             self.connected = anyio.Event()
 
-    async def call(self, message, timeout_ms):
+    async def call(self, message, timeout_ms, is_cancellable=True):
         """Call the peer over the open link; raises `NOT_REACHED` without one."""
-        return await self.require_link().call(message, timeout_ms)
+        return await self.require_link().call(message, timeout_ms, is_cancellable)
 
     def require_link(self):
         """Return the open link; raises `NOT_REACHED` without one."""
--- a/packages/common/src/almonddeal_common/wire/link.py
+++ b/packages/common/src/almonddeal_common/wire/link.py
@@ -297,10 +297,11 @@
             )
         self._call_by_id.clear()
 
-    async def call(self, message, timeout_ms=None):
+    async def call(self, message, timeout_ms=None, is_cancellable=True):
         """Send a message and return the peer's reply.
 
-        Without a timeout, the call waits until the reply arrives or the link closes.
+        Without a timeout, the call waits until the reply arrives or the link closes. If
+        it ends before, the peer cancels its handler if `is_cancellable` is true.
 
         Raises
         ------
@@ -316,7 +317,7 @@
                 with anyio.move_on_after(timeout_ms / 1000):
                     await call.changed.wait()
         finally:
-            self.discard_call(call_id, cancel=not call.is_done)
+            self.discard_call(call_id, cancel=is_cancellable and not call.is_done)
         if call.error is not None:
             raise call.error
         if not call.is_done:
--- a/packages/entry/src/almonddeal/publication/feed.py
+++ b/packages/entry/src/almonddeal/publication/feed.py
@@ -269,7 +269,9 @@
         return is_replicated
 
     async def _call_peers(self, message, timeout_ms, accepts=lambda peer, reply: True):
-        """Call the other control instances; return whether a majority replied.
+        """Call the other voters; return whether a majority replied, once that is known.
+
+        The rest receive the message as well, also if they are silent for some time.
 
         Parameters
         ----------
@@ -285,10 +287,14 @@
         async def call(peer):
             nonlocal n_acknowledged
             try:
-                reply = await peer.call(message, timeout_ms)
-                n_acknowledged += accepts(peer, reply)
+                reply = await peer.call(message, timeout_ms, is_cancellable=False)
             except AlmonddealError as error:
                 log.info("call of control instance %s failed: %s", peer.name, error)
+                return
+            n_acknowledged += accepts(peer, reply)
+            if n_acknowledged >= n_required:
+                # Stops waiting only: the calls have been sent.
+                group.cancel_scope.cancel()
 
         async with anyio.create_task_group() as group:
             for name in members.voters_except(self._name):
--- a/packages/entry/src/almonddeal/publication/tests/test_feed.py
+++ b/packages/entry/src/almonddeal/publication/tests/test_feed.py
@@ -37,7 +37,7 @@
         self.is_silent = False
         self.received = []
 
-    async def call(self, message, timeout_ms):
+    async def call(self, message, timeout_ms, is_cancellable=True):
         await anyio.sleep(0.001)
         if self.is_silent:
             raise AlmonddealError(LINK_LOST, "cut")
@@ -212,7 +212,7 @@
 class EncodingPeer(Peer):
     """Control instance that receives messages as they are encoded."""
 
-    async def call(self, message, timeout_ms):
+    async def call(self, message, timeout_ms, is_cancellable=True):
         await super().call(resend(Phase.CALL, message), timeout_ms)
 
     def notify(self, message):
@@ -328,7 +328,7 @@
         self.messages = messages
         self.reply = ShareTargets([])
 
-    async def call(self, message, timeout_ms):
+    async def call(self, message, timeout_ms, is_cancellable=True):
         assert message == ShareTargets([])
         await anyio.sleep(0.001)
         if self.is_silent:
