--- a/packages/entry/src/almonddeal/control/consensus.py
+++ b/packages/entry/src/almonddeal/control/consensus.py
@@ -225,6 +225,8 @@
         n_entries = self.applied_index - snapshot.index
         # A log as large as the snapshot pays for writing and sending it.
         limit_bytes = max(SNAPSHOT_INTERVAL_BYTES, len(snapshot.state))
+        # On a full disk, it is worth the cost once it makes room for a refused write.
+        limit_bytes = min(limit_bytes, self._store.n_missing_bytes or limit_bytes)
         return (
             n_entries >= SNAPSHOT_INTERVAL_ENTRIES
             or self._n_applied_bytes >= limit_bytes
--- a/packages/entry/src/almonddeal/control/elections.py
+++ b/packages/entry/src/almonddeal/control/elections.py
@@ -91,7 +91,7 @@
 
     async def _start_election(self):
         self._n_elections_without_leader += 1
-        if self._store.is_room_unknown:
+        if self._store.n_missing_bytes:
             # Without room, the first write as leader would end its term.
             async with self.disk_lock:
                 await self._run_disk_io(self._store.check_room)
--- a/packages/entry/src/almonddeal/control/storage.py
+++ b/packages/entry/src/almonddeal/control/storage.py
@@ -1,8 +1,9 @@
 """Files of the replicated log in a data folder.
 
 ``meta`` has the term and the vote, ``snapshot`` the state up to an index, ``log`` the
-entries after it. Records have a CRC-32. A file is durable once it and its directory
-entry are synced. Methods block; callers run them in a worker thread, one at a time.
+entries after it; ``reserve`` keeps room for a snapshot. Records have a CRC-32. A file
+is durable once it and its directory entry are synced. Methods block; callers run them
+in a worker thread, one at a time.
 """
 
 import os
@@ -13,6 +14,7 @@
 
 from almonddeal.control.constants import STORAGE_FULL_BACKOFF_MS
 from almonddeal.control.files import (
+    DISK_FULL_ERRNOS,
     read_checksummed_file,
     refused_on_full_disk,
     removed_on_error,
@@ -31,6 +33,7 @@
 RECORD_MAGIC = b"\xa1\xd5"
 # magic, CRC of the rest, payload length, file size at the last completed sync
 RECORD_HEADER = struct.Struct(">2sIIQ")
+MIN_RESERVE_BYTES = 256 * 1024  # beside the size of the last snapshot
 
 log = get_logger("storage")
 
@@ -118,6 +121,7 @@
             self._load_snapshot()
             self._load_log()
             sync_directory(self._folder)
+        self._reserve_room()
         return self
 
     def __exit__(self, *exc_info):
@@ -288,13 +292,14 @@
         self._size = self._n_synced_bytes = size
 
     @property
-    def is_room_unknown(self):
-        """Whether a write was refused a short time ago, and no larger one succeeded.
+    def n_missing_bytes(self):
+        """Size of a write that was refused a short time ago, and no larger one since.
 
-        A change too large for all disks must not keep all members from leading.
+        Otherwise 0: a change too large for all disks must not keep all members from
+        leading.
         """
         age_ms = monotonic_ms() - self._refused_at_ms
-        return self._n_refused_bytes > 0 and age_ms < STORAGE_FULL_BACKOFF_MS
+        return self._n_refused_bytes if age_ms < STORAGE_FULL_BACKOFF_MS else 0
 
     def check_room(self):
         """Check that as large a write as was last refused would succeed now.
@@ -351,9 +356,33 @@
             `STORAGE_FULL`; the log is then unchanged, the snapshot may be the new one.
         """
         with self._handle_write_errors("snapshot"):
-            write_checksummed_file(self._folder / "snapshot", encode(snapshot))
-            self.snapshot = snapshot
-            self._replace_log(entries_after)
+            try:
+                self._write_snapshot(snapshot, entries_after)
+            except OSError as error:
+                is_full = error.errno in DISK_FULL_ERRNOS
+                if not is_full or not self._reserve_path.exists():
+                    raise
+                self._reserve_path.unlink()
+                self._write_snapshot(snapshot, entries_after)
+        self._reserve_room()
+
+    def _write_snapshot(self, snapshot, entries_after):
+        write_checksummed_file(self._folder / "snapshot", encode(snapshot))
+        self.snapshot = snapshot
+        self._replace_log(entries_after)
+
+    @property
+    def _reserve_path(self):
+        return self._folder / "reserve"
+
+    def _reserve_room(self):
+        """Reserve room for the next snapshot, as without one a full log stays full."""
+        n_bytes = len(self.snapshot.state) + MIN_RESERVE_BYTES
+        path = self._reserve_path
+        # Without room for it, the next snapshot tries again.
+        with suppress(OSError), removed_on_error(path):
+            if not path.exists() or path.stat().st_size < n_bytes:
+                write_file(path, bytes(n_bytes))
 
     @contextmanager
     def _handle_write_errors(self, name):
--- a/packages/entry/src/almonddeal/control/tests/test_small_disks.py
+++ b/packages/entry/src/almonddeal/control/tests/test_small_disks.py
@@ -67,3 +67,20 @@
                 await group.wait_version(address, n_changes - 1)
 
         run_group(tmp_path, SEEDS, test)
+
+    # Guards against a disk that stays full, as the snapshot that would make room on it
+    # finds none itself.
+    def test_disk_without_a_free_byte_has_room_again(self, tmp_path, disks):
+        async def test(group):
+            for version in range(2, 20):
+                await group.submit(change_of(version))
+            for address in SEEDS:
+                disk = disks.disk(tmp_path / address)
+                disk.n_bytes = disk.n_used_bytes
+            with anyio.fail_after(ACKNOWLEDGE_S):
+                for version in range(20, 40):
+                    await group.submit(change_of(version))
+            for address in SEEDS:
+                await group.wait_version(address, 39)
+
+        run_group(tmp_path, SEEDS, test)
