relay: count no query of a start time as a late first event

What callers saw: a stream whose first event had arrived in time left its engine for another, with a second prefill and a retry, while the engine was asked for its start time.

Cause: the deadline for the first event was lifted only after the query, which takes up to 1.5 s if the engine is slow to respond. Ruled out: an engine that is lost meanwhile stays unnoticed; it is still probed as before, and the query has its own limit.

Change: the deadline is lifted as soon as events have arrived.

Tests: test_time_of_the_query_does_not_count, which failed before (the stream was sent to i-1 and i-2). All relay tests pass.

--- a/packages/entry/src/almonddeal/relay/forwarding.py
+++ b/packages/entry/src/almonddeal/relay/forwarding.py
@@ -50,6 +50,7 @@
             continue
         # Comments do not show that the engine still generates.
         is_progress = not all(event.is_comment for event in events)
+        deadline, timer.deadline = timer.deadline, float("inf")
         if is_progress:
             engine.record_activity()
             if not progress.has_event:
@@ -57,7 +58,6 @@
                 record_first_event(stream, context, engine)
             if stream.software_version is None:
                 record_origin(stream, context, announcement)
-        deadline, timer.deadline = timer.deadline, float("inf")
         with progress.sending():
             await _send_events(stream, response, events, progress)
         if is_progress:
--- a/packages/entry/src/almonddeal/relay/tests/test_restarted_engines.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_restarted_engines.py
@@ -215,6 +215,37 @@
         run_in_virtual_time(main)
 
 
+class TestSlowReports:
+    # Guards against a stream that leaves its engine as late for the first event, which
+    # has arrived, while the engine is asked for its start time.
+    def test_time_of_the_query_does_not_count(self):
+        async def main():
+            fleet = make_fleet(ONE_VERSION, i_1=begins_late)
+            fleet.context.is_current = lambda: False
+            fleet.start_ms_by_target["i-1"] = NO_RESPONSE
+            async with anyio.create_task_group() as group:
+
+                async def serve():
+                    route = make_route(STREAM, objective_ms=500.0)
+                    admitted = admit_stream(route, n_prompt=100)
+                    writer = await relay_whole(fleet.context, admitted)
+                    assert is_complete_response(writer)
+
+                group.start_soon(serve)
+                await anyio.sleep(1.2)
+                assert fleet.start_queries
+                del fleet.start_ms_by_target["i-1"]
+            assert fleet.tried == ["i-1"]
+
+        async def begins_late(attempt):
+            yield 200
+            await anyio.sleep(0.6)
+            for number in range(1, LAST + 1):
+                yield make_event(number)
+
+        run_in_virtual_time(main)
+
+
 class TestNoOtherEngine:
     # Guards against the restarted engine when it is the only one left.
     @pytest.mark.parametrize("start_ms", [RESTARTED_MS, NO_RESPONSE])
