relay: send no probes and queries to targets that hold off

What a target saw: in the time for which it wanted nothing, probes from an instance whose streams it ran, at most one each 300 ms while it was silent to them, and a query of its start time for each stream that went on or began there.

Cause: the decision to send them all the same (0016), as nothing else shows that an engine is lost. Ruled out: that the loss is not found otherwise. An engine in a pause is connected to, on which nothing is sent; one that is frozen and accepts connections is left by the limits on silence, before the first event and after it.

Change: RelayContext.responds probes a target, or connects to one that holds off.

--- a/packages/entry/src/almonddeal/relay/attempts.py
+++ b/packages/entry/src/almonddeal/relay/attempts.py
@@ -210,7 +210,7 @@
     if engine.is_silent and probed_ms - engine.probed_ms < PROBE_REPEAT_MS:
         return
     engine.probed_ms = probed_ms
-    if await context.is_alive(engine.announcement):
+    if await context.responds(engine.announcement):
         engine.record_activity()
     elif engine.last_activity_ms < probed_ms:
         engine.record_silence()
@@ -359,7 +359,7 @@
     if progress.has_survived or not context.quarantine.unproven(suspects):
         return
     if error.code == LINK_LOST:
-        if await context.is_alive(engine.announcement):
+        if await context.responds(engine.announcement):
             return
         context.targets.eject(engine, "liveness probe failed", stream.request_id)
     elif error.code != TARGET_STALLED or not fell_silent(context, engine, progress):
--- a/packages/entry/src/almonddeal/relay/context.py
+++ b/packages/entry/src/almonddeal/relay/context.py
@@ -213,6 +213,15 @@
             target.announcement
         )
 
+    async def responds(self, announcement):
+        """Tell whether a target responds to a probe.
+
+        One that holds off is only connected to, as it wants no requests.
+        """
+        if self.hold_offs.allows(announcement):
+            return await self.is_alive(announcement)
+        return await self.is_reachable(announcement)
+
     def candidates(self, service_name, excluded=(), software_version=None):
         """Return the targets of a service that do not hold off, as a list.
 
--- a/packages/entry/src/almonddeal/relay/forwarding.py
+++ b/packages/entry/src/almonddeal/relay/forwarding.py
@@ -1,5 +1,7 @@
 """Forwarding of the events of an engine's response to the caller of a stream."""
 
+from contextlib import suppress
+
 import anyio
 
 from almonddeal.relay.events import EventReader
@@ -88,7 +90,7 @@
         `LINK_LOST` if it did, or does not tell.
     """
     if _needs_start_time(stream, context):
-        start_ms = await _read_start_ms(context, announcement)
+        start_ms = await _read_start_ms(stream, context, announcement)
         if start_ms not in (None, announcement.born_ms):
             if engine.announcement.born_ms == announcement.born_ms:
                 context.targets.record_restart(engine, start_ms, stream.request_id)
@@ -107,13 +109,24 @@
     return stream.software_version is not None or not context.is_current()
 
 
-async def _read_start_ms(context, announcement):
+async def _read_start_ms(stream, context, announcement):
+    """Return the start time that an engine reports, or None if it is not needed.
+
+    An engine that holds off is not asked until the end. Control may be heard before.
+    """
+    hold_offs = context.hold_offs
     with anyio.move_on_after(MAX_START_WAIT_S):
-        while True:
-            try:
-                return await context.read_start_ms(announcement)
-            except AlmonddealError:
-                await anyio.sleep(START_RETRY_INTERVAL_S)
+        while _needs_start_time(stream, context):
+            if hold_offs.allows(announcement):
+                with suppress(AlmonddealError):
+                    return await context.read_start_ms(announcement)
+            elif (
+                stream.software_version is not None
+                and hold_offs.pause_left_ms(announcement) > 1000 * MAX_START_WAIT_S
+            ):
+                raise AlmonddealError(LINK_LOST, "the engine holds off too long")
+            await anyio.sleep(START_RETRY_INTERVAL_S)
+        return None
     raise AlmonddealError(LINK_LOST, "the engine does not report its start time")
 
 
--- a/packages/entry/src/almonddeal/relay/hold_offs.py
+++ b/packages/entry/src/almonddeal/relay/hold_offs.py
@@ -59,7 +59,13 @@
 
     def allows(self, announcement):
         """Tell whether requests may be sent to an announced target now."""
-        return not self._left_ms(announcement)
+        return not self.pause_left_ms(announcement)
+
+    def pause_left_ms(self, announcement):
+        """Return the time until requests may be sent to an announced target, in ms."""
+        key = (announcement.target, announcement.born_ms)
+        end_ms = self._end_ms_by_key.get(key)
+        return 0.0 if end_ms is None else max(0.0, end_ms - monotonic_ms())
 
     def paused_ids(self, targets):
         """Return the ids of the targets in a `TargetTable` that hold off, as a set."""
@@ -82,7 +88,7 @@
         left_ms : float
             0 if one of them may get a request now, or there are none.
         """
-        return min((self._left_ms(t.announcement) for t in targets), default=0.0)
+        return min((self.pause_left_ms(t.announcement) for t in targets), default=0.0)
 
     def retry_after_ms(self, targets):
         """Return the Retry-After time in ms of a request if all targets hold off.
@@ -111,8 +117,3 @@
         for key, end_ms in list(self._end_ms_by_key.items()):
             if end_ms <= now_ms:
                 del self._end_ms_by_key[key]
-
-    def _left_ms(self, announcement):
-        key = (announcement.target, announcement.born_ms)
-        end_ms = self._end_ms_by_key.get(key)
-        return 0.0 if end_ms is None else max(0.0, end_ms - monotonic_ms())
