control: let no task start in a member that ends

Callers saw nothing; a control instance that is stopped could stay until it is killed.

Cause: a handler whose disk write is in progress outlives the cancelled tasks of its member and then stores a membership change, which starts a replication task in the task group of the member. A cancelled group stops delivering the cancellation when its own tasks have ended; a task that is started between this and the end of the group is never cancelled. run() forgot the group only after its end.

Ruled out: delays and losses of messages, split votes, slow disks and stalls of the event loop alone: 2401 such schedules ended, by success or by the timeouts of the test.

Change: run() forgets the group as soon as it is cancelled, before it waits for its tasks.

--- a/packages/entry/src/almonddeal/control/consensus.py
+++ b/packages/entry/src/almonddeal/control/consensus.py
@@ -163,16 +163,18 @@
 
     async def run(self):
         """Run elections and replication until cancelled."""
-        try:
-            async with create_task_group() as task_group:
-                task_group.start_soon(self._tick_periodically)
-                task_group.start_soon(self._write_proposals)
-                self._task_group = task_group
-                self._update_peers()
-        finally:
-            # A handler in the middle of a disk write outlives the tasks of the group
-            # and may still store a membership change.
-            self._task_group = None
+        async with create_task_group() as task_group:
+            task_group.start_soon(self._tick_periodically)
+            task_group.start_soon(self._write_proposals)
+            self._task_group = task_group
+            self._update_peers()
+            try:
+                await anyio.sleep_forever()
+            finally:
+                # A handler in the middle of a disk write may still store a membership
+                # change. The group would not cancel a task that starts while it waits
+                # for the end of its cancelled tasks.
+                self._task_group = None
 
     async def _run_disk_io(self, function, *args):
         return await to_thread.run_sync(function, *args)
