tests: members of a control group with links in a module of their own

The tests of silent members and those of announcements without a majority use the same members; test_silent_member.py has addresses and a port group of its own. What the tests check is unchanged.

--- a/packages/entry/src/almonddeal/publication/tests/test_silent_member.py
+++ b/packages/entry/src/almonddeal/publication/tests/test_silent_member.py
@@ -7,20 +7,25 @@
 
 from almonddeal.announced.announcement import READY
 from almonddeal.publication import feed as feed_module
-from almonddeal.publication.tests.test_catch_up_links import NAMES, Instance
+from almonddeal.publication.tests.linked_members import (
+    NAMES,
+    LinkedMember,
+    serve_members,
+)
 from almonddeal_common.codes import OK
 from almonddeal_common.wire.gen.ttypes import AnnouncedTarget, Follow, ReadFresh
 
+ADDRESS_BY_NAME = {n: f"127.79.0.{i}:7399" for i, n in enumerate(NAMES, 1)}
 TARGET = AnnouncedTarget(
     "i-1", "s", "10.0.0.1:80", "fd1", "v1", 8, READY, 1000, 1, 0, 0
 )
 
 
-class SilentInstance(Instance):
-    """Control instance that handles announcements only once it has resumed."""
+class SilentMember(LinkedMember):
+    """Member that handles announcements only once it has resumed."""
 
-    def __init__(self, name):
-        super().__init__(name)
+    def __init__(self, name, address_by_name):
+        super().__init__(name, address_by_name)
         self.resumed = anyio.Event()
         self._handle_share_targets = self.feed.handle_share_targets
         self.feed.handle_share_targets = self._handle_when_resumed
@@ -33,20 +38,14 @@
 @asynccontextmanager
 async def connected_group(silent_names):
     """Run three members, the first of which has links to the others."""
-    instances = [
-        (SilentInstance if name in silent_names else Instance)(name) for name in NAMES
+    members = [
+        (SilentMember if name in silent_names else LinkedMember)(name, ADDRESS_BY_NAME)
+        for name in NAMES
     ]
-    first = instances[0]
-    async with anyio.create_task_group() as group:
-        for instance in instances:
-            await group.start(lambda task_status, i=instance: i.serve(task_status))
+    async with serve_members(members) as group:
         for name in NAMES[1:]:
-            first.dial(name, group)
-        with anyio.fail_after(5):
-            for peer in first.peers.values():
-                await peer.connected.wait()
-        yield group, instances
-        group.cancel_scope.cancel()
+            await members[0].connect(name, group)
+        yield group, members
 
 
 class TestSilentMember:
@@ -79,8 +78,8 @@
         self, silent_name
     ):
         async def main():
-            async with connected_group([silent_name]) as (_, instances):
-                first, silent = instances[0], instances[NAMES.index(silent_name)]
+            async with connected_group([silent_name]) as (_, members):
+                first, silent = members[0], members[NAMES.index(silent_name)]
                 with anyio.fail_after(10):
                     assert await first.feed.accept_announcement(TARGET, "x")
                 await anyio.sleep(0.1)
@@ -102,10 +101,10 @@
             async with connected_group(NAMES[1:]) as (_, (first, *silent)):
                 assert not await first.feed.accept_announcement(TARGET, "x")
                 await anyio.sleep(0.1)
-                for instance in silent:
-                    instance.resumed.set()
+                for member in silent:
+                    member.resumed.set()
                 with anyio.fail_after(5):
-                    while any(len(i.feed._registry.announcements) == 0 for i in silent):
+                    while any(len(m.feed._registry.announcements) == 0 for m in silent):
                         await anyio.sleep(0.01)
 
         anyio.run(main)
--- a/tools/almonddeal_tools/scheduling.py
+++ b/tools/almonddeal_tools/scheduling.py
@@ -27,6 +27,7 @@
     "test_follower_failures.py": "follower",
     "test_http.py": "http",
     "test_limits.py": "connections",
+    "test_silent_member.py": "silent member",
 }
 
 
