control: send no heartbeat to a member after its removal

What operators would see: a control instance that leads ends with a KeyError as it removes a member, and the group elects another.

Cause: the task that sends heartbeats beside a long call checked its scope before it slept, and looked up the peer after it. If its timer is due in the same pass of the event loop as the removal, the cancellation comes too late: it reaches a runnable task only at its next await. A call to a member that is about to be removed is as a rule a long one, and after a stall of the event loop all timers are due at once. The task that replicates checks its scope for the same reason.

Change: the task sleeps after the heartbeat, so that nothing waits between the check and the call.

--- a/packages/entry/src/almonddeal/control/leading.py
+++ b/packages/entry/src/almonddeal/control/leading.py
@@ -172,10 +172,10 @@
             if self.role != LEADER:
                 await self._progress_event.wait()
                 continue
-            await anyio.sleep(LEADER_HEARTBEAT_INTERVAL_MS / 1000)
             started_ms = self._call_started_ms_by_name.get(name, float("inf"))
             if monotonic_ms() - started_ms > LEADER_HEARTBEAT_INTERVAL_MS:
                 await self._send_heartbeat(name)
+            await anyio.sleep(LEADER_HEARTBEAT_INTERVAL_MS / 1000)
 
     async def _send_heartbeat(self, name):
         term = self.term
