--- a/packages/entry/src/almonddeal/relay/tests/test_restarted_engines.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_restarted_engines.py
@@ -7,6 +7,7 @@
 import anyio
 import pytest
 
+from almonddeal.relay.requests import QueryResponse
 from almonddeal.relay.targets import OUTDATED_MS
 from almonddeal.relay.tests.fakes import (
     admit_stream,
@@ -167,6 +168,33 @@
 
         run_in_virtual_time(main)
 
+    # Guards against queries in the pause for which an engine asked as it rejected one.
+    @pytest.mark.parametrize(("retry_after_ms", "n_queries"), [(800, 2), (5000, 1)])
+    def test_engine_that_asks_for_a_pause_is_not_asked_again(
+        self, retry_after_ms, n_queries
+    ):
+        async def main():
+            fleet = make_fleet(ONE_VERSION)
+            query = fleet.context.read_start_ms
+
+            async def reject_during_pause(announcement):
+                start_ms = await query(announcement)
+                n_queries = fleet.start_queries.count("i-1")
+                is_paused = not hold_offs.allows(announcement)
+                if announcement.target == "i-1" and (n_queries == 1 or is_paused):
+                    response = QueryResponse(retry_after_ms=retry_after_ms)
+                    hold_offs.record(announcement, response, None)
+                    raise NO_RESPONSE
+                return start_ms
+
+            hold_offs = fleet.context.hold_offs
+            fleet.context.read_start_ms = reject_during_pause
+            add_origin(fleet.context)
+            assert is_rest_of("v1", await relay_whole(fleet.context, resume_request()))
+            assert fleet.start_queries.count("i-1") == n_queries
+
+        run_in_virtual_time(main)
+
     # Guards against targets that serve and report no start time.
     def test_engine_without_a_start_time_goes_on(self):
         async def main():
