control: step down as leader in any operation of a stalled disk

Cause: only the write of log entries was timed. In any other operation the leader holds the lock of its disk, so that no entry is written and none is committed, while it sends heartbeats and entries, and the other members take it for alive.

Ruled out: a follower with a stalled disk. It acknowledges heartbeats for as long as it runs, but the leader commits with the other one.

Change: all operations are timed, in the one place where they are run.

busy does not stand for election, as was so after a log write.

Tests: test_another_member_leads, 2 of 2 failed before: no change in 8 s. All tests of control/ pass with it (172).

--- a/packages/entry/src/almonddeal/control/consensus.py
+++ b/packages/entry/src/almonddeal/control/consensus.py
@@ -28,7 +28,7 @@
     SNAPSHOT_INTERVAL_ENTRIES,
 )
 from almonddeal.control.elections import ElectionMixin
-from almonddeal.control.entries import EntryLog
+from almonddeal.control.entries import EntryLog, n_command_bytes
 from almonddeal.control.following import FollowerMixin
 from almonddeal.control.leading import LeaderMixin
 from almonddeal.control.members import Members
@@ -176,8 +176,17 @@
                 # for the end of its cancelled tasks.
                 self._task_group = None
 
-    async def _run_disk_io(self, function, *args):
-        return await to_thread.run_sync(function, *args)
+    async def _run_disk_io(self, function, *args, n_bytes=0):
+        """Run a disk operation, the only one of this member, in a worker thread.
+
+        The caller holds `disk_lock`.
+        """
+        self._write_started_ms = monotonic_ms()
+        self._n_bytes_in_write = n_bytes
+        try:
+            return await to_thread.run_sync(function, *args)
+        finally:
+            self._write_started_ms = None
 
     def _quorum_acknowledged_ms(self):
         """Latest time at which a majority is known to have accepted this leader."""
@@ -252,7 +261,12 @@
             later = self._log.entries_from(index + 1)
             durable = [e for e in later if e.index <= self._durable_index]
             try:
-                await self._run_disk_io(self._store.save_snapshot, snapshot, durable)
+                await self._run_disk_io(
+                    self._store.save_snapshot,
+                    snapshot,
+                    durable,
+                    n_bytes=len(state) + n_command_bytes(durable),
+                )
             except AlmonddealError as error:
                 log.error("could not write a snapshot, log is not compacted: %s", error)
                 return
--- a/packages/entry/src/almonddeal/control/elections.py
+++ b/packages/entry/src/almonddeal/control/elections.py
@@ -66,12 +66,12 @@
             self._become_follower(None)
 
     def _step_down_if_disk_stalls(self, now_ms):
-        """Step down if a log write stalls, so that another member can lead."""
+        """Step down if a disk operation stalls, so that another member can lead."""
         started_ms = self._write_started_ms
         limit_ms = DISK_STALL_MS + self._n_bytes_in_write / MIN_DISK_BYTES_PER_MS
         if started_ms is not None and now_ms - started_ms > limit_ms:
             log.warning(
-                "stepped down as leader, a log write has taken %.0f ms",
+                "stepped down as leader, a disk operation has taken %.0f ms",
                 now_ms - started_ms,
             )
             self._election_timer_start_ms = now_ms + DISK_STALL_BACKOFF_MS
--- a/packages/entry/src/almonddeal/control/entries.py
+++ b/packages/entry/src/almonddeal/control/entries.py
@@ -1,6 +1,11 @@
 """In-memory log of one member: a snapshot and the entries after it."""
 
 
+def n_command_bytes(entries):
+    """Return the size of the commands of log entries in bytes."""
+    return sum(len(entry.command) for entry in entries)
+
+
 class EntryLog:
     """Log entries by index; entries covered by the snapshot are not kept.
 
--- a/packages/entry/src/almonddeal/control/leading.py
+++ b/packages/entry/src/almonddeal/control/leading.py
@@ -18,6 +18,7 @@
     RPC_TIMEOUT_MS,
     TICK_MS,
 )
+from almonddeal.control.entries import n_command_bytes
 from almonddeal.control.transfers import EntryTransfer, SnapshotTransfer
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import (
@@ -86,16 +87,15 @@
                 entries = self._log.entries_from(from_index)
                 if not entries:
                     continue
-                self._write_started_ms = monotonic_ms()
-                self._n_bytes_in_write = sum(len(entry.command) for entry in entries)
+                n_bytes = n_command_bytes(entries)
                 try:
-                    await self._run_disk_io(self._store.append, entries)
+                    await self._run_disk_io(
+                        self._store.append, entries, n_bytes=n_bytes
+                    )
                 except AlmonddealError as error:
                     log.error("stepped down as leader, log write failed: %s", error)
                     self._step_down_after_failed_write(from_index)
                     continue
-                finally:
-                    self._write_started_ms = None
                 self._durable_index = entries[-1].index
             self._advance_commit()
 
@@ -197,7 +197,7 @@
         transfer = self._update_transfer(name, next_index)
         if transfer is None:
             entries = self._entries_for_append(next_index)
-            n_bytes = sum(len(entry.command) for entry in entries)
+            n_bytes = n_command_bytes(entries)
             return (
                 self._make_append_message(next_index, entries, name),
                 _call_timeout_ms(n_bytes, n_bytes),
