control: serve signals while a start waits for room

What operators would see: a reload of the settings (SIGHUP) ends a control instance whose start waits for room on its disk.

Cause: the handlers of signals were installed once the instance served.

Change: they are installed before the store is opened. A signal to stop ends a start that waits, in order.

--- a/packages/entry/src/almonddeal/roles/control.py
+++ b/packages/entry/src/almonddeal/roles/control.py
@@ -206,7 +206,14 @@
         with ExitStack() as stack:
             listener = await listen(settings.link_address)
             async with anyio.create_task_group() as group:
-                name, store, consensus = await self._build_member(stack, group)
+                stop = anyio.Event()
+                start_scope = anyio.CancelScope()
+                await group.start(self._handle_signals, stop, start_scope)
+                with start_scope:
+                    name, store, consensus = await self._build_member(stack, group)
+                if start_scope.cancelled_caught:
+                    group.cancel_scope.cancel()
+                    return
                 handlers = self._handlers(consensus)
                 group.start_soon(serve_links, listener, self._hello, handlers)
                 group.start_soon(consensus.run)
@@ -227,21 +234,19 @@
                     index=consensus.applied_index,
                     n_entries=len(store.entries),
                 )
-                await self._serve(app)
+                await self._serve(app, stop)
                 decide(log, "control instance stopped", name=name)
                 group.cancel_scope.cancel()
 
-    async def _serve(self, app):
+    async def _serve(self, app, stop):
         """Serve HTTP to operators, targets and metrics until a stop signal."""
         settings = self.settings
-        stop = anyio.Event()
         config = make_config(settings.control)
         config.graceful_timeout = HTTP_STOP_TIMEOUT_S
         async with anyio.create_task_group() as servers:
             servers.start_soon(serve_http, app, settings.control, stop, None, config)
             servers.start_soon(serve_http, metrics_app, settings.metrics, stop)
-            await self._wait_for_stop_signal()
-            stop.set()
+            await stop.wait()
 
     async def _build_member(self, stack, task_group):
         settings = self.settings
@@ -311,10 +316,17 @@
             return await self.feed.handle_read_fresh(link, message, emit)
         return await self._control_client.handle_read_fresh(link, message, emit)
 
-    async def _wait_for_stop_signal(self):
+    async def _handle_signals(self, stop, start_scope, *, task_status):
+        """Reload the settings, until a signal to stop; that also ends a start.
+
+        A start may wait for room on the disk.
+        """
         with anyio.open_signal_receiver(SIGTERM, SIGINT, SIGHUP) as signals:
+            task_status.started()
             async for signal in signals:
                 if signal != SIGHUP:
+                    stop.set()
+                    start_scope.cancel()
                     return
                 decide(log, "settings reload requested")
                 reload_settings(self.settings, self._load_settings)
