control: test a whole instance whose disk refuses an operation

The question: can a task of a control instance end, or wait for ever, after a file operation was refused: compaction, evidence, origins, changes?

Change: a test refuses to create, write, cut, sync and rename in turn, for half a second, twice each, in a running control instance, while changes arrive. The log has to show that the record files were refused. The fake disk is used by several threads now and takes a lock.

By reading: the record files try again each second, the compaction as well; the audit trail has no file of its own.

--- a/packages/entry/src/almonddeal/control/tests/faulty_disk.py
+++ b/packages/entry/src/almonddeal/control/tests/faulty_disk.py
@@ -9,6 +9,7 @@
 import os
 import time
 from pathlib import Path
+from threading import Lock
 
 from almonddeal.control import files, storage
 
@@ -58,6 +59,8 @@
         self._descriptor_by_inode = {}
         self._synced_by_inode = {}
         self._inode_by_name = {}
+        # Threads write several files of a folder at the same time.
+        self.lock = Lock()
 
     @property
     def n_used_bytes(self):
@@ -87,7 +90,8 @@
         is_small = kind != WRITE or n_bytes > self.n_free_bytes
         if self.is_full and kind in self.refused_kinds and is_small:
             raise OSError(errno.ENOSPC, "no space left")
-        if n_bytes and self.n_used_bytes + n_bytes > self.n_bytes:
+        is_limited = n_bytes > 0 and self.n_bytes < float("inf")
+        if is_limited and self.n_used_bytes + n_bytes > self.n_bytes:
             raise OSError(errno.ENOSPC, "no space left")
         time.sleep(n_bytes / self.bytes_per_s)
         return n_bytes
@@ -95,17 +99,20 @@
     def record_sync(self, descriptor):
         """Make the contents of a file durable."""
         inode = os.fstat(descriptor).st_ino
-        self._synced_by_inode[inode] = Path(f"/proc/self/fd/{descriptor}").read_bytes()
-        if inode not in self._descriptor_by_inode:
-            # Keeps the number of the inode from being used again.
-            self._descriptor_by_inode[inode] = os.dup(descriptor)
+        content = Path(f"/proc/self/fd/{descriptor}").read_bytes()
+        with self.lock:
+            self._synced_by_inode[inode] = content
+            if inode not in self._descriptor_by_inode:
+                # Keeps the number of the inode from being used again.
+                self._descriptor_by_inode[inode] = os.dup(descriptor)
 
     def record_folder_sync(self):
         """Make the names in the folder durable."""
-        self._inode_by_name = {
-            path.name: path.stat().st_ino for path in self.folder.iterdir()
-        }
-        self._forget_inodes(set(self._synced_by_inode) - self._inodes_in_use())
+        with self.lock:
+            self._inode_by_name = {
+                entry.name: entry.inode() for entry in os.scandir(self.folder)
+            }
+            self._forget_inodes(set(self._synced_by_inode) - self._inodes_in_use())
 
     def _inodes_in_use(self):
         return {*self._inode_by_name.values()}
@@ -194,8 +201,10 @@
             disk.record_sync(descriptor)
 
     def _replace(self, source, target):
-        self.disk(Path(target).parent).check(RENAME)
-        self._real_replace(source, target)
+        disk = self.disk(Path(target).parent)
+        disk.check(RENAME)
+        with disk.lock:
+            self._real_replace(source, target)
 
     def close(self):
         """Release all files."""
--- a/packages/entry/src/almonddeal/roles/tests/test_control.py
+++ b/packages/entry/src/almonddeal/roles/tests/test_control.py
@@ -1,18 +1,38 @@
-"""Tests of the start of a control instance."""
+"""Tests of a control instance whose disk is full for a while."""
 
+import json
 import os
 import signal
+from contextlib import suppress
 from types import SimpleNamespace
 
 import anyio
 import pytest
 
-from almonddeal.control.tests.faulty_disk import Disks
+from almonddeal.control import consensus
+from almonddeal.control.files import read_checksummed_file
+from almonddeal.control.tests.faulty_disk import (
+    CREATE,
+    RENAME,
+    SYNC,
+    TRUNCATE,
+    WRITE,
+    Disks,
+)
+from almonddeal.publication import record_file
+from almonddeal.publication.evidence_file import load_evidence
+from almonddeal.publication.record_file import RecordFile
 from almonddeal.publication.tests.test_follower import make_settings
 from almonddeal.roles import control
 from almonddeal_common.address import Address
+from almonddeal_common.clock import wall_ms
+from almonddeal_common.codes import AlmonddealError
+from almonddeal_common.wire.codec import decode
+from almonddeal_common.wire.gen.ttypes import SegmentEvidence, Snapshot, StreamOrigin
 
 START_S = 10.0
+STORE_S = 10.0  # for a change or a record, once the disk has room
+N_ROUNDS = 2
 
 
 class _NoMetrics:
@@ -29,6 +49,25 @@
     return SimpleNamespace(version=int(content))
 
 
+async def wait_until(condition, *args):
+    with anyio.fail_after(STORE_S):
+        while not condition(*args):
+            await anyio.sleep(0.02)
+
+
+def are_stored(folder, names):
+    """Return whether exactly the records of these names are on disk, in both files."""
+    origins = RecordFile(folder, "origins", 0.0).load()
+    stored_names = {origin.request for origin in origins}
+    return stored_names == names == {record.key for record in load_evidence(folder)}
+
+
+def stored_version(folder):
+    payload = read_checksummed_file(folder / "snapshot")
+    state = decode(Snapshot, payload).state
+    return json.loads(state)["version"] if state else 0
+
+
 @pytest.fixture
 def unhandled_signals():
     """Signals that would have ended the process."""
@@ -102,3 +141,67 @@
         assert unhandled_signals == []
         assert role.feed is None
         disks.close()
+
+
+class TestRunOnAFullDisk:
+    # Guards against a task that ends, or waits for ever, after one of its file
+    # operations was refused: changes or records are then no longer stored.
+    @pytest.mark.parametrize("kind", [CREATE, WRITE, TRUNCATE, SYNC, RENAME])
+    def test_changes_and_records_are_stored_once_there_is_room(
+        self, tmp_path, monkeypatch, caplog, role, kind
+    ):
+        monkeypatch.setattr(record_file, "RETRY_INTERVAL_S", 0.1)
+        monkeypatch.setattr(control, "COMPACT_INTERVAL_S", 0.05)
+        monkeypatch.setattr(consensus, "SNAPSHOT_INTERVAL_ENTRIES", 3)
+        disks = Disks()
+        disks.install(monkeypatch)
+        disk = disks.disk(tmp_path)
+        disk.refused_kinds = {kind}
+
+        def add_records(number):
+            name = f"r{number}"
+            role.feed.origins.add(StreamOrigin(name, "s", "v1", wall_ms(), "entry-1"))
+            record = SegmentEvidence(name, "entry-1", [name], False, wall_ms())
+            role.feed.evidence.add(record)
+
+        async def publish(version):
+            with anyio.fail_after(STORE_S):
+                while True:
+                    try:
+                        return await role.publish_configuration(b"%d" % version, "test")
+                    except AlmonddealError:
+                        await anyio.sleep(0.02)
+
+        async def publish_periodically():
+            while True:
+                with suppress(AlmonddealError):
+                    newest = role._publication.version
+                    await role.publish_configuration(b"%d" % (newest + 1), "test")
+                await anyio.sleep(0.01)
+
+        async def main():
+            async with anyio.create_task_group() as group:
+                group.start_soon(role.run, no_app)
+                await wait_until(lambda: role.feed is not None)
+                await publish(1)
+                for number in range(N_ROUNDS):
+                    async with anyio.create_task_group() as clients:
+                        clients.start_soon(publish_periodically)
+                        disk.is_full = True
+                        add_records(2 * number)
+                        await anyio.sleep(0.5)
+                        disk.is_full = False
+                        clients.cancel_scope.cancel()
+                    await publish(role._publication.version + 1)
+                    add_records(2 * number + 1)
+                    names = {f"r{n}" for n in range(2 * number + 2)}
+                    await wait_until(are_stored, tmp_path, names)
+                index = role._publication.version
+                await wait_until(lambda: stored_version(tmp_path) >= index - 3)
+                os.kill(os.getpid(), signal.SIGTERM)
+
+        anyio.run(main)
+        # A record file is never cut.
+        for name in ("evidence", "origins"):
+            assert (f"could not store {name}" in caplog.text) == (kind != TRUNCATE)
+        disks.close()
