control: end a start with the status of a damaged disk

What operators would see: if the sync of the loaded log fails other than for lack of space, the process ends with a traceback and the status 1.

Change: it ends as after any other sync that failed, with the message and the status (71) that tell to replace the disk.

Figures: test_damaged_disk_ends_the_start fails before (OSError), passes now.

--- a/packages/entry/src/almonddeal/control/storage.py
+++ b/packages/entry/src/almonddeal/control/storage.py
@@ -160,9 +160,11 @@
                 "removed %d bytes at the end of the log", len(data) - self._size
             )
             self._has_stale_bytes = True
-        self._repair_log()
-        # The process that wrote the last records may have ended before it synced them.
-        self._sync()
+        with self._handle_write_errors("the log"):
+            self._repair_log()
+            # The process that wrote the last records may have ended before it synced
+            # them.
+            self._sync()
 
     def _read_records(self, data):
         """Read the entries after the snapshot; return the size of the log."""
--- a/packages/entry/src/almonddeal/control/tests/test_storage_faults.py
+++ b/packages/entry/src/almonddeal/control/tests/test_storage_faults.py
@@ -263,6 +263,19 @@
         with LogStore(tmp_path, end_process) as store:
             assert [entry.index for entry in store.entries] == [1, 2]
 
+    # Guards against a damaged disk that ends the process with a traceback, in place of
+    # the status that tells an operator to replace it.
+    def test_damaged_disk_ends_the_start(self, tmp_path, monkeypatch):
+        with LogStore(tmp_path, end_process) as store:
+            store.append(entries(1, 2))
+
+        def fail(descriptor):
+            raise OSError(errno.EIO, "bad disk")
+
+        monkeypatch.setattr(os, "fsync", fail)
+        with pytest.raises(ProcessEnded, match="could not write the log"):
+            LogStore(tmp_path, end_process).__enter__()
+
     def test_records_are_written_again_after_a_failed_sync(self, tmp_path, disks):
         disk = disks.disk(tmp_path)
         with LogStore(tmp_path, end_process) as store:
