publication: send heartbeats so that new streams cause no queries

What callers would see: a first event that is late by a query of its engine, for two of three new streams at a quiet instance, and more requests at engines.

Cause: an engine is asked for its start time before a new stream unless a fresh control instance was heard within 150 ms, but while nothing changes, control sends only the pings of the link, each 400 ms. Ruled out: a longer bound, as an instance that is cut off trusts its announcements for so long. A question to control in place of the engine costs each such stream a round trip still.

Change: a fresh control instance sends each subscriber an update at least each 50 ms. A stale one sends none.

--- a/packages/entry/src/almonddeal/publication/feed.py
+++ b/packages/entry/src/almonddeal/publication/feed.py
@@ -8,6 +8,7 @@
 from almonddeal.announced.expiring_map import ExpiringMap
 from almonddeal.announced.stream_origins import StreamOrigins
 from almonddeal.announced.versioned_map import VersionedMap
+from almonddeal.publication.follower import MAX_SILENCE_MS
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import NO_QUORUM, OK, AlmonddealError
 from almonddeal_common.logs import decide, get_logger
@@ -25,6 +26,9 @@
 CHECK_INTERVAL_WHILE_STALE_S = 0.03  # subscribers get no configuration until fresh
 REPLICATION_TIMEOUT_MS = 600  # targets wait at most 1 s for an acknowledgement
 CATCH_UP_TIMEOUT_MS = 300  # subscribers wait a little longer for the reply
+# A fresh instance is silent for at most a third of what its subscribers accept as the
+# age of what they know, so that one late update does not exceed it.
+HEARTBEAT_INTERVAL_S = MAX_SILENCE_MS / 3 / 1000
 ENDED_RUN_RETENTION_MS = 3000  # subscribers receive the end within milliseconds
 LIMIT_RETENTION_MS = 3000  # instances repeat their reports every second
 RUN_RETENTION_MS = 30_000  # longer than the longest request timeout of a route
@@ -123,6 +127,7 @@
         sent_version = message.have_version
         sent = _Revisions(0, 0, 0, 0, 0)
         sent_addresses = sent_is_fresh = None
+        is_due = False
         while True:
             update = FollowUpdate(sent_version, b"", [], [], self.is_fresh, [], 0)
             publication = self._publication
@@ -158,12 +163,15 @@
                 or update.origins
                 or update.member_addresses
                 or sent_is_fresh != update.is_fresh
+                or (is_due and update.is_fresh)
             ):
                 sent_is_fresh = update.is_fresh
                 update.n_followers = self.n_followers
                 emit(update)
             self._sent_by_link[link] = sent
-            await self._wait_for_change(sent_version, sent, sent_is_fresh)
+            with anyio.move_on_after(HEARTBEAT_INTERVAL_S) as scope:
+                await self._wait_for_change(sent_version, sent, sent_is_fresh)
+            is_due = scope.cancelled_caught
 
     async def handle_read_fresh(self, link, message, emit):
         """Reply to a subscriber behind all that a majority acknowledged before.
