tests: hold the check of engines after a query of cached prefixes

An engine that asks for a pause, or says that it leaves, while the cached prefixes are queried is not sent the stream.

With the check removed (any engine found is taken), both new tests fail; with one that forgets pauses (engine in stream.candidates(...)), the first one does. Both pass on the code as it is, and need no change of it.

--- a/packages/entry/src/almonddeal/relay/tests/test_leaving_engines.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_leaving_engines.py
@@ -126,6 +126,30 @@
         assert "i-2" not in fleet.tried
         assert writer.event_ids == list(range(13, LAST + 1))
 
+    # Guards against a request to an engine that said that it leaves while its cached
+    # prefixes were queried.
+    def test_engine_that_leaves_during_the_query_is_left(self):
+        async def main():
+            fleet = self.fleet()
+            asked = []
+
+            async def list_cached_prefixes(announcement):
+                asked.append(announcement.target)
+                if announcement.target != "i-2":
+                    return set()
+                mark_leaving(fleet.context, "i-2")
+                return {"part1"}
+
+            fleet.context.list_cached_prefixes = list_cached_prefixes
+            fleet.add_origin("req0")
+            admitted = admit_stream(last_event_id=12, resumed_request_id="req0")
+            return fleet, asked, await relay(fleet.context, admitted)
+
+        fleet, asked, writer = run_in_virtual_time(main)
+        assert "i-2" in asked
+        assert "i-2" not in fleet.tried
+        assert writer.event_ids == list(range(13, LAST + 1))
+
     def test_requests_that_wait_are_not_sent_to_the_engine(self):
         """Guards against a request that was queued before the engine said it leaves."""
 
--- a/packages/entry/src/almonddeal/relay/tests/test_paused_engines.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_paused_engines.py
@@ -180,6 +180,24 @@
         assert self.queried == ["i-2"]
         assert fleet.tried == ["i-2"]
 
+    # Guards against a request to an engine that asked for a pause while its cached
+    # prefixes were queried.
+    def test_engine_that_asks_for_a_pause_during_the_query_is_left(self):
+        fleet = self.fleet()
+        list_cached_prefixes = fleet.context.list_cached_prefixes
+
+        async def list_and_pause(announcement):
+            cached = await list_cached_prefixes(announcement)
+            if announcement.target == "i-1":
+                pause(fleet, "i-1")
+            return cached
+
+        fleet.context.list_cached_prefixes = list_and_pause
+        writer = relay(fleet, self.resumed())
+        assert writer.event_ids == list(range(8, LAST + 1))
+        assert sorted(self.queried) == ["i-1", "i-2"]
+        assert fleet.tried == ["i-2"]
+
     # Guards against a resume from a known copy at a backup in a pause.
     def test_known_copy_at_a_paused_engine_is_left(self):
         fleet = self.fleet()
