relay: reject a refused stream at once if all targets hold off

Cause: the wait for the budget did not look at pauses; only the wait for an engine after it did, and rejected the stream then. Ruled out: that the wait is for nothing in each pause. A stream may be served after a short one.

Change: no retry is waited for or taken if all targets hold off for longer than the wait for an engine, or of a started stream, its time left, would allow.

--- a/packages/entry/src/almonddeal/relay/admission_queue.py
+++ b/packages/entry/src/almonddeal/relay/admission_queue.py
@@ -167,7 +167,7 @@
     queue = context.admission_queue(stream.admitted.service.name)
     with _enqueue(stream, context) as entry:
         unclaimed = queue.unclaimed(entry, engines)
-    demand = _make_demand(stream, may_have_run=True)
+    demand = make_demand(stream, may_have_run=True)
     return _choose(stream, context, unclaimed, demand) is not None
 
 
@@ -222,7 +222,8 @@
     return could_take
 
 
-def _make_demand(stream, may_have_run=False):
+def make_demand(stream, may_have_run=False):
+    """Return the `Demand` of a stream at this moment."""
     request = stream.admitted.request
     generation = request.generation
     elapsed_ms = monotonic_ms() - request.arrived_ms
@@ -257,7 +258,7 @@
         request.
     """
     queue = context.admission_queue(stream.admitted.service.name)
-    demand = _make_demand(stream)
+    demand = make_demand(stream)
     if demand.n_prompt_tokens > stream.admitted.service.engine.n_cache_tokens:
         # No Retry-After: no engine will ever have the capacity.
         raise AlmonddealError(NO_TARGET, "no engine is large enough for the prompt")
@@ -273,7 +274,7 @@
                 stream.forget_refusals()
             n_ahead = queue.n_ahead(entry)
             engines = _untried_engines(stream, context)
-            demand = _make_demand(stream)
+            demand = make_demand(stream)
             paused = _paused_engines(stream, context)
             entry.is_paused = bool(paused) and not engines
             entry.could_take = _make_could_take(stream, context, engines)
--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -7,8 +7,10 @@
 
 import anyio
 
+from almonddeal.relay.admission import max_wait_ms, on_time_wait_ms
 from almonddeal.relay.admission_queue import (
     REFUSAL_BACKOFF_MS,
+    make_demand,
     wait_for_engine,
     wait_for_room,
 )
@@ -219,11 +221,29 @@
     return min(targets, key=lambda t: t.n_in_flight, default=None)
 
 
+def _is_paused_too_long(stream, context):
+    """Tell whether all targets hold off for longer than a stream would wait for one."""
+    pause_ms = context.hold_offs.left_ms(stream.candidates(context.targets))
+    return pause_ms > 0 and pause_ms > _max_pause_ms(stream, context)
+
+
+def _max_pause_ms(stream, context):
+    if stream.is_started:
+        return stream.admitted.left_ms - MIN_LEFT_MS
+    if stream.admitted.service.engine is None:
+        return 0.0
+    demand = make_demand(stream)
+    if demand.resumes:
+        return max(REFUSAL_BACKOFF_MS, on_time_wait_ms(context.load_view, demand))
+    return max_wait_ms(context.load_view, demand)
+
+
 async def _consume_retry(stream, context, error):
     """Return whether another attempt is allowed after one failed.
 
-    Takes a retry from the budget if the failed attempt reached an engine. While the
-    budget is used up, waits for a short time, as it is a sliding window.
+    Takes a retry from the budget if the failed attempt reached an engine and another
+    one may serve the stream in time. While the budget is used up, waits for a short
+    time, as it is a sliding window.
     """
     is_not_run = error.code in (NOT_REACHED, TARGET_REFUSED)
     route = stream.admitted.route
@@ -245,12 +265,15 @@
         stream.has_retry = False
         return True
     wait_deadline_ms = monotonic_ms() + MAX_BUDGET_WAIT_MS
-    while not context.take_retry(stream.admitted.service.name):
+    while not _is_paused_too_long(stream, context):
+        if context.take_retry(stream.admitted.service.name):
+            return True
         if monotonic_ms() >= wait_deadline_ms or stream.admitted.left_ms < MIN_LEFT_MS:
             decide(log, "retry budget exhausted", request=stream.request_id)
             return False
         await anyio.sleep(BUDGET_POLL_INTERVAL_S)
-    return True
+    decide(log, "no retry, all targets hold off", request=stream.request_id)
+    return False
 
 
 async def _fail(stream, context, error):
