--- a/packages/entry/src/almonddeal/roles/tests/test_control.py
+++ b/packages/entry/src/almonddeal/roles/tests/test_control.py
@@ -83,13 +83,13 @@
 def role(tmp_path, monkeypatch):
     # Metrics are registered once in a process.
     monkeypatch.setattr(control, "ControlMetrics", _NoMetrics)
-    settings = make_settings(["127.79.0.1:7399"])
-    settings.link_address = Address("127.79.0.1", 7399)
-    settings.control = Address("127.79.0.1", 7398)
-    settings.metrics = Address("127.79.0.1", 7397)
+    settings = make_settings(["127.81.0.1:7399"])
+    settings.link_address = Address("127.81.0.1", 7399)
+    settings.control = Address("127.81.0.1", 7398)
+    settings.metrics = Address("127.81.0.1", 7397)
     settings.data_folder = str(tmp_path)
     settings.is_bootstrap = True
-    reloaded = SimpleNamespace(seed_addresses=["127.79.0.2:7399"])
+    reloaded = SimpleNamespace(seed_addresses=["127.81.0.2:7399"])
     return control.ControlRole(settings, parse, lambda: reloaded)
 
 
@@ -110,7 +110,7 @@
                 await anyio.sleep(0.5)
                 os.kill(os.getpid(), signal.SIGHUP)
                 await anyio.sleep(0.1)
-                assert role.settings.seed_addresses == ["127.79.0.2:7399"]
+                assert role.settings.seed_addresses == ["127.81.0.2:7399"]
                 disk.is_full = False
                 with anyio.fail_after(START_S):
                     while role.feed is None:
