--- a/packages/entry/src/almonddeal/control/membership.py
+++ b/packages/entry/src/almonddeal/control/membership.py
@@ -90,6 +90,7 @@
                 self._match_index_by_name,
                 self._next_index_by_name,
                 self._acknowledged_ms_by_name,
+                self._call_started_ms_by_name,
                 self._transfer_by_name,
             ):
                 value_by_name.pop(name, None)
