control: remove a replaced member whose disk stalls

What callers would see: after the replacement of a member whose disk stalls for good, the group keeps four voters and needs all three others: with one more of them away, changes stay unanswered (Acks, CONFIG). Found in review.

Cause: a leader removes the most silent voter, if it has more of them than wanted. Heartbeats beside long calls are acknowledged without the disk, so that such a member is not silent any more.

Change: silence, for a removal, is the time since the last reply to a call, as before these heartbeats. The quorum of the leader still counts them.

--- a/packages/entry/src/almonddeal/control/consensus.py
+++ b/packages/entry/src/almonddeal/control/consensus.py
@@ -115,6 +115,7 @@
         self._match_index_by_name = {}
         self._next_index_by_name = {}
         self._acknowledged_ms_by_name = {}
+        self._replied_ms_by_name = {}  # heartbeats beside calls left out
         self._call_started_ms_by_name = {}
         self._transfer_by_name = {}
         self._names_without_parts = set()
--- a/packages/entry/src/almonddeal/control/elections.py
+++ b/packages/entry/src/almonddeal/control/elections.py
@@ -183,6 +183,7 @@
         self.leader = self.name
         now_ms = monotonic_ms()
         self._acknowledged_ms_by_name = dict.fromkeys(self._peer_by_name, now_ms)
+        self._replied_ms_by_name = dict.fromkeys(self._peer_by_name, now_ms)
         self._match_index_by_name = dict.fromkeys(self._peer_by_name, 0)
         self._next_index_by_name = dict.fromkeys(
             self._peer_by_name, self._log.last_index + 1
--- a/packages/entry/src/almonddeal/control/leading.py
+++ b/packages/entry/src/almonddeal/control/leading.py
@@ -151,6 +151,7 @@
                 await self._adopt_term(reply.term)
             return
         if self._record_acknowledgement(name, term, started_ms):
+            self._replied_ms_by_name[name] = monotonic_ms()
             self._process_reply(name, reply)
 
     def _record_acknowledgement(self, name, term, started_ms):
--- a/packages/entry/src/almonddeal/control/membership.py
+++ b/packages/entry/src/almonddeal/control/membership.py
@@ -80,6 +80,7 @@
                 self._match_index_by_name[name] = 0
                 self._next_index_by_name[name] = self._log.last_index + 1
                 self._acknowledged_ms_by_name[name] = 0.0
+                self._replied_ms_by_name[name] = 0.0
                 self._task_group.start_soon(self._replicate_in_scope, name, scope)
         for name in [
             n for n in self._replication_scope_by_name if n not in address_by_name
@@ -91,6 +92,7 @@
                 self._next_index_by_name,
                 self._acknowledged_ms_by_name,
                 self._call_started_ms_by_name,
+                self._replied_ms_by_name,
                 self._transfer_by_name,
             ):
                 value_by_name.pop(name, None)
@@ -114,7 +116,8 @@
         def silence_ms(name):
             if name == self.name:
                 return 0.0
-            return now_ms - self._acknowledged_ms_by_name[name]
+            # A member whose disk stalls still acknowledges heartbeats.
+            return now_ms - self._replied_ms_by_name[name]
 
         members = next_members(
             self.members, self._join_request_by_name, is_caught_up, silence_ms
