--- a/packages/entry/src/almonddeal/control/tests/test_transfers.py
+++ b/packages/entry/src/almonddeal/control/tests/test_transfers.py
@@ -34,17 +34,17 @@
     return messages
 
 
-def parts(command):
+def parts(command, term=3, leader="x"):
     transfer = EntryTransfer(LogEntry(2, 9, KIND_COMMAND, command))
-    messages = [append_with_part(transfer)]
+    messages = [append_with_part(transfer, term, leader)]
     while not transfer.is_last_chunk:
         transfer.offset += len(transfer.chunk)
-        messages.append(append_with_part(transfer))
+        messages.append(append_with_part(transfer, term, leader))
     return messages
 
 
-def append_with_part(transfer):
-    message = AppendLog(3, "x", 8, 2, [], 8, "y")
+def append_with_part(transfer, term, leader):
+    message = AppendLog(term, leader, 8, 2, [], 8, "y")
     transfer.add_part(message)
     return decode(AppendLog, encode(message))
 
@@ -90,6 +90,17 @@
         assert results[:-1] == [None] * (len(results) - 1)
         assert results[-1] == LogEntry(2, 9, KIND_COMMAND, command)
 
+    # Guards against an entry made of the parts of two, at one index of two leaders.
+    @pytest.mark.parametrize("changes", [{"term": 4}, {"leader": "z"}])
+    def test_part_of_another_leader_restarts_the_assembly(self, changes):
+        assembler = ChunkAssembler()
+        add_part(assembler, parts(b"x" * 200)[0])
+        first, second = parts(b"y" * 200, **changes)
+        assert add_part(assembler, second) is None
+        assert assembler.n_received_bytes == 0
+        add_part(assembler, first)
+        assert add_part(assembler, second).command == b"y" * 200
+
     def test_part_that_arrives_twice_has_no_effect(self):
         first, second, _ = parts(b"x" * 300)
         assembler = ChunkAssembler()
