entry, common: cut connections only after the answers of a stop

Callers of an entry instance that stops got 500 for an order and a lookup that were broken off, where 502 tells whether they may be sent again. Seen in 1 of 20 runs of TestGracePeriods beside busy processes; any stall of the process at the end of its grace period has the same effect.

Cause: two timers. The instance breaks off requests at 7/8 of the grace period; the HTTP server closed the connections a fifth of the rest later, counted from the end of the listener. After a stall both were due, and the connections were closed before the answers were written.

Change: the instance sets an event once the answers had their time, counted from the breaking off; the server closes the connections then. Servers without the event keep their graceful_timeout.

Before: TestStallAtTheEnd fails, [500] == [502] (1 run). After: it passes (1 run), with the tests of closing, of a broken-off request and of the roles (82). The other tests of stops and connections were not run after it.

--- a/packages/common/src/almonddeal_common/connections.py
+++ b/packages/common/src/almonddeal_common/connections.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+import math
 from contextlib import suppress
 
 import anyio
@@ -41,9 +42,13 @@
     ----------
     head_timeout : float or None
         Limit in seconds from the first to the last byte of a head; None for no limit.
+    cut : anyio.Event or None
+        If given, connections that are open after a stop are closed once it is set; if
+        not, after `graceful_timeout`.
     """
 
     head_timeout = None
+    cut = None
 
 
 class _HeadLimitedReader(asyncio.StreamReader):
@@ -283,7 +288,10 @@
                 server.close()
             # Connections that were accepted last are not registered yet.
             await _receive_pending()
-            await _wait_until_empty(scope_by_task, config.graceful_timeout)
+            if config.cut is None:
+                await _wait_until_empty(scope_by_task, config.graceful_timeout)
+            else:
+                await _wait_until_empty_or_set(scope_by_task, config.cut)
             for scope in scope_by_task.values():
                 scope.cancel()
             await _wait_until_empty(scope_by_task, CANCEL_TIMEOUT_S)
@@ -294,3 +302,15 @@
     with anyio.move_on_after(timeout_s):
         while tasks:
             await asyncio.wait(list(tasks))
+
+
+async def _wait_until_empty_or_set(tasks, event):
+    async with anyio.create_task_group() as group:
+
+        async def cancel_when_set():
+            await event.wait()
+            group.cancel_scope.cancel()
+
+        group.start_soon(cancel_when_set)
+        await _wait_until_empty(tasks, math.inf)
+        group.cancel_scope.cancel()
--- a/packages/entry/src/almonddeal/roles/entry.py
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -99,12 +99,7 @@
         self._drain_delay_s = drain_delay_s(settings.stop_timeout_s)
         self._response_timeout_s = response_timeout_s(settings.stop_timeout_s)
         self._stop_margin_s = stop_margin_s(settings.stop_timeout_s)
-        # Reached only by connections whose caller does not read its response.
-        self.http_config.graceful_timeout = (
-            self._response_timeout_s
-            + BREAK_OFF_SHARE * self._stop_margin_s
-            - self._drain_delay_s
-        )
+        self.http_config.cut = anyio.Event()
         self.http_config.keep_alive_timeout = DEFAULT_IDLE_TIMEOUT_S
         self._parse = parse
         self._requests = RequestsInFlight()
@@ -264,6 +259,12 @@
         with anyio.move_on_after(self._response_timeout_s - self._drain_delay_s):
             await callers_stopped.wait()
         self._requests.break_off()
+        # Counted from here: after a stall of the event loop, a timer that started with
+        # the stop would close the connections before their responses are written.
+        with anyio.move_on_after(BREAK_OFF_SHARE * self._stop_margin_s):
+            await callers_stopped.wait()
+        # Closes only connections whose caller does not read its response.
+        self.http_config.cut.set()
         await callers_stopped.wait()
 
     async def _maintain_periodically(self):
