--- a/packages/entry/src/almonddeal/control/following.py
+++ b/packages/entry/src/almonddeal/control/following.py
@@ -128,6 +128,11 @@
         self._durable_index = self._log.last_index
         self._assembler.clear()
 
+    def _has_entries_of(self, snapshot):
+        """Tell whether this log has all that a snapshot of the leader covers."""
+        is_committed = snapshot.index <= self.commit_index
+        return is_committed or self._log.term_at(snapshot.index) == snapshot.term
+
     async def handle_snapshot(self, link, message, emit):
         """Handle one chunk of a snapshot; install the snapshot with the last one.
 
@@ -138,20 +143,25 @@
             if message.term < self.term:
                 return AppendLogReply(self.term, False, 0)
             await self._accept_leader(message.term, message.leader)
+            self._discard_unwritten_entries()
+            if self._has_entries_of(message.snapshot):
+                # The entries after it may count for a majority, so the log stays.
+                self.commit_index = max(self.commit_index, message.snapshot.index)
+                self._apply_committed()
+                return AppendLogReply(self.term, True, self.commit_index)
             is_in_order, snapshot = add_snapshot_chunk(self._assembler, message)
             if snapshot is None:
                 n_received_bytes = self._assembler.n_received_bytes
                 return AppendLogReply(self.term, is_in_order, 0, n_received_bytes)
-            if snapshot.index > self.commit_index:
-                await self._run_disk_io(self._store.save_snapshot, snapshot, [])
-                self._log = EntryLog(snapshot, [])
-                self._durable_index = snapshot.index
-                self.commit_index = self.applied_index = snapshot.index
-                self._n_applied_bytes = 0
-                if snapshot.state:
-                    self._state_machine.restore(snapshot.state)
-                if self._connect is not None:
-                    self._load_members_from_log()
-                self._notify_applied()
+            await self._run_disk_io(self._store.save_snapshot, snapshot, [])
+            self._log = EntryLog(snapshot, [])
+            self._durable_index = snapshot.index
+            self.commit_index = self.applied_index = snapshot.index
+            self._n_applied_bytes = 0
+            if snapshot.state:
+                self._state_machine.restore(snapshot.state)
+            if self._connect is not None:
+                self._load_members_from_log()
+            self._notify_applied()
             self._assembler.clear()
-        return AppendLogReply(self.term, True, max(snapshot.index, self.commit_index))
+        return AppendLogReply(self.term, True, snapshot.index)
