--- a/packages/agent/src/almonddeal_agent/metrics.py
+++ b/packages/agent/src/almonddeal_agent/metrics.py
@@ -14,7 +14,7 @@
     "answers_held": "Copies of answers held",
     "answers_held_bytes": "Memory of the held answers",
     "attempts_started": "Attempts started at the engine",
-    "attempts_stalled": "Attempts given up for silence",
+    "attempts_stalled": "Attempts abandoned for silence",
     "engine_token_ms": "Time of a token as the engine reports it",
 }
 
--- a/packages/common/src/almonddeal_common/connections.py
+++ b/packages/common/src/almonddeal_common/connections.py
@@ -298,7 +298,7 @@
 
 
 async def _wait_until_empty(tasks, timeout_s):
-    """Wait until no task is left, also of those that are added meanwhile."""
+    """Wait until no task is left, also of those that are added during the wait."""
     with anyio.move_on_after(timeout_s):
         while tasks:
             await asyncio.wait(list(tasks))
--- a/packages/entry/src/almonddeal/control/elections.py
+++ b/packages/entry/src/almonddeal/control/elections.py
@@ -100,7 +100,7 @@
             return
         async with self.disk_lock:
             if self.term + 1 != term:
-                # This member has voted, or a leader was elected meanwhile.
+                # This member has voted since, or a leader was elected.
                 return
             await self._run_disk_io(self._store.save_meta, term, self.name)
             self.term = term
--- a/packages/entry/src/almonddeal/control/members.py
+++ b/packages/entry/src/almonddeal/control/members.py
@@ -72,7 +72,7 @@
 
 
 class JoinRequest:
-    """Request of a process to become a voter; it receives the log meanwhile.
+    """Request of a process to become a voter; it receives the log until then.
 
     Parameters
     ----------
--- a/packages/entry/src/almonddeal/relay/admission_queue.py
+++ b/packages/entry/src/almonddeal/relay/admission_queue.py
@@ -1,6 +1,6 @@
 """Queue of requests that wait for an engine at this instance.
 
-A caller that holds a part of a response goes on before new responses begin.
+A caller that holds a part of a response is served before new responses begin.
 """
 
 import math
@@ -189,7 +189,7 @@
     Raises
     ------
     AlmonddealError
-        If its prompt is put in quarantine meanwhile.
+        If its prompt is put in quarantine while it waits.
     """
     queue = context.admission_queue(stream.admitted.service.name)
     with _enqueue(stream, context) as entry:
--- a/packages/entry/src/almonddeal/relay/attempts.py
+++ b/packages/entry/src/almonddeal/relay/attempts.py
@@ -170,7 +170,7 @@
 
 
 def _make_leave(stream, context, engine, progress, scope):
-    """Return a function that cancels an attempt if its request can go on elsewhere.
+    """Return a function that cancels an attempt if its request can continue elsewhere.
 
     It returns whether the attempt is cancelled.
     """
@@ -272,7 +272,7 @@
 
 
 async def _sleep_unless_stalled(duration_ms, progress):
-    """Sleep; forget the silence so far if this process itself was stalled meanwhile.
+    """Sleep; forget the silence so far if this process itself was stalled.
 
     Events that arrived during the stall have not been read yet.
     """
@@ -379,7 +379,7 @@
             context.targets.eject(engine, "connection failed", request_id)
     elif error.code == TARGET_STALLED:
         silence_ms = monotonic_ms() - engine.last_activity_ms
-        # If other streams received events meanwhile, or a probe succeeded, the engine
+        # If other streams have received events since, or a probe succeeded, the engine
         # itself is not stalled.
         if silence_ms > probe_gap_ms(stream.admitted.route.max_gap_ms):
             context.targets.eject(engine, "stalled", request_id)
--- a/packages/entry/src/almonddeal/relay/forwarding.py
+++ b/packages/entry/src/almonddeal/relay/forwarding.py
@@ -43,7 +43,7 @@
     Raises
     ------
     AlmonddealError
-        `LINK_LOST` if the response ends or goes on otherwise than a stream may.
+        `LINK_LOST` if the response ends or continues otherwise than a stream may.
     """
     reader = EventReader()
     async for chunk in response.chunks:
--- a/packages/entry/src/almonddeal/relay/hold_offs.py
+++ b/packages/entry/src/almonddeal/relay/hold_offs.py
@@ -17,7 +17,7 @@
     """When the pauses end for which target processes asked this instance.
 
     A pause is no ejection: it says nothing of the health of the target, and no shortage
-    of other targets ends it. Requests that run at the target go on.
+    of other targets ends it. Requests that run at the target continue.
     """
 
     __slots__ = ("_end_ms_by_key",)
--- a/packages/entry/src/almonddeal/relay/kv_copies.py
+++ b/packages/entry/src/almonddeal/relay/kv_copies.py
@@ -1,7 +1,7 @@
 """Replication of a run's KV cache to a backup engine while the run lasts.
 
 The engine replicates its KV cache to the backup that the attempt named. If that backup
-is lost while the run goes on, the relay has the engine transfer its KV cache to another
+is lost and the run continues, the relay has the engine transfer its KV cache to another
 backup. It repeats the transfer at intervals, as such a copy does not grow by itself.
 """
 
--- a/packages/entry/src/almonddeal/relay/metrics.py
+++ b/packages/entry/src/almonddeal/relay/metrics.py
@@ -19,7 +19,7 @@
         )
         self._resume_pause_ms = Histogram(
             "almonddeal_relay_resume_ms",
-            "Pause that a caller sees when an answer goes on elsewhere, in ms.",
+            "Pause that a caller sees when an answer continues elsewhere, in ms.",
             buckets=LATENCY_BUCKETS_MS,
         )
 
--- a/packages/entry/src/almonddeal/relay/moves.py
+++ b/packages/entry/src/almonddeal/relay/moves.py
@@ -1,7 +1,7 @@
-"""Whether a stream moves from a silent engine to another, or waits for it to go on.
+"""Whether a stream moves from a silent engine to another, or waits for it to continue.
 
 A sound engine may fall silent for about a second. An attempt is therefore ended for
-silence only if its request can go on at once, as nobody else would complete the
+silence only if its request can continue at once, as nobody else would complete the
 response. This module performs no I/O.
 """
 
@@ -89,7 +89,7 @@
 
 
 def has_alternative(stream, context, engine, silent_since_ms):
-    """Tell whether a stream can go on now if it leaves a silent engine.
+    """Tell whether a stream can continue now if it leaves a silent engine.
 
     Parameters
     ----------
@@ -132,7 +132,7 @@
 
 
 def _list_alternatives(stream, context, engine, silent_since_ms):
-    """Return the targets at which a stream may go on, in the order of its selection.
+    """Return the targets at which a stream may continue, in the order of its selection.
 
     If there are no others, the engine itself is one if it takes new requests, unless it
     was silent for all: then only the connection is lost.
--- a/packages/entry/src/almonddeal/relay/plain.py
+++ b/packages/entry/src/almonddeal/relay/plain.py
@@ -92,7 +92,7 @@
     has_retry = False
 
     def claim_retry():
-        """Take a retry from the budget if the lookup can go on elsewhere now."""
+        """Take a retry from the budget if the lookup can be sent elsewhere now."""
         nonlocal has_retry
         if not has_retry and _has_alternative(admitted, context, tried):
             has_retry = context.take_retry(admitted.service.name)
@@ -277,7 +277,7 @@
 
 @contextmanager
 def _cancelled_if_late(scope, admitted, claim_retry):
-    """Have a scope cancelled once a lookup in it is late and can go on elsewhere.
+    """Have a scope cancelled once a lookup in it is late and can be sent elsewhere.
 
     A sound target may be silent for about a second, so the lookup waits for it unless
     another one can take it.
--- a/packages/entry/src/almonddeal/relay/requests.py
+++ b/packages/entry/src/almonddeal/relay/requests.py
@@ -226,7 +226,7 @@
     def priority(self):
         """Priority at the target, 0 is the most urgent.
 
-        At an engine, a stream that goes on is one step more urgent than a new one:
+        At an engine, a resumed stream is one step more urgent than a new one:
         engines preempt the newest of the least urgent runs, which it would be.
         """
         is_new = self.last_event_id is None
--- a/packages/entry/src/almonddeal/relay/resumption.py
+++ b/packages/entry/src/almonddeal/relay/resumption.py
@@ -1,4 +1,4 @@
-"""Origins of streams: which software version may go on when a caller resumes one.
+"""Origins of streams: which software version may continue one that a caller resumes.
 
 Texts of two software versions do not fit together and engines do not check it, so a
 stream whose origin is not known is rejected. The instance that began the stream may be
--- a/packages/entry/src/almonddeal/relay/stall.py
+++ b/packages/entry/src/almonddeal/relay/stall.py
@@ -10,7 +10,7 @@
 # just lost, or another instance moved a run away from it.
 SUSPECT_SILENCE_MS = 50.0
 # Shares of the longest accepted pause between events. After the first one, the engine
-# is probed; after the second one, a stream is given up whose engine responds to probes
+# is probed; after the second one, a stream is abandoned whose engine responds to probes
 # and has no prompt to prefill; the rest is for resuming elsewhere.
 PROBE_GAP_SHARE = 0.3
 STALL_GAP_SHARE = 0.8
--- a/packages/entry/src/almonddeal/relay/stream_state.py
+++ b/packages/entry/src/almonddeal/relay/stream_state.py
@@ -144,7 +144,7 @@
     is_started, is_ended : bool
         Whether the response head, and the end of the response, were sent.
     software_version : str or None
-        Version of the engine that began the stream, which alone may go on with it; None
+        Version of the engine that began the stream, which alone may continue it; None
         before the first event.
     status : int or None
     media_type : bytes or None
@@ -227,7 +227,7 @@
         return self.admitted.request.request_id
 
     def candidates(self, targets, excluded=()):
-        """Return the targets at which the stream may begin or go on, as a list.
+        """Return the targets at which the stream may begin or continue, as a list.
 
         Parameters
         ----------
--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -185,14 +185,14 @@
 
 
 def _is_refused_by_all(stream, context):
-    """Tell whether all targets refused to go on with a stream that has not started."""
+    """Tell whether all targets refused to continue a stream that has not started."""
     if stream.last_event_id is None or not stream.refusing_targets:
         return False
     return not stream.candidates(context.targets, stream.refusing_targets)
 
 
 async def _wait_after_refusals(stream):
-    """Pause before the targets that refused to go on with a stream are asked again."""
+    """Pause before the targets that refused to continue a stream are asked again."""
     await anyio.sleep(REFUSAL_BACKOFF_MS / 1000)
     stream.forget_refusals()
 
@@ -209,7 +209,7 @@
     if pause_ms > stream.admitted.left_ms - MIN_LEFT_MS:
         raise AlmonddealError(ATTEMPT_LOST, "all engines hold off until the deadline")
     wait_ms = pause_ms + PAUSE_MARGIN_MS if pause_ms else REFUSAL_BACKOFF_MS
-    # Another target may appear meanwhile.
+    # Another target may appear during the wait.
     await anyio.sleep(min(wait_ms, REFUSAL_BACKOFF_MS) / 1000)
     stream.forget_refusals()
 
--- a/packages/entry/src/almonddeal/relay/tests/overloaded_service.py
+++ b/packages/entry/src/almonddeal/relay/tests/overloaded_service.py
@@ -74,7 +74,7 @@
 
     @property
     def left_ms(self):
-        """Time left until the caller gives up."""
+        """Time left until the deadline of the caller."""
         return TIMEOUT_MS - (monotonic_ms() - self.started_ms)
 
     def request(self, n_tries):
--- a/packages/entry/src/almonddeal/relay/tests/silent_targets.py
+++ b/packages/entry/src/almonddeal/relay/tests/silent_targets.py
@@ -1,4 +1,4 @@
-"""Scripted sound targets that fall silent for a time and then go on."""
+"""Scripted sound targets that fall silent for a time and then continue."""
 
 import anyio
 
@@ -10,7 +10,7 @@
 
 
 class SilentFleet(FakeFleet):
-    """Targets whose process is paused at times: connections stay open meanwhile.
+    """Targets whose process is paused at times: connections stay open.
 
     Parameters
     ----------
--- a/packages/entry/src/almonddeal/relay/tests/test_changing_targets.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_changing_targets.py
@@ -51,7 +51,7 @@
 
 
 class TestRestarts:
-    # Guards against an answer that goes on at an engine that was chosen, by cache or
+    # Guards against an answer that continues at an engine that was chosen, by cache or
     # load, before it restarted with another version.
     @pytest.mark.parametrize("cached", [set(), {"part1"}])
     def test_engine_that_restarts_during_the_query_is_left_out(self, cached):
@@ -79,7 +79,7 @@
         assert fleet.tried == ["i-1"]
         assert not writer.is_complete
 
-    # Guards against a stream that goes on at an engine that is known to have restarted
+    # Guards against a stream that resumes at an engine that is known to have restarted
     # with another version before it sends an event.
     def test_restart_that_is_announced_before_the_first_event(self):
         async def restarted(attempt):
--- a/packages/entry/src/almonddeal/relay/tests/test_leaving_day.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_leaving_day.py
@@ -1,6 +1,6 @@
 """Simulated runs with targets that say that they leave, end and start again.
 
-Several leave at a time while requests wait for engines. All go on to announce that they
+Several leave at a time while requests wait for engines. All still announce that they
 are ready, until they start again under the same id.
 """
 
--- a/packages/entry/src/almonddeal/relay/tests/test_leaving_targets.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_leaving_targets.py
@@ -1,6 +1,6 @@
 """Tests of targets that state in their responses that they are about to leave.
 
-Pattern: the targets go on to announce that they are ready, and serve what they have.
+Pattern: the targets still announce that they are ready, and serve what they have.
 """
 
 import logging
--- a/packages/entry/src/almonddeal/relay/tests/test_out_of_step_days.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_out_of_step_days.py
@@ -26,7 +26,7 @@
         mixed = [caller.name for caller in day.callers if len(caller.versions) > 1]
         assert len(mixed) <= MAX_MIXED
 
-    # Guards against events that are lost or repeated where a stream goes on.
+    # Guards against events that are lost or repeated where a stream resumes.
     def test_events_arrive_in_order(self, day):
         for caller in day.callers:
             assert caller.event_ids == list(range(1, len(caller.event_ids) + 1))
--- a/packages/entry/src/almonddeal/relay/tests/test_paused_engines.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_paused_engines.py
@@ -73,7 +73,7 @@
 
 class TestLostStreams:
     # Guards against a stream that is resumed at an engine in a pause, and against one
-    # that is given up though the pause ends in time.
+    # that is abandoned though the pause ends in time.
     def test_lost_stream_waits_for_the_end_of_the_pause(self):
         def pause_all():
             pause(fleet, "i-1")
--- a/packages/entry/src/almonddeal/relay/tests/test_restarted_engines.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_restarted_engines.py
@@ -62,7 +62,7 @@
 
 
 class TestResumedStreams:
-    # Guards against a resumed request that goes on at an engine of another version,
+    # Guards against a resumed request that continues at an engine of another version,
     # which is announced with the earlier one.
     def test_resumed_request_leaves_a_restarted_engine(self):
         async def main():
@@ -74,7 +74,7 @@
 
         run_in_virtual_time(main)
 
-    # Guards against a response that goes on at such an engine after a loss.
+    # Guards against a response that continues at such an engine after a loss.
     def test_broken_response_leaves_a_restarted_engine(self):
         async def main():
             fleet = make_restarted_fleet(i_2=then_lost, i_3=streams(1, LAST))
--- a/packages/entry/src/almonddeal/relay/tests/test_resumed_requests.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_resumed_requests.py
@@ -49,7 +49,7 @@
 
         run_in_virtual_time(main)
 
-    # Guards against a resumed request that goes on wherever its prompt is cached.
+    # Guards against a resumed request that continues wherever its prompt is cached.
     def test_cached_prefix_at_another_version_is_not_used(self):
         async def main():
             fleet = make_fleet()
@@ -165,7 +165,7 @@
 
         run_in_virtual_time(main)
 
-    # Guards against streams that are given up although their version still serves.
+    # Guards against streams that are abandoned although their version still serves.
     def test_all_streams_go_on_while_two_engines_have_their_version(self):
         async def main():
             fleet = make_fleet()
@@ -249,7 +249,7 @@
 
         run_in_virtual_time(main)
 
-    # Guards against an answer that comes only when its caller has given up.
+    # Guards against an answer that comes only when its caller has left.
     @pytest.mark.parametrize("uptime_s", [0.0, LONG_UPTIME_S])
     def test_wait_for_an_origin_leaves_time_to_serve(self, uptime_s):
         async def main():
--- a/packages/entry/src/almonddeal/relay/tests/test_resumed_under_load.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_resumed_under_load.py
@@ -105,7 +105,7 @@
         share = sum(day.resumed) / len(day.resumed)
         assert share >= MIN_RELATIVE_SHARE * sum(day.begun) / len(day.begun)
 
-    # Guards against events that are lost or repeated where a stream goes on.
+    # Guards against events that are lost or repeated where a stream resumes.
     def test_each_caller_receives_its_events_in_order(self, day):
         for caller in day.callers:
             assert caller.event_ids == list(range(1, len(caller.event_ids) + 1))
--- a/packages/entry/src/almonddeal/relay/tests/test_silent_services.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_silent_services.py
@@ -1,6 +1,6 @@
 """Tests of lookups and orders at plain services that fall silent, without a network.
 
-The pattern is sound targets that fall silent for about a second and then go on.
+The pattern is sound targets that fall silent for about a second and then continue.
 """
 
 import anyio
--- a/packages/entry/src/almonddeal/relay/tests/test_silent_streams.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_silent_streams.py
@@ -1,7 +1,7 @@
 """Tests of streams at engines that fall silent, without a network.
 
 The pattern is sound targets that fall silent for about a second: their process is
-paused, also for probes, while connections stay open, and then goes on.
+paused, also for probes, while connections stay open, and then continues.
 """
 
 import anyio
@@ -294,7 +294,7 @@
 
 
 class TestDeadEngine:
-    """Engines that fall silent and never go on."""
+    """Engines that fall silent and never continue."""
 
     def test_stream_is_cut_at_its_deadline_if_it_may_not_run_again(self):
         fleet, (writer,) = relay(
--- a/packages/entry/src/almonddeal/relay/tests/test_software_versions.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_software_versions.py
@@ -118,7 +118,7 @@
 
 
 class TestContinuation:
-    # Guards against an answer that goes on at an engine of another version.
+    # Guards against an answer that continues at an engine of another version.
     @pytest.mark.parametrize(
         "first",
         [
@@ -148,7 +148,7 @@
         assert is_whole_and_of("v1", writer)
         assert "i-2" not in fleet.tried
 
-    # Guards against the other version when the engine that could go on is full of work.
+    # Guards against the other version when the engine that could resume it is busy.
     def test_refused_stream_does_not_change_its_version(self):
         fleet = make_fleet(then_lost(7), i_3=refuses())
         writer = relay(fleet)
@@ -174,7 +174,7 @@
         assert is_whole_and_of("v1", writer)
         assert fleet.tried == ["i-1", "i-3"]
 
-    # Guards against a started answer that goes on at the only engines left.
+    # Guards against a started answer that continues at the only engines left.
     @pytest.mark.parametrize("state", [DEREGISTERED, DRAINING])
     def test_stream_whose_version_has_left_is_truncated_at_once(self, state):
         fleet = make_fleet(
@@ -296,7 +296,7 @@
         assert is_whole_and_of("v1", relay(fleet))
         assert fleet.tried == ["i-1", "i-4"]
 
-    # Guards against an answer that goes on wherever its prompt is cached.
+    # Guards against an answer that continues wherever its prompt is cached.
     def test_cached_prefix_at_another_version_is_not_used(self):
         fleet = make_fleet(then_lost(7, lambda: announce(fleet, "i-3", DEREGISTERED)))
         fleet.cached_by_target = {"i-2": {"part1"}}
--- a/packages/entry/src/almonddeal/relay/tests/test_stall.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_stall.py
@@ -92,7 +92,7 @@
 class TestSoundEngine:
     @pytest.mark.parametrize("pause_s", [0.3, 0.5])
     def test_slow_stream_is_not_cut(self, pause_s):
-        # Of 455 streams that were given up after 280 ms of silence on a day of the
+        # Of 455 streams that were abandoned after 280 ms of silence on a day of the
         # users' bench, 263 were at engines that completed others later.
         writer, fleet = relay(pauses(7, pause_s))
         assert fleet.tried == ["i-1"]
--- a/packages/entry/src/almonddeal/relay/tests/test_version_mix.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_version_mix.py
@@ -28,7 +28,7 @@
         written = set().union(*(caller.versions for caller in day.callers))
         assert len(written) >= 2
 
-    # Guards against events that are lost or repeated where a stream goes on.
+    # Guards against events that are lost or repeated where a stream resumes.
     def test_each_caller_receives_its_events_in_order(self, day):
         for caller in day.callers:
             assert caller.event_ids == list(range(1, len(caller.event_ids) + 1))
@@ -37,7 +37,7 @@
     def test_copies_lie_at_engines_of_the_same_version(self, day):
         assert day.n_mixed_copies == 0
 
-    # Guards against streams that are given up although their version still serves.
+    # Guards against streams that are abandoned although their version still serves.
     def test_streams_go_on_while_two_engines_have_their_version(self, day):
         assert len(day.resumed) >= MIN_RESUMED
         share = sum(day.resumed) / len(day.resumed)
--- a/packages/entry/src/almonddeal/relay/tracked_target.py
+++ b/packages/entry/src/almonddeal/relay/tracked_target.py
@@ -35,7 +35,7 @@
         Until then the target is not used, as it restarted after its announcement.
     leave_by_scope : dict of anyio.CancelScope to callable
         Of attempts in flight, by the scope that cancels the attempt: ``leave()``
-        cancels it if its request can go on elsewhere.
+        cancels it if its request can continue elsewhere.
     last_activity_ms : float
         When the last events of a stream arrived, or a probe succeeded.
     probed_ms : float
@@ -160,6 +160,6 @@
         self.suspicion = anyio.Event()
 
     def leave(self):
-        """Cancel the attempts of this instance that can go on at another target."""
+        """Cancel the attempts of this instance that can continue at another target."""
         for leave_attempt in list(self.leave_by_scope.values()):
             leave_attempt()
