features: an answer that is long enough to hang beside load

A run of all tests at a load of 21 had an answer complete after one attempt where two are required. In a trial the engine was told to hang its stream 0, 1, 2 or 4 s late: with 300 tokens the answer had ended by then in the last two, with the same failure; with 900 tokens there are two attempts with 0, 2 and 4 s. That the fault came late in that run is likely, and not shown: its logs are gone. The checks are unchanged.

--- a/features/answers.feature
+++ b/features/answers.feature
@@ -31,7 +31,7 @@
     Then the answer is complete
 
   Scenario: A stream hangs while its connection stays open
-    When a caller requests an answer of 300 tokens at entry 0
+    When a caller requests an answer of 900 tokens at entry 0
     And the stream of the answer hangs at token 60
     Then the answer is complete
     And its text comes from 2 attempts
