common, roles, agent: keep signal handlers until the process exits

Streams were cut off, and orders that a target ran got no answer.

Cause: handlers were installed by a receiver in a loop that returned at the stop signal. Leaving a receiver restores the default action of its signals, which ends the process. The same held for a second SIGTERM or SIGINT, for control instances, for the agent and the entry instance of our own interface (wait_for_stop), for a process before its handlers were installed, and while the interpreter exits.

Ruled out: a broken-off drain by the settings themselves, as an invalid file does the same; the change of the configuration beside it, as plays with rolling stops and changes but no reload hold.

Change: handle_signals is the outermost context of each process. The handlers stay during the drain, and afterwards the signals are ignored.

Conclusion: a signal ends no process while it serves.

--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -2,6 +2,7 @@
 import json
 import threading
 import time
+from signal import Signals
 
 import httpx
 from answer_steps import read_to_end, start_reader
@@ -203,6 +204,20 @@
         assert reader.answer.finish_reason is not None
 
 
+# Guards against a signal whose default action ends a process that drains.
+@when(
+    "{n_answers:d} answers of {n_tokens:d} tokens are requested"
+    " at {role:w} {number:d} which gets SIGTERM, then {signal_name:w}"
+)
+def signal_again(context, n_answers, n_tokens, role, number, signal_name):
+    start_readers(context, n_answers, n_tokens, number if role == "entry" else None)
+    process = context.fleet.process_by_name[f"{role}{number}"]
+    process.terminate()
+    time.sleep(0.1)
+    process.send_signal(Signals[signal_name])
+    assert process.wait(15) == 0
+
+
 @when("an operator with the role read applies a document")
 def apply_as_reader(context):
     path = write_document(context, "reader", context.fleet.document)
--- a/packages/agent/src/almonddeal_agent/run.py
+++ b/packages/agent/src/almonddeal_agent/run.py
@@ -13,11 +13,12 @@
 from almonddeal_agent.metrics import AgentMetrics
 from almonddeal_common.address import Address
 from almonddeal_common.clock import monotonic_ms
-from almonddeal_common.http import serve_http, wait_for_stop
+from almonddeal_common.http import serve_http
 from almonddeal_common.logs import get_logger
 from almonddeal_common.metrics import metrics_app
 from almonddeal_common.replicas.handlers import answer_replica_handlers
 from almonddeal_common.replicas.store import AnswerStore
+from almonddeal_common.signals import handle_signals
 from almonddeal_common.wire.connect import Peer, listen, serve_links
 from almonddeal_common.wire.gen.constants import PROTOCOL_VERSION
 from almonddeal_common.wire.gen.ttypes import (
@@ -67,12 +68,16 @@
         self._empty_load = Load(0, 0, 0, 0, 0.0, 0)
 
     async def run(self):
-        """Run until SIGTERM or SIGINT, then drain and end what still runs.
+        """Run until a stop signal, then drain and end what still runs.
 
         Owners resume the ended attempts on other targets.
         """
-        listener = await listen(self._listen_address)
         stop = anyio.Event()
+        with handle_signals(stop.set):
+            await self._run(stop)
+
+    async def _run(self, stop):
+        listener = await listen(self._listen_address)
         async with self._client, anyio.create_task_group() as group:
             handlers = self._make_handlers(group)
             hello = self._make_hello()
@@ -92,7 +97,7 @@
                 group.start_soon(serve_http, metrics_app, address, anyio.Event())
                 group.start_soon(AgentMetrics(self._metric_values).run)
             log.info("agent started for target %s", self._target["name"])
-            await wait_for_stop(stop)
+            await stop.wait()
             await self._drain()
             group.cancel_scope.cancel()
 
--- a/packages/common/src/almonddeal_common/http.py
+++ b/packages/common/src/almonddeal_common/http.py
@@ -2,9 +2,6 @@
 
 import errno
 import logging
-from signal import SIGINT, SIGTERM
-
-import anyio
 
 from almonddeal_common.codes import ADDRESS_IN_USE, AlmonddealError
 from almonddeal_common.connections import HeadLimitedConfig, serve_connections
@@ -65,11 +62,3 @@
         if error.errno not in BIND_ERRNOS:
             raise
         raise AlmonddealError(ADDRESS_IN_USE, f"{address}: {error}") from None
-
-
-async def wait_for_stop(stop):
-    """Wait for SIGTERM or SIGINT, then set `stop`."""
-    with anyio.open_signal_receiver(SIGTERM, SIGINT) as signals:
-        async for _ in signals:
-            stop.set()
-            return
--- a/packages/entry/src/almonddeal/entry_instance.py
+++ b/packages/entry/src/almonddeal/entry_instance.py
@@ -39,10 +39,11 @@
     NOT_LEADER,
     AlmonddealError,
 )
-from almonddeal_common.http import serve_http, wait_for_stop
+from almonddeal_common.http import serve_http
 from almonddeal_common.logs import get_logger
 from almonddeal_common.replicas.handlers import answer_replica_handlers
 from almonddeal_common.replicas.store import AnswerStore
+from almonddeal_common.signals import handle_signals
 from almonddeal_common.wire.connect import Peer, listen, serve_links
 from almonddeal_common.wire.gen.constants import PROTOCOL_VERSION
 from almonddeal_common.wire.gen.ttypes import (
@@ -181,15 +182,15 @@
         """
         with ExitStack() as stack:
             listener = await listen(self.settings.listen)
-            stop = anyio.Event()
-            stop_http = anyio.Event()
+            stop, stop_http = anyio.Event(), anyio.Event()
+            stack.enter_context(handle_signals(stop.set))
             async with anyio.create_task_group() as group:
                 self._build_components(stack, group)
                 group.start_soon(serve_links, listener, self._hello, self._handlers())
                 self._start_tasks(group)
                 self._start_http(group, stop_http)
                 log.info("entry instance %s started", self.settings.instance)
-                await wait_for_stop(stop)
+                await stop.wait()
                 await self._drain()
                 stop_http.set()
                 # Open connections deliver their last events before they are cancelled.
--- a/packages/entry/src/almonddeal/roles/control.py
+++ b/packages/entry/src/almonddeal/roles/control.py
@@ -3,7 +3,7 @@
 import os
 import time
 from contextlib import ExitStack
-from signal import SIGHUP, SIGINT, SIGTERM
+from functools import partial
 
 import anyio
 
@@ -24,6 +24,7 @@
 from almonddeal_common.http import make_config, serve_http
 from almonddeal_common.logs import decide, get_logger
 from almonddeal_common.metrics import metrics_app
+from almonddeal_common.signals import handle_signals
 from almonddeal_common.wire.connect import dial, listen, serve_links
 from almonddeal_common.wire.gen.constants import PROTOCOL_VERSION
 from almonddeal_common.wire.gen.ttypes import (
@@ -203,12 +204,19 @@
             ASGI application for operators and targets.
         """
         settings = self.settings
+        stop = anyio.Event()
+        start_scope = anyio.CancelScope()
+
+        def request_stop():
+            stop.set()
+            # A start may wait for room on the disk.
+            start_scope.cancel()
+
+        reload = partial(reload_settings, settings, self._load_settings)
         with ExitStack() as stack:
+            stack.enter_context(handle_signals(request_stop, reload))
             listener = await listen(settings.link_address)
             async with anyio.create_task_group() as group:
-                stop = anyio.Event()
-                start_scope = anyio.CancelScope()
-                await group.start(self._handle_signals, stop, start_scope)
                 with start_scope:
                     name, store, consensus = await self._build_member(stack, group)
                 if start_scope.cancelled_caught:
@@ -316,21 +324,6 @@
             return await self.feed.handle_read_fresh(link, message, emit)
         return await self._control_client.handle_read_fresh(link, message, emit)
 
-    async def _handle_signals(self, stop, start_scope, *, task_status):
-        """Reload the settings, until a signal to stop; that also ends a start.
-
-        A start may wait for room on the disk.
-        """
-        with anyio.open_signal_receiver(SIGTERM, SIGINT, SIGHUP) as signals:
-            task_status.started()
-            async for signal in signals:
-                if signal != SIGHUP:
-                    stop.set()
-                    start_scope.cancel()
-                    return
-                decide(log, "settings reload requested")
-                reload_settings(self.settings, self._load_settings)
-
     async def _join_periodically(self, name, consensus):
         """Request to join while this process is no member or knows no leader."""
         while True:
--- a/packages/entry/src/almonddeal/roles/entry.py
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -2,7 +2,6 @@
 
 import time
 from functools import partial
-from signal import SIGHUP, SIGINT, SIGTERM
 
 import anyio
 
@@ -21,6 +20,7 @@
 from almonddeal_common.http import make_config, serve_http
 from almonddeal_common.logs import decide, get_logger
 from almonddeal_common.metrics import metrics_app
+from almonddeal_common.signals import handle_signals
 from almonddeal_common.wire.gen.constants import PROTOCOL_VERSION
 from almonddeal_common.wire.gen.ttypes import Hello
 from almonddeal_common.wire.link import LOWEST_PROTOCOL_VERSION
@@ -209,16 +209,19 @@
             ASGI applications.
         """
         settings = self.settings
-        async with anyio.create_task_group() as group:
-            group.start_soon(self._follower.run)
-            group.start_soon(self._maintain_periodically)
-            decide(log, "entry instance started", instance=settings.instance)
-            await self._serve(callers_app, readiness_app)
-            decide(log, "entry instance stopped", n_in_flight=len(self._requests))
-            group.cancel_scope.cancel()
-
-    async def _serve(self, callers_app, readiness_app):
-        """Serve HTTP until a stop signal and the end of the requests in flight."""
+        stop = anyio.Event()
+        reload = partial(reload_settings, settings, self._load_settings)
+        with handle_signals(stop.set, reload):
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._follower.run)
+                group.start_soon(self._maintain_periodically)
+                decide(log, "entry instance started", instance=settings.instance)
+                await self._serve(callers_app, readiness_app, stop)
+                decide(log, "entry instance stopped", n_in_flight=len(self._requests))
+                group.cancel_scope.cancel()
+
+    async def _serve(self, callers_app, readiness_app, stop):
+        """Serve HTTP until `stop` is set and the requests in flight have ended."""
         settings = self.settings
         stop_callers = anyio.Event()
         callers_stopped = anyio.Event()
@@ -231,7 +234,7 @@
                 serve_http, readiness_app, settings.readiness, stop_others
             )
             servers.start_soon(serve_http, metrics_app, settings.metrics, stop_others)
-            await self._wait_for_stop_signal()
+            await stop.wait()
             await self._drain(stop_callers, callers_stopped)
             await anyio.sleep(LAST_REPORTS_SHARE * self._stop_margin_s)
             stop_others.set()
@@ -241,14 +244,6 @@
         await serve_http(app, address, stop, None, self.http_config)
         stopped.set()
 
-    async def _wait_for_stop_signal(self):
-        with anyio.open_signal_receiver(SIGTERM, SIGINT, SIGHUP) as signals:
-            async for signal in signals:
-                if signal != SIGHUP:
-                    return
-                decide(log, "settings reload requested")
-                reload_settings(self.settings, self._load_settings)
-
     async def _drain(self, stop_callers, callers_stopped):
         """Report not ready; stop serving after the load balancer's reaction time."""
         self.is_draining = True
--- a/packages/entry/src/almonddeal/roles/tests/test_control.py
+++ b/packages/entry/src/almonddeal/roles/tests/test_control.py
@@ -71,7 +71,7 @@
 @pytest.fixture
 def unhandled_signals():
     """Signals that would have ended the process."""
-    numbers = (signal.SIGHUP, signal.SIGTERM)
+    numbers = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
     received = []
     previous = {n: signal.signal(n, lambda n, _: received.append(n)) for n in numbers}
     yield received
@@ -148,7 +148,7 @@
     # operations was refused: changes or records are then no longer stored.
     @pytest.mark.parametrize("kind", [CREATE, WRITE, TRUNCATE, SYNC, RENAME])
     def test_changes_and_records_are_stored_once_there_is_room(
-        self, tmp_path, monkeypatch, caplog, role, kind
+        self, tmp_path, monkeypatch, caplog, role, unhandled_signals, kind
     ):
         monkeypatch.setattr(record_file, "RETRY_INTERVAL_S", 0.1)
         monkeypatch.setattr(control, "COMPACT_INTERVAL_S", 0.05)
