relay: send sound events before a wrong id ends the attempt

Cause: the ids of all events of a read were recorded before the first one was sent. A wrong id then ended the attempt, and the stream resumed after events that had never been sent. Where the step between ids was not known yet, any higher id was believed, and the sound events after it were dropped as repeats. Tests of each place and kind of wrong id found the same with an id that is no number (the event came twice), one that is lower (the last event was lost), and at the first event.

Ruled out: losses between relay and caller, as bytes are written before a send can be cancelled; our own interface, where agents check the index of each token first.

Change: EventSequence tells for each event whether it is sent, held until the ids after it confirm its own, or dropped as a repeat. The sound events of a read are sent before the error is raised. Repeats must lead up to the last event; a stream that began with an event without an id is not run again.

Conclusion: the state of a stream moves only with events that are sent in the same step.

--- a/packages/entry/src/almonddeal/relay/forwarding.py
+++ b/packages/entry/src/almonddeal/relay/forwarding.py
@@ -46,6 +46,7 @@
         `LINK_LOST` if the response ends or continues otherwise than a stream may.
     """
     reader = EventReader()
+    stream.sequence.begin_attempt()
     async for chunk in response.chunks:
         events = reader.feed(chunk)
         if not events:
@@ -61,7 +62,7 @@
             if stream.software_version is None:
                 record_origin(stream, context, announcement)
         with progress.sending():
-            await _send_events(stream, response, events, progress)
+            await _send_events(stream, response, events)
         if is_progress:
             had_survived = progress.has_survived
             progress.record_events(len(events), monotonic_ms())
@@ -73,6 +74,7 @@
         raise AlmonddealError(LINK_LOST, "the answer ended within an event")
     timer.deadline = float("inf")
     with progress.sending():
+        await _send_accepted(stream, response, stream.sequence.finish())
         await _start_response(stream, response)
         await stream.writer.finish()
     stream.is_ended = True
@@ -138,52 +140,30 @@
         stream.media_type = response.media_type
 
 
-async def _send_events(stream, response, events, progress):
-    if not progress.has_event:
-        _check_first_event(stream, events)
-    new_events = [event for event in events if _record_event_id(stream, event)]
-    if not new_events:
-        return
-    await _start_response(stream, response)
-    await stream.writer.send(b"".join(event.raw for event in new_events))
-    if all(event.is_comment for event in new_events):
-        return
-    stream.last_sent_ms = monotonic_ms()
-
-
-def _check_first_event(stream, events):
-    """Check that the first event of a resumed stream can be placed by its id.
+async def _send_events(stream, response, events):
+    """Send the events that the caller is yet to receive.
 
     Raises
     ------
     AlmonddealError
-        `LINK_LOST` if it has none, as an error text has none.
+        `LINK_LOST` at an event whose id is not sound, after those before it were sent.
     """
-    if stream.last_event_id is None:
+    accepted = []
+    error = None
+    try:
+        for event in events:
+            accepted += stream.sequence.accept(event)
+    except AlmonddealError as caught:
+        error = caught
+    await _send_accepted(stream, response, accepted)
+    if error is not None:
+        raise error
+
+
+async def _send_accepted(stream, response, events):
+    if not events:
         return
-    first = next((event for event in events if not event.is_comment), None)
-    if first is not None and first.event_id is None:
-        raise AlmonddealError(LINK_LOST, "a resumed stream begins without an id")
-
-
-def _record_event_id(stream, event):
-    """Record the id of an event; returns whether the event is yet to be sent.
-
-    Raises
-    ------
-    AlmonddealError
-        `LINK_LOST` if an id is missing in the sequence.
-    """
-    last = stream.last_event_id
-    if event.event_id is None:
-        return True
-    if last is not None and event.event_id <= last:
-        return False
-    if last is not None and stream.event_id_step is not None:
-        if event.event_id != last + stream.event_id_step:
-            detail = f"event {event.event_id} follows {last}"
-            raise AlmonddealError(LINK_LOST, detail)
-    elif last is not None:
-        stream.event_id_step = event.event_id - last
-    stream.last_event_id = event.event_id
-    return True
+    await _start_response(stream, response)
+    await stream.writer.send(b"".join(event.raw for event in events))
+    if not all(event.is_comment for event in events):
+        stream.last_sent_ms = monotonic_ms()
--- a/packages/entry/src/almonddeal/relay/stream_state.py
+++ b/packages/entry/src/almonddeal/relay/stream_state.py
@@ -2,6 +2,7 @@
 
 from contextlib import contextmanager
 
+from almonddeal.relay.event_sequence import EventSequence
 from almonddeal_common.clock import monotonic_ms
 
 LOST_DOMAIN_MS = 1500.0  # for which a failure domain may stay without its engines
@@ -139,8 +140,8 @@
 
     Attributes
     ----------
-    last_event_id : int or None
-        Last event sent to the caller.
+    sequence : EventSequence
+        Which events were sent to the caller.
     is_started, is_ended : bool
         Whether the response head, and the end of the response, were sent.
     software_version : str or None
@@ -158,8 +159,6 @@
         When the last engine of the stream was lost, by its failure domain.
     error_response : tuple or None
         Error response of an engine, with its body; sent if no attempt succeeds.
-    event_id_step : int or None
-        Difference between successive event ids, once known.
     last_sent_ms : float
         When events were last sent to the caller.
     n_sends : int
@@ -181,12 +180,10 @@
         "copy",
         "crashes",
         "error_response",
-        "event_id_step",
         "failed_targets",
         "has_retry",
         "is_ended",
         "is_started",
-        "last_event_id",
         "last_sent_ms",
         "lost_ms_by_domain",
         "media_type",
@@ -194,6 +191,7 @@
         "n_sends",
         "refusing_targets",
         "run",
+        "sequence",
         "software_version",
         "status",
         "writer",
@@ -202,7 +200,7 @@
     def __init__(self, admitted, writer):
         self.admitted = admitted
         self.writer = writer
-        self.last_event_id = admitted.request.last_event_id
+        self.sequence = EventSequence(admitted.request.last_event_id)
         self.is_started = False
         self.is_ended = False
         self.software_version = None
@@ -215,7 +213,6 @@
         self.lost_ms_by_domain = {}
         self.error_response = None
         self.last_sent_ms = 0.0
-        self.event_id_step = None
         self.n_sends = 0
         self.n_attempts = 0
         self.crashes = []
@@ -226,6 +223,11 @@
         """Id of the request."""
         return self.admitted.request.request_id
 
+    @property
+    def last_event_id(self):
+        """Id of the last event sent to the caller, or None."""
+        return self.sequence.last_id
+
     def candidates(self, targets, excluded=()):
         """Return the targets at which the stream may begin or continue, as a list.
 
--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -249,6 +249,8 @@
     route = stream.admitted.route
     if not is_not_run and not route.may_run_again:
         return False
+    if not stream.sequence.can_resume:
+        return False
     if not has_attempts_left(stream, stream.n_sends):
         return False
     if error.code == NOT_REACHED:
--- a/packages/entry/src/almonddeal/relay/tests/test_streams.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_streams.py
@@ -216,6 +216,64 @@
         assert rejection(fleet).code in (ATTEMPT_LOST, OVERLOADED)
 
 
+def sends_spoiled_id(number, spoiled_line, n_together=0):
+    """Return a behaviour: all events, one of them with a spoiled line for its id.
+
+    That one is read together with `n_together` events before it.
+    """
+
+    async def steps(attempt):
+        yield 200
+        first = 1 if attempt.last_event_id is None else attempt.last_event_id + 1
+        data = b""
+        for event_id in range(first, LAST + 1):
+            event = make_event(event_id)
+            if event_id == number:
+                event = event.replace(b"id:%d" % event_id, spoiled_line)
+            data += event
+            if not number - n_together <= event_id < number:
+                yield data
+                data = b""
+                await anyio.sleep(0.002)
+
+    return steps
+
+
+class TestSpoiledEventId:
+    """Pattern: an engine hands out wrong bytes in the id of one event."""
+
+    # Guards against sound events that are lost because a wrong id was read with them,
+    # or because their ids are lower than a wrong one.
+    @pytest.mark.parametrize("n_together", [0, 1, 2])
+    @pytest.mark.parametrize(
+        "line", [b"id:70", b"id:0", b"id:1", b"id:7", b"id:x", b"xd:5", b"id:13"]
+    )
+    @pytest.mark.parametrize("number", [1, 2, 3, 4, 10, LAST])
+    def test_all_events_are_sent_once(self, number, line, n_together):
+        engines = {
+            "i-1": sends_spoiled_id(number, line, n_together),
+            "i-2": streams(1, LAST),
+        }
+        body = relay(FakeFleet(engines, TWO_DOMAINS)).body
+        sound = [make_event(n) for n in range(1, LAST + 1)]
+        spoiled = sound[number - 1].replace(b"id:%d" % number, line)
+        events = [event + b"\n\n" for event in body.split(b"\n\n")[:-1]]
+        places = [spoiled if event == spoiled else None for event in events]
+        assert [s for s, p in zip(sound, places, strict=True) if p is None] == [
+            e for e, p in zip(events, places, strict=True) if p is None
+        ]
+
+    # Guards against the same in a stream that a caller resumes.
+    @pytest.mark.parametrize("line", [b"id:70", b"id:2", b"id:x"])
+    @pytest.mark.parametrize("number", [6, 7, 8])
+    def test_all_events_of_a_resumed_stream_are_sent_once(self, number, line):
+        engines = {"i-1": sends_spoiled_id(number, line), "i-2": streams(1, LAST)}
+        fleet = FakeFleet(engines, TWO_DOMAINS)
+        fleet.add_origin()
+        admitted = admit_stream(last_event_id=5, resumed_request_id="req0")
+        assert relay(fleet, admitted).event_ids == list(range(6, LAST + 1))
+
+
 class TestEventIds:
     """Pattern: an engine sends an event whose id is a very long number."""
 
