relay: resume a stream only from a KV cache copy of its own

Cause: the earlier run was found by the digest of its request alone. Two equal requests have the same one; which of the runs was found depended on their order. The id that the caller names in Resumes was not looked at.

Ruled out: engines that mix up copies, as they keep them by the id of the run; the cache of prompts, which holds no generated text.

Change: the fingerprint of a run has the id of its stream in it, the one of the request that brought the first event. A caller that names no stream gets no copy, as it may have any of the equal ones.

Conclusion: equal requests keep their own copies, and no copy is lost to callers that name their stream.

--- a/packages/entry/src/almonddeal/relay/load.py
+++ b/packages/entry/src/almonddeal/relay/load.py
@@ -189,12 +189,12 @@
             (announcement.target, announcement.born_ms), EMPTY_LOAD
         )
 
-    def find_run(self, fingerprint):
-        """Return an unfinished or interrupted run with this fingerprint, or None."""
+    def find_run(self, stream_fingerprint):
+        """Return an unfinished or interrupted run of a stream, or None."""
         for run in self._run_by_request.values():
-            if run.fingerprint == fingerprint:
+            if run.fingerprint == stream_fingerprint:
                 return run
-        return self._interrupted_by_fingerprint.get(fingerprint, (None, 0.0))[0]
+        return self._interrupted_by_fingerprint.get(stream_fingerprint, (None, 0.0))[0]
 
     def evict_stale(self):
         """Evict runs and instances without a recent report, and loads that are zero."""
--- a/packages/entry/src/almonddeal/relay/requests.py
+++ b/packages/entry/src/almonddeal/relay/requests.py
@@ -14,7 +14,7 @@
     n_output_tokens : int
         Upper limit of generated tokens.
     fingerprint : str
-        Digest of the request; equal if and only if the same response is requested.
+        Digest of the request; equal for equal requests, also of other streams.
     last_prefix_hash : str or None
         Hash of the last prompt segment, which is specific to this request or session.
     shared_prefix_hashes : tuple of str
@@ -121,6 +121,20 @@
         self.generation = generation
         self.resumed_request_id = resumed_request_id
 
+    @property
+    def stream_fingerprint(self):
+        """Digest that the runs of one stream share, also over its caller's requests.
+
+        Equal requests of other streams have other ones: the id of the request that
+        brought the first event is part of it.
+        """
+        stream_id = self.request_id
+        if self.last_event_id is not None and self.resumed_request_id is not None:
+            stream_id = self.resumed_request_id
+        digest = blake2b(self.generation.fingerprint.encode(), digest_size=12)
+        digest.update(b":" + stream_id.encode())
+        return digest.hexdigest()
+
 
 class AdmittedRequest:
     """A request with its route, service, customer and deadline."""
--- a/packages/entry/src/almonddeal/relay/run_reports.py
+++ b/packages/entry/src/almonddeal/relay/run_reports.py
@@ -80,7 +80,7 @@
         n_unread_tokens,
         is_ended,
         backup.target if copy is not None else "",
-        stream.admitted.request.generation.fingerprint,
+        stream.admitted.request.stream_fingerprint,
         backup.born_ms if copy is not None else 0,
         is_cut,
         copy.issuer_address if copy is not None else "",
--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -98,11 +98,17 @@
 
 
 def _find_copy(stream, context):
-    """Find the KV-cache copy of the earlier run if the caller resumes a stream."""
-    generation = stream.admitted.request.generation
-    if stream.last_event_id is None or generation is None:
+    """Find the KV-cache copy of the earlier run if the caller resumes a stream.
+
+    Other callers may send equal requests, so only a caller that names its stream may
+    get its copy.
+    """
+    request = stream.admitted.request
+    if stream.last_event_id is None or request.generation is None:
+        return
+    if request.resumed_request_id is None:
         return
-    run = context.load_view.find_run(generation.fingerprint)
+    run = context.load_view.find_run(request.stream_fingerprint)
     if run is None or not run.backup:
         return
     backup = context.targets.get(run.backup)
--- a/packages/entry/src/almonddeal/relay/tests/fakes.py
+++ b/packages/entry/src/almonddeal/relay/tests/fakes.py
@@ -101,6 +101,11 @@
     return Run(**{**values, **changes})
 
 
+def stream_fingerprint(request_id="req0"):
+    """Return the fingerprint of the runs of a stream that `admit_stream` began."""
+    return admit_stream(request_id=request_id).request.stream_fingerprint
+
+
 def fill_engine(load_view, target, n_runs=9):
     """Fill an engine's KV cache with runs that have finished their prefill."""
     for number in range(n_runs):
--- a/packages/entry/src/almonddeal/relay/tests/test_leaving_engines.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_leaving_engines.py
@@ -14,6 +14,7 @@
     make_announcement,
     make_event,
     make_run,
+    stream_fingerprint,
     streams,
 )
 from almonddeal.relay.tests.leaving_targets import (
@@ -114,7 +115,7 @@
             fleet.context.list_cached_prefixes = list_cached_prefixes
             lost = make_run("req0", "i-1", backup="i-2", backup_born_ms=1000)
             lost.copy_address, lost.copy_id = "10.0.0.2:80", "req0"
-            lost.fingerprint = "print1"
+            lost.fingerprint = stream_fingerprint("req0")
             fleet.context.load_view.merge(lost)
             fleet.add_origin("req0")
             mark_leaving(fleet.context, "i-2")
--- a/packages/entry/src/almonddeal/relay/tests/test_paused_engines.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_paused_engines.py
@@ -15,6 +15,7 @@
     admit_stream,
     fill_engine,
     make_run,
+    stream_fingerprint,
     streams,
 )
 from almonddeal.relay.tests.stream_runs import (
@@ -202,7 +203,8 @@
     def test_known_copy_at_a_paused_engine_is_left(self):
         fleet = self.fleet()
         copy = {"backup": "i-1", "backup_born_ms": 1000, "copy_address": "10.0.0.1:80"}
-        run = make_run("req0", "i-2", fingerprint="print1", copy_id="c", **copy)
+        fingerprint = stream_fingerprint("req0")
+        run = make_run("req0", "i-2", fingerprint=fingerprint, copy_id="c", **copy)
         fleet.context.load_view.merge(run)
         pause(fleet, "i-1")
         writer = relay(fleet, self.resumed())
--- a/packages/entry/src/almonddeal/relay/tests/test_resumed_requests.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_resumed_requests.py
@@ -11,6 +11,7 @@
     admit_stream,
     loses_connection,
     make_run,
+    stream_fingerprint,
     streams,
 )
 from almonddeal.relay.tests.resumed_requests import (
@@ -71,7 +72,7 @@
                 backup_born_ms=1000,
                 copy_address="10.0.0.1:80",
                 copy_id="req1",
-                fingerprint="print1",
+                fingerprint=stream_fingerprint("req1"),
                 is_ended=is_ended,
                 is_cut=is_ended,
             )
@@ -92,7 +93,7 @@
                 backup_born_ms=1000,
                 copy_address="10.0.0.3:80",
                 copy_id="req1",
-                fingerprint="print1",
+                fingerprint=stream_fingerprint("req1"),
             )
             fleet.context.load_view.merge(earlier)
             add_origin(fleet.context)
--- a/packages/entry/src/almonddeal/relay/tests/test_stream_copies.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_stream_copies.py
@@ -1,5 +1,7 @@
 """Tests of streams that resume from KV-cache copies or cached prefixes."""
 
+from copy import copy
+
 import anyio
 import pytest
 
@@ -14,6 +16,7 @@
     make_announcement,
     make_run,
     refuses,
+    stream_fingerprint,
     streams,
 )
 from almonddeal.relay.tests.stream_runs import (
@@ -116,7 +119,7 @@
         lost = make_run("other-i-1", "i-1")
         lost.backup, lost.backup_born_ms = "i-2", 1000
         lost.copy_address, lost.copy_id = "10.0.0.2:80", lost.request
-        lost.fingerprint = "print1"
+        lost.fingerprint = stream_fingerprint("req0")
         fleet.context.load_view.merge(lost)
         fleet.add_origin("req0")
         writer = relay(fleet, admit_stream(last_event_id=12, resumed_request_id="req0"))
@@ -263,3 +266,84 @@
         )
         assert writer.event_ids + rest.event_ids == list(range(1, 201))
         assert second.attempts[0].copy.copy_id == "req1"
+
+
+def make_copied_run(request_id, stream_id, backup):
+    """Return another instance's run of a stream, with a copy at a backup."""
+    return make_run(
+        request_id,
+        "i-1",
+        backup=backup,
+        backup_born_ms=1000,
+        copy_address=f"10.0.0.{backup[-1]}:80",
+        copy_id=request_id,
+        fingerprint=stream_fingerprint(stream_id),
+        n_unread_tokens=0,
+    )
+
+
+class TestEqualRequests:
+    """Pattern: two callers send equal requests, and one resumes its stream."""
+
+    def resume(self, runs, resumed_request_id="req0", are_ended=False):
+        """Resume a stream after event 12; returns the copies of its attempts, by id."""
+        engines = dict.fromkeys(("i-1", "i-2", "i-3"), streams(1, LAST))
+        fleet = FakeFleet(engines, {"i-1": "fd1", "i-2": "fd2", "i-3": "fd3"})
+        for run in runs:
+            fleet.context.load_view.merge(run)
+        for run in runs if are_ended else []:
+            end = copy(run)
+            end.is_ended = end.is_cut = True
+            fleet.context.load_view.merge(end)
+        fleet.add_origin("req0")
+        admitted = admit_stream(
+            last_event_id=12, request_id="req9", resumed_request_id=resumed_request_id
+        )
+        writer = relay(fleet, admitted)
+        assert writer.event_ids == list(range(13, LAST + 1))
+        return [a.copy.copy_id for a in fleet.attempts if a.copy is not None]
+
+    # Guards against a stream that resumes from the KV cache of another request.
+    @pytest.mark.parametrize("are_ended", [False, True])
+    def test_copy_of_another_stream_is_not_used(self, are_ended):
+        other = make_copied_run("other", "other", "i-2")
+        assert self.resume([other], are_ended=are_ended) == []
+
+    # Guards against losing the copy of a stream beside a run of an equal request.
+    @pytest.mark.parametrize("are_ended", [False, True])
+    @pytest.mark.parametrize("is_first", [False, True])
+    def test_own_copy_is_used(self, are_ended, is_first):
+        runs = [
+            make_copied_run("other", "other", "i-2"),
+            make_copied_run("req0", "req0", "i-3"),
+        ]
+        if is_first:
+            runs.reverse()
+        assert self.resume(runs, are_ended=are_ended) == ["req0"]
+
+    # Guards against the same for a stream that is resumed once more.
+    def test_copy_of_a_resumed_run_is_used(self):
+        runs = [
+            make_copied_run("other", "other", "i-2"),
+            make_copied_run("req5", "req0", "i-3"),
+        ]
+        assert self.resume(runs) == ["req5"]
+
+    # Guards against a guess: a caller that names no stream may have any of them.
+    def test_no_copy_is_used_if_the_stream_is_not_named(self):
+        run = make_copied_run("req0", "req0", "i-3")
+        assert self.resume([run], resumed_request_id=None) == []
+
+    # Guards against a run that cannot be found once its stream is resumed again.
+    def test_run_of_a_resumed_stream_is_reported_under_its_first_request(self):
+        fleet = FakeFleet({"i-1": streams(1, LAST)}, {"i-1": "fd1"})
+        fleet.add_origin("req0")
+        relay(
+            fleet,
+            admit_stream(
+                last_event_id=12, request_id="req9", resumed_request_id="req0"
+            ),
+        )
+        (run,) = fleet.context.runs.values()
+        assert run.request == "req9"
+        assert run.fingerprint == stream_fingerprint("req0")
