relay: bound the events that are held until a sound id

What could be seen: an engine that sends events without an id and without end, after a sound one, fills the memory of its instance, and the requests of others end with it.

Cause: EventSequence holds events without an id until a sound id follows, in a list without a limit.

Change: at most 16 events and 1 MiB are held; more end the attempt, and the stream resumes elsewhere.

Evidence: test_held_events_are_bounded fails before.

Conclusion: what one target sends takes a bounded part of the memory of its instance.

--- a/packages/entry/src/almonddeal/relay/event_sequence.py
+++ b/packages/entry/src/almonddeal/relay/event_sequence.py
@@ -3,6 +3,8 @@
 from almonddeal_common.codes import LINK_LOST, AlmonddealError
 
 USUAL_FIRST_ID = 1
+MAX_HELD_EVENTS = 16
+MAX_HELD_BYTES = 1024 * 1024
 
 
 class EventSequence:
@@ -11,7 +13,8 @@
     Ids increase by a constant step. One that does not follow the id before it was
     corrupted, or an event is missing. While the step is unknown, events are held until
     the ids after them confirm theirs; an id that is one higher needs no confirmation.
-    Events without an id are held until a sound id follows.
+    Events without an id are held until a sound id follows. What is held is bounded, as
+    a faulty engine may send events without end.
 
     Parameters
     ----------
@@ -67,7 +70,8 @@
         Raises
         ------
         AlmonddealError
-            `LINK_LOST` if the id of this event, or of a held one, is not sound.
+            `LINK_LOST` if the id of this event, or of a held one, is not sound, or too
+            many events would be held.
         """
         if event.is_comment:
             return [event]
@@ -79,7 +83,7 @@
         self._previous_id = event.event_id
         if self.last_id is not None and event.event_id <= self.last_id:
             return []
-        self._held_events.append(event)
+        self._hold(event)
         is_usual_start = self.last_id is None and event.event_id == USUAL_FIRST_ID
         if self.step is None and not is_usual_start:
             return []
@@ -108,11 +112,17 @@
                 raise AlmonddealError(
                     LINK_LOST, "a resumed stream begins without an id"
                 )
-            self._held_events.append(event)
+            self._hold(event)
             return []
         self._has_events_without_id = True
         return [event]
 
+    def _hold(self, event):
+        n_bytes = sum(len(held.raw) for held in self._held_events) + len(event.raw)
+        if len(self._held_events) == MAX_HELD_EVENTS or n_bytes > MAX_HELD_BYTES:
+            raise AlmonddealError(LINK_LOST, "no sound id follows the held events")
+        self._held_events.append(event)
+
     def _has_sound_id(self, event_id):
         """Tell whether an id may follow; learns the step from it."""
         previous_id = self._previous_id
--- a/packages/entry/src/almonddeal/relay/tests/test_event_sequence.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_event_sequence.py
@@ -2,7 +2,11 @@
 
 import pytest
 
-from almonddeal.relay.event_sequence import EventSequence
+from almonddeal.relay.event_sequence import (
+    MAX_HELD_BYTES,
+    MAX_HELD_EVENTS,
+    EventSequence,
+)
 from almonddeal.relay.events import Event
 from almonddeal_common.codes import LINK_LOST, AlmonddealError
 
@@ -79,6 +83,17 @@
         assert fails(sequence, 4)
         assert accepted_ids(sequence, 3) == [[3]]
 
+    # Guards against memory that grows with the events of a faulty engine.
+    @pytest.mark.parametrize("n_bytes", [0, MAX_HELD_BYTES // 3])
+    def test_held_events_are_bounded(self, n_bytes):
+        sequence = EventSequence(None)
+        accepted_ids(sequence, 1)
+        event = Event(b"data: %s\n\n" % (b"x" * n_bytes))
+        with pytest.raises(AlmonddealError) as caught:
+            for _ in range(MAX_HELD_EVENTS + 1):
+                assert sequence.accept(event) == []
+        assert caught.value.code == LINK_LOST
+
     def test_event_at_the_end_is_accepted(self):
         sequence = EventSequence(None)
         accepted_ids(sequence, 1, None)
