common, relay, agent: let other tasks run while a body is read

Cause: what is buffered is read without a wait, so a loop over the events of one read, or over the tiny chunks of one body, kept the event loop from all other tasks: 2 s for each 64 KiB of short events. The limits on size do not apply to it.

Ruled out: memory, which is bounded; the claim's guess, the reader of events, is only one of the places: bodies of plain services in chunks of one byte do the same without it.

Change: in_pieces yields a body in pieces of 2 KiB and lets other tasks run after each one.

Conclusion: one endless body takes turns with the requests of others. Interim responses without end are parsed in a library and are not covered.

--- a/packages/agent/src/almonddeal_agent/engine.py
+++ b/packages/agent/src/almonddeal_agent/engine.py
@@ -8,7 +8,7 @@
 import anyio
 import httpx
 
-from almonddeal_common.bodies import read_limited
+from almonddeal_common.bodies import in_pieces, read_limited
 from almonddeal_common.codes import (
     ATTEMPT_LOST,
     STALE_FENCE,
@@ -209,7 +209,7 @@
 
 async def _read_tokens(response):
     rest = b""
-    async for data in response.aiter_bytes():
+    async for data in in_pieces(response.aiter_bytes()):
         *lines, rest = (rest + data).split(b"\n")
         if len(rest) > MAX_LINE_BYTES:
             raise ValueError(f"a line has more than {MAX_LINE_BYTES} bytes")
--- a/packages/entry/src/almonddeal/relay/forwarding.py
+++ b/packages/entry/src/almonddeal/relay/forwarding.py
@@ -8,6 +8,7 @@
 from almonddeal.relay.resumption import record_origin
 from almonddeal.relay.run_reports import record_first_event
 from almonddeal.relay.suspects import list_suspects
+from almonddeal_common.bodies import in_pieces
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import LINK_LOST, AlmonddealError
 
@@ -47,8 +48,8 @@
     """
     reader = EventReader()
     stream.sequence.begin_attempt()
-    async for chunk in response.chunks:
-        events = reader.feed(chunk)
+    async for piece in in_pieces(response.chunks):
+        events = reader.feed(piece)
         if not events:
             continue
         # Comments do not show that the engine still generates.
