common: test a hangup without regard to an inherited handler

Cause: such a run inherits SIGHUP as ignored, which handle_signals then leaves so, as it should. The test took the default for granted.

Change: the fixture sets the default action before each test. No change of the product.

--- a/packages/common/src/almonddeal_common/tests/test_signals.py
+++ b/packages/common/src/almonddeal_common/tests/test_signals.py
@@ -17,7 +17,9 @@
 
 @pytest.fixture(autouse=True)
 def restored_handlers():
+    """Start with default actions, as a run under ``nohup`` ignores SIGHUP."""
     previous = {number: signal.getsignal(number) for number in NUMBERS}
+    signal.signal(SIGHUP, signal.SIG_DFL)
     yield
     for number, handler in previous.items():
         signal.signal(number, handler)
