--- a/packages/entry/src/almonddeal/announced/announcement.py
+++ b/packages/entry/src/almonddeal/announced/announcement.py
@@ -37,11 +37,46 @@
     return precedence(announcement) > precedence(known)
 
 
+def is_same_heartbeat(announcement, known):
+    """Return whether two announcements of a target stand for the same heartbeat."""
+    return known is not None and precedence(announcement) == precedence(known)
+
+
+def is_unheard(announcement):
+    """Return whether control had not heard the target for longer than it should."""
+    return bool(announcement.age_ms)
+
+
+def with_state(announcement, state, age_ms=0):
+    """Return a copy of an announcement with another state and age.
+
+    Parameters
+    ----------
+    announcement : AnnouncedTarget
+    state : int
+    age_ms : float
+        Time since the heartbeat, if the next one is overdue; else 0.
+    """
+    return AnnouncedTarget(
+        announcement.target,
+        announcement.service_name,
+        announcement.address,
+        announcement.failure_domain,
+        announcement.version,
+        announcement.n_slots,
+        state,
+        announcement.born_ms,
+        announcement.sequence,
+        announcement.warmup_ms,
+        round(age_ms),
+    )
+
+
 def differs(announcement, known):
     """Return whether an announcement differs from the known one.
 
-    Compares state, address, service, process start, version and slots. True if no
-    announcement is known.
+    Compares state, address, service, process start, version, slots and whether the next
+    heartbeat is overdue. True if no announcement is known.
     """
     return known is None or (
         announcement.state,
@@ -50,6 +85,7 @@
         announcement.born_ms,
         announcement.version,
         announcement.n_slots,
+        is_unheard(announcement),
     ) != (
         known.state,
         known.address,
@@ -57,6 +93,7 @@
         known.born_ms,
         known.version,
         known.n_slots,
+        is_unheard(known),
     )
 
 
--- a/packages/entry/src/almonddeal/announced/registry.py
+++ b/packages/entry/src/almonddeal/announced/registry.py
@@ -8,17 +8,22 @@
     EXPIRED,
     READY,
     differs,
+    is_same_heartbeat,
+    is_unheard,
     make_deregistration,
     supersedes,
+    with_state,
 )
 from almonddeal.announced.versioned_map import VersionedMap
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.logs import decide, get_logger
-from almonddeal_common.wire.gen.ttypes import AnnouncedTarget
 
 HEARTBEAT_TIMEOUT_MS = 8000  # over six announcements at the usual interval of 1.2 s
 # An unchanged announcement is replicated to other control instances at most this often.
 REPLICATION_INTERVAL_MS = 3000
+# At the control instance that the target sends its heartbeats to. The others hear of it
+# once in `REPLICATION_INTERVAL_MS`.
+OVERDUE_MS = 2000  # over one and a half announcements
 INACTIVE_RETENTION_MS = 120_000  # longer than an announcement can be delayed
 EXPIRY_CHECK_INTERVAL_S = 1.0
 
@@ -39,8 +44,9 @@
         self._heartbeat_ms_by_target = {}
         self._replicated_ms_by_target = {}
         self._acknowledged_by_target = {}
+        self._heard_directly = set()
 
-    def merge(self, announcement, origin):
+    def merge(self, announcement, origin, is_direct=False):
         """Merge an announcement if it supersedes the known one.
 
         Parameters
@@ -49,6 +55,8 @@
         origin : str
             Address of the target or name of the control instance that sent it, for
             the log.
+        is_direct : bool
+            Whether the target sent it.
 
         Returns
         -------
@@ -58,11 +66,13 @@
         known = self.announcements.get(announcement.target)
         now_ms = monotonic_ms()
         if not supersedes(announcement, known):
+            self._merge_silence(announcement, known)
             return False
         self._heartbeat_ms_by_target[announcement.target] = now_ms
+        has_moved = self._record_receiver(announcement.target, is_direct)
         if not differs(announcement, known):
             self.announcements.replace_silently(announcement.target, announcement)
-            return self._is_replication_due(announcement.target, now_ms)
+            return has_moved or self._is_replication_due(announcement.target, now_ms)
         self._replicated_ms_by_target[announcement.target] = now_ms
         self.announcements.put(announcement.target, announcement)
         decide(
@@ -77,6 +87,52 @@
         )
         return True
 
+    def _record_receiver(self, target, is_direct):
+        """Record who gets the heartbeats; return whether this instance now does."""
+        if not is_direct:
+            self._heard_directly.discard(target)
+            return False
+        has_moved = target not in self._heard_directly
+        self._heard_directly.add(target)
+        return has_moved
+
+    def _merge_silence(self, announcement, known):
+        """Merge that another control instance misses the heartbeats of a target."""
+        if (
+            is_unheard(announcement)
+            and is_same_heartbeat(announcement, known)
+            and known.state == READY
+            and not is_unheard(known)
+        ):
+            self.announcements.put(announcement.target, announcement)
+
+    def mark_unheard(self, now_ms):
+        """Mark the ready targets whose next heartbeat is overdue.
+
+        Parameters
+        ----------
+        now_ms : float
+
+        Returns
+        -------
+        announcements : list of AnnouncedTarget
+            Those that were marked now.
+        """
+        marked = []
+        for announcement in self.announcements.values():
+            if announcement.state != READY or is_unheard(announcement):
+                continue
+            target = announcement.target
+            max_silence_ms = OVERDUE_MS
+            if target not in self._heard_directly:
+                max_silence_ms += REPLICATION_INTERVAL_MS
+            silence_ms = now_ms - self._heartbeat_ms_by_target.get(target, now_ms)
+            if silence_ms > max_silence_ms:
+                marked.append(with_state(announcement, READY, silence_ms))
+        for announcement in marked:
+            self.announcements.put(announcement.target, announcement)
+        return marked
+
     def is_acknowledged(self, target):
         """Return whether a majority has acknowledged the known state of a target."""
         known = self.announcements.get(target)
@@ -142,7 +198,8 @@
                     silence_ms=round(silence_ms),
                 )
                 self.announcements.put(
-                    announcement.target, _with_state(announcement, EXPIRED)
+                    announcement.target,
+                    with_state(announcement, EXPIRED, silence_ms),
                 )
             elif (
                 announcement.state in (DEREGISTERED, EXPIRED)
@@ -152,24 +209,9 @@
                 self._heartbeat_ms_by_target.pop(announcement.target, None)
                 self._replicated_ms_by_target.pop(announcement.target, None)
                 self._acknowledged_by_target.pop(announcement.target, None)
+                self._heard_directly.discard(announcement.target)
 
 
 def _replicated_part(announcement):
     """Return the fields of an announcement that determine where requests are sent."""
     return announcement.born_ms, announcement.state, announcement.address
-
-
-def _with_state(announcement, state):
-    return AnnouncedTarget(
-        announcement.target,
-        announcement.service_name,
-        announcement.address,
-        announcement.failure_domain,
-        announcement.version,
-        announcement.n_slots,
-        state,
-        announcement.born_ms,
-        announcement.sequence,
-        announcement.warmup_ms,
-        0,
-    )
--- a/packages/entry/src/almonddeal/announced/tests/test_announced.py
+++ b/packages/entry/src/almonddeal/announced/tests/test_announced.py
@@ -1,6 +1,7 @@
 """Tests of delayed, repeated and final announcements of targets."""
 
 import anyio
+import pytest
 
 from almonddeal.announced import registry as registry_module
 from almonddeal.announced.announcement import (
@@ -11,8 +12,14 @@
     differs,
     make_deregistration,
     supersedes,
+    with_state,
+)
+from almonddeal.announced.registry import (
+    HEARTBEAT_TIMEOUT_MS,
+    OVERDUE_MS,
+    REPLICATION_INTERVAL_MS,
+    TargetRegistry,
 )
-from almonddeal.announced.registry import HEARTBEAT_TIMEOUT_MS, TargetRegistry
 from almonddeal.announced.versioned_map import VersionedMap
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.wire.gen.ttypes import AnnouncedTarget
@@ -101,6 +108,57 @@
         assert registry.announcements.get("i-1") is None
 
 
+class TestOverdueHeartbeats:
+    # Guards against a target that restarts unnoticed and counts as the announced one.
+    @pytest.mark.parametrize(
+        ("is_direct", "max_silence_ms"),
+        [(True, OVERDUE_MS), (False, OVERDUE_MS + REPLICATION_INTERVAL_MS)],
+    )
+    def test_target_is_marked_once_its_heartbeat_is_overdue(
+        self, is_direct, max_silence_ms
+    ):
+        registry = TargetRegistry()
+        registry.merge(make_announcement(), "x", is_direct)
+        now_ms = monotonic_ms()
+        assert not registry.mark_unheard(now_ms + max_silence_ms - 100)
+        revision = registry.announcements.revision
+        (marked,) = registry.mark_unheard(now_ms + max_silence_ms + 100)
+        assert max_silence_ms < marked.age_ms <= max_silence_ms + 100
+        assert registry.announcements.changed_since(revision) == [marked]
+        assert not registry.mark_unheard(now_ms + max_silence_ms + 200)
+
+    # Guards against a target that stays marked although control hears it.
+    def test_next_heartbeat_ends_the_mark_and_is_replicated(self):
+        registry = TargetRegistry()
+        registry.merge(make_announcement(sequence=1), "x", is_direct=True)
+        registry.mark_unheard(monotonic_ms() + 2 * OVERDUE_MS)
+        revision = registry.announcements.revision
+        assert registry.merge(make_announcement(sequence=2), "x", is_direct=True)
+        (heard,) = registry.announcements.changed_since(revision)
+        assert not heard.age_ms
+
+    # Guards against a target that is marked as it changed its control instance.
+    def test_first_heartbeat_at_another_instance_is_replicated(self):
+        registry = TargetRegistry()
+        registry.merge(make_announcement(sequence=1), "c2")
+        assert registry.merge(make_announcement(sequence=2), "x", is_direct=True)
+        assert not registry.merge(make_announcement(sequence=3), "x", is_direct=True)
+
+    def test_mark_of_another_instance_counts_for_the_same_heartbeat_alone(self):
+        registry = TargetRegistry()
+        registry.merge(make_announcement(sequence=2), "c2")
+        registry.merge(with_state(make_announcement(sequence=1), READY, 2500), "c2")
+        assert not registry.announcements.get("i-1").age_ms
+        registry.merge(with_state(make_announcement(sequence=2), READY, 2500), "c2")
+        assert registry.announcements.get("i-1").age_ms == 2500
+
+    @pytest.mark.parametrize("state", [DRAINING, DEREGISTERED])
+    def test_target_that_gets_no_requests_is_not_marked(self, state):
+        registry = TargetRegistry()
+        registry.merge(make_announcement(state=state), "x", is_direct=True)
+        assert not registry.mark_unheard(monotonic_ms() + 2 * OVERDUE_MS)
+
+
 class TestVersionedMap:
     def test_changed_since_returns_only_later_changes(self):
         versioned_map = VersionedMap()
--- a/packages/entry/src/almonddeal/announced/tests/test_stream_origins.py
+++ b/packages/entry/src/almonddeal/announced/tests/test_stream_origins.py
@@ -2,7 +2,11 @@
 
 import anyio
 
-from almonddeal.announced.stream_origins import RETENTION_MS, StreamOrigins
+from almonddeal.announced.stream_origins import (
+    RETENTION_MS,
+    UNKNOWN_VERSION,
+    StreamOrigins,
+)
 from almonddeal_common.clock import wall_ms
 from almonddeal_common.virtual_time import run_in_virtual_time
 from almonddeal_common.wire.gen.ttypes import StreamOrigin
@@ -62,3 +66,41 @@
         assert origins.common_version("s") is None
         origins.discard("r4")
         assert origins.common_version("s") == "v1"
+
+
+class TestRetraction:
+    # Guards against a retraction that a delayed copy of the record undoes.
+    def test_retraction_is_final_in_any_order(self):
+        first, second = StreamOrigins(), StreamOrigins()
+        first.add(make_origin())
+        second.add(make_origin(version=UNKNOWN_VERSION))
+        assert first.add(make_origin(version=UNKNOWN_VERSION))
+        assert not second.add(make_origin())
+        assert not first.add(make_origin(version=UNKNOWN_VERSION))
+        for origins in (first, second):
+            assert origins.get("r1").version == UNKNOWN_VERSION
+
+    # Guards against a stream that goes on by the version that it had before.
+    def test_retraction_changes_the_record_that_a_stream_holds(self):
+        origins = StreamOrigins()
+        origin = make_origin()
+        origins.add(origin)
+        revision = origins.revision
+        assert origins.retract("r1")
+        assert origin.version == UNKNOWN_VERSION
+        assert origins.changed_since(revision) == [origin]
+        assert not origins.retract("r1")
+        assert not origins.retract("r2")
+
+    # Guards against a service whose other streams can't be resumed by their callers.
+    def test_retracted_origin_does_not_count_for_the_common_version(self):
+        origins = StreamOrigins()
+        origins.add(make_origin("r1"))
+        origins.add(make_origin("r2", "v2"))
+        assert origins.common_version("s") is None
+        origins.retract("r2")
+        assert origins.common_version("s") == "v1"
+        origins.discard("r2")
+        assert origins.common_version("s") == "v1"
+        origins.discard("r1")
+        assert origins.common_version("s") is None
--- a/packages/entry/src/almonddeal/publication/feed.py
+++ b/packages/entry/src/almonddeal/publication/feed.py
@@ -31,6 +31,7 @@
 HEARTBEAT_INTERVAL_S = MAX_SILENCE_MS / 3 / 1000
 ENDED_RUN_RETENTION_MS = 3000  # subscribers receive the end within milliseconds
 LIMIT_RETENTION_MS = 3000  # instances repeat their reports every second
+MAX_LOGGED = 20
 RUN_RETENTION_MS = 30_000  # longer than the longest request timeout of a route
 
 log = get_logger("feed")
@@ -246,11 +247,30 @@
                     version=self._publication.version,
                 )
                 self.notify_changed()
+            self._share_unheard()
             self._evict_old_runs()
             self.evidence.evict_stale()
             self.origins.evict_stale()
             self._limits.evict_stale()
 
+    def _share_unheard(self):
+        """Tell the others which targets this instance does not hear any more."""
+        unheard = self._registry.mark_unheard(monotonic_ms())
+        if not unheard:
+            return
+        decide(
+            log,
+            "heartbeats are overdue",
+            targets=[announcement.target for announcement in unheard[:MAX_LOGGED]],
+            n_targets=len(unheard),
+        )
+        self._notify_peers(ShareTargets(unheard))
+
+    def _notify_peers(self, message):
+        for peer in list(self._peer_by_name.values()):
+            if peer.is_up:
+                peer.require_link().notify(message)
+
     async def accept_announcement(self, announcement, origin):
         """Merge an announcement, and replicate it if that is due.
 
@@ -260,7 +280,7 @@
             Whether a majority of the control group has the state of the target.
         """
         target = announcement.target
-        is_due = self._registry.merge(announcement, origin)
+        is_due = self._registry.merge(announcement, origin, is_direct=True)
         if not is_due and self._registry.is_acknowledged(target):
             return True
         return await self.replicate_announcement(
@@ -353,9 +373,7 @@
         self._registry.announcements.notify()
         if not message.is_relayed and (message.runs or evidence or limits or origins):
             relayed_message = ShareRuns(message.runs, True, evidence, limits, origins)
-            for peer in list(self._peer_by_name.values()):
-                if peer.is_up:
-                    peer.require_link().notify(relayed_message)
+            self._notify_peers(relayed_message)
         return Ok()
 
     def _evict_old_runs(self):
--- a/packages/entry/src/almonddeal/relay/forwarding.py
+++ b/packages/entry/src/almonddeal/relay/forwarding.py
@@ -5,6 +5,7 @@
 import anyio
 
 from almonddeal.relay.events import EventReader
+from almonddeal.relay.incarnations import read_start_ms
 from almonddeal.relay.resumption import record_origin
 from almonddeal.relay.run_reports import record_first_event
 from almonddeal.relay.suspects import list_suspects
@@ -61,7 +62,7 @@
                 await _check_incarnation(stream, context, engine, announcement)
                 record_first_event(stream, context, engine)
             if stream.software_version is None:
-                record_origin(stream, context, announcement)
+                record_origin(stream, context, engine, announcement)
         with progress.sending():
             await _send_events(stream, response, events)
         if is_progress:
@@ -92,37 +93,39 @@
     AlmonddealError
         `LINK_LOST` if it did, or does not tell.
     """
-    if _needs_start_time(stream, context):
-        start_ms = await _read_start_ms(stream, context, announcement)
+    if _needs_start_time(stream, context, engine):
+        start_ms = await _read_start_ms(stream, context, engine, announcement)
         if start_ms not in (None, announcement.born_ms):
-            if engine.announcement.born_ms == announcement.born_ms:
-                context.targets.record_restart(engine, start_ms, stream.request_id)
             raise AlmonddealError(LINK_LOST, "the engine restarted after it announced")
     if engine.announcement.born_ms != announcement.born_ms:
         raise AlmonddealError(LINK_LOST, "the engine restarted before its first event")
 
 
-def _needs_start_time(stream, context):
+def _needs_start_time(stream, context, engine):
     """Tell whether the announcement of an engine does not suffice.
 
     Targets of plain services are not asked, as the query would wait for a slot.
     """
     if stream.admitted.service.engine is None or not stream.admitted.route.is_resumable:
         return False
-    return stream.software_version is not None or not context.is_current()
+    if stream.software_version is not None:
+        return True
+    return engine.is_unheard or not context.is_current()
 
 
-async def _read_start_ms(stream, context, announcement):
+async def _read_start_ms(stream, context, engine, announcement):
     """Return the start time that an engine reports, or None if it is not needed.
 
     An engine that holds off is not asked until the end. Control may be heard before.
     """
     hold_offs = context.hold_offs
     with anyio.move_on_after(MAX_START_WAIT_S):
-        while _needs_start_time(stream, context):
+        while _needs_start_time(stream, context, engine):
             if hold_offs.allows(announcement):
                 with suppress(AlmonddealError):
-                    return await context.read_start_ms(announcement)
+                    return await read_start_ms(
+                        context, engine, announcement, stream.request_id
+                    )
             elif (
                 stream.software_version is not None
                 and hold_offs.pause_left_ms(announcement) > 1000 * MAX_START_WAIT_S
--- /dev/null
+++ b/packages/entry/src/almonddeal/relay/incarnations.py
@@ -0,0 +1,99 @@
+"""Which process of a target began a stream, as far as its announcements do not tell.
+
+A target may restart under its id, with another software version, while control does
+not hear it. Streams that begin there are taken for those of the announced version until
+the heartbeats of the announced process are overdue. Then the target is asked when it
+started.
+"""
+
+from contextlib import suppress
+
+import anyio
+
+from almonddeal_common.clock import monotonic_ms
+from almonddeal_common.codes import AlmonddealError
+from almonddeal_common.logs import decide, get_logger
+
+QUERY_INTERVAL_S = 0.25  # doubles with each query
+N_QUERIES = 5
+
+log = get_logger("targets")
+
+
+async def check_unheard_targets(context):
+    """Ask targets that control does not hear whether they restarted, until cancelled.
+
+    Parameters
+    ----------
+    context : RelayContext
+    """
+    async with anyio.create_task_group() as group:
+        while True:
+            for target in await context.targets.next_unheard():
+                group.start_soon(_check, context, target)
+
+
+async def _check(context, target):
+    announcement = target.announcement
+    interval_s = QUERY_INTERVAL_S
+    for _ in range(N_QUERIES):
+        if not target.is_unheard or not target.unconfirmed_streams():
+            return
+        if target.announcement.born_ms != announcement.born_ms:
+            return
+        if context.hold_offs.allows(announcement):
+            with suppress(AlmonddealError):
+                await read_start_ms(context, target, announcement)
+                return
+        await anyio.sleep(interval_s)
+        interval_s *= 2
+
+
+async def read_start_ms(context, target, announcement, request_id=None):
+    """Return the start time that a target reports; record whether it restarted.
+
+    Parameters
+    ----------
+    context : RelayContext
+    target : TrackedTarget
+    announcement : AnnouncedTarget
+        Of the target, as its streams began.
+    request_id : str or None
+        Request for which the target is asked, for the log.
+
+    Returns
+    -------
+    start_ms : int or None
+        Unix time; None if the target reports none.
+
+    Raises
+    ------
+    AlmonddealError
+        `NOT_REACHED` without a report.
+    """
+    asked_ms = monotonic_ms()
+    start_ms = await context.read_start_ms(announcement)
+    if target.announcement.born_ms != announcement.born_ms:
+        return start_ms
+    if start_ms in (None, announcement.born_ms):
+        if target.is_unheard:
+            target.confirmed_ms = max(target.confirmed_ms, asked_ms)
+        return start_ms
+    context.targets.record_restart(target, start_ms, request_id)
+    _retract_origins(context, target, start_ms)
+    return start_ms
+
+
+def _retract_origins(context, target, start_ms):
+    """Make the version of the streams unknown that a restarted target began."""
+    request_ids = target.unconfirmed_streams(start_ms)
+    n_retracted = sum(map(context.stream_origins.retract, request_ids))
+    if n_retracted:
+        decide(
+            log,
+            "retracted the origins of streams",
+            target=target.announcement.target,
+            born_ms=target.announcement.born_ms,
+            reported_ms=start_ms,
+            n_streams=n_retracted,
+        )
--- a/packages/entry/src/almonddeal/relay/resumption.py
+++ b/packages/entry/src/almonddeal/relay/resumption.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from almonddeal.announced.stream_origins import UNKNOWN_VERSION
 from almonddeal_common.clock import monotonic_ms, wall_ms
 from almonddeal_common.codes import NOT_RESUMABLE, AlmonddealError
 from almonddeal_common.logs import decide, get_logger
@@ -22,7 +23,7 @@
 log = get_logger("relay")
 
 
-def record_origin(stream, context, announcement):
+def record_origin(stream, context, engine, announcement):
     """Record the software version of the target that sends the first event of a stream.
 
     Has to precede the event: the caller may resume as soon as it has the event.
@@ -31,18 +32,19 @@
     ----------
     stream : Stream
     context : RelayContext
+    engine : TrackedTarget
     announcement : AnnouncedTarget
+        Of the engine, as the request was sent.
     """
-    stream.software_version = announcement.version
-    context.stream_origins.add(
-        StreamOrigin(
-            stream.request_id,
-            stream.admitted.service.name,
-            announcement.version,
-            wall_ms(),
-            context.instance,
-        )
+    stream.origin = StreamOrigin(
+        stream.request_id,
+        stream.admitted.service.name,
+        announcement.version,
+        wall_ms(),
+        context.instance,
     )
+    context.stream_origins.add(stream.origin)
+    engine.record_begun(stream.request_id, stream.origin.began_ms)
 
 
 async def find_origin(request, context):
@@ -62,8 +64,8 @@
     )
 
 
-async def _find_version(stream, context):
-    """Return the software version that began a resumed stream, or None.
+async def _find_origin(stream, context):
+    """Return the `StreamOrigin` of a resumed stream, or None if its version is unknown.
 
     A caller that does not name the stream can resume it while all streams and targets
     of the service have the same version. An instance may have been cut off or stopped
@@ -74,11 +76,14 @@
     if request.resumed_request_id is None:
         if not await _catch_up(request, context):
             return None
-        return await _wait_for(
+        version = await _wait_for(
             lambda: _common_version(service_name, context), request, context
         )
+        if version is None:
+            return None
+        return StreamOrigin("", service_name, version, wall_ms(), context.instance)
     origin = await find_origin(request, context)
-    return None if origin is None else origin.version
+    return None if origin is None or origin.version == UNKNOWN_VERSION else origin
 
 
 async def _catch_up(request, context):
@@ -123,14 +128,15 @@
         `NOT_RESUMABLE` if that version is not known, or no target has it.
     """
     request = stream.admitted.request
-    version = await _find_version(stream, context)
-    if version is None:
+    origin = await _find_origin(stream, context)
+    if origin is None:
         raise AlmonddealError(
             NOT_RESUMABLE,
             f"the origin of stream {request.resumed_request_id} is not known",
             retry_after_ms=UNKNOWN_ORIGIN_RETRY_MS,
         )
-    stream.software_version = version
+    stream.origin = origin
+    version = origin.version
     decide(
         log,
         "found the origin of a resumed stream",
--- a/packages/entry/src/almonddeal/relay/stream_state.py
+++ b/packages/entry/src/almonddeal/relay/stream_state.py
@@ -144,9 +144,8 @@
         Which events were sent to the caller.
     is_started, is_ended : bool
         Whether the response head, and the end of the response, were sent.
-    software_version : str or None
-        Version of the engine that began the stream, which alone may continue it; None
-        before the first event.
+    origin : StreamOrigin or None
+        Names the software version that began the stream; None before the first event.
     status : int or None
     media_type : bytes or None
         Status and media type of the response whose head was sent.
@@ -189,10 +188,10 @@
         "media_type",
         "n_attempts",
         "n_sends",
+        "origin",
         "refusing_targets",
         "run",
         "sequence",
-        "software_version",
         "status",
         "writer",
     )
@@ -203,7 +202,7 @@
         self.sequence = EventSequence(admitted.request.last_event_id)
         self.is_started = False
         self.is_ended = False
-        self.software_version = None
+        self.origin = None
         self.status = None
         self.media_type = None
         self.copy = None
@@ -223,6 +222,14 @@
         """Id of the request."""
         return self.admitted.request.request_id
 
+    @property
+    def software_version(self):
+        """Version of the engine that began the stream, which alone may continue it.
+
+        None before the first event.
+        """
+        return None if self.origin is None else self.origin.version
+
     @property
     def last_event_id(self):
         """Id of the last event sent to the caller, or None."""
--- a/packages/entry/src/almonddeal/relay/targets.py
+++ b/packages/entry/src/almonddeal/relay/targets.py
@@ -1,6 +1,17 @@
 """Table of the targets that an entry instance knows, and which requests may use."""
 
-from almonddeal.announced.announcement import DEREGISTERED, DRAINING, READY, supersedes
+import math
+
+import anyio
+
+from almonddeal.announced.announcement import (
+    DEREGISTERED,
+    DRAINING,
+    READY,
+    is_same_heartbeat,
+    is_unheard,
+    supersedes,
+)
 from almonddeal.announced.stream_origins import RETENTION_MS
 from almonddeal.relay.tracked_target import TrackedTarget
 from almonddeal_common.clock import monotonic_ms
@@ -21,13 +32,16 @@
         self._id_by_address = {}
         self._ejected_ms_by_domain = {}
         self._announced_ms_by_version_by_service = {}
+        self._unheard = set()
+        self._has_unheard = anyio.Event()
 
     def merge(self, announcement):
         """Merge an announcement; returns whether it was newer than the known one."""
         target = self.target_by_id.get(announcement.target)
-        if not supersedes(
-            announcement, None if target is None else target.announcement
-        ):
+        known = None if target is None else target.announcement
+        if not supersedes(announcement, known):
+            if is_same_heartbeat(announcement, known):
+                self._record_silence(target, announcement)
             return False
         if target is None:
             target = self.target_by_id[announcement.target] = TrackedTarget(
@@ -38,6 +52,8 @@
             if announcement.born_ms != target.announcement.born_ms:
                 target.reset()
             target.announcement = announcement
+            target.confirmed_ms = math.inf
+        self._record_silence(target, announcement)
         self._record_version(announcement)
         self._claim_address(announcement)
         decide(
@@ -51,6 +67,28 @@
         )
         return True
 
+    def _record_silence(self, target, announcement):
+        """Record for how long control had not heard a target, if it is overdue."""
+        if not is_unheard(announcement):
+            return
+        heard_ms = monotonic_ms() - announcement.age_ms
+        target.confirmed_ms = min(target.confirmed_ms, heard_ms)
+        self._unheard.add(target)
+        self._has_unheard.set()
+
+    async def next_unheard(self):
+        """Wait for targets whose heartbeats are overdue.
+
+        Returns
+        -------
+        targets : list of TrackedTarget
+            Those that became so, or were reported again, since the last call.
+        """
+        await self._has_unheard.wait()
+        self._has_unheard = anyio.Event()
+        targets, self._unheard = list(self._unheard), set()
+        return targets
+
     def _record_version(self, announcement):
         announced_ms_by_version = self._announced_ms_by_version_by_service.setdefault(
             announcement.service_name, {}
--- a/packages/entry/src/almonddeal/relay/tracked_target.py
+++ b/packages/entry/src/almonddeal/relay/tracked_target.py
@@ -1,6 +1,7 @@
 """A target as one entry instance knows it: announcement, measurements, ejection."""
 
 import math
+from collections import deque
 
 import anyio
 
@@ -11,6 +12,7 @@
 PRIOR_LATENCY_MS = 50.0  # of a target without measurements
 MEASUREMENT_DECAY_MS = 3000.0  # time constant with which measurements lose weight
 MEASUREMENT_GAIN = 0.25  # weight of a new measurement
+MAX_BEGUN = 2000
 REPEATED_LOSS_MS = 400  # a second connection loss within this time ejects a target
 
 
@@ -36,6 +38,9 @@
     leave_by_scope : dict of anyio.CancelScope to callable
         Of attempts in flight, by the scope that cancels the attempt: ``leave()``
         cancels it if its request can continue elsewhere.
+    confirmed_ms : float
+        Until when the announced process is known to have run; infinite while control
+        hears the target.
     last_activity_ms : float
         When the last events of a stream arrived, or a probe succeeded.
     probed_ms : float
@@ -52,11 +57,13 @@
     """
 
     __slots__ = (
+        "_begun",
         "_failure_rate",
         "_last_loss_ms",
         "_measured_ms",
         "_n_successive_ejections",
         "announcement",
+        "confirmed_ms",
         "counts_reported_ms",
         "ejected_until_ms",
         "incarnation_since_ms",
@@ -90,6 +97,8 @@
     def reset(self):
         """Discard what was observed of an earlier incarnation of the target."""
         self.incarnation_since_ms = monotonic_ms()
+        self.confirmed_ms = math.inf
+        self._begun = deque(maxlen=MAX_BEGUN)
         self.is_leaving = False
         self.latency_ms = PRIOR_LATENCY_MS
         self.ejected_until_ms = 0.0
@@ -126,6 +135,40 @@
         if not is_failure:
             self._n_successive_ejections = 0
 
+    @property
+    def is_unheard(self):
+        """Whether heartbeats of the target are overdue at control."""
+        return self.confirmed_ms < math.inf
+
+    def record_begun(self, request_id, began_ms):
+        """Record that the target sent the first event of a stream.
+
+        Parameters
+        ----------
+        request_id : str
+        began_ms : int
+            Wall-clock time of the event.
+        """
+        self._begun.append((request_id, began_ms, monotonic_ms()))
+
+    def unconfirmed_streams(self, start_ms=0):
+        """Return the streams that a process that was not announced may have begun.
+
+        Parameters
+        ----------
+        start_ms : int
+            Wall-clock time at which the other process started.
+
+        Returns
+        -------
+        request_ids : list of str
+        """
+        return [
+            request_id
+            for request_id, began_ms, received_ms in self._begun
+            if received_ms > self.confirmed_ms and began_ms >= start_ms
+        ]
+
     def record_activity(self):
         """Record that events arrived or a probe succeeded."""
         self.last_activity_ms = monotonic_ms()
