relay: resume from copies at the service of the route alone (CONFIG)

Cause: a KV cache copy was looked up by its stream, and its engine checked for its process and software version, not for its service.

Ruled out: other choices of an engine, which start from the targets of the route's service (TargetTable.candidates).

Change: Stream.is_compatible compares the service too; it is asked as a copy is found and again before each use.

Figures: the two new tests fail before and pass after.

--- a/packages/entry/src/almonddeal/relay/stream_state.py
+++ b/packages/entry/src/almonddeal/relay/stream_state.py
@@ -265,7 +265,13 @@
         self.refusing_targets.clear()
 
     def is_compatible(self, announcement):
-        """Tell whether a target has the software version that began the stream."""
+        """Tell whether a target may serve the stream.
+
+        It has to be of the service to which the route sends the stream now, and of the
+        software version that began it.
+        """
+        if announcement.service_name != self.admitted.service.name:
+            return False
         return self.software_version in (None, announcement.version)
 
     def can_use_copy(self, context):
--- a/packages/entry/src/almonddeal/relay/tests/test_stream_copies.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_stream_copies.py
@@ -6,6 +6,7 @@
 import pytest
 
 from almonddeal.announced.announcement import DRAINING
+from almonddeal.relay.stream_state import KvCopy, Stream
 from almonddeal.relay.streams import relay_stream
 from almonddeal.relay.tests.fakes import (
     FakeFleet,
@@ -347,3 +348,35 @@
         (run,) = fleet.context.runs.values()
         assert run.request == "req9"
         assert run.fingerprint == stream_fingerprint("req0")
+
+
+class TestMovedRoute:
+    """Pattern: a stream is resumed after its route was moved to another service."""
+
+    # Guards against a run by the service that the route has left, which has the copy.
+    def test_copy_at_the_earlier_service_is_not_used(self):
+        engines = dict.fromkeys(("i-1", "i-2", "i-3"), streams(1, LAST))
+        fleet = FakeFleet(engines, {"i-1": "fd1", "i-2": "fd2", "i-3": "fd3"})
+        earlier = make_announcement("i-2", "fd2", service="earlier")
+        earlier.sequence = 2
+        assert fleet.target_table.merge(earlier)
+        fleet.context.load_view.merge(make_copied_run("req0", "req0", "i-2"))
+        fleet.add_origin("req0")
+        admitted = admit_stream(
+            last_event_id=12, request_id="req9", resumed_request_id="req0"
+        )
+        writer = relay(fleet, admitted)
+        assert writer.event_ids == list(range(13, LAST + 1))
+        assert "i-2" not in fleet.tried
+
+    # Guards against the same for the copy that a stream has already.
+    def test_copy_is_not_used_once_its_backup_serves_another_service(self):
+        fleet = FakeFleet(dict.fromkeys(("i-1", "i-2"), streams(1, LAST)))
+        stream = Stream(admit_stream(), None)
+        backup = fleet.target_table.get("i-2")
+        stream.copy = KvCopy(backup, backup.announcement.address, "copy-1")
+        assert stream.can_use_copy(fleet.context)
+        moved = make_announcement("i-2", service="other")
+        moved.sequence = 2
+        assert fleet.target_table.merge(moved)
+        assert not stream.can_use_copy(fleet.context)
