announced: a draining target does not expire (DRAIN)

Cause: a control instance turned the state of any silent target, also of a draining one, into expired. Entry instances that subscribe after that receive it as expired and use such a target if there is no other.

Ruled out: subscribers that had received the draining state, as they drop the expired announcement (same sequence number).

Change: only ready targets expire.

--- a/packages/entry/src/almonddeal/announced/registry.py
+++ b/packages/entry/src/almonddeal/announced/registry.py
@@ -182,15 +182,15 @@
             self.expire_targets(monotonic_ms())
 
     def expire_targets(self, now_ms):
-        """Expire targets without heartbeats; evict long inactive targets."""
+        """Expire ready targets without heartbeats; evict long inactive targets.
+
+        A draining target stays so: subscribers use an expired one as a last resort.
+        """
         for announcement in self.announcements.values():
             silence_ms = now_ms - self._heartbeat_ms_by_target.get(
                 announcement.target, now_ms
             )
-            if (
-                announcement.state in (READY, DRAINING)
-                and silence_ms > HEARTBEAT_TIMEOUT_MS
-            ):
+            if announcement.state == READY and silence_ms > HEARTBEAT_TIMEOUT_MS:
                 decide(
                     log,
                     "target expired",
@@ -202,7 +202,7 @@
                     with_state(announcement, EXPIRED, silence_ms),
                 )
             elif (
-                announcement.state in (DEREGISTERED, EXPIRED)
+                announcement.state in (DEREGISTERED, DRAINING, EXPIRED)
                 and silence_ms > INACTIVE_RETENTION_MS
             ):
                 self.announcements.discard(announcement.target)
--- a/packages/entry/src/almonddeal/announced/tests/test_announced.py
+++ b/packages/entry/src/almonddeal/announced/tests/test_announced.py
@@ -16,6 +16,7 @@
 )
 from almonddeal.announced.registry import (
     HEARTBEAT_TIMEOUT_MS,
+    INACTIVE_RETENTION_MS,
     OVERDUE_MS,
     REPLICATION_INTERVAL_MS,
     TargetRegistry,
@@ -98,13 +99,25 @@
         registry.merge(make_announcement(sequence=2), "x")
         assert registry.announcements.get("i-1").state == READY
 
-    def test_deregistered_target_is_evicted_after_the_retention(self):
+    # Guards against a draining target that is used again, as an expired one.
+    def test_draining_target_without_heartbeats_stays_draining(self):
+        registry = TargetRegistry()
+        registry.merge(make_announcement(state=DRAINING), "x")
+        revision = registry.announcements.revision
+        for silence_ms in (HEARTBEAT_TIMEOUT_MS, INACTIVE_RETENTION_MS - 1000):
+            registry.expire_targets(monotonic_ms() + silence_ms + 1)
+            assert registry.announcements.get("i-1").state == DRAINING
+        assert registry.announcements.changed_since(revision) == []
+
+    @pytest.mark.parametrize("state", [DRAINING, DEREGISTERED])
+    def test_leaving_target_is_evicted_after_the_retention(self, state):
         registry = TargetRegistry()
         registry.merge(make_announcement(), "x")
-        registry.deregister("i-1", 1000, "x")
-        registry.expire_targets(
-            monotonic_ms() + registry_module.INACTIVE_RETENTION_MS + 1
-        )
+        if state == DRAINING:
+            registry.merge(make_announcement(state=DRAINING, sequence=2), "x")
+        else:
+            registry.deregister("i-1", 1000, "x")
+        registry.expire_targets(monotonic_ms() + INACTIVE_RETENTION_MS + 1)
         assert registry.announcements.get("i-1") is None
 
 
