relay: ask a restarted target whether it still leaves (DRAIN)

Cause: the response was held for one of the announced incarnation, and forgotten as the next one was announced.

Ruled out: telling them apart by the start time and the clock here. A clock that is ahead would leave out a sound target for good.

Change: after such a response, a new incarnation is not used until it has been asked (GET /-/report, whose response carries the header), or for a second if it does not respond. One query an instance for each target that restarts under its id after it said that it leaves; none otherwise.

--- a/packages/entry/src/almonddeal/relay/incarnations.py
+++ b/packages/entry/src/almonddeal/relay/incarnations.py
@@ -1,9 +1,12 @@
-"""Which process of a target began a stream, as far as its announcements do not tell.
+"""Questions to targets about restarts of which their announcements do not tell in time.
 
 A target may restart under its id, with another software version, while control does
 not hear it. Streams that begin there are taken for those of the announced version until
 the heartbeats of the announced process are overdue. Then the target is asked when it
 started.
+
+A target may also respond that it is about to leave before its restart is announced.
+Once it is, the target is asked again, as its earlier incarnation may have said so.
 """
 
 from contextlib import suppress
@@ -20,8 +23,8 @@
 log = get_logger("targets")
 
 
-async def check_unheard_targets(context):
-    """Ask targets that control does not hear whether they restarted, until cancelled.
+async def check_doubtful_targets(context):
+    """Ask targets for what their announcements do not tell, until cancelled.
 
     Parameters
     ----------
@@ -29,11 +32,25 @@
     """
     async with anyio.create_task_group() as group:
         while True:
-            for target in await context.targets.next_unheard():
-                group.start_soon(_check, context, target)
+            for target in await context.targets.next_doubtful():
+                group.start_soon(_check_leaving, context, target)
+                group.start_soon(_check_start, context, target)
+
+
+async def _check_leaving(context, target):
+    """Use a target again once it responds; a response that it leaves is recorded."""
+    announcement = target.announcement
+    while target.unproven_until_ms > monotonic_ms():
+        if target.announcement.born_ms != announcement.born_ms:
+            return
+        if await context.responds(announcement):
+            target.unproven_until_ms = 0.0
+            return
+        await anyio.sleep(QUERY_INTERVAL_S)
 
 
-async def _check(context, target):
+async def _check_start(context, target):
+    """Ask an unheard target whether it restarted before streams that began there."""
     announcement = target.announcement
     interval_s = QUERY_INTERVAL_S
     for _ in range(N_QUERIES):
--- a/packages/entry/src/almonddeal/relay/targets.py
+++ b/packages/entry/src/almonddeal/relay/targets.py
@@ -19,6 +19,7 @@
 
 MIN_DOMAIN_EJECTIONS = 2  # in one failure domain, for it to count as lost
 DOMAIN_LOSS_MS = 1000  # window of these ejections, and how long the domain is avoided
+UNPROVEN_MS = 1000  # a sound target responds in milliseconds
 OUTDATED_MS = 3000  # more than two announcement intervals
 
 log = get_logger("targets")
@@ -32,8 +33,8 @@
         self._id_by_address = {}
         self._ejected_ms_by_domain = {}
         self._announced_ms_by_version_by_service = {}
-        self._unheard = set()
-        self._has_unheard = anyio.Event()
+        self._doubtful = set()
+        self._has_doubtful = anyio.Event()
 
     def merge(self, announcement):
         """Merge an announcement; returns whether it was newer than the known one."""
@@ -50,7 +51,7 @@
         else:
             self._record_version(target.announcement)
             if announcement.born_ms != target.announcement.born_ms:
-                target.reset()
+                self._reset(target)
             target.announcement = announcement
             target.confirmed_ms = math.inf
         self._record_silence(target, announcement)
@@ -73,20 +74,36 @@
             return
         heard_ms = monotonic_ms() - announcement.age_ms
         target.confirmed_ms = min(target.confirmed_ms, heard_ms)
-        self._unheard.add(target)
-        self._has_unheard.set()
+        self._add_doubtful(target)
 
-    async def next_unheard(self):
-        """Wait for targets whose heartbeats are overdue.
+    def _reset(self, target):
+        """Discard what is known of a target's earlier incarnation.
+
+        The response that it is about to leave may have been one of the present
+        incarnation, which was not announced yet.
+        """
+        is_unproven = target.is_leaving or target.unproven_until_ms > monotonic_ms()
+        target.reset()
+        if is_unproven:
+            target.unproven_until_ms = monotonic_ms() + UNPROVEN_MS
+            self._add_doubtful(target)
+
+    def _add_doubtful(self, target):
+        self._doubtful.add(target)
+        self._has_doubtful.set()
+
+    async def next_doubtful(self):
+        """Wait for targets that are to be asked for what announcements do not tell.
 
         Returns
         -------
         targets : list of TrackedTarget
-            Those that became so, or were reported again, since the last call.
+            Those that became so since the last call: their heartbeats are overdue, or
+            they restarted after a response that they are about to leave.
         """
-        await self._has_unheard.wait()
-        self._has_unheard = anyio.Event()
-        targets, self._unheard = list(self._unheard), set()
+        await self._has_doubtful.wait()
+        self._has_doubtful = anyio.Event()
+        targets, self._doubtful = list(self._doubtful), set()
         return targets
 
     def _record_version(self, announcement):
@@ -127,12 +144,13 @@
     def is_usable(self, target):
         """Tell whether a target is registered, holds its address and is not leaving.
 
-        A target that restarted after its announcement is not used until the next one.
+        A target that restarted after its announcement is not used until the next one;
+        one that may have said that it leaves just after its restart, until it is asked.
         """
         announcement = target.announcement
         if target.is_leaving or announcement.state in (DEREGISTERED, DRAINING):
             return False
-        if target.outdated_until_ms > monotonic_ms():
+        if max(target.outdated_until_ms, target.unproven_until_ms) > monotonic_ms():
             return False
         return self._id_by_address.get(announcement.address) == announcement.target
 
@@ -197,8 +215,8 @@
     def record_response(self, announcement, response, request_id):
         """Record whether a target states in a response that it is about to leave.
 
-        That stands until another incarnation of the target is announced, whatever this
-        one announces.
+        That stands until another incarnation of the target is announced and has been
+        asked, whatever this one announces.
 
         Parameters
         ----------
--- a/packages/entry/src/almonddeal/relay/tracked_target.py
+++ b/packages/entry/src/almonddeal/relay/tracked_target.py
@@ -51,6 +51,9 @@
         When the present incarnation of the target became known here.
     is_leaving : bool
         Whether the present incarnation stated in a response that it is about to leave.
+    unproven_until_ms : float
+        Until then the target is not used, as its response that it is about to leave may
+        be one of the present incarnation.
     suspicion : anyio.Event
         Set, and replaced by a new event, when the target may be lost, so that attempts
         probe it at once.
@@ -77,6 +80,7 @@
         "reported_counts",
         "silent_ms",
         "suspicion",
+        "unproven_until_ms",
     )
 
     def __init__(self, announcement):
@@ -100,6 +104,7 @@
         self.confirmed_ms = math.inf
         self._begun = deque(maxlen=MAX_BEGUN)
         self.is_leaving = False
+        self.unproven_until_ms = 0.0
         self.latency_ms = PRIOR_LATENCY_MS
         self.ejected_until_ms = 0.0
         self.outdated_until_ms = 0.0
--- a/packages/entry/src/almonddeal/roles/entry.py
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -11,7 +11,7 @@
 from almonddeal.publication.state import decompress_content
 from almonddeal.relay.context import RelayContext
 from almonddeal.relay.gateway import serve_request
-from almonddeal.relay.incarnations import check_unheard_targets
+from almonddeal.relay.incarnations import check_doubtful_targets
 from almonddeal.relay.load import LoadView
 from almonddeal.relay.metrics import RelayMetrics
 from almonddeal.relay.targets import TargetTable
@@ -216,7 +216,7 @@
             async with anyio.create_task_group() as group:
                 group.start_soon(self._follower.run)
                 group.start_soon(self._maintain_periodically)
-                group.start_soon(check_unheard_targets, self._relay_context)
+                group.start_soon(check_doubtful_targets, self._relay_context)
                 decide(log, "entry instance started", instance=settings.instance)
                 await self._serve(callers_app, readiness_app, stop)
                 decide(log, "entry instance stopped", n_in_flight=len(self._requests))
