--- a/packages/common/src/almonddeal_common/connections.py
+++ b/packages/common/src/almonddeal_common/connections.py
@@ -8,6 +8,9 @@
 The head of a request, its request line and headers, has a time limit from its first
 byte. Hypercorn only limits how long a connection may be idle, and a client may send a
 head byte by byte for all of that time.
+
+The scope that hypercorn makes of a request does not show whether its path ends in "?".
+The target of the request line is therefore passed on beside it.
 """
 
 import asyncio
@@ -26,6 +29,8 @@
 
 # In the state of an ASGI scope: tells whether the client has sent a further request.
 HAS_FURTHER_REQUEST = "has_further_request"
+# In the same state: the target of an HTTP/1 request line, as it was received.
+REQUEST_TARGET = "request_target"
 CANCEL_TIMEOUT_S = 0.5  # for cancelled connections to close
 DISCARD_TIMEOUT_S = 1.0  # for clients to read a response before the connection closes
 FIRST_REQUEST_TIMEOUT_S = 0.3  # after a stop, for connections that were just accepted
@@ -181,8 +186,24 @@
             await self.protocol.handle(Closed())
             await self.reader.read(MAX_RECV)
 
+    def _pass_on_targets(self):
+        """Set `REQUEST_TARGET` in the state of each request of an HTTP/1 connection."""
+        protocol = self.protocol.protocol
+        if not isinstance(protocol, H11Protocol):
+            return
+        next_event = protocol.connection.next_event
+
+        def next_event_with_target():
+            event = next_event()
+            if isinstance(event, h11.Request):
+                protocol.connection_state[REQUEST_TARGET] = event.target
+            return event
+
+        protocol.connection.next_event = next_event_with_target
+
     async def _read_data(self):
         self._reading_task = asyncio.current_task()
+        self._pass_on_targets()
         await super()._read_data()
         self._input_ended.set()
         # Otherwise a connection closed by its client stays open until the idle timeout.
