relay: search each byte of an event stream once

Seen: an engine that sends one event without an end, such as `data:` lines, makes its instance spend a time that is quadratic in the bytes, up to the limit of 1 MB an event.

Cause: the buffer was copied and searched from its start with each read.

Ruled out: empty lines, comments and events with an end, whose cost was linear in 2 KiB pieces already.

Change: the buffer is extended in place, and the search goes on where the last one ended.

--- a/packages/entry/src/almonddeal/relay/events.py
+++ b/packages/entry/src/almonddeal/relay/events.py
@@ -1,7 +1,11 @@
 """Parsing of a server-sent event stream into complete events."""
 
+import re
+
 from almonddeal_common.codes import LINK_LOST, AlmonddealError
 
+EVENT_END = re.compile(rb"\n\n|\r\n\r\n")
+MAX_END_BYTES = 4
 MAX_EVENT_BYTES = 1024 * 1024
 MAX_EVENT_ID_DIGITS = 19  # as in an integer of 64 bits
 
@@ -40,12 +44,16 @@
 
 
 class EventReader:
-    """Buffers received bytes and splits them into complete events."""
+    """Buffers received bytes and splits them into complete events.
+
+    Each byte is searched once, in whatever chunks the bytes arrive.
+    """
 
-    __slots__ = ("_buffer",)
+    __slots__ = ("_buffer", "_n_searched")
 
     def __init__(self):
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._n_searched = 0
 
     @property
     def has_partial_event(self):
@@ -63,20 +71,16 @@
         """
         self._buffer += data
         events = []
-        while True:
-            end = self._first_event_end()
-            if end is None:
-                if len(self._buffer) > MAX_EVENT_BYTES:
-                    detail = f"an event has more than {MAX_EVENT_BYTES} bytes"
-                    raise AlmonddealError(LINK_LOST, detail)
-                return events
-            events.append(Event(self._buffer[:end]))
-            self._buffer = self._buffer[end:]
-
-    def _first_event_end(self):
-        ends = [
-            position + len(separator)
-            for separator in (b"\n\n", b"\r\n\r\n")
-            if (position := self._buffer.find(separator)) >= 0
-        ]
-        return min(ends) if ends else None
+        start = 0
+        # The end of an event may begin in bytes that were searched before.
+        position = max(0, self._n_searched - MAX_END_BYTES + 1)
+        while (match := EVENT_END.search(self._buffer, position)) is not None:
+            end = position = match.end()
+            events.append(Event(bytes(self._buffer[start:end])))
+            start = end
+        del self._buffer[:start]
+        self._n_searched = len(self._buffer)
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            detail = f"an event has more than {MAX_EVENT_BYTES} bytes"
+            raise AlmonddealError(LINK_LOST, detail)
+        return events
