--- a/tools/almonddeal_tools/scheduling.py
+++ b/tools/almonddeal_tools/scheduling.py
@@ -14,6 +14,7 @@
     "test_pauses.py",
     "test_recovery.py",
     "test_serving.py",
+    "test_signals_to_instances.py",
     "test_software_versions.py",
     "test_stops.py",
 )
@@ -28,6 +29,7 @@
     "test_follower_failures.py": "follower",
     "test_http.py": "http",
     "test_limits.py": "connections",
+    "test_request_targets.py": "request targets",
     "test_silent_member.py": "silent member",
 }
 
