--- a/tools/almonddeal_tools/bench/__main__.py
+++ b/tools/almonddeal_tools/bench/__main__.py
@@ -3,7 +3,7 @@
 import anyio
 import click
 
-from almonddeal_tools.bench import detectors
+from almonddeal_tools.bench import detectors, events
 from almonddeal_tools.bench.cancel import CancelBench
 from almonddeal_tools.bench.claims import ClaimBench
 from almonddeal_tools.bench.control import ControlBench
@@ -52,6 +52,7 @@
 
 BENCHMARK_BY_NAME = {
     "detectors": detectors.run,
+    "events": events.run,
     "resume": _run_resume,
     "resource": _run_resource,
     "path": _run_path,
