--- a/packages/entry/src/almonddeal/relay/tests/resumed_requests.py
+++ b/packages/entry/src/almonddeal/relay/tests/resumed_requests.py
@@ -4,6 +4,8 @@
 failure domain of the instances and has no load; i-2 and i-3, of version v1, have some.
 """
 
+from copy import copy
+
 import anyio
 import pytest
 
@@ -51,7 +53,7 @@
 def share_origins(source, destination):
     """Pass the known origins on, as a control instance does."""
     for origin in source.stream_origins.values():
-        destination.stream_origins.add(origin)
+        destination.stream_origins.add(copy(origin))
 
 
 def announce(context, target, state=READY, born_ms=1000, version=None):
