relay: a question to a target that fails ends nothing else

By reading: an unexpected error in a question to an unheard or restarted target would have ended the instance, as the task that asks belongs to it. It is logged now, like those of the subscription. The new test fails before.

--- a/packages/entry/src/almonddeal/relay/incarnations.py
+++ b/packages/entry/src/almonddeal/relay/incarnations.py
@@ -33,8 +33,16 @@
     async with anyio.create_task_group() as group:
         while True:
             for target in await context.targets.next_doubtful():
-                group.start_soon(_check_leaving, context, target)
-                group.start_soon(_check_start, context, target)
+                group.start_soon(_run_check, _check_leaving, context, target)
+                group.start_soon(_run_check, _check_start, context, target)
+
+
+async def _run_check(check, context, target):
+    try:
+        await check(context, target)
+    except Exception:
+        # The process has others to serve.
+        log.exception("could not ask target %s", target.announcement.target)
 
 
 async def _check_leaving(context, target):
--- a/packages/entry/src/almonddeal/relay/tests/test_unheard_engines.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_unheard_engines.py
@@ -140,6 +140,27 @@
 
         run_in_virtual_time(main)
 
+    # Guards against an instance that ends with an odd response to one question.
+    def test_failed_question_does_not_prevent_later_ones(self):
+        async def main():
+            async with begun_stream() as (fleet, _, _):
+                read_start_ms = fleet.context.read_start_ms
+
+                async def fail(announcement):
+                    raise RuntimeError("odd")
+
+                fleet.context.read_start_ms = fail
+                miss_heartbeats(fleet.context)
+                await anyio.sleep(DURATION_S / 4)
+                fleet.context.read_start_ms = read_start_ms
+                fleet.start_ms_by_target["i-1"] = wall_ms() - 1000
+                miss_heartbeats(fleet.context)
+                await anyio.sleep(DURATION_S / 4)
+                origin = fleet.context.stream_origins.get("req1")
+                assert origin.version == UNKNOWN_VERSION
+
+        run_in_virtual_time(main)
+
     # Guards against new streams at such an engine.
     def test_stream_begins_elsewhere(self):
         async def main():
