entry, http: each close and each end of a request is counted, and logged if it looks lost

A report tells of a request that got neither an answer nor a refusal beside a change of the configuration. Logs could not tell a request that crossed a close from one that was lost: closes of idle connections had no line, and cuts were not counted by the planned work beside them.

- almonddeal_http_connections_closed_total{cause, request}; closes that a client may see as a lost request have a line with its address.
- almonddeal_entry_requests_ended_total{end, planned_work}; requests without a complete response or an error have a line.

No decision changes.

--- a/packages/common/src/almonddeal_common/connections.py
+++ b/packages/common/src/almonddeal_common/connections.py
@@ -11,6 +11,9 @@
 
 The scope that hypercorn makes of a request does not show whether its path ends in "?".
 The target of the request line is therefore passed on beside it.
+
+Each close is counted by its cause and by how far the last request had come. One that a
+client may see as a lost request is logged, with the address of the client.
 """
 
 import asyncio
@@ -25,7 +28,8 @@
 from hypercorn.protocol.h11 import H11Protocol, h11
 from hypercorn.utils import wrap_app
 
-from almonddeal_common.logs import get_logger
+from almonddeal_common.logs import decide, get_logger
+from almonddeal_common.metrics import Counter
 
 # In the state of an ASGI scope: tells whether the client has sent a further request.
 HAS_FURTHER_REQUEST = "has_further_request"
@@ -37,7 +41,25 @@
 READ_POLL_INTERVAL_S = 0.01
 MAX_READ_POLLS = 100  # for bytes that were received to be read
 
+# Causes of a close.
+CLOSED_BY_CLIENT = "client"
+CUT = "cut"  # the server stops, and does not wait any longer
+HEAD_TIMEOUT = "head timeout"
+IDLE_TIMEOUT = "idle timeout"
+RESPONSE = "response"  # the last one of the connection, or one to a malformed request
+STOP = "stop"
+
+# How far the last request of a closed connection had come.
+NO_REQUEST = "none"
+REQUEST_INCOMPLETE = "request incomplete"
+RESPONSE_NOT_STARTED = "response not started"
+RESPONSE_INCOMPLETE = "response incomplete"
+
 log = get_logger("http")
+n_closed = Counter(
+    "almonddeal_http_connections_closed_total",
+    "Closed connections by cause and by how far the last request had come.",
+)
 
 
 class HeadLimitedConfig(Config):
@@ -63,12 +85,15 @@
 
     Attributes
     ----------
+    has_timed_out : bool
+        Whether a head took too long.
     n_unread : int
         Number of bytes that have been received and not been read.
     """
 
     def __init__(self, config, loop):
         super().__init__(loop=loop)
+        self.has_timed_out = False
         self.n_unread = 0
         self._config = config
         self._is_reading_head = True
@@ -102,6 +127,7 @@
             log.info(
                 "closing connection: request head not received within the time limit"
             )
+            self.has_timed_out = True
             raise
         self.n_unread -= len(data)
         limit_s = self._config.head_timeout
@@ -144,6 +170,7 @@
         self._terminated = context.terminated
         self._opened_s = self.loop.time()
         self._has_request = False
+        self._close_cause = None
         self._reading_task = None
         self._input_ended = asyncio.Event()
 
@@ -157,10 +184,56 @@
             protocol.connection.trailing_data[0]
         )
 
+    async def run(self):
+        try:
+            await super().run()
+        except asyncio.CancelledError:
+            self._close_cause = CUT
+            raise
+        finally:
+            self._record_close()
+
+    def _record_close(self):
+        cause = self._close_cause or CLOSED_BY_CLIENT
+        if self.reader.has_timed_out:
+            cause = HEAD_TIMEOUT
+        progress = self._request_progress()
+        n_unsent = self.writer.transport.get_write_buffer_size()
+        n_closed.inc({"cause": cause, "request": progress})
+        is_expected = cause in (CLOSED_BY_CLIENT, RESPONSE)
+        if is_expected and progress == NO_REQUEST and not n_unsent:
+            return
+        decide(
+            log,
+            "connection closed",
+            client=_address(self.writer.get_extra_info("peername")),
+            cause=cause,
+            last_request=progress,
+            n_unsent_bytes=n_unsent,
+            open_ms=round(1000 * (self.loop.time() - self._opened_s)),
+        )
+
+    def _request_progress(self):
+        """Return how far the last request has come."""
+        protocol = getattr(getattr(self, "protocol", None), "protocol", None)
+        # HTTP/2 has several requests at a time.
+        if not isinstance(protocol, H11Protocol):
+            return NO_REQUEST
+        connection = protocol.connection
+        if connection.our_state is h11.SEND_BODY:
+            return RESPONSE_INCOMPLETE
+        if connection.our_state is h11.SEND_RESPONSE:
+            if connection.their_state is h11.SEND_BODY:
+                return REQUEST_INCOMPLETE
+            return RESPONSE_NOT_STARTED
+        return REQUEST_INCOMPLETE if self._has_further_request() else NO_REQUEST
+
     async def protocol_send(self, event):
         if isinstance(event, Updated):
             self.reader.set_awaiting_head(event.idle)
             self._has_request = True
+        if isinstance(event, Closed) and self._close_cause is None:
+            self._close_cause = RESPONSE
         if isinstance(event, Closed) and not self.reader.at_eof():
             await self._discard_input()
         await super().protocol_send(event)
@@ -221,6 +294,7 @@
             if not self.reader.n_unread:
                 break
             await asyncio.sleep(READ_POLL_INTERVAL_S)
+        self._close_cause = STOP if self._terminated.is_set() else IDLE_TIMEOUT
         self.writer.close()
 
     def _idle_left_s(self, idle_since_s):
@@ -242,6 +316,10 @@
             await self._terminated.wait()
 
 
+def _address(peer):
+    return None if peer is None else f"{peer[0]}:{peer[1]}"
+
+
 async def _receive_pending():
     """Let the event loop take what the sockets hold: connections and data."""
     # The first step polls the sockets, the second one follows their callbacks.
--- a/packages/entry/src/almonddeal/relay/tests/fakes.py
+++ b/packages/entry/src/almonddeal/relay/tests/fakes.py
@@ -69,6 +69,14 @@
     async def send_error(self, error):
         self.error = error
 
+    @property
+    def is_started(self):
+        return self.status is not None or self.error is not None
+
+    @property
+    def is_ended(self):
+        return self.is_complete or (self.error is not None and self.status is None)
+
     @property
     def event_ids(self):
         lines = self.body.split(b"\n")
--- a/packages/entry/src/almonddeal/roles/entry.py
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -16,6 +16,7 @@
 from almonddeal.relay.metrics import RelayMetrics
 from almonddeal.relay.targets import TargetTable
 from almonddeal.roles.in_flight import RequestsInFlight
+from almonddeal.roles.planned_work import CHANGE, RELOAD, STOP, PlannedWork
 from almonddeal.roles.reload import reload_settings
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.http import make_config, serve_http
@@ -103,7 +104,8 @@
         self.http_config.cut = anyio.Event()
         self.http_config.keep_alive_timeout = DEFAULT_IDLE_TIMEOUT_S
         self._parse = parse
-        self._requests = RequestsInFlight()
+        self._planned_work = PlannedWork()
+        self._requests = RequestsInFlight(self._planned_work)
         self._relay_context = RelayContext(
             settings.instance,
             settings.failure_domain,
@@ -176,6 +178,7 @@
             )
             return
         self._relay_context.version = version
+        self._planned_work.begin(CHANGE)
         limits = self.table.limits
         # Idle connections stay open this long, since callers reuse younger ones.
         self.http_config.keep_alive_timeout = limits.idle_timeout_ms / 1000
@@ -211,8 +214,7 @@
         """
         settings = self.settings
         stop = anyio.Event()
-        reload = partial(reload_settings, settings, self._load_settings)
-        with handle_signals(stop.set, reload):
+        with handle_signals(stop.set, self._reload):
             async with anyio.create_task_group() as group:
                 group.start_soon(self._follower.run)
                 group.start_soon(self._maintain_periodically)
@@ -222,6 +224,10 @@
                 decide(log, "entry instance stopped", n_in_flight=len(self._requests))
                 group.cancel_scope.cancel()
 
+    def _reload(self):
+        self._planned_work.begin(RELOAD)
+        reload_settings(self.settings, self._load_settings)
+
     async def _serve(self, callers_app, readiness_app, stop):
         """Serve HTTP until `stop` is set and the requests in flight have ended."""
         settings = self.settings
@@ -249,6 +255,7 @@
     async def _drain(self, stop_callers, callers_stopped):
         """Report not ready; stop serving after the load balancer's reaction time."""
         self.is_draining = True
+        self._planned_work.begin(STOP)
         self._relay_context.ends_ms = monotonic_ms() + 1000 * self._response_timeout_s
         decide(log, "entry instance draining", n_in_flight=len(self._requests))
         await anyio.sleep(self._drain_delay_s)
--- a/packages/entry/src/almonddeal/roles/in_flight.py
+++ b/packages/entry/src/almonddeal/roles/in_flight.py
@@ -2,7 +2,9 @@
 
 import anyio
 
+from almonddeal.roles.planned_work import PlannedWork
 from almonddeal.routing.model import LOOKUP, ORDER, STREAM
+from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import (
     ATTEMPT_LOST,
     ORDER_OUTCOME_UNKNOWN,
@@ -11,6 +13,7 @@
     AlmonddealError,
 )
 from almonddeal_common.logs import decide, get_logger
+from almonddeal_common.metrics import Counter
 
 RETRY_AFTER_MS = 100.0  # callers are directed to other instances by then
 CODE_BY_KIND = {
@@ -19,7 +22,17 @@
     STREAM: ATTEMPT_LOST,
 }
 
+# How requests end.
+COMPLETE = "complete"
+DISCONNECTED = "caller disconnected"
+FAILED = "failed midway"
+STOPPED = "instance stopped"
+
 log = get_logger("entry")
+n_ended = Counter(
+    "almonddeal_entry_requests_ended_total",
+    "Requests by their end and by the planned work beside it.",
+)
 
 
 class _Entry:
@@ -33,9 +46,19 @@
 
 
 class RequestsInFlight:
-    """Requests that an instance is serving."""
+    """Requests that an instance is serving.
 
-    def __init__(self):
+    Each is counted by its end and by the planned work beside it. One whose caller waits
+    and receives neither a complete response nor an error is logged.
+
+    Parameters
+    ----------
+    planned_work : PlannedWork, optional
+        Default: none.
+    """
+
+    def __init__(self, planned_work=None):
+        self._planned_work = planned_work or PlannedWork()
         self._entry_by_request = {}
         self._is_broken_off = False
 
@@ -51,10 +74,39 @@
         ----------
         request : CallerRequest
         writer : object
-            Writes the response to the caller.
+            Writes the response to the caller; `is_ended` tells whether a complete
+            response or an error was sent.
         serve_request : callable
             ``await serve_request()`` serves the request.
         """
+        end = DISCONNECTED
+        try:
+            is_stopped = await self._serve(request, writer, serve_request)
+            end = STOPPED if is_stopped else FAILED
+        except Exception:
+            end = FAILED
+            raise
+        finally:
+            self._record_end(request, writer, end)
+
+    def _record_end(self, request, writer, end):
+        if writer.is_ended:
+            end = COMPLETE
+        planned_work = self._planned_work.describe()
+        n_ended.inc({"end": end, "planned_work": planned_work})
+        if end in (FAILED, STOPPED):
+            decide(
+                log,
+                "request ended without a complete response",
+                request=request.request_id,
+                end=end,
+                is_started=writer.is_started,
+                after_ms=round(monotonic_ms() - request.arrived_ms),
+                planned_work=planned_work,
+            )
+
+    async def _serve(self, request, writer, serve_request):
+        """Serve a request; returns whether the stop of the instance ended it."""
         entry = _Entry()
         if not self._is_broken_off:
             self._entry_by_request[request] = entry
@@ -64,7 +116,7 @@
             finally:
                 del self._entry_by_request[request]
             if not entry.scope.cancelled_caught:
-                return
+                return False
         error = _error(entry.route)
         decide(
             log,
@@ -73,6 +125,7 @@
             code=error.code.name,
         )
         await writer.send_error(error)
+        return True
 
     def record_attempt(self, attempt):
         """Record that a request is being sent to a target."""
