relay: a stream that comes late in a drain and cannot end is refused

What callers saw (LOST): a stream sent on a kept connection 3.5 s after SIGTERM, behind a response that still ran, was passed on and cut 7 s after it, when the instance broke off its requests.

Cause: only requests that may run once were checked against the time that is left. The rest relied on the closed listener, but a request that arrives before its connection is closed is served, as it has to be. A client that sends its next request as its stream ends needs not pipeline for this: the instance closes the connection some steps of the event loop after it has written the last event.

Ruled out: requests on new connections; these are accepted for 2.9 s at most.

Change: once an instance accepts no more connections, each request is checked. One that cannot end in time is rejected as not run, with a time to come back.

--- a/packages/entry/src/almonddeal/relay/gateway.py
+++ b/packages/entry/src/almonddeal/relay/gateway.py
@@ -59,14 +59,17 @@
 
 
 def check_time_left(admitted, context):
-    """Check that a request that runs at most once can end before this instance does.
+    """Check that a request can end before this instance does.
+
+    One that may be repeated is not checked while the instance accepts connections, as
+    its caller may find no other instance yet.
 
     Raises
     ------
     AlmonddealError
         `STOPPING`.
     """
-    if admitted.route.may_run_again:
+    if admitted.route.may_run_again and monotonic_ms() < context.accepts_until_ms:
         return
     if admitted.request.generation is not None:
         expected_ms = context.load_view.mean_run_ms
--- a/packages/entry/src/almonddeal/relay/tests/test_stopping.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_stopping.py
@@ -22,9 +22,11 @@
 MEAN_RUN_MS = 4000.0
 
 
-def serve(route, left_ms, timeout_ms=10_000.0):
+def serve(route, left_ms, timeout_ms=10_000.0, accepts_ms=1000.0):
     """Serve a request ``left_ms`` before its instance breaks off requests.
 
+    The instance stops accepting connections after ``accepts_ms``.
+
     Returns
     -------
     writer : FakeResponseWriter
@@ -41,6 +43,7 @@
     async def main():
         request.arrived_ms = monotonic_ms()
         fleet.context.load_view.mean_run_ms = MEAN_RUN_MS
+        fleet.context.accepts_until_ms = monotonic_ms() + accepts_ms
         fleet.context.ends_ms = monotonic_ms() + left_ms
         await serve_request(request, lambda: table, fleet.context, writer)
 
@@ -81,3 +84,28 @@
         assert writer.error is None
         assert writer.is_complete
         assert tried == ["i-1"]
+
+    # Guards against a stream that arrives on a kept connection late in a drain, is
+    # passed on, and is cut as the instance exits.
+    @pytest.mark.parametrize(
+        ("route", "left_ms"),
+        [
+            (make_route(STREAM), MEAN_RUN_MS - 500),
+            (make_route(LOOKUP), 100.0),
+            (make_route(ORDER), 100.0),
+        ],
+    )
+    def test_late_request_that_cannot_end_is_refused(self, route, left_ms):
+        writer, tried = serve(route, left_ms, accepts_ms=-100.0)
+        assert writer.error.code == STOPPING
+        assert writer.error.retry_after_ms > 0
+        assert not tried
+
+    @pytest.mark.parametrize(
+        ("route", "left_ms"),
+        [(make_route(STREAM), MEAN_RUN_MS + 500), (make_route(LOOKUP), 500.0)],
+    )
+    def test_late_request_that_can_end_is_served(self, route, left_ms):
+        writer, tried = serve(route, left_ms, accepts_ms=-100.0)
+        assert writer.is_complete
+        assert tried == ["i-1"]
--- a/packages/entry/src/almonddeal/roles/entry.py
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -256,7 +256,9 @@
         """Report not ready; stop serving after the load balancer's reaction time."""
         self.is_draining = True
         self._planned_work.begin(STOP)
-        self._relay_context.ends_ms = monotonic_ms() + 1000 * self._response_timeout_s
+        now_ms = monotonic_ms()
+        self._relay_context.accepts_until_ms = now_ms + 1000 * self._drain_delay_s
+        self._relay_context.ends_ms = now_ms + 1000 * self._response_timeout_s
         decide(log, "entry instance draining", n_in_flight=len(self._requests))
         await anyio.sleep(self._drain_delay_s)
         stop_callers.set()
