http: a close behind a reusable response counts as one by the stop

A response that began before the stop does not tell its client that the connection will be closed. Its close was counted like one that the response had announced, without a line, so that a request that crossed it could not be told from a lost one.

test_planned_work runs real processes under stops, reloads and changes drawn by a seed, and matches each request without a complete response to the logs.

--- a/packages/common/src/almonddeal_common/connections.py
+++ b/packages/common/src/almonddeal_common/connections.py
@@ -213,6 +213,15 @@
             open_ms=round(1000 * (self.loop.time() - self._opened_s)),
         )
 
+    def _is_reusable(self):
+        """Tell whether the client has seen a response after which it may send more."""
+        protocol = self.protocol.protocol
+        return (
+            isinstance(protocol, H11Protocol)
+            and protocol.connection.our_state is h11.DONE
+            and protocol.connection.their_state is h11.DONE
+        )
+
     def _request_progress(self):
         """Return how far the last request has come."""
         protocol = getattr(getattr(self, "protocol", None), "protocol", None)
@@ -233,7 +242,7 @@
             self.reader.set_awaiting_head(event.idle)
             self._has_request = True
         if isinstance(event, Closed) and self._close_cause is None:
-            self._close_cause = RESPONSE
+            self._close_cause = STOP if self._is_reusable() else RESPONSE
         if isinstance(event, Closed) and not self.reader.at_eof():
             await self._discard_input()
         await super().protocol_send(event)
