common: close no connection within a request head

Seen (by a test): a client starts to send a request on an idle connection; the idle limit or the stop comes before the rest of the head, and the connection is closed with the request half read. The client finds a closed connection for a request that it began in time. Nothing is logged.

Cause: the idle task ends with the head, not with its first byte. Its last check looked at bytes that were not read yet, not at those that the parser holds.

Ruled out: heads that come in one piece (TestIdleClose walks through the steps of the event loop), and bodies, as the idle task has ended then.

Change: that check is whether any part of a request was received. It still gives up after 1 s, so that a client that sends no more does not hold up a stop.

--- a/packages/common/src/almonddeal_common/connections.py
+++ b/packages/common/src/almonddeal_common/connections.py
@@ -43,7 +43,7 @@
 DISCARD_TIMEOUT_S = 1.0  # for clients to read a response before the connection closes
 FIRST_REQUEST_TIMEOUT_S = 0.3  # after a stop, for connections that were just accepted
 READ_POLL_INTERVAL_S = 0.01
-MAX_READ_POLLS = 100  # for bytes that were received to be read
+MAX_READ_POLLS = 100  # for a request to be read of which bytes were received
 
 # Causes of a close.
 CLOSED_BY_CLIENT = "client"
@@ -315,9 +315,10 @@
             await self._sleep_until_stop(left_s)
         await _receive_pending()
         # A request that has been received stops this task once it is read. Nothing
-        # may be awaited between the check and the close.
+        # may be awaited between the check and the close. The rest of a head may be on
+        # its way.
         for _ in range(MAX_READ_POLLS):
-            if not self.reader.n_unread:
+            if not self._has_further_request():
                 break
             await asyncio.sleep(READ_POLL_INTERVAL_S)
         self._close_cause = STOP if self._terminated.is_set() else IDLE_TIMEOUT
--- a/packages/common/src/almonddeal_common/tests/test_closing.py
+++ b/packages/common/src/almonddeal_common/tests/test_closing.py
@@ -180,6 +180,32 @@
 
         anyio.run(main)
 
+    # Guards against a close within a request that began before: its client has sent it
+    # whole, on a connection that was open.
+    @pytest.mark.parametrize("n_requests", [0, 1])
+    @pytest.mark.parametrize("is_stopped", [False, True])
+    def test_request_whose_head_comes_in_two_parts_is_answered(
+        self, is_stopped, n_requests
+    ):
+        async def main():
+            app, stop = RecordingApp(), anyio.Event()
+            async with serve(app, stop, keep_alive_timeout=IDLE_TIMEOUT_S):
+                client = Client()
+                for _ in range(n_requests):
+                    client.send(REQUEST)
+                    await client.read()
+                client.send(REQUEST[:10])
+                await anyio.sleep(IDLE_TIMEOUT_S / 2)
+                if is_stopped:
+                    stop.set()
+                await anyio.sleep(2 * IDLE_TIMEOUT_S)
+                client.send(REQUEST[10:])
+                received = await client.read()
+                client.close()
+            assert received.endswith(b"ok")
+
+        anyio.run(main)
+
     # Guards against closing connections that clients may reuse by the new limit.
     def test_raised_idle_limit_holds_for_idle_connections(self):
         async def main():
