common: answer the requests behind the 1000th of a connection

Cause: hypercorn ends a connection after 1000 requests (keep_alive_max_requests), whatever it has received behind them.

Ruled out: a client that waits for each answer; it sees "Connection: close" with that one.

Change: no such limit. Connections end when they are idle, or at a stop.

Evidence: test_closing.py, test_many_requests_are_answered fails before (1000 of 1100) and passes after; the tests of common pass.

Conclusion: met only by clients that pipeline.

--- a/packages/common/src/almonddeal_common/http.py
+++ b/packages/common/src/almonddeal_common/http.py
@@ -2,6 +2,7 @@
 
 import errno
 import logging
+import math
 
 from almonddeal_common.codes import ADDRESS_IN_USE, AlmonddealError
 from almonddeal_common.connections import HeadLimitedConfig, serve_connections
@@ -27,6 +28,8 @@
     # A full queue is never emptied after the response, and would hold the connection.
     # Applications read bodies at once, up to their limit, or reject them.
     config.max_app_queue_size = UNBOUNDED
+    # Hypercorn would end a connection without regard to further requests on it.
+    config.keep_alive_max_requests = math.inf
     config.backlog = BACKLOG
     config.accesslog = None
     config.errorlog = logging.getLogger("almonddeal.http")
--- a/packages/common/src/almonddeal_common/tests/test_closing.py
+++ b/packages/common/src/almonddeal_common/tests/test_closing.py
@@ -342,6 +342,27 @@
 
         anyio.run(main)
 
+    # Guards against a most number of requests, behind which others are dropped.
+    def test_many_requests_are_answered(self):
+        n_requests = 1100  # hypercorn's default is 1000
+
+        async def app(scope, receive, send):
+            headers = [(b"content-length", b"2")]
+            start = {"type": "http.response.start", "status": 200, "headers": headers}
+            await send(start)
+            await send({"type": "http.response.body", "body": b"ok"})
+
+        async def main():
+            stop = anyio.Event()
+            async with serve(app, stop):
+                client = Client()
+                client.send(n_requests * REQUEST)
+                received = await client.read(n_requests)
+                client.close()
+            assert received.count(b"HTTP/1.1 200") == n_requests
+
+        anyio.run(main)
+
     def test_application_is_told_of_further_requests(self):
         told = []
 
