common: answer in HTTP/1.1 whatever else a client offers

Seen (by a test): a request with "Upgrade: h2c" gets 101 and frames of HTTP/2, also if it names neither the connection option nor the settings that this needs; one that offers WebSockets gets 400 or an error of the application. Neither is an answer to the request.

Cause: hypercorn takes these offers. The applications here serve plain HTTP alone.

Ruled out: offers of protocols that hypercorn does not know; these were answered.

Change: the header is dropped as the head is read. To take an offer is optional.

Evidence: test_connections.py -k TestOfferedProtocols: 3 of 4 fail before, none after; the tests of common pass.

A client with an offer is still not seen to leave before its answer starts, as h11 pauses until then.

--- a/packages/common/src/almonddeal_common/connections.py
+++ b/packages/common/src/almonddeal_common/connections.py
@@ -158,6 +158,23 @@
         await self._terminated.wait()
 
 
+def _without_upgrade(request):
+    """Return a request without the offer of another protocol, if it has one.
+
+    A server need not take it. Hypercorn would, and respond in HTTP/2 to a client that
+    does not name all that this needs, or fail a request for a WebSocket.
+    """
+    headers = [(name, value) for name, value in request.headers if name != b"upgrade"]
+    if len(headers) == len(request.headers):
+        return request
+    return h11.Request(
+        method=request.method,
+        target=request.target,
+        headers=headers,
+        http_version=request.http_version,
+    )
+
+
 class _Connection(TCPServer):
     """A connection that is closed after what it has received.
 
@@ -296,6 +313,7 @@
             event = next_event()
             if isinstance(event, h11.Request):
                 protocol.connection_state[REQUEST_TARGET] = event.target
+                return _without_upgrade(event)
             return event
 
         protocol.connection.next_event = wrapped_next_event
--- a/packages/common/src/almonddeal_common/tests/test_connections.py
+++ b/packages/common/src/almonddeal_common/tests/test_connections.py
@@ -190,3 +190,28 @@
                 await connection.receive()
 
         run_with_connection(test)
+
+
+class TestOfferedProtocols:
+    # Guards against bytes of another protocol, or an error, in place of the answer.
+    @pytest.mark.parametrize(
+        "offer",
+        [
+            b"Upgrade: h2c\r\n",
+            b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+            b"HTTP2-Settings: AAMAAABkAAQAAP__\r\n",
+            b"Connection: Upgrade\r\nUpgrade: websocket\r\n",
+            b"Connection: Upgrade\r\nUpgrade: other\r\n",
+        ],
+    )
+    def test_request_is_answered_in_its_own(self, offer):
+        async def test(connection):
+            for _ in range(2):
+                await connection.send(
+                    b"GET / HTTP/1.1\r\nHost: a\r\n" + offer + b"\r\n"
+                )
+                received = await connection.receive()
+                assert received.startswith(b"HTTP/1.1 200")
+                assert received.endswith(b"\r\n\r\n")
+
+        run_with_connection(test)
