control: count a lost leader's silence through the election (LOST)

What users saw: nothing acknowledged is read back any more after a leader was lost for good and replaced at another address, and another machine lost its disk 4 s later (`catch-up-s`). Cause: beside the process in its place, the lost leader stays a voter until it was silent for 2 s, and a new leader counted its silence from its own election. After an election that took long, the group still has four voters, one of them lost, when the next disk may be; two of four are no majority, for good. Ruled out: a loss of the entry itself. Both members left had it, but could not elect a leader. Change: a new leader counts the silence of the former leader from its last contact with it. Other members are counted as before, since followers do not hear from each other. Evidence: test_replaced_leaders fails before, passes after. Conclusion: the group takes the place's new voter in as fast after the loss of its leader as after that of a follower, but for the election.

--- a/packages/entry/src/almonddeal/control/elections.py
+++ b/packages/entry/src/almonddeal/control/elections.py
@@ -184,6 +184,9 @@
         now_ms = monotonic_ms()
         self._acknowledged_ms_by_name = dict.fromkeys(self._peer_by_name, now_ms)
         self._replied_ms_by_name = dict.fromkeys(self._peer_by_name, now_ms)
+        if self._last_leader in self._peer_by_name:
+            # The most likely to be lost; it has been silent through the election.
+            self._replied_ms_by_name[self._last_leader] = self._last_leader_contact_ms
         self._match_index_by_name = dict.fromkeys(self._peer_by_name, 0)
         self._next_index_by_name = dict.fromkeys(
             self._peer_by_name, self._log.last_index + 1
