publication: keep the records of instances in one class of stores

Change: RecordStores has the stores by the name of their field in ShareRuns and FollowUpdate. The feed asks it for what is new, for all, and to add what a message brings. Fields without records are left out of messages between members of the control group; readers take them as none, as from earlier releases.

--- a/packages/entry/src/almonddeal/publication/feed.py
+++ b/packages/entry/src/almonddeal/publication/feed.py
@@ -4,11 +4,10 @@
 
 import anyio
 
-from almonddeal.announced.evidence import EvidenceStore
 from almonddeal.announced.expiring_map import ExpiringMap
-from almonddeal.announced.stream_origins import StreamOrigins
 from almonddeal.announced.versioned_map import VersionedMap
 from almonddeal.publication.follower import MAX_SILENCE_MS
+from almonddeal.publication.record_stores import RecordStores
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import NO_QUORUM, OK, AlmonddealError
 from almonddeal_common.logs import decide, get_logger
@@ -42,9 +41,19 @@
 
     announcements: int
     runs: int
-    evidence: int
     limits: int
-    origins: int
+    records: tuple
+
+    def include(self, others):
+        """Tell whether no revision is before the one of some others."""
+        return all(
+            revision >= other
+            for revision, other in zip(
+                [*self[:-1], *self.records],
+                [*others[:-1], *others.records],
+                strict=True,
+            )
+        )
 
 
 class Feed:
@@ -81,8 +90,9 @@
         self._consensus = consensus
         self._peer_by_name = peer_by_name
         self._runs = VersionedMap()
-        self.evidence = EvidenceStore()
-        self.origins = StreamOrigins()
+        self._records = RecordStores()
+        self.evidence = self._records.store_by_field["evidence"]
+        self.origins = self._records.store_by_field["origins"]
         self._limits = ExpiringMap(LIMIT_RETENTION_MS)
         self._n_links_by_instance = {}
         self._sent_by_link = {}
@@ -126,11 +136,13 @@
 
     async def _send_updates(self, link, message, emit):
         sent_version = message.have_version
-        sent = _Revisions(0, 0, 0, 0, 0)
+        sent = _Revisions(0, 0, 0, (0,) * len(self._records.revisions))
         sent_addresses = sent_is_fresh = None
         is_due = False
         while True:
-            update = FollowUpdate(sent_version, b"", [], [], self.is_fresh, [], 0)
+            update = FollowUpdate(
+                sent_version, b"", [], [], self.is_fresh, [], 0, [], origins=[]
+            )
             publication = self._publication
             if self.is_fresh and publication.version > sent_version:
                 update.version = sent_version = publication.version
@@ -144,8 +156,9 @@
                 if run.instance != message.instance
             ]
             # Also those of the subscriber itself, which may have restarted.
-            update.evidence = self.evidence.changed_since(sent.evidence)
-            update.origins = self.origins.changed_since(sent.origins)
+            records_by_field = self._records.changed_since(sent.records)
+            for field, records in records_by_field.items():
+                setattr(update, field, records)
             update.limits = [
                 limit
                 for limit in self._limits.changed_since(sent.limits)
@@ -159,9 +172,8 @@
                 update.content
                 or update.targets
                 or update.runs
-                or update.evidence
                 or update.limits
-                or update.origins
+                or records_by_field
                 or update.member_addresses
                 or sent_is_fresh != update.is_fresh
                 or (is_due and update.is_fresh)
@@ -203,18 +215,14 @@
 
     def _has_sent(self, link, due):
         sent = self._sent_by_link.get(link)
-        return sent is not None and all(
-            revision >= due_revision
-            for revision, due_revision in zip(sent, due, strict=True)
-        )
+        return sent is not None and sent.include(due)
 
     def _revisions(self):
         return _Revisions(
             self._registry.announcements.revision,
             self._runs.revision,
-            self.evidence.revision,
             self._limits.revision,
-            self.origins.revision,
+            self._records.revisions,
         )
 
     async def _wait_for_change(self, sent_version, sent_revisions, sent_is_fresh):
@@ -249,8 +257,7 @@
                 self.notify_changed()
             self._share_unheard()
             self._evict_old_runs()
-            self.evidence.evict_stale()
-            self.origins.evict_stale()
+            self._records.evict_stale()
             self._limits.evict_stale()
 
     def _share_unheard(self):
@@ -350,30 +357,25 @@
         targets = self._registry.announcements.values()
         if targets:
             link.notify(ShareTargets(targets))
-        reports = ShareRuns(
-            self._runs.values(),
-            True,
-            self.evidence.values(),
-            origins=self.origins.values(),
-        )
-        if reports.runs or reports.evidence or reports.origins:
-            link.notify(reports)
+        runs = self._runs.values()
+        records_by_field = self._records.values()
+        if runs or records_by_field:
+            link.notify(ShareRuns(runs, True, **records_by_field))
 
     async def handle_share_runs(self, link, message, emit):
         """Relay the reports of subscribers, so that all instances have them."""
         for run in message.runs:
             self._runs.put(run.request, run)
             self._receipt_by_request[run.request] = (monotonic_ms(), run.is_ended)
-        # These are None in the messages of earlier releases.
-        origins = [o for o in message.origins or [] if self.origins.add(o)]
-        evidence = [r for r in message.evidence or [] if self.evidence.add(r)]
-        limits = message.limits or []
+        records_by_field = self._records.add(message)
+        limits = message.limits or []  # None in messages of earlier releases
         for limit in limits:
             self._limits.put((limit.instance, limit.target, limit.born_ms), limit)
         self._registry.announcements.notify()
-        if not message.is_relayed and (message.runs or evidence or limits or origins):
-            relayed_message = ShareRuns(message.runs, True, evidence, limits, origins)
-            self._notify_peers(relayed_message)
+        if not message.is_relayed and (message.runs or limits or records_by_field):
+            self._notify_peers(
+                ShareRuns(message.runs, True, limits=limits, **records_by_field)
+            )
         return Ok()
 
     def _evict_old_runs(self):
