relay: tell the other instances which targets leave

Ruled out (docs/DECISIONS/0015): a field of the run reports, as lookups have none; a state made by control, as the target's own sequence decides its announcements; a repeated report like that of a limit, as the fact stands until the incarnation ends.

Change: the first instance that hears it adds a LeavingReport (target, start time, age) to records that control passes on once to all, as it does with evidence. TargetTable takes one for a response of that incarnation, whether it comes before or after the announcement; the rule for the next incarnation is as before. Targets without a start time are not reported. New optional field 6 of ShareRuns and 11 of FollowUpdate; earlier releases skip it. Malformed reports are logged and left out, at control and at instances. An instance that starts later is told as well.

Conclusion: a target that leaves costs one attempt of the fleet instead of one an instance.

--- a/packages/common/src/almonddeal_common/wire/gen/ttypes.py
+++ b/packages/common/src/almonddeal_common/wire/gen/ttypes.py
@@ -7084,6 +7084,110 @@
         return not (self == other)
 
 
+class LeavingReport(object):
+    """
+    Attributes:
+     - instance
+     - target
+     - born_ms
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'instance',
+        'target',
+        'born_ms',
+        'age_ms',
+    )
+
+
+    def __init__(self, instance=None, target=None, born_ms=None, age_ms=None,):
+        self.instance = instance
+        self.target = target
+        self.born_ms = born_ms
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LeavingReport')
+        if self.instance is not None:
+            oprot.writeFieldBegin('instance', TType.STRING, 1)
+            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeFieldEnd()
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 2)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 3)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 4)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ShareRuns(object):
     """
     Attributes:
@@ -7092,6 +7196,7 @@
      - evidence
      - limits
      - origins
+     - leaving
 
     """
 
@@ -7101,15 +7206,17 @@
         'evidence',
         'limits',
         'origins',
+        'leaving',
     )
 
 
-    def __init__(self, runs=None, is_relayed=None, evidence=None, limits=None, origins=None,):
+    def __init__(self, runs=None, is_relayed=None, evidence=None, limits=None, origins=None, leaving=None,):
         self.runs = runs
         self.is_relayed = is_relayed
         self.evidence = evidence
         self.limits = limits
         self.origins = origins
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -7169,6 +7276,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.leaving = []
+                    (_etype219, _size216) = iprot.readListBegin()
+                    for _i220 in range(_size216):
+                        _elem221 = LeavingReport()
+                        _elem221.read(iprot)
+                        self.leaving.append(_elem221)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -7182,8 +7300,8 @@
         if self.runs is not None:
             oprot.writeFieldBegin('runs', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.runs))
-            for iter216 in self.runs:
-                iter216.write(oprot)
+            for iter222 in self.runs:
+                iter222.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_relayed is not None:
@@ -7193,22 +7311,29 @@
         if self.evidence is not None:
             oprot.writeFieldBegin('evidence', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.evidence))
-            for iter217 in self.evidence:
-                iter217.write(oprot)
+            for iter223 in self.evidence:
+                iter223.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter218 in self.limits:
-                iter218.write(oprot)
+            for iter224 in self.limits:
+                iter224.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.origins is not None:
             oprot.writeFieldBegin('origins', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.origins))
-            for iter219 in self.origins:
-                iter219.write(oprot)
+            for iter225 in self.origins:
+                iter225.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.leaving))
+            for iter226 in self.leaving:
+                iter226.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -7329,6 +7454,7 @@
      - evidence
      - limits
      - origins
+     - leaving
 
     """
 
@@ -7343,10 +7469,11 @@
         'evidence',
         'limits',
         'origins',
+        'leaving',
     )
 
 
-    def __init__(self, version=None, content=None, targets=None, member_addresses=None, is_fresh=None, runs=None, n_followers=None, evidence=None, limits=None, origins=None,):
+    def __init__(self, version=None, content=None, targets=None, member_addresses=None, is_fresh=None, runs=None, n_followers=None, evidence=None, limits=None, origins=None, leaving=None,):
         self.version = version
         self.content = content
         self.targets = targets
@@ -7357,6 +7484,7 @@
         self.evidence = evidence
         self.limits = limits
         self.origins = origins
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -7380,21 +7508,21 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.targets = []
-                    (_etype223, _size220) = iprot.readListBegin()
-                    for _i224 in range(_size220):
-                        _elem225 = AnnouncedTarget()
-                        _elem225.read(iprot)
-                        self.targets.append(_elem225)
+                    (_etype230, _size227) = iprot.readListBegin()
+                    for _i231 in range(_size227):
+                        _elem232 = AnnouncedTarget()
+                        _elem232.read(iprot)
+                        self.targets.append(_elem232)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.member_addresses = []
-                    (_etype229, _size226) = iprot.readListBegin()
-                    for _i230 in range(_size226):
-                        _elem231 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.member_addresses.append(_elem231)
+                    (_etype236, _size233) = iprot.readListBegin()
+                    for _i237 in range(_size233):
+                        _elem238 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.member_addresses.append(_elem238)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -7406,11 +7534,11 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.runs = []
-                    (_etype235, _size232) = iprot.readListBegin()
-                    for _i236 in range(_size232):
-                        _elem237 = Run()
-                        _elem237.read(iprot)
-                        self.runs.append(_elem237)
+                    (_etype242, _size239) = iprot.readListBegin()
+                    for _i243 in range(_size239):
+                        _elem244 = Run()
+                        _elem244.read(iprot)
+                        self.runs.append(_elem244)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -7422,33 +7550,44 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.evidence = []
-                    (_etype241, _size238) = iprot.readListBegin()
-                    for _i242 in range(_size238):
-                        _elem243 = SegmentEvidence()
-                        _elem243.read(iprot)
-                        self.evidence.append(_elem243)
+                    (_etype248, _size245) = iprot.readListBegin()
+                    for _i249 in range(_size245):
+                        _elem250 = SegmentEvidence()
+                        _elem250.read(iprot)
+                        self.evidence.append(_elem250)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype247, _size244) = iprot.readListBegin()
-                    for _i248 in range(_size244):
-                        _elem249 = LimitReport()
-                        _elem249.read(iprot)
-                        self.limits.append(_elem249)
+                    (_etype254, _size251) = iprot.readListBegin()
+                    for _i255 in range(_size251):
+                        _elem256 = LimitReport()
+                        _elem256.read(iprot)
+                        self.limits.append(_elem256)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.origins = []
-                    (_etype253, _size250) = iprot.readListBegin()
-                    for _i254 in range(_size250):
-                        _elem255 = StreamOrigin()
-                        _elem255.read(iprot)
-                        self.origins.append(_elem255)
+                    (_etype260, _size257) = iprot.readListBegin()
+                    for _i261 in range(_size257):
+                        _elem262 = StreamOrigin()
+                        _elem262.read(iprot)
+                        self.origins.append(_elem262)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.leaving = []
+                    (_etype266, _size263) = iprot.readListBegin()
+                    for _i267 in range(_size263):
+                        _elem268 = LeavingReport()
+                        _elem268.read(iprot)
+                        self.leaving.append(_elem268)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -7473,15 +7612,15 @@
         if self.targets is not None:
             oprot.writeFieldBegin('targets', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.targets))
-            for iter256 in self.targets:
-                iter256.write(oprot)
+            for iter269 in self.targets:
+                iter269.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.member_addresses is not None:
             oprot.writeFieldBegin('member_addresses', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.member_addresses))
-            for iter257 in self.member_addresses:
-                oprot.writeString(iter257.encode('utf-8') if sys.version_info[0] == 2 else iter257)
+            for iter270 in self.member_addresses:
+                oprot.writeString(iter270.encode('utf-8') if sys.version_info[0] == 2 else iter270)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_fresh is not None:
@@ -7491,8 +7630,8 @@
         if self.runs is not None:
             oprot.writeFieldBegin('runs', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.runs))
-            for iter258 in self.runs:
-                iter258.write(oprot)
+            for iter271 in self.runs:
+                iter271.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.n_followers is not None:
@@ -7502,22 +7641,29 @@
         if self.evidence is not None:
             oprot.writeFieldBegin('evidence', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.evidence))
-            for iter259 in self.evidence:
-                iter259.write(oprot)
+            for iter272 in self.evidence:
+                iter272.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter260 in self.limits:
-                iter260.write(oprot)
+            for iter273 in self.limits:
+                iter273.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.origins is not None:
             oprot.writeFieldBegin('origins', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.origins))
-            for iter261 in self.origins:
-                iter261.write(oprot)
+            for iter274 in self.origins:
+                iter274.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRUCT, len(self.leaving))
+            for iter275 in self.leaving:
+                iter275.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -8069,6 +8215,14 @@
     (4, TType.I64, 'began_ms', None, None, ),  # 4
     (5, TType.STRING, 'instance', 'UTF8', None, ),  # 5
 )
+all_structs.append(LeavingReport)
+LeavingReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'target', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'born_ms', None, None, ),  # 3
+    (4, TType.I64, 'age_ms', None, None, ),  # 4
+)
 all_structs.append(ShareRuns)
 ShareRuns.thrift_spec = (
     None,  # 0
@@ -8077,6 +8231,7 @@
     (3, TType.LIST, 'evidence', (TType.STRUCT, [SegmentEvidence, None], False), None, ),  # 3
     (4, TType.LIST, 'limits', (TType.STRUCT, [LimitReport, None], False), None, ),  # 4
     (5, TType.LIST, 'origins', (TType.STRUCT, [StreamOrigin, None], False), None, ),  # 5
+    (6, TType.LIST, 'leaving', (TType.STRUCT, [LeavingReport, None], False), None, ),  # 6
 )
 all_structs.append(Follow)
 Follow.thrift_spec = (
@@ -8097,6 +8252,7 @@
     (8, TType.LIST, 'evidence', (TType.STRUCT, [SegmentEvidence, None], False), None, ),  # 8
     (9, TType.LIST, 'limits', (TType.STRUCT, [LimitReport, None], False), None, ),  # 9
     (10, TType.LIST, 'origins', (TType.STRUCT, [StreamOrigin, None], False), None, ),  # 10
+    (11, TType.LIST, 'leaving', (TType.STRUCT, [LeavingReport, None], False), None, ),  # 11
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/entry/src/almonddeal/publication/follower.py
+++ b/packages/entry/src/almonddeal/publication/follower.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from almonddeal.announced.leaving_reports import LeavingReports
 from almonddeal_common.address import Address
 from almonddeal_common.clock import boot_ms, monotonic_ms
 from almonddeal_common.codes import OK, AlmonddealError
@@ -25,9 +26,9 @@
 class Follower:
     """Receives updates from one control instance; sends it the runs of this instance.
 
-    It also sends the limits of targets, the evidence on what crashes them and the
-    origins of streams: of the last two at first all, as the control instance may have
-    restarted, then what this instance adds.
+    It also sends the limits of targets, the evidence on what crashes them, the origins
+    of streams and which targets leave: of the last three at first all, as the control
+    instance may have restarted, then what this instance adds.
 
     Parameters
     ----------
@@ -43,6 +44,7 @@
         Reports of this instance on the limits of targets.
     evidence : EvidenceStore
     origins : StreamOrigins
+    leaving : LeavingReports, optional
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         limits,
         evidence,
         origins,
+        leaving=None,
     ):
         self._settings = settings
         self._hello = hello
@@ -64,6 +67,7 @@
         self._limits = limits
         self._evidence = evidence
         self._origins = origins
+        self._leaving = LeavingReports() if leaving is None else leaving
         self._member_addresses = []
         self._domain_by_address = {}
         self._failed_ms_by_address = {}
@@ -199,6 +203,7 @@
             group.start_soon(self._send_limits, link)
             group.start_soon(self._send_evidence, link)
             group.start_soon(self._send_origins, link)
+            group.start_soon(self._send_leaving, link)
         if update.member_addresses:
             self._member_addresses = list(update.member_addresses)
         if update.is_fresh:
@@ -235,6 +240,13 @@
             lambda records: ShareRuns([], False, origins=records),
         )
 
+    async def _send_leaving(self, link):
+        await self._send_records(
+            link,
+            self._leaving,
+            lambda records: ShareRuns([], False, leaving=records),
+        )
+
     async def _send_records(self, link, store, make_message):
         """Send all records of a store, then what this instance adds to it."""
         sent_revision = store.revision
--- a/packages/entry/src/almonddeal/publication/record_stores.py
+++ b/packages/entry/src/almonddeal/publication/record_stores.py
@@ -1,6 +1,7 @@
 """Records of entry instances that control instances pass on to all others."""
 
 from almonddeal.announced.evidence import EvidenceStore
+from almonddeal.announced.leaving_reports import LeavingReports
 from almonddeal.announced.stream_origins import StreamOrigins
 from almonddeal_common.logs import get_logger
 
@@ -24,6 +25,7 @@
         self.store_by_field = {
             "evidence": EvidenceStore(),
             "origins": StreamOrigins(),
+            "leaving": LeavingReports(),
         }
 
     @property
--- a/packages/entry/src/almonddeal/publication/tests/test_record_stores.py
+++ b/packages/entry/src/almonddeal/publication/tests/test_record_stores.py
@@ -5,6 +5,7 @@
 
 from almonddeal.publication.tests.test_feed import feed, first_updates, peers
 from almonddeal_common.wire.gen.ttypes import (
+    LeavingReport,
     Run,
     SegmentEvidence,
     ShareRuns,
@@ -14,6 +15,7 @@
 __all__ = ["feed", "peers"]
 
 BAD_RECORDS_BY_FIELD = {
+    "leaving": LeavingReport("entry-1", "i-1", 1000),
     "origins": StreamOrigin(request="bad", service_name="s", version="v1"),
 }
 
--- a/packages/entry/src/almonddeal/relay/targets.py
+++ b/packages/entry/src/almonddeal/relay/targets.py
@@ -12,10 +12,12 @@
     is_unheard,
     supersedes,
 )
+from almonddeal.announced.leaving_reports import LeavingReports
 from almonddeal.announced.stream_origins import RETENTION_MS
 from almonddeal.relay.tracked_target import TrackedTarget
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.logs import decide, get_logger
+from almonddeal_common.wire.gen.ttypes import LeavingReport
 
 MIN_DOMAIN_EJECTIONS = 2  # in one failure domain, for it to count as lost
 DOMAIN_LOSS_MS = 1000  # window of these ejections, and how long the domain is avoided
@@ -26,9 +28,22 @@
 
 
 class TargetTable:
-    """Known targets by id, merged from the announcements that control sends."""
-
-    def __init__(self):
+    """Known targets by id, merged from the announcements that control sends.
+
+    Parameters
+    ----------
+    instance : str
+        This instance, for its reports.
+
+    Attributes
+    ----------
+    leaving_reports : LeavingReports
+        Targets that stated to this or another instance that they are about to leave.
+    """
+
+    def __init__(self, instance=""):
+        self.leaving_reports = LeavingReports()
+        self._instance = instance
         self.target_by_id = {}
         self._id_by_address = {}
         self._ejected_ms_by_domain = {}
@@ -54,6 +69,7 @@
                 self._reset(target)
             target.announcement = announcement
             target.confirmed_ms = math.inf
+        self._apply_leaving_report(target)
         self._record_silence(target, announcement)
         self._record_version(announcement)
         self._claim_address(announcement)
@@ -233,13 +249,45 @@
             return
         if target.is_leaving:
             return
+        self._mark_leaving(target, request_id)
+        # Without a start time, a report would be taken for one of the next process.
+        if announcement.born_ms > 0:
+            self.leaving_reports.add(
+                LeavingReport(
+                    self._instance, announcement.target, announcement.born_ms, 0
+                )
+            )
+
+    def merge_leaving_report(self, report):
+        """Merge a `LeavingReport` of another instance, which may come early.
+
+        It counts for its incarnation, as a response to this instance would.
+
+        Raises
+        ------
+        ValueError
+            If the report is malformed.
+        """
+        if self.leaving_reports.add(report):
+            target = self.target_by_id.get(report.target)
+            if target is not None:
+                self._apply_leaving_report(target)
+
+    def _apply_leaving_report(self, target):
+        announcement = target.announcement
+        report = self.leaving_reports.get((announcement.target, announcement.born_ms))
+        if report is not None and not target.is_leaving:
+            self._mark_leaving(target, None, report.instance)
+
+    def _mark_leaving(self, target, request_id, reported_by=None):
         target.is_leaving = True
         decide(
             log,
             "target is leaving",
-            target=announcement.target,
-            born_ms=announcement.born_ms,
+            target=target.announcement.target,
+            born_ms=target.announcement.born_ms,
             request=request_id,
+            reported_by=reported_by,
         )
 
     def record_restart(self, target, start_ms, request_id):
--- a/packages/entry/src/almonddeal/relay/tracked_target.py
+++ b/packages/entry/src/almonddeal/relay/tracked_target.py
@@ -50,7 +50,8 @@
     incarnation_since_ms : float
         When the present incarnation of the target became known here.
     is_leaving : bool
-        Whether the present incarnation stated in a response that it is about to leave.
+        Whether the present incarnation stated in a response, to this or another
+        instance, that it is about to leave.
     unproven_until_ms : float
         Until then the target is not used, as its response that it is about to leave may
         be one of the present incarnation.
--- a/packages/entry/src/almonddeal/roles/entry.py
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -109,7 +109,7 @@
         self._relay_context = RelayContext(
             settings.instance,
             settings.failure_domain,
-            TargetTable(),
+            TargetTable(settings.instance),
             LoadView(),
             VersionedMap(),
             target_client,
@@ -135,6 +135,7 @@
             self._relay_context.named_limits.reports,
             self._relay_context.quarantine.evidence,
             self._relay_context.stream_origins,
+            self._relay_context.targets.leaving_reports,
         )
         self._relay_context.catch_up = self._follower.catch_up
         self._relay_context.is_current = lambda: self._follower.is_current
@@ -159,6 +160,7 @@
         # These are None in the messages of earlier releases.
         _apply_each(context.stream_origins.add, update.origins or [])
         _apply_each(context.named_limits.merge, update.limits or [])
+        _apply_each(context.targets.merge_leaving_report, update.leaving or [])
         evidence = []
         _apply_each(
             lambda record: evidence.append(check_record(record)), update.evidence or []
@@ -280,6 +282,7 @@
             self._relay_context.quarantine.evict_stale()
             self._relay_context.named_limits.refresh()
             self._relay_context.hold_offs.evict_stale()
+            self._relay_context.targets.leaving_reports.evict_stale()
             self._relay_context.stream_origins.evict_stale()
             self._relay_context.update_metrics()
             if not self._follower.follows_fresh_instance:
--- a/packages/entry/src/almonddeal/roles/tests/test_entry.py
+++ b/packages/entry/src/almonddeal/roles/tests/test_entry.py
@@ -15,6 +15,7 @@
 from almonddeal_common.wire.gen.ttypes import (
     AnnouncedTarget,
     FollowUpdate,
+    LeavingReport,
     LimitReport,
     Run,
     SegmentEvidence,
@@ -95,11 +96,33 @@
     "target without an id of text": {"targets": [make_target("i-1", target=[])]},
     "run without counts": {"runs": [Run(request="r", target="i-1", born_ms=9)]},
     "limit without an age": {"limits": [LimitReport(target="i-1")]},
+    "leaving target without a start time": {"leaving": [LeavingReport("e-2", "i-1")]},
+    "leaving targets that are none": {"leaving": [None]},
     "evidence without suspects": {"evidence": [SegmentEvidence(key="e1")]},
     "targets that are none": {"targets": [None]},
 }
 
 
+class TestLeavingReports:
+    # Guards against a malformed report that keeps the others from an instance.
+    def test_sound_reports_beside_malformed_ones_are_merged(self, role):
+        names = [f"i-{k}" for k in range(3)]
+        sound = [LeavingReport("e-2", name, 9, 0) for name in names]
+        malformed = [
+            LeavingReport("e-2", "bad", 0, 0),
+            LeavingReport("e-2", "bad", 9, -1),
+            LeavingReport("e-2", "bad", "9", 0),
+            LeavingReport("e-2", None, 9, 0),
+            LeavingReport("e-2", [], 9, 0),
+        ]
+        targets = [make_target(name) for name in (*names, "bad")]
+        leaving = [*sound[:1], *malformed, *sound[1:]]
+        role._apply_update(make_update(7, targets=targets, leaving=leaving))
+        table = role._relay_context.targets
+        assert [t for t in names if not table.is_usable(table.get(t))] == names
+        assert table.is_usable(table.get("bad"))
+
+
 class TestUpdates:
     """Pattern: one part of an update cannot be applied."""
 
