relay: tell the other instances of pauses that targets ask for

Ruled out (docs/DECISIONS/0016): to hold the pause at all instances, as it was asked of one, and a service with one target would be turned away everywhere; a cost in the choice, as engines are not chosen by it.

Change: HoldOffs reports its pauses (PauseReport, with what is left), which control passes on like evidence. At the others HoldOffs.choose takes plain targets, engines and backups that no report names first, and the reported one if these have no room. It stays a candidate, so no request waits or is rejected for the pause of another instance. Reports hold for 5 s at most, so that a mistaken hour does not keep a target from all; they are passed on only if the pause ends clearly later than is known; 1000 are kept. The pause of the asked instance is as before. New optional field 7 of ShareRuns and 12 of FollowUpdate; earlier releases skip it. Malformed reports are logged and left out.

--- a/packages/common/src/almonddeal_common/wire/gen/ttypes.py
+++ b/packages/common/src/almonddeal_common/wire/gen/ttypes.py
@@ -7188,6 +7188,110 @@
         return not (self == other)
 
 
+class PauseReport(object):
+    """
+    Attributes:
+     - instance
+     - target
+     - born_ms
+     - left_ms
+
+    """
+
+    __slots__ = (
+        'instance',
+        'target',
+        'born_ms',
+        'left_ms',
+    )
+
+
+    def __init__(self, instance=None, target=None, born_ms=None, left_ms=None,):
+        self.instance = instance
+        self.target = target
+        self.born_ms = born_ms
+        self.left_ms = left_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.left_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PauseReport')
+        if self.instance is not None:
+            oprot.writeFieldBegin('instance', TType.STRING, 1)
+            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeFieldEnd()
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 2)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 3)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        if self.left_ms is not None:
+            oprot.writeFieldBegin('left_ms', TType.I64, 4)
+            oprot.writeI64(self.left_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ShareRuns(object):
     """
     Attributes:
@@ -7197,6 +7301,7 @@
      - limits
      - origins
      - leaving
+     - pauses
 
     """
 
@@ -7207,16 +7312,18 @@
         'limits',
         'origins',
         'leaving',
+        'pauses',
     )
 
 
-    def __init__(self, runs=None, is_relayed=None, evidence=None, limits=None, origins=None, leaving=None,):
+    def __init__(self, runs=None, is_relayed=None, evidence=None, limits=None, origins=None, leaving=None, pauses=None,):
         self.runs = runs
         self.is_relayed = is_relayed
         self.evidence = evidence
         self.limits = limits
         self.origins = origins
         self.leaving = leaving
+        self.pauses = pauses
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -7287,6 +7394,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.pauses = []
+                    (_etype225, _size222) = iprot.readListBegin()
+                    for _i226 in range(_size222):
+                        _elem227 = PauseReport()
+                        _elem227.read(iprot)
+                        self.pauses.append(_elem227)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -7300,8 +7418,8 @@
         if self.runs is not None:
             oprot.writeFieldBegin('runs', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.runs))
-            for iter222 in self.runs:
-                iter222.write(oprot)
+            for iter228 in self.runs:
+                iter228.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_relayed is not None:
@@ -7311,29 +7429,36 @@
         if self.evidence is not None:
             oprot.writeFieldBegin('evidence', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.evidence))
-            for iter223 in self.evidence:
-                iter223.write(oprot)
+            for iter229 in self.evidence:
+                iter229.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter224 in self.limits:
-                iter224.write(oprot)
+            for iter230 in self.limits:
+                iter230.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.origins is not None:
             oprot.writeFieldBegin('origins', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.origins))
-            for iter225 in self.origins:
-                iter225.write(oprot)
+            for iter231 in self.origins:
+                iter231.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving))
-            for iter226 in self.leaving:
-                iter226.write(oprot)
+            for iter232 in self.leaving:
+                iter232.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.pauses is not None:
+            oprot.writeFieldBegin('pauses', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.pauses))
+            for iter233 in self.pauses:
+                iter233.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -7455,6 +7580,7 @@
      - limits
      - origins
      - leaving
+     - pauses
 
     """
 
@@ -7470,10 +7596,11 @@
         'limits',
         'origins',
         'leaving',
+        'pauses',
     )
 
 
-    def __init__(self, version=None, content=None, targets=None, member_addresses=None, is_fresh=None, runs=None, n_followers=None, evidence=None, limits=None, origins=None, leaving=None,):
+    def __init__(self, version=None, content=None, targets=None, member_addresses=None, is_fresh=None, runs=None, n_followers=None, evidence=None, limits=None, origins=None, leaving=None, pauses=None,):
         self.version = version
         self.content = content
         self.targets = targets
@@ -7485,6 +7612,7 @@
         self.limits = limits
         self.origins = origins
         self.leaving = leaving
+        self.pauses = pauses
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -7508,21 +7636,21 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.targets = []
-                    (_etype230, _size227) = iprot.readListBegin()
-                    for _i231 in range(_size227):
-                        _elem232 = AnnouncedTarget()
-                        _elem232.read(iprot)
-                        self.targets.append(_elem232)
+                    (_etype237, _size234) = iprot.readListBegin()
+                    for _i238 in range(_size234):
+                        _elem239 = AnnouncedTarget()
+                        _elem239.read(iprot)
+                        self.targets.append(_elem239)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.member_addresses = []
-                    (_etype236, _size233) = iprot.readListBegin()
-                    for _i237 in range(_size233):
-                        _elem238 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.member_addresses.append(_elem238)
+                    (_etype243, _size240) = iprot.readListBegin()
+                    for _i244 in range(_size240):
+                        _elem245 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.member_addresses.append(_elem245)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -7534,11 +7662,11 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.runs = []
-                    (_etype242, _size239) = iprot.readListBegin()
-                    for _i243 in range(_size239):
-                        _elem244 = Run()
-                        _elem244.read(iprot)
-                        self.runs.append(_elem244)
+                    (_etype249, _size246) = iprot.readListBegin()
+                    for _i250 in range(_size246):
+                        _elem251 = Run()
+                        _elem251.read(iprot)
+                        self.runs.append(_elem251)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -7550,44 +7678,55 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.evidence = []
-                    (_etype248, _size245) = iprot.readListBegin()
-                    for _i249 in range(_size245):
-                        _elem250 = SegmentEvidence()
-                        _elem250.read(iprot)
-                        self.evidence.append(_elem250)
+                    (_etype255, _size252) = iprot.readListBegin()
+                    for _i256 in range(_size252):
+                        _elem257 = SegmentEvidence()
+                        _elem257.read(iprot)
+                        self.evidence.append(_elem257)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype254, _size251) = iprot.readListBegin()
-                    for _i255 in range(_size251):
-                        _elem256 = LimitReport()
-                        _elem256.read(iprot)
-                        self.limits.append(_elem256)
+                    (_etype261, _size258) = iprot.readListBegin()
+                    for _i262 in range(_size258):
+                        _elem263 = LimitReport()
+                        _elem263.read(iprot)
+                        self.limits.append(_elem263)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.origins = []
-                    (_etype260, _size257) = iprot.readListBegin()
-                    for _i261 in range(_size257):
-                        _elem262 = StreamOrigin()
-                        _elem262.read(iprot)
-                        self.origins.append(_elem262)
+                    (_etype267, _size264) = iprot.readListBegin()
+                    for _i268 in range(_size264):
+                        _elem269 = StreamOrigin()
+                        _elem269.read(iprot)
+                        self.origins.append(_elem269)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.leaving = []
-                    (_etype266, _size263) = iprot.readListBegin()
-                    for _i267 in range(_size263):
-                        _elem268 = LeavingReport()
-                        _elem268.read(iprot)
-                        self.leaving.append(_elem268)
+                    (_etype273, _size270) = iprot.readListBegin()
+                    for _i274 in range(_size270):
+                        _elem275 = LeavingReport()
+                        _elem275.read(iprot)
+                        self.leaving.append(_elem275)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.pauses = []
+                    (_etype279, _size276) = iprot.readListBegin()
+                    for _i280 in range(_size276):
+                        _elem281 = PauseReport()
+                        _elem281.read(iprot)
+                        self.pauses.append(_elem281)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -7612,15 +7751,15 @@
         if self.targets is not None:
             oprot.writeFieldBegin('targets', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.targets))
-            for iter269 in self.targets:
-                iter269.write(oprot)
+            for iter282 in self.targets:
+                iter282.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.member_addresses is not None:
             oprot.writeFieldBegin('member_addresses', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.member_addresses))
-            for iter270 in self.member_addresses:
-                oprot.writeString(iter270.encode('utf-8') if sys.version_info[0] == 2 else iter270)
+            for iter283 in self.member_addresses:
+                oprot.writeString(iter283.encode('utf-8') if sys.version_info[0] == 2 else iter283)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_fresh is not None:
@@ -7630,8 +7769,8 @@
         if self.runs is not None:
             oprot.writeFieldBegin('runs', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.runs))
-            for iter271 in self.runs:
-                iter271.write(oprot)
+            for iter284 in self.runs:
+                iter284.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.n_followers is not None:
@@ -7641,29 +7780,36 @@
         if self.evidence is not None:
             oprot.writeFieldBegin('evidence', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.evidence))
-            for iter272 in self.evidence:
-                iter272.write(oprot)
+            for iter285 in self.evidence:
+                iter285.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter273 in self.limits:
-                iter273.write(oprot)
+            for iter286 in self.limits:
+                iter286.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.origins is not None:
             oprot.writeFieldBegin('origins', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.origins))
-            for iter274 in self.origins:
-                iter274.write(oprot)
+            for iter287 in self.origins:
+                iter287.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving))
-            for iter275 in self.leaving:
-                iter275.write(oprot)
+            for iter288 in self.leaving:
+                iter288.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.pauses is not None:
+            oprot.writeFieldBegin('pauses', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.pauses))
+            for iter289 in self.pauses:
+                iter289.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -8223,6 +8369,14 @@
     (3, TType.I64, 'born_ms', None, None, ),  # 3
     (4, TType.I64, 'age_ms', None, None, ),  # 4
 )
+all_structs.append(PauseReport)
+PauseReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'target', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'born_ms', None, None, ),  # 3
+    (4, TType.I64, 'left_ms', None, None, ),  # 4
+)
 all_structs.append(ShareRuns)
 ShareRuns.thrift_spec = (
     None,  # 0
@@ -8232,6 +8386,7 @@
     (4, TType.LIST, 'limits', (TType.STRUCT, [LimitReport, None], False), None, ),  # 4
     (5, TType.LIST, 'origins', (TType.STRUCT, [StreamOrigin, None], False), None, ),  # 5
     (6, TType.LIST, 'leaving', (TType.STRUCT, [LeavingReport, None], False), None, ),  # 6
+    (7, TType.LIST, 'pauses', (TType.STRUCT, [PauseReport, None], False), None, ),  # 7
 )
 all_structs.append(Follow)
 Follow.thrift_spec = (
@@ -8253,6 +8408,7 @@
     (9, TType.LIST, 'limits', (TType.STRUCT, [LimitReport, None], False), None, ),  # 9
     (10, TType.LIST, 'origins', (TType.STRUCT, [StreamOrigin, None], False), None, ),  # 10
     (11, TType.LIST, 'leaving', (TType.STRUCT, [LeavingReport, None], False), None, ),  # 11
+    (12, TType.LIST, 'pauses', (TType.STRUCT, [PauseReport, None], False), None, ),  # 12
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/entry/src/almonddeal/publication/follower.py
+++ b/packages/entry/src/almonddeal/publication/follower.py
@@ -5,6 +5,7 @@
 import anyio
 
 from almonddeal.announced.leaving_reports import LeavingReports
+from almonddeal.announced.pause_reports import PauseReports
 from almonddeal_common.address import Address
 from almonddeal_common.clock import boot_ms, monotonic_ms
 from almonddeal_common.codes import OK, AlmonddealError
@@ -27,8 +28,9 @@
     """Receives updates from one control instance; sends it the runs of this instance.
 
     It also sends the limits of targets, the evidence on what crashes them, the origins
-    of streams and which targets leave: of the last three at first all, as the control
-    instance may have restarted, then what this instance adds.
+    of streams, which targets leave and which asked for a pause: of all but the limits
+    at first all, as the control instance may have restarted, then what this instance
+    adds.
 
     Parameters
     ----------
@@ -45,6 +47,7 @@
     evidence : EvidenceStore
     origins : StreamOrigins
     leaving : LeavingReports, optional
+    pauses : PauseReports, optional
     """
 
     def __init__(
@@ -58,6 +61,7 @@
         evidence,
         origins,
         leaving=None,
+        pauses=None,
     ):
         self._settings = settings
         self._hello = hello
@@ -68,6 +72,7 @@
         self._evidence = evidence
         self._origins = origins
         self._leaving = LeavingReports() if leaving is None else leaving
+        self._pauses = PauseReports() if pauses is None else pauses
         self._member_addresses = []
         self._domain_by_address = {}
         self._failed_ms_by_address = {}
@@ -204,6 +209,7 @@
             group.start_soon(self._send_evidence, link)
             group.start_soon(self._send_origins, link)
             group.start_soon(self._send_leaving, link)
+            group.start_soon(self._send_pauses, link)
         if update.member_addresses:
             self._member_addresses = list(update.member_addresses)
         if update.is_fresh:
@@ -247,6 +253,13 @@
             lambda records: ShareRuns([], False, leaving=records),
         )
 
+    async def _send_pauses(self, link):
+        await self._send_records(
+            link,
+            self._pauses,
+            lambda records: ShareRuns([], False, pauses=records),
+        )
+
     async def _send_records(self, link, store, make_message):
         """Send all records of a store, then what this instance adds to it."""
         sent_revision = store.revision
--- a/packages/entry/src/almonddeal/publication/record_stores.py
+++ b/packages/entry/src/almonddeal/publication/record_stores.py
@@ -2,6 +2,7 @@
 
 from almonddeal.announced.evidence import EvidenceStore
 from almonddeal.announced.leaving_reports import LeavingReports
+from almonddeal.announced.pause_reports import PauseReports
 from almonddeal.announced.stream_origins import StreamOrigins
 from almonddeal_common.logs import get_logger
 
@@ -11,11 +12,11 @@
 
 
 class RecordStores:
-    """Stores of records of which each is accepted once.
+    """Stores of records of which each is passed on only if it says something new.
 
     Attributes
     ----------
-    store_by_field : dict of str to ExpiringMap
+    store_by_field : dict of str to VersionedMap
         By the field that has their records in `ShareRuns` and in `FollowUpdate`.
     """
 
@@ -26,6 +27,7 @@
             "evidence": EvidenceStore(),
             "origins": StreamOrigins(),
             "leaving": LeavingReports(),
+            "pauses": PauseReports(),
         }
 
     @property
--- a/packages/entry/src/almonddeal/publication/tests/test_record_stores.py
+++ b/packages/entry/src/almonddeal/publication/tests/test_record_stores.py
@@ -6,6 +6,7 @@
 from almonddeal.publication.tests.test_feed import feed, first_updates, peers
 from almonddeal_common.wire.gen.ttypes import (
     LeavingReport,
+    PauseReport,
     Run,
     SegmentEvidence,
     ShareRuns,
@@ -16,6 +17,7 @@
 
 BAD_RECORDS_BY_FIELD = {
     "leaving": LeavingReport("entry-1", "i-1", 1000),
+    "pauses": PauseReport("entry-1", "i-1", 1000),
     "origins": StreamOrigin(request="bad", service_name="s", version="v1"),
 }
 
--- a/packages/entry/src/almonddeal/relay/context.py
+++ b/packages/entry/src/almonddeal/relay/context.py
@@ -152,7 +152,7 @@
         self.selection_policy = selection_policy or SelectionPolicy()
         self.quarantine = quarantine or Quarantine(instance)
         self.named_limits = NamedLimits(instance, self._count_requests)
-        self.hold_offs = HoldOffs()
+        self.hold_offs = HoldOffs(instance)
         client.observe = self._record_query_response
         self.version = 0
         self.accepts_until_ms = math.inf
@@ -256,16 +256,34 @@
         retry_after_ms = self.hold_offs.retry_after_ms(targets)
         return otherwise() if retry_after_ms is None else retry_after_ms
 
+    def choose_plain(self, targets):
+        """Return the target of a plain service for a request, or None without any.
+
+        One that asked another instance for a pause is chosen if there is no other.
+        """
+
+        def choose(targets):
+            return self.selection_policy.plain(targets, self.domain, random.random)
+
+        return self.hold_offs.choose(choose, targets)
+
     def choose_engine(self, engines, admitted, n_tokens):
-        """Return the engine for a request, or None if none has capacity."""
-        return self.selection_policy.engine(
-            engines,
-            self.load_view,
-            n_tokens,
-            admitted.service.engine,
-            self.domain,
-            random.random,
-        )
+        """Return the engine for a request, or None if none has capacity.
+
+        One that asked another instance for a pause is chosen if no other has.
+        """
+
+        def choose(engines):
+            return self.selection_policy.engine(
+                engines,
+                self.load_view,
+                n_tokens,
+                admitted.service.engine,
+                self.domain,
+                random.random,
+            )
+
+        return self.hold_offs.choose(choose, engines)
 
     def merge_remote_run(self, run):
         """Merge a run report of another instance.
--- a/packages/entry/src/almonddeal/relay/hold_offs.py
+++ b/packages/entry/src/almonddeal/relay/hold_offs.py
@@ -2,8 +2,10 @@
 
 import random
 
+from almonddeal.announced.pause_reports import MAX_REPORTED_MS, PauseReports
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.logs import decide, get_logger
+from almonddeal_common.wire.gen.ttypes import PauseReport
 
 # Callers that are rejected during a pause return over this share of the time that was
 # left of it, and at least over this time.
@@ -18,11 +20,26 @@
 
     A pause is no ejection: it says nothing of the health of the target, and no shortage
     of other targets ends it. Requests that run at the target continue.
+
+    A pause that another instance reported binds that instance alone. Here others are
+    preferred to the target, but it is used if there is none.
+
+    Parameters
+    ----------
+    instance : str
+        This instance, for its reports.
+
+    Attributes
+    ----------
+    reports : PauseReports
+        Pauses for which targets asked this or another instance.
     """
 
-    __slots__ = ("_end_ms_by_key",)
+    __slots__ = ("_end_ms_by_key", "_instance", "reports")
 
-    def __init__(self):
+    def __init__(self, instance=""):
+        self.reports = PauseReports()
+        self._instance = instance
         self._end_ms_by_key = {}
 
     def __len__(self):
@@ -56,6 +73,48 @@
                 request=request_id,
             )
         self._end_ms_by_key[key] = max(end_ms, now_ms + response.retry_after_ms)
+        left_ms = round(min(MAX_REPORTED_MS, response.retry_after_ms))
+        self.reports.add(PauseReport(self._instance, *key, left_ms))
+
+    def merge(self, report):
+        """Merge a `PauseReport` of another instance.
+
+        Raises
+        ------
+        ValueError
+            If the report is malformed.
+        """
+        if self.reports.add(report):
+            decide(
+                log,
+                "target asked another instance for a pause",
+                target=report.target,
+                born_ms=report.born_ms,
+                left_ms=report.left_ms,
+                reported_by=report.instance,
+            )
+
+    def choose(self, choose, targets):
+        """Choose a target, one that asked another instance for a pause only at last.
+
+        Parameters
+        ----------
+        choose : callable
+            ``choose(targets)`` returns one of them, or None if none will do.
+        targets : list of TrackedTarget
+
+        Returns
+        -------
+        target : TrackedTarget or None
+        """
+        others = [t for t in targets if not self._is_reported(t.announcement)]
+        chosen = choose(others)
+        if chosen is None and len(others) < len(targets):
+            chosen = choose(targets)
+        return chosen
+
+    def _is_reported(self, announcement):
+        return self.reports.left_ms((announcement.target, announcement.born_ms)) > 0
 
     def allows(self, announcement):
         """Tell whether requests may be sent to an announced target now."""
@@ -112,7 +171,8 @@
         return round(left_ms + random.uniform(1.0, spread_ms))
 
     def evict_stale(self):
-        """Drop the pauses that are over."""
+        """Drop the pauses that are over, and the reports of them."""
+        self.reports.evict_stale()
         now_ms = monotonic_ms()
         for key, end_ms in list(self._end_ms_by_key.items()):
             if end_ms <= now_ms:
--- a/packages/entry/src/almonddeal/relay/kv_copies.py
+++ b/packages/entry/src/almonddeal/relay/kv_copies.py
@@ -48,9 +48,18 @@
         ),
         monotonic_ms(),
     )
-    return context.selection_policy.backup(
-        engines, announcement, context.load_view, stream.n_tokens, traits, random.random
-    )
+
+    def choose(engines):
+        return context.selection_policy.backup(
+            engines,
+            announcement,
+            context.load_view,
+            stream.n_tokens,
+            traits,
+            random.random,
+        )
+
+    return context.hold_offs.choose(choose, engines)
 
 
 async def maintain_copy(stream, context, announcement):
--- a/packages/entry/src/almonddeal/relay/plain.py
+++ b/packages/entry/src/almonddeal/relay/plain.py
@@ -1,7 +1,6 @@
 """Requests to plain services: lookups are retried, orders only if not executed."""
 
 import asyncio
-import random
 from contextlib import contextmanager, nullcontext
 
 import anyio
@@ -175,8 +174,7 @@
 
 def _select_target(admitted, context, tried):
     targets = context.candidates(admitted.service.name, tried)
-    targets = [target for target in targets if context.allows(target)]
-    return context.selection_policy.plain(targets, context.domain, random.random)
+    return context.choose_plain([t for t in targets if context.allows(t)])
 
 
 async def _wait_out_pause(admitted, context, tried):
--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -224,7 +224,9 @@
     targets = _preferred_candidates(stream, context)
     if not targets and not stream.is_started:
         raise no_target_error(stream.admitted.service.name, context)
-    return min(targets, key=lambda t: t.n_in_flight, default=None)
+    return context.hold_offs.choose(
+        lambda targets: min(targets, key=lambda t: t.n_in_flight, default=None), targets
+    )
 
 
 def _is_paused_too_long(stream, context):
--- a/packages/entry/src/almonddeal/roles/entry.py
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -136,6 +136,7 @@
             self._relay_context.quarantine.evidence,
             self._relay_context.stream_origins,
             self._relay_context.targets.leaving_reports,
+            self._relay_context.hold_offs.reports,
         )
         self._relay_context.catch_up = self._follower.catch_up
         self._relay_context.is_current = lambda: self._follower.is_current
@@ -161,6 +162,7 @@
         _apply_each(context.stream_origins.add, update.origins or [])
         _apply_each(context.named_limits.merge, update.limits or [])
         _apply_each(context.targets.merge_leaving_report, update.leaving or [])
+        _apply_each(context.hold_offs.merge, update.pauses or [])
         evidence = []
         _apply_each(
             lambda record: evidence.append(check_record(record)), update.evidence or []
--- a/packages/entry/src/almonddeal/roles/tests/test_entry.py
+++ b/packages/entry/src/almonddeal/roles/tests/test_entry.py
@@ -17,6 +17,7 @@
     FollowUpdate,
     LeavingReport,
     LimitReport,
+    PauseReport,
     Run,
     SegmentEvidence,
 )
@@ -97,6 +98,9 @@
     "run without counts": {"runs": [Run(request="r", target="i-1", born_ms=9)]},
     "limit without an age": {"limits": [LimitReport(target="i-1")]},
     "leaving target without a start time": {"leaving": [LeavingReport("e-2", "i-1")]},
+    "pause without an end": {"pauses": [PauseReport("e-2", "i-1", 9)]},
+    "pause of a target without an id of text": {"pauses": [PauseReport("e", [], 9, 5)]},
+    "pauses that are none": {"pauses": [None]},
     "leaving targets that are none": {"leaving": [None]},
     "evidence without suspects": {"evidence": [SegmentEvidence(key="e1")]},
     "targets that are none": {"targets": [None]},
--- a/packages/entry/src/almonddeal/roles/tests/test_told_facts.py
+++ b/packages/entry/src/almonddeal/roles/tests/test_told_facts.py
@@ -5,6 +5,7 @@
 import anyio
 import pytest
 
+from almonddeal.announced.pause_reports import MAX_REPORTED_MS
 from almonddeal.relay.plain import relay_plain
 from almonddeal.relay.tests.announcements import make_announcement
 from almonddeal.relay.tests.fakes import (
@@ -17,12 +18,14 @@
 )
 from almonddeal.roles.tests.linked_instances import LinkedInstances
 from almonddeal.routing.model import LOOKUP, ORDER
-from almonddeal_common.codes import AlmonddealError
+from almonddeal_common.codes import OVERLOADED, AlmonddealError
 from almonddeal_common.virtual_time import run_in_virtual_time
 
 TOLD_MS = 300.0
 POLL_S = 0.001
 MAX_REPORT_BYTES = 100
+MAX_REPORTS_PER_S = 4  # of an instance, and to it, of the pauses of a target
+N_CHOICES = 30  # chance has two equal targets chosen
 SIZES = pytest.mark.parametrize("n_instances", [5, 28, 68])
 
 
@@ -58,6 +61,127 @@
     return not targets.is_usable(targets.get(target_id))
 
 
+def prefers_others(role, target_id="i-1"):
+    """Tell whether an instance chooses other targets than this one."""
+    context = role._relay_context
+    return target_id not in {
+        context.choose_plain(context.candidates("s")).announcement.target
+        for _ in range(N_CHOICES)
+    }
+
+
+class TestPauses:
+    """Pattern: i-1 rejects each request with 503 and asks for a pause."""
+
+    def linked(self, n_instances, monkeypatch, others=("i-2",), pause_ms=3000.0):
+        head = ResponseHead(503, is_not_run=True, retry_after_ms=pause_ms)
+        behaviours = {"i-1": responds_with_head(head)}
+        behaviours.update(dict.fromkeys(others, responds()))
+        return LinkedInstances(n_instances, behaviours, monkeypatch)
+
+    async def learn(self, linked):
+        """Have the first instance be asked for the pause."""
+        first = linked.roles[0]
+        if "i-2" in linked.fleet.behaviour_by_target:
+            eject(first, "i-2")
+        await relay(first)
+        assert linked.fleet.tried.count("i-1") == 1
+
+    @SIZES
+    def test_all_instances_prefer_others_in_time(self, n_instances, monkeypatch):
+        async def main():
+            async with self.linked(n_instances, monkeypatch).connected() as linked:
+                await self.learn(linked)
+                return await told_ms(linked, prefers_others)
+
+        took_ms = run_in_virtual_time(main)
+        print(f"{n_instances} instances know of a pause: {took_ms:.0f} ms")
+        assert took_ms <= TOLD_MS
+
+    # Guards against a rejected attempt at each instance.
+    @SIZES
+    @pytest.mark.parametrize("kind", [LOOKUP, ORDER])
+    def test_no_other_instance_tries_the_target(self, n_instances, kind, monkeypatch):
+        async def main():
+            async with self.linked(n_instances, monkeypatch).connected() as linked:
+                await self.learn(linked)
+                await anyio.sleep(TOLD_MS / 1000)
+                writers = [await relay(role, kind) for role in linked.roles * 3]
+                assert [w.status for w in writers] == [200] * len(writers)
+                return linked.fleet.tried.count("i-1")
+
+        n_attempts = run_in_virtual_time(main)
+        print(f"{n_instances} instances, {kind}: {n_attempts} attempts at the target")
+        assert n_attempts == 1
+
+    # Guards against a service that is turned away by instances that nobody asked.
+    @SIZES
+    def test_only_target_is_used_by_the_other_instances(self, n_instances, monkeypatch):
+        async def main():
+            linked = self.linked(n_instances, monkeypatch, others=())
+            async with linked.connected():
+                await self.learn(linked)
+                linked.fleet.behaviour_by_target["i-1"] = responds()
+                await anyio.sleep(TOLD_MS / 1000)
+                writers = [await relay(role) for role in linked.roles[1:]]
+                asked = await relay(linked.roles[0])
+                return [w.status for w in writers], asked
+
+        statuses, asked = run_in_virtual_time(main)
+        assert statuses == [200] * (n_instances - 1)
+        assert asked.error.code == OVERLOADED
+
+    def test_target_is_used_alike_once_the_pause_is_over(self, monkeypatch):
+        async def main():
+            async with self.linked(5, monkeypatch).connected() as linked:
+                await self.learn(linked)
+                await anyio.sleep(1.0)
+                assert all(map(prefers_others, linked.roles))
+                await anyio.sleep(2.1)
+                # The first one had a failure there.
+                return any(map(prefers_others, linked.roles[1:]))
+
+        assert not run_in_virtual_time(main)
+
+    # Guards against a mistaken value that takes a target out at all instances for long.
+    def test_long_pause_is_told_for_some_seconds_only(self, monkeypatch):
+        async def main():
+            linked = self.linked(5, monkeypatch, pause_ms=3_600_000.0)
+            async with linked.connected():
+                await self.learn(linked)
+                await anyio.sleep(MAX_REPORTED_MS / 1000 + 0.1)
+                return list(map(prefers_others, linked.roles))
+
+        assert run_in_virtual_time(main) == [True] + [False] * 4
+
+    # Guards against reports without end while a target rejects all.
+    @SIZES
+    def test_bytes_are_bounded_while_all_are_rejected(self, n_instances, monkeypatch):
+        async def main():
+            linked = self.linked(n_instances, monkeypatch, others=(), pause_ms=1000.0)
+            async with linked.connected():
+                before = linked.n_sent_bytes, linked.n_received_bytes
+                await anyio.sleep(1.0)
+                quiet = linked.n_received_bytes - before[1]
+                assert linked.n_sent_bytes == before[0] == 0
+                started_s = anyio.current_time()
+                while anyio.current_time() - started_s < 10.0:
+                    for role in linked.roles:
+                        await relay(role)
+                    await anyio.sleep(0.05)
+                received = linked.n_received_bytes - before[1] - quiet
+                took_s = anyio.current_time() - started_s
+                return linked.n_sent_bytes / took_s, received / took_s - quiet
+
+        sent, received = run_in_virtual_time(main)
+        print(
+            f"{n_instances} instances, all rejected: {sent:.0f} bytes a second sent, "
+            f"{received:.0f} received"
+        )
+        assert 0 < sent <= MAX_REPORTS_PER_S * MAX_REPORT_BYTES * n_instances
+        assert received <= 2 * MAX_REPORTS_PER_S * MAX_REPORT_BYTES * n_instances
+
+
 class TestLeaving:
     """Pattern: i-1 says in its responses that it leaves, and rejects requests.
 
