relay: let a stream wait for an engine that was just restarted

Seen (by a test in virtual time): a started stream loses its engine to a release while the only other engine of its software version has restarted and is to be asked, or announced, before it gets requests again. The response is cut at once (NOT_RESUMABLE), though a sound engine of its version serves some 100 ms later. This is what a rolling restart of the engines of a service looks like.

Cause: engines that are left out for such a short time are no candidates, and without a candidate of its version a stream counts as one that nobody can continue.

Ruled out: ejected engines, which are candidates if there are no others; a version whose targets have left or drain, where the stream still ends at once.

Streams that have not started are refused at once, as before.

--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -138,9 +138,15 @@
         If the response has not started and no engine is available in time, or if no
         target has the software version that began the stream.
     """
-    if stream.software_version is not None and not stream.candidates(context.targets):
+    version = stream.software_version
+    if version is not None and not stream.candidates(context.targets):
+        service_name = stream.admitted.service.name
+        if stream.is_started and context.targets.may_become_usable(
+            service_name, version
+        ):
+            return None, None
         raise AlmonddealError(
-            NOT_RESUMABLE, f"no target has software version {stream.software_version}"
+            NOT_RESUMABLE, f"no target has software version {version}"
         )
     if stream.is_started and not _can_go_on(stream, context):
         await _wait_for_candidates(stream, context)
--- a/packages/entry/src/almonddeal/relay/targets.py
+++ b/packages/entry/src/almonddeal/relay/targets.py
@@ -27,6 +27,11 @@
 log = get_logger("targets")
 
 
+def _is_doubted(target):
+    """Tell whether a target restarted, and is to be announced or asked first."""
+    return max(target.outdated_until_ms, target.unproven_until_ms) > monotonic_ms()
+
+
 class TargetTable:
     """Known targets by id, merged from the announcements that control sends.
 
@@ -163,13 +168,30 @@
         A target that restarted after its announcement is not used until the next one;
         one that may have said that it leaves just after its restart, until it is asked.
         """
+        return self._is_registered(target) and not _is_doubted(target)
+
+    def _is_registered(self, target):
         announcement = target.announcement
         if target.is_leaving or announcement.state in (DEREGISTERED, DRAINING):
             return False
-        if max(target.outdated_until_ms, target.unproven_until_ms) > monotonic_ms():
-            return False
         return self._id_by_address.get(announcement.address) == announcement.target
 
+    def may_become_usable(self, service_name, software_version):
+        """Tell whether a target of a version is left out only for a short time.
+
+        Parameters
+        ----------
+        service_name : str
+        software_version : str
+        """
+        return any(
+            (target.announcement.service_name, target.announcement.version)
+            == (service_name, software_version)
+            and self._is_registered(target)
+            and _is_doubted(target)
+            for target in self.target_by_id.values()
+        )
+
     def candidates(self, service_name, excluded=(), software_version=None):
         """Return the targets of a service for new requests, as a list.
 
--- a/packages/entry/src/almonddeal/relay/tests/test_changing_targets.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_changing_targets.py
@@ -21,6 +21,7 @@
     relay_timed,
     then_lost,
 )
+from almonddeal_common.clock import monotonic_ms
 
 
 def make_fleet_without_copy(change_i_4):
@@ -94,6 +95,50 @@
         assert relay(fleet).versions == {"v1"}
 
 
+class TestDoubtedEngines:
+    """Pattern: the only engine left to a stream restarted, and is asked or announced.
+
+    It is not used until then.
+    """
+
+    DOUBT_MS = 300.0
+
+    def relay_with(self, field, then=lambda fleet: None):
+        """Relay a stream whose engine leaves; returns the fleet, writer and time."""
+
+        def leave():
+            announce(fleet, "i-1", DEREGISTERED)
+            doubted = fleet.target_table.get("i-3")
+            setattr(doubted, field, monotonic_ms() + self.DOUBT_MS)
+            then(fleet)
+
+        fleet = make_fleet(then_lost(7, leave))
+        return fleet, *relay_timed(fleet)
+
+    # Guards against a stream that is cut although a sound engine of its version serves
+    # a moment later.
+    @pytest.mark.parametrize("field", ["unproven_until_ms", "outdated_until_ms"])
+    def test_stream_waits_for_it(self, field):
+        fleet, writer, took_ms = self.relay_with(field)
+        assert is_whole_and_of("v1", writer)
+        assert fleet.tried == ["i-1", "i-3"]
+        assert self.DOUBT_MS < took_ms < 2 * self.DOUBT_MS
+
+    # Guards against a wait for an engine that leaves, or has another version now.
+    @pytest.mark.parametrize(
+        "change", [{"state": DEREGISTERED}, {"state": DRAINING}, {"version": "v2"}]
+    )
+    def test_stream_ends_once_it_left(self, change):
+        def then(fleet):
+            announce(fleet, "i-3", **change)
+
+        fleet, writer, took_ms = self.relay_with("outdated_until_ms", then)
+        assert not writer.is_complete
+        assert writer.versions == {"v1"}
+        assert fleet.tried == ["i-1"]
+        assert took_ms < self.DOUBT_MS
+
+
 def refuses_first(n_refusals, then):
     """Return a behaviour: no free slot for the first requests, then another one."""
     n_requests = 0
