entry, http: records of ends are taken once the response is written

A review of the records, by trials: a response that was cut or left while it was written counted as complete, since its writer is told of the end first; the number of unsent bytes was read after the close, when it is 0. The first is fixed (is_written), the second is left out of the line.

--- a/packages/common/src/almonddeal_common/connections.py
+++ b/packages/common/src/almonddeal_common/connections.py
@@ -50,7 +50,9 @@
 CUT = "cut"  # the server stops, and does not wait any longer
 HEAD_TIMEOUT = "head timeout"
 IDLE_TIMEOUT = "idle timeout"
-RESPONSE = "response"  # the last one of the connection, or one to a malformed request
+RESPONSE = (
+    "response"  # the last one, one that breaks off, or one to a malformed request
+)
 STOP = "stop"
 
 # How far the last request of a closed connection had come.
@@ -221,10 +223,8 @@
         if self.reader.has_timed_out:
             cause = HEAD_TIMEOUT
         progress = self._request_progress()
-        n_unsent = self.writer.transport.get_write_buffer_size()
         n_closed.inc({"cause": cause, "request": progress})
-        is_expected = cause in (CLOSED_BY_CLIENT, RESPONSE)
-        if is_expected and progress == NO_REQUEST and not n_unsent:
+        if cause in (CLOSED_BY_CLIENT, RESPONSE) and progress == NO_REQUEST:
             return
         decide(
             log,
@@ -232,7 +232,6 @@
             client=_address(self.writer.get_extra_info("peername")),
             cause=cause,
             last_request=progress,
-            n_unsent_bytes=n_unsent,
             open_ms=round(1000 * (self.loop.time() - self._opened_s)),
         )
 
@@ -362,7 +361,7 @@
 
 
 def _address(peer):
-    return None if peer is None else f"{peer[0]}:{peer[1]}"
+    return f"{peer[0]}:{peer[1]}" if peer else None
 
 
 async def _receive_pending():
--- a/packages/entry/src/almonddeal/relay/tests/fakes.py
+++ b/packages/entry/src/almonddeal/relay/tests/fakes.py
@@ -74,7 +74,7 @@
         return self.status is not None or self.error is not None
 
     @property
-    def is_ended(self):
+    def is_written(self):
         return self.is_complete or (self.error is not None and self.status is None)
 
     @property
--- a/packages/entry/src/almonddeal/roles/in_flight.py
+++ b/packages/entry/src/almonddeal/roles/in_flight.py
@@ -74,8 +74,8 @@
         ----------
         request : CallerRequest
         writer : object
-            Writes the response to the caller; `is_ended` tells whether a complete
-            response or an error was sent.
+            Writes the response to the caller; `is_written` tells whether a complete
+            response or an error was written.
         serve_request : callable
             ``await serve_request()`` serves the request.
         """
@@ -90,7 +90,7 @@
             self._record_end(request, writer, end)
 
     def _record_end(self, request, writer, end):
-        if writer.is_ended:
+        if writer.is_written:
             end = COMPLETE
         planned_work = self._planned_work.describe()
         n_ended.inc({"end": end, "planned_work": planned_work})
