control: ask all addresses to join at once, lost ones aside (LOST)

Cause: a process in the place of a lost member asked one address after the other, and dialled a lost machine, which does not reply, for 1 s in each round. With one lost machine, the leader was asked every 1.3 s at most, with three every 3.3 s, in place of every 0.3 s. Ruled out: more than one request to an address at a time; one in progress is not repeated. Change: one task for each address. The request and the reply to it are as before. Evidence: test_unreachable_addresses_delay_no_other, three of six machines lost: before, a machine was asked after 2.0 s or not within 0.9 s; after, each one that runs three times. Conclusion: lost machines do not delay the join any more.

--- a/packages/entry/src/almonddeal/roles/control.py
+++ b/packages/entry/src/almonddeal/roles/control.py
@@ -89,6 +89,7 @@
         self._parse = parse
         self._publication = Publication()
         self._registry = TargetRegistry()
+        self._addresses_asked_to_join = set()
         self._origins_file = RecordFile(
             settings.data_folder, "origins", ORIGINS_WRITE_DELAY_S
         )
@@ -326,12 +327,13 @@
 
     async def _join_periodically(self, name, consensus):
         """Request to join while this process is no member or knows no leader."""
-        while True:
-            if name not in consensus.members or consensus.is_leaderless:
-                await self._request_join(name, consensus)
-            await anyio.sleep(JOIN_INTERVAL_S)
+        async with anyio.create_task_group() as requests:
+            while True:
+                if name not in consensus.members or consensus.is_leaderless:
+                    self._request_join(name, consensus, requests)
+                await anyio.sleep(JOIN_INTERVAL_S)
 
-    async def _request_join(self, name, consensus):
+    def _request_join(self, name, consensus, requests):
         member_addresses = consensus.members.address_by_name.values()
         addresses = {*member_addresses, *self.settings.seed_addresses}
         addresses.discard(str(self.settings.link_address))
@@ -340,10 +342,18 @@
         request = JoinGroup(
             name, str(self.settings.link_address), self.settings.is_bootstrap
         )
-        for address in addresses:
+        # A lost machine takes long not to reply; the others are asked again meanwhile.
+        for address in addresses - self._addresses_asked_to_join:
+            requests.start_soon(self._ask_to_join, address, addresses, request)
+
+    async def _ask_to_join(self, address, addresses, request):
+        self._addresses_asked_to_join.add(address)
+        try:
             leader_address = await self._send_join_request(address, request)
             if leader_address and leader_address not in addresses:
                 await self._send_join_request(leader_address, request)
+        finally:
+            self._addresses_asked_to_join.discard(address)
 
     async def _send_join_request(self, address, request):
         """Send a join request; return the leader's address as known there, or None."""
--- a/packages/entry/src/almonddeal/roles/tests/test_control.py
+++ b/packages/entry/src/almonddeal/roles/tests/test_control.py
@@ -11,6 +11,7 @@
 
 from almonddeal.control import consensus
 from almonddeal.control.files import read_checksummed_file
+from almonddeal.control.members import Members
 from almonddeal.control.tests.faulty_disk import (
     CREATE,
     RENAME,
@@ -26,8 +27,10 @@
 from almonddeal.roles import control
 from almonddeal_common.address import Address
 from almonddeal_common.clock import wall_ms
-from almonddeal_common.codes import AlmonddealError
+from almonddeal_common.codes import NOT_REACHED, AlmonddealError
+from almonddeal_common.virtual_time import run_in_virtual_time
 from almonddeal_common.wire.codec import decode
+from almonddeal_common.wire.connect import CONNECT_TIMEOUT_S
 from almonddeal_common.wire.gen.ttypes import SegmentEvidence, Snapshot, StreamOrigin
 
 START_S = 10.0
@@ -205,3 +208,31 @@
         for name in ("evidence", "origins"):
             assert (f"could not store {name}" in caplog.text) == (kind != TRUNCATE)
         disks.close()
+
+
+class TestJoinRequests:
+    # Guards against a process in the place of a lost member that waits for each lost
+    # machine before it asks the leader again: the group bears no other loss until then.
+    def test_unreachable_addresses_delay_no_other(self, role, monkeypatch):
+        lost = [f"127.81.0.{n}:7399" for n in (2, 3, 4)]
+        reachable = [f"127.81.0.{n}:7399" for n in (5, 6, 7)]
+        asked = []
+
+        async def dial(address, hello, handlers):
+            asked.append(str(address))
+            if str(address) in lost:
+                await anyio.sleep(CONNECT_TIMEOUT_S)
+            raise AlmonddealError(NOT_REACHED, str(address))
+
+        async def main():
+            consensus = SimpleNamespace(members=Members({}, 0), is_leaderless=True)
+            with anyio.move_on_after(0.9 * CONNECT_TIMEOUT_S):
+                await role._join_periodically("name", consensus)
+
+        monkeypatch.setattr(control, "dial", dial)
+        role._hello = None
+        role.settings.seed_addresses = lost + reachable
+        run_in_virtual_time(main)
+        n_rounds = int(0.9 * CONNECT_TIMEOUT_S / control.JOIN_INTERVAL_S)
+        assert {asked.count(address) for address in lost} == {1}
+        assert all(asked.count(address) >= n_rounds for address in reachable)
