--- a/packages/agent/src/almonddeal_agent/main.py
+++ b/packages/agent/src/almonddeal_agent/main.py
@@ -1,7 +1,5 @@
 """Command-line entry point of the agent."""
 
-import sys
-
 import anyio
 import click
 
@@ -10,6 +8,7 @@
 from almonddeal_common.checks import load_schema
 from almonddeal_common.cli_errors import exit_with_errors
 from almonddeal_common.logs import set_up_logging
+from almonddeal_common.pending_signals import exit_if_stop_is_pending
 from almonddeal_common.settings import read_settings
 
 SETTINGS_VALIDATOR = load_schema("almonddeal_agent", "settings.schema.json")
@@ -30,8 +29,5 @@
         set_up_logging(
             log_settings.get("level", "INFO"), log_settings.get("json", False)
         )
+        exit_if_stop_is_pending()
         anyio.run(Agent(settings).run)
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/packages/agent/src/almonddeal_agent/run.py
+++ b/packages/agent/src/almonddeal_agent/run.py
@@ -72,11 +72,11 @@
 
         Owners resume the ended attempts on other targets.
         """
-        stop = anyio.Event()
-        with handle_signals(stop.set):
-            await self._run(stop)
+        started, stop = anyio.Event(), anyio.Event()
+        with handle_signals(stop.set, has_started=started.is_set):
+            await self._run(started, stop)
 
-    async def _run(self, stop):
+    async def _run(self, started, stop):
         listener = await listen(self._listen_address)
         async with self._client, anyio.create_task_group() as group:
             handlers = self._make_handlers(group)
@@ -97,6 +97,7 @@
                 group.start_soon(serve_http, metrics_app, address, anyio.Event())
                 group.start_soon(AgentMetrics(self._metric_values).run)
             log.info("agent started for target %s", self._target["name"])
+            started.set()
             await stop.wait()
             await self._drain()
             group.cancel_scope.cancel()
--- a/packages/common/src/almonddeal_common/tests/test_signals.py
+++ b/packages/common/src/almonddeal_common/tests/test_signals.py
@@ -9,6 +9,7 @@
 import anyio
 import pytest
 
+from almonddeal_common.pending_signals import block_signals
 from almonddeal_common.signals import handle_signals
 
 NUMBERS = (SIGHUP, SIGINT, SIGTERM)
@@ -26,11 +27,11 @@
 
 
 @contextmanager
-def record_calls(has_reload=True):
+def record_calls(has_reload=True, **options):
     """Handle signals; yields the calls that they cause, in their order."""
     calls = []
     reload_settings = (lambda: calls.append(RELOAD)) if has_reload else None
-    with handle_signals(lambda: calls.append(STOP), reload_settings):
+    with handle_signals(lambda: calls.append(STOP), reload_settings, **options):
         yield calls
 
 
@@ -76,6 +77,33 @@
 
         assert anyio.run(main) == [RELOAD]
 
+    # Guards against a request to stop that is lost, or ends the process, in a start.
+    @pytest.mark.parametrize("number", [SIGTERM, SIGINT])
+    def test_blocked_stop_is_requested_by_the_start(self, number):
+        async def main():
+            block_signals()
+            signal.pthread_kill(get_ident(), number)
+            with record_calls(has_started=lambda: False) as calls:
+                await anyio.sleep(0.02)
+                return calls
+
+        assert anyio.run(main) == [STOP]
+
+    # Guards against a SIGHUP that ends a starting process.
+    def test_hangup_has_no_effect_before_the_start(self):
+        async def main():
+            has_started = False
+            block_signals()
+            signal.pthread_kill(get_ident(), SIGHUP)
+            with record_calls(False, has_started=lambda: has_started) as calls:
+                await send_signal(SIGHUP)
+                assert calls == []
+                has_started = True
+                await send_signal(SIGHUP)
+                return calls
+
+        assert anyio.run(main) == [STOP]
+
     def test_hangup_requests_a_stop_where_nothing_is_reloaded(self):
         async def main():
             with record_calls(has_reload=False) as calls:
--- a/packages/entry/src/almonddeal/cli/main.py
+++ b/packages/entry/src/almonddeal/cli/main.py
@@ -1,7 +1,6 @@
 """Commands to run an entry instance and to operate the fleet."""
 
 import json
-import sys
 import time
 from pathlib import Path
 
@@ -19,6 +18,10 @@
 from almonddeal_common.cli_errors import exit_with_errors
 from almonddeal_common.codes import DOCUMENT_INVALID, NOT_IN_FORCE, AlmonddealError
 from almonddeal_common.logs import set_up_logging
+from almonddeal_common.pending_signals import (
+    exit_if_stop_is_pending,
+    unblock_signals,
+)
 
 DEFAULT_URL = "http://127.0.0.1:9001"
 WAIT_MS = 20_000
@@ -43,6 +46,8 @@
 @click.pass_context
 def main(context, url, token, as_json):
     """Run an almonddeal entry instance, or operate a fleet."""
+    if context.invoked_subcommand != serve.name:
+        unblock_signals()
     context.obj = OperatorClient(url, token, as_json)
 
 
@@ -62,6 +67,7 @@
         set_up_logging(
             settings.log.get("level", "INFO"), settings.log.get("json", False)
         )
+        exit_if_stop_is_pending()
         anyio.run(EntryInstance(settings).run)
 
 
@@ -211,7 +217,3 @@
     script_type = get_completion_class(shell)
     script = script_type(main, {}, "almonddeal", "_ALMONDDEAL_COMPLETE")
     click.echo(script.source())
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/packages/entry/src/almonddeal/entry_instance.py
+++ b/packages/entry/src/almonddeal/entry_instance.py
@@ -182,14 +182,15 @@
         """
         with ExitStack() as stack:
             listener = await listen(self.settings.listen)
-            stop, stop_http = anyio.Event(), anyio.Event()
-            stack.enter_context(handle_signals(stop.set))
+            started, stop, stop_http = anyio.Event(), anyio.Event(), anyio.Event()
+            stack.enter_context(handle_signals(stop.set, has_started=started.is_set))
             async with anyio.create_task_group() as group:
                 self._build_components(stack, group)
                 group.start_soon(serve_links, listener, self._hello, self._handlers())
                 self._start_tasks(group)
                 self._start_http(group, stop_http)
                 log.info("entry instance %s started", self.settings.instance)
+                started.set()
                 await stop.wait()
                 await self._drain()
                 stop_http.set()
--- a/packages/entry/src/almonddeal/tests/test_cli.py
+++ b/packages/entry/src/almonddeal/tests/test_cli.py
@@ -1,6 +1,7 @@
 """Tests of commands that do not need a running instance."""
 
 import json
+import signal
 
 import pytest
 from click.testing import CliRunner
@@ -9,6 +10,7 @@
 from almonddeal.control.storage import LogStore
 from almonddeal.control.tests.fakes import change
 from almonddeal_common.codes import DATA_DAMAGED, DOCUMENT_INVALID, NOT_REACHED
+from almonddeal_common.pending_signals import block_signals, unblock_signals
 from almonddeal_common.wire.codec import encode
 from almonddeal_common.wire.gen.ttypes import LogEntry
 
@@ -41,6 +43,14 @@
         schema = json.loads(invoke("schema").output)
         assert schema["properties"]["customers"]
 
+    # Guards against an operator's command that cannot be interrupted.
+    def test_command_of_an_operator_blocks_no_signals(self):
+        block_signals()
+        invoke("schema")
+        blocked = signal.pthread_sigmask(signal.SIG_BLOCK, ())
+        unblock_signals()
+        assert not blocked & {signal.SIGINT, signal.SIGTERM, signal.SIGHUP}
+
     def test_data_verify_and_export(self, tmp_path):
         with LogStore(tmp_path, pytest.fail) as store:
             command = encode(change("a", 0))
