entry: end drains once the load balancer has let go, and time them

Cause: a stopping instance accepted for 2.6 s whatever the load balancer did, and nothing showed what a stop waited for.

Ruled out: waiting for fewer seconds. The load balancer asks once a second and needs two misses, so that the time depends on its phase; the instance sees both.

Change: the responses to probes are counted by prober. The listener closes once each recent prober had two misses in a row, half a second apart or more, and 0.3 s for connections on their way have passed; without probes after 2.6 s as before. "entry instance stopped" and almonddeal_drain_ms{reason} have the time from SIGTERM by what it waited for: load balancer, requests, connections, break off, reports, other servers.

--- a/packages/entry/src/almonddeal/roles/entry.py
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -15,8 +15,19 @@
 from almonddeal.relay.load import LoadView
 from almonddeal.relay.metrics import RelayMetrics
 from almonddeal.relay.targets import TargetTable
+from almonddeal.roles.drain_times import (
+    BREAK_OFF,
+    CONNECTIONS,
+    LOAD_BALANCER,
+    REPORTS,
+    REQUESTS,
+    SERVERS,
+    DrainMetrics,
+    DrainTimes,
+)
 from almonddeal.roles.in_flight import RequestsInFlight
 from almonddeal.roles.planned_work import CHANGE, RELOAD, STOP, PlannedWork
+from almonddeal.roles.readiness import ReadinessProbes
 from almonddeal.roles.reload import reload_settings
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.http import make_config, serve_http
@@ -28,7 +39,8 @@
 from almonddeal_common.wire.link import LOWEST_PROTOCOL_VERSION
 
 MAINTENANCE_INTERVAL_S = 1.0
-# The load balancer probes once a second and removes an instance after two failures.
+# The load balancer probes once a second and removes an instance after two failures;
+# this is for a stop during which no probes arrive.
 MAX_DRAIN_DELAY_S = 2.6
 MAX_DRAIN_SHARE = 0.5  # of the stop timeout; the rest is for requests in flight
 # To break off the last requests and report their KV-cache copies.
@@ -46,7 +58,7 @@
 
 
 def drain_delay_s(stop_timeout_s):
-    """Return how long a stopping instance accepts requests, from SIGTERM, in s."""
+    """Return how long a stopping instance accepts at most, from SIGTERM, in s."""
     return min(MAX_DRAIN_DELAY_S, MAX_DRAIN_SHARE * stop_timeout_s)
 
 
@@ -92,6 +104,8 @@
         Whether the instance is draining, so that callers should use another one.
     http_config : hypercorn.Config
         Settings of the HTTP server for callers.
+    probes : ReadinessProbes
+        Responses to the load balancer.
     """
 
     def __init__(self, settings, parse, target_client, load_settings):
@@ -108,6 +122,7 @@
         self._parse = parse
         self._planned_work = PlannedWork()
         self._requests = RequestsInFlight(self._planned_work)
+        self.probes = ReadinessProbes()
         self._relay_context = RelayContext(
             settings.instance,
             settings.failure_domain,
@@ -226,8 +241,14 @@
                 group.start_soon(self._maintain_periodically)
                 group.start_soon(check_doubtful_targets, self._relay_context)
                 decide(log, "entry instance started", instance=settings.instance)
-                await self._serve(callers_app, readiness_app, stop)
-                decide(log, "entry instance stopped", n_in_flight=len(self._requests))
+                times = await self._serve(callers_app, readiness_app, stop)
+                n_in_flight = len(self._requests)
+                decide(
+                    log,
+                    "entry instance stopped",
+                    n_in_flight=n_in_flight,
+                    **times.rounded(),
+                )
                 group.cancel_scope.cancel()
 
     def _reload(self):
@@ -235,7 +256,12 @@
         reload_settings(self.settings, self._load_settings)
 
     async def _serve(self, callers_app, readiness_app, stop):
-        """Serve HTTP until `stop` is set and the requests in flight have ended."""
+        """Serve HTTP until `stop` is set and the requests in flight have ended.
+
+        Returns
+        -------
+        times : DrainTimes
+        """
         settings = self.settings
         stop_callers = anyio.Event()
         callers_stopped = anyio.Event()
@@ -249,9 +275,12 @@
             )
             servers.start_soon(serve_http, metrics_app, settings.metrics, stop_others)
             await stop.wait()
-            await self._drain(stop_callers, callers_stopped)
+            times = await self._drain(stop_callers, callers_stopped)
             await anyio.sleep(LAST_REPORTS_SHARE * self._stop_margin_s)
+            times.record(REPORTS)
             stop_others.set()
+        times.record(SERVERS)
+        return times
 
     async def _serve_callers(self, app, stop, stopped):
         address = self.settings.callers
@@ -259,17 +288,22 @@
         stopped.set()
 
     async def _drain(self, stop_callers, callers_stopped):
-        """Report not ready; stop serving after the load balancer's reaction time."""
+        """Report not ready; stop serving once the load balancer has reacted."""
+        times = DrainTimes(DrainMetrics())
         self.is_draining = True
         self._planned_work.begin(STOP)
         now_ms = monotonic_ms()
         self._relay_context.late_from_ms = now_ms + 1000 * LATE_FROM_S
         self._relay_context.ends_ms = now_ms + 1000 * self._response_timeout_s
         decide(log, "entry instance draining", n_in_flight=len(self._requests))
-        await anyio.sleep(self._drain_delay_s)
+        await self.probes.wait_until_missed(self._drain_delay_s)
+        times.record(LOAD_BALANCER)
         stop_callers.set()
-        with anyio.move_on_after(self._response_timeout_s - self._drain_delay_s):
+        left_ms = self._relay_context.ends_ms - monotonic_ms()
+        with anyio.move_on_after(left_ms / 1000):
             await callers_stopped.wait()
+        times.record(REQUESTS, None if self._requests else self._requests.last_ended_ms)
+        times.record(CONNECTIONS)
         self._requests.break_off()
         # Counted from here: after a stall of the event loop, a timer that started with
         # the stop would close the connections before their responses are written.
@@ -278,6 +312,8 @@
         # Closes only connections whose caller does not read its response.
         self.http_config.cut.set()
         await callers_stopped.wait()
+        times.record(BREAK_OFF)
+        return times
 
     async def _maintain_periodically(self):
         while True:
--- a/packages/entry/src/almonddeal/roles/in_flight.py
+++ b/packages/entry/src/almonddeal/roles/in_flight.py
@@ -55,10 +55,16 @@
     ----------
     planned_work : PlannedWork, optional
         Default: none.
+
+    Attributes
+    ----------
+    last_ended_ms : float
+        When the last request ended, by `monotonic_ms`; 0 before the first one.
     """
 
     def __init__(self, planned_work=None):
         self._planned_work = planned_work or PlannedWork()
+        self.last_ended_ms = 0.0
         self._entry_by_request = {}
         self._is_broken_off = False
 
@@ -115,6 +121,7 @@
                     await serve_request()
             finally:
                 del self._entry_by_request[request]
+                self.last_ended_ms = monotonic_ms()
             if not entry.scope.cancelled_caught:
                 return False
         error = _error(entry.route)
