entry: the last ready instance stays so until another one is

Cause: in a rolling stop each instance is not ready from its SIGTERM on, whatever the others do; those stopped before have streams in flight and are not back yet.

Ruled out: longer drains of all (two that are ready 4 s after SIGTERM break DRAIN); a lease of the control group (its reads fail just when instances of the core are stopped as well).

Unsure, it drains as before.

--- a/idl/almonddeal.thrift
+++ b/idl/almonddeal.thrift
@@ -278,10 +278,17 @@
 struct LeavingReport { 1: string instance, 2: string target, 3: i64 born_ms, 4: i64 age_ms }
 // A target asked an instance for a pause, of which left_ms are left.
 struct PauseReport { 1: string instance, 2: string target, 3: i64 born_ms, 4: i64 left_ms }
+// What an entry instance says of itself. Instances that stop
+// order themselves by `stopped_ms`, the wall clock at SIGTERM.
+struct EntryState {
+  1: string instance, 2: i64 incarnation, 3: i64 sequence, 4: i32 state
+  5: i64 stopped_ms
+}
 struct ShareRuns {
   1: list<Run> runs, 2: bool is_relayed, 3: list<SegmentEvidence> evidence
   4: list<LimitReport> limits, 5: list<StreamOrigin> origins
   6: list<LeavingReport> leaving, 7: list<PauseReport> pauses
+  8: list<EntryState> entries
 }
 struct Follow { 1: i64 have_version, 2: string instance }
 struct FollowUpdate {
@@ -289,5 +296,5 @@
   4: list<string> member_addresses, 5: bool is_fresh, 6: list<Run> runs
   7: i32 n_followers, 8: list<SegmentEvidence> evidence, 9: list<LimitReport> limits
   10: list<StreamOrigin> origins, 11: list<LeavingReport> leaving
-  12: list<PauseReport> pauses
+  12: list<PauseReport> pauses, 13: list<EntryState> entries
 }
--- a/packages/common/src/almonddeal_common/wire/gen/ttypes.py
+++ b/packages/common/src/almonddeal_common/wire/gen/ttypes.py
@@ -7292,6 +7292,122 @@
         return not (self == other)
 
 
+class EntryState(object):
+    """
+    Attributes:
+     - instance
+     - incarnation
+     - sequence
+     - state
+     - stopped_ms
+
+    """
+
+    __slots__ = (
+        'instance',
+        'incarnation',
+        'sequence',
+        'state',
+        'stopped_ms',
+    )
+
+
+    def __init__(self, instance=None, incarnation=None, sequence=None, state=None, stopped_ms=None,):
+        self.instance = instance
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.state = state
+        self.stopped_ms = stopped_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.state = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.stopped_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EntryState')
+        if self.instance is not None:
+            oprot.writeFieldBegin('instance', TType.STRING, 1)
+            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 3)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.state is not None:
+            oprot.writeFieldBegin('state', TType.I32, 4)
+            oprot.writeI32(self.state)
+            oprot.writeFieldEnd()
+        if self.stopped_ms is not None:
+            oprot.writeFieldBegin('stopped_ms', TType.I64, 5)
+            oprot.writeI64(self.stopped_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ShareRuns(object):
     """
     Attributes:
@@ -7302,6 +7418,7 @@
      - origins
      - leaving
      - pauses
+     - entries
 
     """
 
@@ -7313,10 +7430,11 @@
         'origins',
         'leaving',
         'pauses',
+        'entries',
     )
 
 
-    def __init__(self, runs=None, is_relayed=None, evidence=None, limits=None, origins=None, leaving=None, pauses=None,):
+    def __init__(self, runs=None, is_relayed=None, evidence=None, limits=None, origins=None, leaving=None, pauses=None, entries=None,):
         self.runs = runs
         self.is_relayed = is_relayed
         self.evidence = evidence
@@ -7324,6 +7442,7 @@
         self.origins = origins
         self.leaving = leaving
         self.pauses = pauses
+        self.entries = entries
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -7405,6 +7524,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.entries = []
+                    (_etype300, _size300) = iprot.readListBegin()
+                    for _i300 in range(_size300):
+                        _elem301 = EntryState()
+                        _elem301.read(iprot)
+                        self.entries.append(_elem301)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -7461,6 +7591,13 @@
                 iter233.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.entries is not None:
+            oprot.writeFieldBegin('entries', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.entries))
+            for iter303 in self.entries:
+                iter303.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -7581,6 +7718,7 @@
      - origins
      - leaving
      - pauses
+     - entries
 
     """
 
@@ -7597,10 +7735,11 @@
         'origins',
         'leaving',
         'pauses',
+        'entries',
     )
 
 
-    def __init__(self, version=None, content=None, targets=None, member_addresses=None, is_fresh=None, runs=None, n_followers=None, evidence=None, limits=None, origins=None, leaving=None, pauses=None,):
+    def __init__(self, version=None, content=None, targets=None, member_addresses=None, is_fresh=None, runs=None, n_followers=None, evidence=None, limits=None, origins=None, leaving=None, pauses=None, entries=None,):
         self.version = version
         self.content = content
         self.targets = targets
@@ -7613,6 +7752,7 @@
         self.origins = origins
         self.leaving = leaving
         self.pauses = pauses
+        self.entries = entries
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -7730,6 +7870,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.entries = []
+                    (_etype304, _size304) = iprot.readListBegin()
+                    for _i304 in range(_size304):
+                        _elem305 = EntryState()
+                        _elem305.read(iprot)
+                        self.entries.append(_elem305)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -7812,6 +7963,13 @@
                 iter289.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.entries is not None:
+            oprot.writeFieldBegin('entries', TType.LIST, 13)
+            oprot.writeListBegin(TType.STRUCT, len(self.entries))
+            for iter307 in self.entries:
+                iter307.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -8377,6 +8535,15 @@
     (3, TType.I64, 'born_ms', None, None, ),  # 3
     (4, TType.I64, 'left_ms', None, None, ),  # 4
 )
+all_structs.append(EntryState)
+EntryState.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.I64, 'sequence', None, None, ),  # 3
+    (4, TType.I32, 'state', None, None, ),  # 4
+    (5, TType.I64, 'stopped_ms', None, None, ),  # 5
+)
 all_structs.append(ShareRuns)
 ShareRuns.thrift_spec = (
     None,  # 0
@@ -8387,6 +8554,7 @@
     (5, TType.LIST, 'origins', (TType.STRUCT, [StreamOrigin, None], False), None, ),  # 5
     (6, TType.LIST, 'leaving', (TType.STRUCT, [LeavingReport, None], False), None, ),  # 6
     (7, TType.LIST, 'pauses', (TType.STRUCT, [PauseReport, None], False), None, ),  # 7
+    (8, TType.LIST, 'entries', (TType.STRUCT, [EntryState, None], False), None, ),  # 8
 )
 all_structs.append(Follow)
 Follow.thrift_spec = (
@@ -8409,6 +8577,7 @@
     (10, TType.LIST, 'origins', (TType.STRUCT, [StreamOrigin, None], False), None, ),  # 10
     (11, TType.LIST, 'leaving', (TType.STRUCT, [LeavingReport, None], False), None, ),  # 11
     (12, TType.LIST, 'pauses', (TType.STRUCT, [PauseReport, None], False), None, ),  # 12
+    (13, TType.LIST, 'entries', (TType.STRUCT, [EntryState, None], False), None, ),  # 13
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/entry/src/almonddeal/publication/feed.py
+++ b/packages/entry/src/almonddeal/publication/feed.py
@@ -8,6 +8,7 @@
 from almonddeal.announced.versioned_map import VersionedMap
 from almonddeal.publication.follower import MAX_SILENCE_MS
 from almonddeal.publication.record_stores import RecordStores
+from almonddeal.publication.subscriber_states import SubscriberStates
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import NO_QUORUM, OK, AlmonddealError
 from almonddeal_common.logs import decide, get_logger
@@ -42,6 +43,7 @@
     announcements: int
     runs: int
     limits: int
+    entries: int
     records: tuple
 
     def include(self, others):
@@ -56,6 +58,10 @@
         )
 
 
+def _of_others(instance, records):
+    return [record for record in records if record.instance != instance]
+
+
 class Feed:
     """Distributes configuration, announcements and reports to subscribers.
 
@@ -94,6 +100,7 @@
         self.evidence = self._records.store_by_field["evidence"]
         self.origins = self._records.store_by_field["origins"]
         self._limits = ExpiringMap(LIMIT_RETENTION_MS)
+        self._entries = SubscriberStates()
         self._n_links_by_instance = {}
         self._sent_by_link = {}
         # Pairs of the time of receipt in ms and whether the run has ended.
@@ -129,14 +136,15 @@
             await self._send_updates(link, message, emit)
         finally:
             self._sent_by_link.pop(link, None)
+            self._share_ended(link)
             self._n_links_by_instance[instance] -= 1
             if not self._n_links_by_instance[instance]:
                 del self._n_links_by_instance[instance]
             decide(log, "subscriber disconnected", instance=instance)
 
     async def _send_updates(self, link, message, emit):
-        sent_version = message.have_version
-        sent = _Revisions(0, 0, 0, (0,) * len(self._records.revisions))
+        sent_version, own = message.have_version, message.instance
+        sent = _Revisions(0, 0, 0, 0, (0,) * len(self._records.revisions))
         sent_addresses = sent_is_fresh = None
         is_due = False
         while True:
@@ -150,20 +158,13 @@
             update.targets = self._registry.announcements.changed_since(
                 sent.announcements
             )
-            update.runs = [
-                run
-                for run in self._runs.changed_since(sent.runs)
-                if run.instance != message.instance
-            ]
+            update.runs = _of_others(own, self._runs.changed_since(sent.runs))
             # Also those of the subscriber itself, which may have restarted.
             records_by_field = self._records.changed_since(sent.records)
             for field, records in records_by_field.items():
                 setattr(update, field, records)
-            update.limits = [
-                limit
-                for limit in self._limits.changed_since(sent.limits)
-                if limit.instance != message.instance
-            ]
+            update.limits = _of_others(own, self._limits.changed_since(sent.limits))
+            update.entries = _of_others(own, self._entries.changed_since(sent.entries))
             sent = self._revisions()
             members = sorted(self._consensus.members.address_by_name.values())
             if members != sent_addresses:
@@ -173,6 +174,7 @@
                 or update.targets
                 or update.runs
                 or update.limits
+                or update.entries
                 or records_by_field
                 or update.member_addresses
                 or sent_is_fresh != update.is_fresh
@@ -222,6 +224,7 @@
             self._registry.announcements.revision,
             self._runs.revision,
             self._limits.revision,
+            self._entries.revision,
             self._records.revisions,
         )
 
@@ -259,6 +262,7 @@
             self._evict_old_runs()
             self._records.evict_stale()
             self._limits.evict_stale()
+            self._entries.evict_stale()
 
     def _share_unheard(self):
         """Tell the others which targets this instance does not hear any more."""
@@ -357,10 +361,10 @@
         targets = self._registry.announcements.values()
         if targets:
             link.notify(ShareTargets(targets))
-        runs = self._runs.values()
+        runs, entries = self._runs.values(), self._entries.values()
         records_by_field = self._records.values()
-        if runs or records_by_field:
-            link.notify(ShareRuns(runs, True, **records_by_field))
+        if runs or entries or records_by_field:
+            link.notify(ShareRuns(runs, True, entries=entries, **records_by_field))
 
     async def handle_share_runs(self, link, message, emit):
         """Relay the reports of subscribers, so that all instances have them."""
@@ -371,13 +375,22 @@
         limits = message.limits or []  # None in messages of earlier releases
         for limit in limits:
             self._limits.put((limit.instance, limit.target, limit.born_ms), limit)
+        entries = self._entries.receive(link, message)
         self._registry.announcements.notify()
-        if not message.is_relayed and (message.runs or limits or records_by_field):
-            self._notify_peers(
-                ShareRuns(message.runs, True, limits=limits, **records_by_field)
+        has_news = message.runs or limits or entries or records_by_field
+        if has_news and not message.is_relayed:
+            relayed = ShareRuns(
+                message.runs, True, limits=limits, entries=entries, **records_by_field
             )
+            self._notify_peers(relayed)
         return Ok()
 
+    def _share_ended(self, link):
+        """Tell all that the subscriber of a link is gone, if it said it is ready."""
+        if ended := self._entries.end_link(link):
+            self.notify_changed()
+            self._notify_peers(ShareRuns([], True, entries=ended))
+
     def _evict_old_runs(self):
         now_ms = monotonic_ms()
         for request, (received_ms, is_ended) in list(self._receipt_by_request.items()):
--- a/packages/entry/src/almonddeal/publication/follower.py
+++ b/packages/entry/src/almonddeal/publication/follower.py
@@ -1,5 +1,6 @@
 """Subscription of an entry instance to one control instance at a time."""
 
+import math
 import random
 
 import anyio
@@ -48,6 +49,8 @@
     origins : StreamOrigins
     leaving : LeavingReports, optional
     pauses : PauseReports, optional
+    own_state : OwnEntryState, optional
+        Sent as well, if given.
     """
 
     def __init__(
@@ -62,6 +65,7 @@
         origins,
         leaving=None,
         pauses=None,
+        own_state=None,
     ):
         self._settings = settings
         self._hello = hello
@@ -73,6 +77,7 @@
         self._origins = origins
         self._leaving = LeavingReports() if leaving is None else leaving
         self._pauses = PauseReports() if pauses is None else pauses
+        self._own_state = own_state
         self._member_addresses = []
         self._domain_by_address = {}
         self._failed_ms_by_address = {}
@@ -94,6 +99,13 @@
             return False
         return boot_ms() - self.link.last_received_boot_ms <= MAX_SILENCE_MS
 
+    @property
+    def word_age_ms(self):
+        """Time since a fresh control instance was heard; infinite if none is."""
+        if not self.follows_fresh_instance:
+            return math.inf
+        return boot_ms() - self.link.last_received_boot_ms
+
     async def catch_up(self):
         """Receive all that the control group had at the time of the call.
 
@@ -210,6 +222,8 @@
             group.start_soon(self._send_origins, link)
             group.start_soon(self._send_leaving, link)
             group.start_soon(self._send_pauses, link)
+            if self._own_state is not None:
+                group.start_soon(self._send_own_state, link)
         if update.member_addresses:
             self._member_addresses = list(update.member_addresses)
         if update.is_fresh:
@@ -260,6 +274,16 @@
             lambda records: ShareRuns([], False, pauses=records),
         )
 
+    async def _send_own_state(self, link):
+        states = self._own_state.states
+        self._own_state.repeat()
+
+        def make_message(records):
+            own = [r for r in records if r is self._own_state.record]
+            return ShareRuns([], False, entries=own) if own else None
+
+        await self._send_changes(link, states, make_message, states.revision - 1)
+
     async def _send_records(self, link, store, make_message):
         """Send all records of a store, then what this instance adds to it."""
         sent_revision = store.revision
--- a/packages/entry/src/almonddeal/roles/drain_times.py
+++ b/packages/entry/src/almonddeal/roles/drain_times.py
@@ -3,6 +3,7 @@
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.metrics import Gauge
 
+LAST_READY = "last_ready"
 LOAD_BALANCER = "load_balancer"
 REQUESTS = "requests"
 CONNECTIONS = "connections"
--- a/packages/entry/src/almonddeal/roles/entry.py
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -5,6 +5,13 @@
 
 import anyio
 
+from almonddeal.announced.entry_states import (
+    NOT_READY,
+    READY,
+    YIELDED,
+    EntryStates,
+    OwnEntryState,
+)
 from almonddeal.announced.evidence import check_record
 from almonddeal.announced.versioned_map import VersionedMap
 from almonddeal.publication.follower import Follower
@@ -18,6 +25,7 @@
 from almonddeal.roles.drain_times import (
     BREAK_OFF,
     CONNECTIONS,
+    LAST_READY,
     LOAD_BALANCER,
     REPORTS,
     REQUESTS,
@@ -26,9 +34,11 @@
     DrainTimes,
 )
 from almonddeal.roles.in_flight import RequestsInFlight
+from almonddeal.roles.last_ready import make_bounds
 from almonddeal.roles.planned_work import CHANGE, RELOAD, STOP, PlannedWork
 from almonddeal.roles.readiness import ReadinessProbes
 from almonddeal.roles.reload import reload_settings
+from almonddeal.roles.stay import stay_ready
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.http import make_config, serve_http
 from almonddeal_common.logs import decide, get_logger
@@ -113,6 +123,7 @@
         self._load_settings = load_settings
         self.table = None
         self.is_draining = False
+        self._has_yielded = False
         self.http_config = make_config(settings.callers)
         self._drain_delay_s = drain_delay_s(settings.stop_timeout_s)
         self._response_timeout_s = response_timeout_s(settings.stop_timeout_s)
@@ -143,6 +154,9 @@
             time.time_ns(),
             settings.failure_domain,
         )
+        self._own_state = OwnEntryState(
+            EntryStates(), settings.instance, self._hello.incarnation
+        )
         self._follower = Follower(
             settings,
             self._hello,
@@ -154,6 +168,7 @@
             self._relay_context.stream_origins,
             self._relay_context.targets.leaving_reports,
             self._relay_context.hold_offs.reports,
+            self._own_state,
         )
         self._relay_context.catch_up = self._follower.catch_up
         self._relay_context.is_current = lambda: self._follower.is_current
@@ -162,7 +177,7 @@
     def is_ready(self):
         """Whether the load balancer may send callers to this instance."""
         has_targets = bool(self._relay_context.targets.target_by_id)
-        return self.table is not None and has_targets and not self.is_draining
+        return self.table is not None and has_targets and not self._has_yielded
 
     def _version(self):
         return self.table.version if self.table is not None else 0
@@ -188,6 +203,9 @@
         _apply_each(lambda records: context.quarantine.merge(*records), [evidence])
         if update.content and update.version > self._version():
             self._apply_configuration(update.version, update.content)
+        _apply_each(self._own_state.states.add, update.entries or [])
+        if not self.is_draining:
+            self._own_state.report(READY if self.is_ready else NOT_READY)
 
     def _apply_configuration(self, version, compressed):
         before = self._version()
@@ -288,14 +306,27 @@
         stopped.set()
 
     async def _drain(self, stop_callers, callers_stopped):
-        """Report not ready; stop serving once the load balancer has reacted."""
+        """Report not ready; stop serving once the load balancer has reacted.
+
+        The last instance that is ready reports so until another one is.
+        """
         times = DrainTimes(DrainMetrics())
+        was_ready = self.is_ready
         self.is_draining = True
         self._planned_work.begin(STOP)
         now_ms = monotonic_ms()
         self._relay_context.late_from_ms = now_ms + 1000 * LATE_FROM_S
         self._relay_context.ends_ms = now_ms + 1000 * self._response_timeout_s
         decide(log, "entry instance draining", n_in_flight=len(self._requests))
+        if was_ready:
+            bounds = make_bounds(self._response_timeout_s, self._drain_delay_s)
+            await stay_ready(
+                self._own_state, lambda: self._follower.word_age_ms, bounds
+            )
+        else:
+            self._own_state.report(YIELDED)
+        self._has_yielded = True
+        times.record(LAST_READY)
         await self.probes.wait_until_missed(self._drain_delay_s)
         times.record(LOAD_BALANCER)
         stop_callers.set()
@@ -324,6 +355,8 @@
             self._relay_context.hold_offs.evict_stale()
             self._relay_context.targets.leaving_reports.evict_stale()
             self._relay_context.stream_origins.evict_stale()
+            self._own_state.states.evict_stale()
+            self._own_state.repeat_if_due()
             self._relay_context.update_metrics()
             if not self._follower.follows_fresh_instance:
                 # The control addresses in the file may have changed without a SIGHUP.
