relay: streams refused late in a stop are told to come back in 2 s

Cause: the last ready instance refuses streams that may be cut; callers came back after 0.5 s, before any other instance had returned, and were refused again.

Ruled out: beginning them after all, as a cut of one sent later than 3 s after SIGTERM is a break of LOST.

Change: Retry-After of these streams is 2 s; of other refusals 0.5 s as before.

--- a/packages/entry/src/almonddeal/relay/gateway.py
+++ b/packages/entry/src/almonddeal/relay/gateway.py
@@ -26,6 +26,7 @@
 
 NOT_READY_RETRY_MS = 500  # a new process receives its configuration within this time
 STOPPING_RETRY_MS = 500  # callers are directed to other instances soon after
+LATE_STREAM_RETRY_MS = 2000  # no other instance is ready, one has to return first
 STARTUP_WAIT_SHARE = 0.25  # of a request's timeout; the rest is for serving it
 
 log = get_logger("relay")
@@ -72,11 +73,13 @@
     AlmonddealError
         `STOPPING`.
     """
+    retry_after_ms = STOPPING_RETRY_MS
     is_late = monotonic_ms() > context.late_from_ms
     if admitted.route.may_run_again and not is_late:
         return
     if is_late and admitted.route.kind == STREAM:
         expected_ms = math.inf
+        retry_after_ms = LATE_STREAM_RETRY_MS
     elif admitted.request.generation is not None:
         expected_ms = context.load_view.mean_run_ms
     else:
@@ -86,7 +89,7 @@
         raise AlmonddealError(
             STOPPING,
             "would be broken off by the stop of the instance",
-            retry_after_ms=STOPPING_RETRY_MS,
+            retry_after_ms=retry_after_ms,
         )
 
 
--- a/packages/entry/src/almonddeal/relay/tests/test_stopping.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_stopping.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from almonddeal.relay.gateway import serve_request
+from almonddeal.relay.gateway import LATE_STREAM_RETRY_MS, serve_request
 from almonddeal.relay.tests.fakes import (
     TRAITS,
     FakeFleet,
@@ -96,7 +96,8 @@
     def test_stream_that_may_be_cut_is_refused(self, route, left_ms):
         writer, tried = serve(route, left_ms, late_ms=100.0)
         assert writer.error.code == STOPPING
-        assert writer.error.retry_after_ms > 0
+        # Guards against callers that return before any other instance has.
+        assert writer.error.retry_after_ms == LATE_STREAM_RETRY_MS
         assert not tried
 
     @pytest.mark.parametrize("route", [make_route(STREAM), ONCE])
