--- a/packages/entry/src/almonddeal/publication/follower.py
+++ b/packages/entry/src/almonddeal/publication/follower.py
@@ -100,7 +100,7 @@
         return boot_ms() - self.link.last_received_boot_ms <= MAX_SILENCE_MS
 
     @property
-    def word_age_ms(self):
+    def control_silence_ms(self):
         """Time since a fresh control instance was heard; infinite if none is."""
         if not self.follows_fresh_instance:
             return math.inf
--- a/packages/entry/src/almonddeal/relay/targets.py
+++ b/packages/entry/src/almonddeal/relay/targets.py
@@ -27,7 +27,7 @@
 log = get_logger("targets")
 
 
-def _is_doubted(target):
+def _is_unverified(target):
     """Tell whether a target restarted, and is to be announced or asked first."""
     return max(target.outdated_until_ms, target.unproven_until_ms) > monotonic_ms()
 
@@ -168,7 +168,7 @@
         A target that restarted after its announcement is not used until the next one;
         one that may have said that it leaves just after its restart, until it is asked.
         """
-        return self._is_registered(target) and not _is_doubted(target)
+        return self._is_registered(target) and not _is_unverified(target)
 
     def _is_registered(self, target):
         announcement = target.announcement
@@ -188,7 +188,7 @@
             (target.announcement.service_name, target.announcement.version)
             == (service_name, software_version)
             and self._is_registered(target)
-            and _is_doubted(target)
+            and _is_unverified(target)
             for target in self.target_by_id.values()
         )
 
--- a/packages/entry/src/almonddeal/relay/tests/test_changing_targets.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_changing_targets.py
@@ -95,21 +95,21 @@
         assert relay(fleet).versions == {"v1"}
 
 
-class TestDoubtedEngines:
+class TestUnverifiedEngines:
     """Pattern: the only engine left to a stream restarted, and is asked or announced.
 
     It is not used until then.
     """
 
-    DOUBT_MS = 300.0
+    UNVERIFIED_MS = 300.0
 
     def relay_with(self, field, then=lambda fleet: None):
         """Relay a stream whose engine leaves; returns the fleet, writer and time."""
 
         def leave():
             announce(fleet, "i-1", DEREGISTERED)
-            doubted = fleet.target_table.get("i-3")
-            setattr(doubted, field, monotonic_ms() + self.DOUBT_MS)
+            unverified = fleet.target_table.get("i-3")
+            setattr(unverified, field, monotonic_ms() + self.UNVERIFIED_MS)
             then(fleet)
 
         fleet = make_fleet(then_lost(7, leave))
@@ -122,7 +122,7 @@
         fleet, writer, took_ms = self.relay_with(field)
         assert is_whole_and_of("v1", writer)
         assert fleet.tried == ["i-1", "i-3"]
-        assert self.DOUBT_MS < took_ms < 2 * self.DOUBT_MS
+        assert self.UNVERIFIED_MS < took_ms < 2 * self.UNVERIFIED_MS
 
     # Guards against a wait for an engine that leaves, or has another version now.
     @pytest.mark.parametrize(
@@ -136,7 +136,7 @@
         assert not writer.is_complete
         assert writer.versions == {"v1"}
         assert fleet.tried == ["i-1"]
-        assert took_ms < self.DOUBT_MS
+        assert took_ms < self.UNVERIFIED_MS
 
 
 def refuses_first(n_refusals, then):
--- a/packages/entry/src/almonddeal/roles/control.py
+++ b/packages/entry/src/almonddeal/roles/control.py
@@ -342,7 +342,7 @@
         request = JoinGroup(
             name, str(self.settings.link_address), self.settings.is_bootstrap
         )
-        # A lost machine takes long not to reply; the others are asked again meanwhile.
+        # A lost machine takes long not to reply; other addresses are asked again.
         for address in addresses - self._addresses_asked_to_join:
             requests.start_soon(self._ask_to_join, address, addresses, request)
 
--- a/packages/entry/src/almonddeal/roles/entry.py
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -321,7 +321,7 @@
         if was_ready:
             bounds = make_bounds(self._response_timeout_s, self._drain_delay_s)
             await stay_ready(
-                self._own_state, lambda: self._follower.word_age_ms, bounds
+                self._own_state, lambda: self._follower.control_silence_ms, bounds
             )
         else:
             self._own_state.report(YIELDED)
--- a/packages/entry/src/almonddeal/roles/last_ready.py
+++ b/packages/entry/src/almonddeal/roles/last_ready.py
@@ -1,6 +1,6 @@
 """Decides whether a stopping instance stays ready, as no other one is.
 
-At most one stopping instance stays: it needs the word of every other one that it has
+At most one stopping instance stays: it needs a report of every other one that it has
 yielded, and none takes that back. Of several that could, the one that was told to stop
 last stays; names decide among equal times.
 """
@@ -13,7 +13,7 @@
 # By the users' rules, two instances that are ready 4 s after SIGTERM are too many. The
 # load balancer needs two probes to take one out of rotation.
 MAX_DECIDE_MS = 1400.0
-MAX_WORD_AGE_MS = 500.0
+MAX_CONTROL_SILENCE_MS = 500.0
 
 
 class StayBounds(NamedTuple):
@@ -22,7 +22,7 @@
     Attributes
     ----------
     settle_ms : float
-        No instance yields earlier, unless it has no word of the others.
+        No instance yields earlier, unless it has no reports of the others.
     decide_ms : float
         An instance yields then unless it is certain that all others have.
     hold_ms : float
@@ -89,7 +89,7 @@
     return StayBounds(min(MAX_SETTLE_MS, decide_ms), decide_ms, hold_ms)
 
 
-def decide_stay(own, others, word_age_ms, bounds):
+def decide_stay(own, others, control_silence_ms, bounds):
     """Return the `Decision` of a stopping instance that has not yielded yet.
 
     Parameters
@@ -97,14 +97,14 @@
     own : OwnStop
     others : list of EntryState
         Last reports of all other instances.
-    word_age_ms : float
+    control_silence_ms : float
         Time since control was heard last; infinite if it is cut off or stale.
     bounds : StayBounds
     """
     if own.is_last:
         return _decide_last(own, others, bounds)
-    if word_age_ms > MAX_WORD_AGE_MS:
-        return _yielded("no fresh word of the others")
+    if control_silence_ms > MAX_CONTROL_SILENCE_MS:
+        return _yielded("control is not heard")
     if not others:
         return _yielded("no other instance is known")
     if own.since_ms < bounds.settle_ms:
--- a/packages/entry/src/almonddeal/roles/planned_work.py
+++ b/packages/entry/src/almonddeal/roles/planned_work.py
@@ -25,7 +25,7 @@
         self._ends_ms_by_kind[kind] = monotonic_ms() + DURATION_MS_BY_KIND[kind]
 
     def describe(self):
-        """Return the kinds of work that go on, such as ``change+stop``, or ``none``."""
+        """Return the kinds of work in progress: ``change+stop``, or ``none``."""
         now_ms = monotonic_ms()
         kinds = [k for k, ends_ms in self._ends_ms_by_kind.items() if now_ms < ends_ms]
         return "+".join(sorted(kinds)) or NONE
--- a/packages/entry/src/almonddeal/roles/stay.py
+++ b/packages/entry/src/almonddeal/roles/stay.py
@@ -14,13 +14,13 @@
 log = get_logger("entry")
 
 
-async def stay_ready(own_state, get_word_age_ms, bounds):
+async def stay_ready(own_state, get_control_silence_ms, bounds):
     """Report the stop and return once this instance has yielded, and reported that.
 
     Parameters
     ----------
     own_state : OwnEntryState
-    get_word_age_ms : callable
+    get_control_silence_ms : callable
         Returns the time since control was heard last, in ms.
     bounds : StayBounds
     """
@@ -32,7 +32,7 @@
         since_ms = monotonic_ms() - started_ms
         own = OwnStop(own_state.instance, stopped_ms, since_ms, is_last)
         others = own_state.others()
-        decision = decide_stay(own, others, get_word_age_ms(), bounds)
+        decision = decide_stay(own, others, get_control_silence_ms(), bounds)
         if decision.is_last and not is_last:
             decide(
                 log,
