entry: a stop of our own interface waits for lookups, and refuses new ones

What callers saw: a lookup that arrives while an entry instance of our own interface stops is passed on, and may be cut as the process ends; one in flight at the stop is not waited for.

Cause: only answers and orders were refused during a stop, and only these were waited for.

Ruled out: orders and new answers, which are refused before they run. Attaching to an answer during a stop is not changed: the answer is handed over at the end of the drain.

Change: calls of services are refused with STOPPING, as not run, whatever they are, and the drain waits for the lookups in flight, up to its timeout. An order without its key gets STOPPING in a stop, not KEY_MISSING.

--- a/packages/entry/src/almonddeal/callers/app.py
+++ b/packages/entry/src/almonddeal/callers/app.py
@@ -164,12 +164,18 @@
             timeout_ms=service.timeout_ms,
         )
         self._require_fresh_document()
+        if entry.answers.is_stopping:
+            raise AlmonddealError(STOPPING, "use another entry instance")
         if service.is_lookup(request.method, path):
             entry.limits.check_rate(customer)
             coroutine = run_lookup(
                 service, call, entry.call_transport, entry.retry_budget
             )
-            reply = await _run_until_disconnect(request, coroutine)
+            entry.n_lookups_in_flight += 1
+            try:
+                reply = await _run_until_disconnect(request, coroutine)
+            finally:
+                entry.n_lookups_in_flight -= 1
         else:
             reply = await self._run_order(request, customer, service, call)
         return Response(reply.body, reply.status, reply.headers)
@@ -184,8 +190,6 @@
             raise AlmonddealError(
                 BAD_REQUEST, f"key longer than {MAX_IDEMPOTENCY_KEY_CHARS}"
             )
-        if self._entry.answers.is_stopping:
-            raise AlmonddealError(STOPPING, "use another entry instance")
         self._entry.limits.check_rate(customer)
         order = order_id(customer, service, key)
         return await self._entry.orders.execute(service, order, call)
--- a/packages/entry/src/almonddeal/entry_instance.py
+++ b/packages/entry/src/almonddeal/entry_instance.py
@@ -91,6 +91,7 @@
     limits : CustomerLimits
     retry_budget : RetryBudget
         For lookups; shared by all callers.
+    n_lookups_in_flight : int
     """
 
     def __init__(self, settings):
@@ -102,6 +103,7 @@
         self.changes = None
         self.limits = None
         self.retry_budget = RetryBudget()
+        self.n_lookups_in_flight = 0
         self._incarnation = time.time_ns()
         self._control_state = None
         self._consensus = None
@@ -378,7 +380,11 @@
         # Gives the load balancer time to notice that this instance is not ready.
         await anyio.sleep(HANDOVER_S)
         while monotonic_ms() < deadline_ms:
-            if not self.answers.n_generating and not self.orders.n_in_flight:
+            if not (
+                self.answers.n_generating
+                or self.orders.n_in_flight
+                or self.n_lookups_in_flight
+            ):
                 break
             await anyio.sleep(DRAIN_POLL_INTERVAL_S)
         self.answers.hand_over()
