--- /dev/null
+++ b/packages/common/src/almonddeal_common/tests/test_close_records.py
@@ -0,0 +1,94 @@
+"""Tests of the log lines that tell why connections were closed."""
+
+import logging
+
+import anyio
+
+from almonddeal_common.tests.closing import (
+    ADDRESS,
+    IDLE_TIMEOUT_S,
+    REQUEST,
+    Client,
+    RecordingApp,
+    serve,
+)
+
+
+class TestCloseRecords:
+    """Tests of the log line that tells why a connection was closed."""
+
+    @staticmethod
+    def close(caplog, test, app=None, **settings):
+        """Run a client against a server that then stops; returns the logged closes."""
+
+        async def main():
+            stop = anyio.Event()
+            async with serve(app or RecordingApp(), stop, **settings):
+                client = Client()
+                await test(client, stop)
+                await anyio.sleep(0.05)
+            client.close()
+
+        with caplog.at_level(logging.INFO, "almonddeal.http"):
+            anyio.run(main)
+        return [
+            r.facts for r in caplog.records if r.getMessage() == "connection closed"
+        ]
+
+    # Guards against an idle connection that is closed without a line in the log: a
+    # request that crosses the close then looks lost.
+    def test_idle_connection_that_the_stop_closes(self, caplog):
+        async def test(client, stop):
+            client.send(REQUEST)
+            await client.read()
+            stop.set()
+            await anyio.sleep(0.1)
+
+        [facts] = self.close(caplog, test)
+        assert facts["cause"] == "stop"
+        assert facts["last_request"] == "none"
+        assert facts["client"].startswith(ADDRESS.host)
+
+    def test_idle_connection_that_the_idle_limit_closes(self, caplog):
+        async def test(client, stop):
+            client.send(REQUEST)
+            await client.read()
+            await anyio.sleep(3 * IDLE_TIMEOUT_S)
+
+        [facts] = self.close(caplog, test, keep_alive_timeout=IDLE_TIMEOUT_S)
+        assert facts["cause"] == "idle timeout"
+
+    def test_head_that_is_received_in_part(self, caplog):
+        async def test(client, stop):
+            client.send(REQUEST[:-4])
+            await anyio.sleep(0.05)
+            stop.set()
+            await anyio.sleep(0.5)
+
+        [facts] = self.close(caplog, test)
+        assert facts["cause"] == "stop"
+        assert facts["last_request"] == "request incomplete"
+
+    def test_response_that_is_cut(self, caplog):
+        async def hang(scope, receive, send):
+            await send({"type": "http.response.start", "status": 200, "headers": []})
+            await send({"type": "http.response.body", "body": b"a", "more_body": True})
+            await anyio.sleep(3600)
+
+        async def test(client, stop):
+            client.send(REQUEST)
+            await anyio.sleep(0.05)
+            stop.set()
+            await anyio.sleep(0.2)
+
+        [facts] = self.close(caplog, test, app=hang, graceful_timeout=0.05)
+        assert facts["cause"] == "cut"
+        assert facts["last_request"] == "response incomplete"
+
+    def test_client_that_leaves_without_an_open_request_is_not_logged(self, caplog):
+        async def test(client, stop):
+            client.send(REQUEST)
+            await client.read()
+            client.close()
+
+        assert self.close(caplog, test) == []
--- a/tools/almonddeal_tools/scheduling.py
+++ b/tools/almonddeal_tools/scheduling.py
@@ -9,9 +9,12 @@
 
 MODULES_WITH_A_FLEET_BY_CLASS = (
     "test_changes.py",
+    "test_drain_times.py",
+    "test_last_ready.py",
     "test_leaving.py",
     "test_odd_records.py",
     "test_pauses.py",
+    "test_planned_work.py",
     "test_recovery.py",
     "test_serving.py",
     "test_signals_to_instances.py",
@@ -21,12 +24,14 @@
 # Modules with the same group use the same port.
 PORT_GROUP_BY_MODULE = {
     "test_broken_requests.py": "connections",
+    "test_close_records.py": "closing",
     "test_closing.py": "closing",
     "test_connections.py": "connections",
     "test_control.py": "control instance",
     "test_faulty_targets.py": "faulty targets",
     "test_follower.py": "follower",
     "test_follower_failures.py": "follower",
+    "test_further_requests.py": "closing",
     "test_http.py": "http",
     "test_limits.py": "connections",
     "test_request_targets.py": "request targets",
