--- a/packages/common/src/almonddeal_common/tests/test_pending_signals.py
+++ b/packages/common/src/almonddeal_common/tests/test_pending_signals.py
@@ -24,7 +24,7 @@
 
 
 class TestExitIfStopIsPending:
-    # Guards against a start that goes on after a request to stop.
+    # Guards against a start that ignores a request to stop.
     @pytest.mark.parametrize("number", [SIGTERM, SIGINT])
     def test_pending_stop_ends_the_process_with_status_0(self, pending, number):
         pending(SIGHUP)
--- a/packages/entry/src/almonddeal/announced/tests/test_leaving_reports.py
+++ b/packages/entry/src/almonddeal/announced/tests/test_leaving_reports.py
@@ -37,7 +37,7 @@
         assert reports.changed_since(0) == [make_report(age_ms=2500)]
         assert reports.changed_since(1) == []
 
-    # Guards against reports that instances tell each other for ever.
+    # Guards against reports that are relayed without end.
     def test_report_that_is_passed_on_ends_with_its_retention(self, virtual_time):
         stores = [LeavingReports(), LeavingReports()]
         stores[0].add(make_report())
--- a/packages/entry/src/almonddeal/relay/tests/test_reported_pauses.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_reported_pauses.py
@@ -42,7 +42,7 @@
 
 
 def relay_all(fleet, admit):
-    """Relay requests one after the other; return the writers of the responses."""
+    """Relay requests in sequence; return the writers of the responses."""
 
     async def main():
         return [await relay(fleet.context, admit(n)) for n in range(N_REQUESTS)]
