common: split the limits of heads and the records of closes from connections

The reader with its time limit is in head_limits.py, the count and log line of a close in closes.py. Code is moved, and the two functions of closes.py take what they read as arguments; no decision changes.

--- a/packages/common/src/almonddeal_common/connections.py
+++ b/packages/common/src/almonddeal_common/connections.py
@@ -5,19 +5,12 @@
 end of its request, so that the client may lose the response. Here the rest of such a
 request is read for a time and discarded.
 
-The head of a request, its request line and headers, has a time limit from its first
-byte. Hypercorn only limits how long a connection may be idle, and a client may send a
-head byte by byte for all of that time.
-
 A connection also ends after a response that says so, in HTTP/1 by "Connection: close".
 Hypercorn takes bytes that a client sends behind the last request for an error, and
 breaks off the response to it. Here they are discarded.
 
 The scope that hypercorn makes of a request does not show whether its path ends in "?".
 The target of the request line is therefore passed on beside it.
-
-Each close is counted by its cause and by how far the last request had come. One that a
-client may see as a lost request is logged, with the address of the client.
 """
 
 import asyncio
@@ -27,13 +20,22 @@
 import anyio
 from hypercorn.asyncio.tcp_server import MAX_RECV, TCPServer
 from hypercorn.asyncio.worker_context import WorkerContext
-from hypercorn.config import Config
 from hypercorn.events import Closed, Updated
 from hypercorn.protocol.h11 import H11Protocol, h11
 from hypercorn.utils import wrap_app
 
-from almonddeal_common.logs import decide, get_logger
-from almonddeal_common.metrics import Counter
+from almonddeal_common.closes import (
+    CLOSED_BY_CLIENT,
+    CUT,
+    HEAD_TIMEOUT,
+    IDLE_TIMEOUT,
+    NO_REQUEST,
+    RESPONSE,
+    STOP,
+    record_close,
+    request_progress,
+)
+from almonddeal_common.head_limits import HeadLimitedReader
 
 # In the state of an ASGI scope: tells whether the client has sent a further request.
 HAS_FURTHER_REQUEST = "has_further_request"
@@ -45,104 +47,6 @@
 READ_POLL_INTERVAL_S = 0.01
 MAX_READ_POLLS = 100  # for a request to be read of which bytes were received
 
-# Causes of a close.
-CLOSED_BY_CLIENT = "client"
-CUT = "cut"  # the server stops, and does not wait any longer
-HEAD_TIMEOUT = "head timeout"
-IDLE_TIMEOUT = "idle timeout"
-RESPONSE = (
-    "response"  # the last one, one that breaks off, or one to a malformed request
-)
-STOP = "stop"
-
-# How far the last request of a closed connection had come.
-NO_REQUEST = "none"
-REQUEST_INCOMPLETE = "request incomplete"
-RESPONSE_NOT_STARTED = "response not started"
-RESPONSE_INCOMPLETE = "response incomplete"
-
-log = get_logger("http")
-n_closed = Counter(
-    "almonddeal_http_connections_closed_total",
-    "Closed connections by cause and by how far the last request had come.",
-)
-
-
-class HeadLimitedConfig(Config):
-    """Hypercorn configuration with a time limit for request heads.
-
-    Attributes
-    ----------
-    head_timeout : float or None
-        Limit in seconds from the first to the last byte of a head; None for no limit.
-    cut : anyio.Event or None
-        If given, connections that are open after a stop are closed once it is set; if
-        not, after `graceful_timeout`.
-    """
-
-    head_timeout = None
-    cut = None
-
-
-class _HeadLimitedReader(asyncio.StreamReader):
-    """Reads one connection and counts what was received and not read.
-
-    `read` raises `TimeoutError` when a head takes too long.
-
-    Attributes
-    ----------
-    has_timed_out : bool
-        Whether a head took too long.
-    n_unread : int
-        Number of bytes that have been received and not been read.
-    is_discarding : bool
-        Whether all further bytes are dropped.
-    """
-
-    def __init__(self, config, loop):
-        super().__init__(loop=loop)
-        self.has_timed_out = False
-        self.n_unread = 0
-        self._config = config
-        self._is_reading_head = True
-        self.is_discarding = False
-        self._deadline_s = None
-
-    def set_awaiting_head(self, is_awaiting_head):
-        """Set whether the connection waits for a head; resets the time limit."""
-        self._is_reading_head = is_awaiting_head
-        self._deadline_s = None
-
-    def discard(self):
-        """Drop all further bytes; `read` returns only at the end of the input."""
-        self.is_discarding = True
-
-    def feed_data(self, data):
-        self.n_unread += len(data)
-        super().feed_data(data)
-
-    async def read(self, max_bytes):
-        data = await self._read(max_bytes)
-        while data and self.is_discarding:
-            data = await self._read(max_bytes)
-        return data
-
-    async def _read(self, max_bytes):
-        try:
-            async with asyncio.timeout_at(self._deadline_s):
-                data = await super().read(max_bytes)
-        except TimeoutError:
-            log.info(
-                "closing connection: request head not received within the time limit"
-            )
-            self.has_timed_out = True
-            raise
-        self.n_unread -= len(data)
-        limit_s = self._config.head_timeout
-        if self._is_reading_head and self._deadline_s is None and limit_s is not None:
-            self._deadline_s = asyncio.get_running_loop().time() + limit_s
-        return data
-
 
 class _ConnectionStop:
     """The stop of the server for one connection: after the requests it has received."""
@@ -222,17 +126,11 @@
         cause = self._close_cause or CLOSED_BY_CLIENT
         if self.reader.has_timed_out:
             cause = HEAD_TIMEOUT
-        progress = self._request_progress()
-        n_closed.inc({"cause": cause, "request": progress})
-        if cause in (CLOSED_BY_CLIENT, RESPONSE) and progress == NO_REQUEST:
-            return
-        decide(
-            log,
-            "connection closed",
-            client=_address(self.writer.get_extra_info("peername")),
-            cause=cause,
-            last_request=progress,
-            open_ms=round(1000 * (self.loop.time() - self._opened_s)),
+        record_close(
+            self.writer.get_extra_info("peername"),
+            cause,
+            self._request_progress(),
+            self.loop.time() - self._opened_s,
         )
 
     def _is_reusable(self):
@@ -245,19 +143,11 @@
         )
 
     def _request_progress(self):
-        """Return how far the last request has come."""
         protocol = getattr(getattr(self, "protocol", None), "protocol", None)
         # HTTP/2 has several requests at a time.
         if not isinstance(protocol, H11Protocol):
             return NO_REQUEST
-        connection = protocol.connection
-        if connection.our_state is h11.SEND_BODY:
-            return RESPONSE_INCOMPLETE
-        if connection.our_state is h11.SEND_RESPONSE:
-            if connection.their_state is h11.SEND_BODY:
-                return REQUEST_INCOMPLETE
-            return RESPONSE_NOT_STARTED
-        return REQUEST_INCOMPLETE if self._has_further_request() else NO_REQUEST
+        return request_progress(protocol.connection, self._has_further_request())
 
     async def protocol_send(self, event):
         if isinstance(event, Updated):
@@ -360,10 +250,6 @@
             await self._terminated.wait()
 
 
-def _address(peer):
-    return f"{peer[0]}:{peer[1]}" if peer else None
-
-
 async def _receive_pending():
     """Let the event loop take what the sockets hold: connections and data."""
     # The first step polls the sockets, the second one follows their callbacks.
@@ -401,7 +287,7 @@
         task.add_done_callback(scope_by_task.pop)
 
     def make_protocol():
-        reader = _HeadLimitedReader(config, loop)
+        reader = HeadLimitedReader(config, loop)
         return asyncio.StreamReaderProtocol(reader, accept, loop=loop)
 
     sockets = config.create_sockets()
--- a/packages/common/src/almonddeal_common/http.py
+++ b/packages/common/src/almonddeal_common/http.py
@@ -5,7 +5,8 @@
 import math
 
 from almonddeal_common.codes import ADDRESS_IN_USE, AlmonddealError
-from almonddeal_common.connections import HeadLimitedConfig, serve_connections
+from almonddeal_common.connections import serve_connections
+from almonddeal_common.head_limits import HeadLimitedConfig
 
 GRACEFUL_TIMEOUT_S = 3.0
 KEEP_ALIVE_TIMEOUT_S = 30.0
