control: keep the group's wanted size when a removed member returns

What operators saw: a voter whose disk stalls for 3.5 s beside a planned replacement is removed, asks to join again, and from then on the group wants four voters. A voter that is lost later is never removed, and with the next lost disk no majority is left.

Cause: a process of the first start asked to join as an addition for as long as it ran, as its settings say that it was started with the whole system.

Ruled out: a membership change that was not committed (entry 37 of 42 was), a removal that was not due (the lost voter was silent for 5.3 s).

Change: a process that has been a member asks for its place back. The request is made in one place, which the tests use as well.

Before: test_returning_members fails. After: it passes.

--- a/packages/entry/src/almonddeal/control/consensus.py
+++ b/packages/entry/src/almonddeal/control/consensus.py
@@ -108,6 +108,7 @@
         self._log = EntryLog(store.snapshot, store.entries)
         self._durable_index = self._log.last_index
         self._n_applied_bytes = 0  # of the entries after the snapshot
+        self.has_been_member = False  # or is one; also before a restart, if in the log
         self.members_index = 0
         self.members = Members(dict.fromkeys([name, *peer_by_name], ""), 0)
         if connect is not None:
--- a/packages/entry/src/almonddeal/control/membership.py
+++ b/packages/entry/src/almonddeal/control/membership.py
@@ -20,6 +20,7 @@
 from almonddeal_common.logs import get_logger
 from almonddeal_common.wire.codec import decode
 from almonddeal_common.wire.gen.ttypes import (
+    JoinGroup,
     JoinGroupReply,
     MemberSet,
 )
@@ -40,6 +41,7 @@
             )
         self.members = members
         self.members_index = index
+        self.has_been_member |= self.name in members
         self._update_peers()
 
     def _load_members_from_log(self):
@@ -125,6 +127,15 @@
         if members is not None:
             self._append_members(members)
 
+    def make_join_request(self, address, is_first_start):
+        """Return the `JoinGroup` with which this process asks to be a voter.
+
+        A process of the first start beyond the seeds enlarges the group; a later one
+        replaces a lost voter, and a voter that was removed returns to its place.
+        """
+        is_addition = is_first_start and not self.has_been_member
+        return JoinGroup(self.name, address, is_addition)
+
     async def handle_join(self, link, message, emit):
         """Handle the request of a process to become a voter."""
         if self.role != LEADER:
--- a/packages/entry/src/almonddeal/control/tests/changing_group.py
+++ b/packages/entry/src/almonddeal/control/tests/changing_group.py
@@ -83,9 +83,7 @@
         self.handler_calls = HandlerCalls()
         self.scope = anyio.CancelScope()
         self._group = group
-        # A process of the first start beyond the seeds enlarges the group; a later one
-        # replaces a lost voter.
-        self._is_addition = is_bootstrap
+        self._is_first_start = is_bootstrap
 
     async def run(self):
         with self.scope:
@@ -94,8 +92,10 @@
                 tasks.start_soon(self._join)
 
     async def _join(self):
-        request = JoinGroup(self.name, self.address, self._is_addition)
         while True:
+            request = self.consensus.make_join_request(
+                self.address, self._is_first_start
+            )
             if self.name not in self.consensus.members or self.consensus.is_leaderless:
                 for address in list(self._group.process_by_address):
                     if address != self.address:
--- /dev/null
+++ b/packages/entry/src/almonddeal/control/tests/test_returning_members.py
@@ -0,0 +1,58 @@
+"""Tests of a member that was removed while it was out of reach, and returns."""
+
+import random
+
+import anyio
+
+from almonddeal.control import consensus
+from almonddeal.control.tests.changing_group import SEEDS, ChangingGroup
+from almonddeal_common.virtual_time import run_in_virtual_time
+
+SEED = 1
+
+
+async def run_without_thread(function, *args):
+    await anyio.sleep(0.01)
+    return function(*args)
+
+
+async def wait_voter(group, address, is_voter):
+    """Wait until the process at an address is, or is not, a voter for the leader."""
+    with anyio.fail_after(20):
+        while True:
+            leader = group.leader()
+            if leader is not None:
+                members = leader.consensus.members
+                if (address in members.address_by_name.values()) == is_voter:
+                    return
+            await anyio.sleep(0.01)
+
+
+class TestReturningMember:
+    # Guards against a member of the first start that is removed while it is out of
+    # reach, and enlarges the group when it returns: the group then keeps a voter that
+    # is lost later, beside its successor.
+    def test_wanted_size_of_the_group_stays(self, tmp_path, monkeypatch):
+        random.seed(SEED)
+        monkeypatch.setattr(consensus.to_thread, "run_sync", run_without_thread)
+
+        async def main():
+            async with anyio.create_task_group() as tasks:
+                group = ChangingGroup(tmp_path, tasks, SEEDS)
+                for address in SEEDS:
+                    group.start(address, is_bootstrap=True)
+                await group.publish(1)
+                leader = group.leader().address
+                cut, other = (a for a in SEEDS if a != leader)
+                group.cut_addresses = {cut}
+                group.start("d:1")
+                await wait_voter(group, "d:1", True)
+                await wait_voter(group, cut, False)
+                group.cut_addresses = set()
+                members = await group.wait_voters([leader, cut, other, "d:1"])
+                assert members.n_wanted == len(SEEDS)
+                await group.kill(other, wipe=True)
+                await group.wait_voters([leader, cut, "d:1"])
+                tasks.cancel_scope.cancel()
+
+        run_in_virtual_time(main)
--- a/packages/entry/src/almonddeal/roles/control.py
+++ b/packages/entry/src/almonddeal/roles/control.py
@@ -330,17 +330,15 @@
         async with anyio.create_task_group() as requests:
             while True:
                 if name not in consensus.members or consensus.is_leaderless:
-                    self._request_join(name, consensus, requests)
+                    self._request_join(consensus, requests)
                 await anyio.sleep(JOIN_INTERVAL_S)
 
-    def _request_join(self, name, consensus, requests):
+    def _request_join(self, consensus, requests):
         member_addresses = consensus.members.address_by_name.values()
         addresses = {*member_addresses, *self.settings.seed_addresses}
         addresses.discard(str(self.settings.link_address))
-        # A process of the first start beyond the seeds enlarges the group; a later one
-        # replaces a lost voter.
-        request = JoinGroup(
-            name, str(self.settings.link_address), self.settings.is_bootstrap
+        request = consensus.make_join_request(
+            str(self.settings.link_address), self.settings.is_bootstrap
         )
         # A lost machine takes long not to reply; other addresses are asked again.
         for address in addresses - self._addresses_asked_to_join:
