control: sync less when a data folder is new

Cause: the successor of a lost member takes long on slow disks before it can be a voter.

Ruled out: time on links, and the election.

--- a/packages/entry/src/almonddeal/control/files.py
+++ b/packages/entry/src/almonddeal/control/files.py
@@ -51,15 +51,20 @@
         os.fsync(file.fileno())
 
 
-def write_checksummed_file(path, payload):
-    """Replace a file durably by a payload with its checksum.
+def replace_checksummed_file(path, payload):
+    """Replace a file by a payload with its checksum.
 
-    Writes a temporary file, syncs it, renames it and syncs the directory.
+    Writes a temporary file, syncs it and renames it. The caller syncs the directory.
     """
     header = CHECKSUMMED_FILE_HEADER.pack(CHECKSUMMED_FILE_MAGIC, zlib.crc32(payload))
     with removed_on_error(path.with_suffix(".tmp")) as temporary:
         write_file(temporary, header + payload)
         os.replace(temporary, path)
+
+
+def write_checksummed_file(path, payload):
+    """Replace a file durably by a payload with its checksum."""
+    replace_checksummed_file(path, payload)
     sync_directory(path.parent)
 
 
--- a/packages/entry/src/almonddeal/control/identity.py
+++ b/packages/entry/src/almonddeal/control/identity.py
@@ -8,7 +8,7 @@
 from almonddeal.control.files import (
     read_checksummed_file,
     refused_on_full_disk,
-    write_checksummed_file,
+    replace_checksummed_file,
 )
 from almonddeal.control.members import Members
 from almonddeal.control.storage import LogStore
@@ -30,6 +30,8 @@
 def load_identity(folder, address, seed_addresses, is_bootstrap):
     """Return the member name stored in a data folder; if none, choose and store one.
 
+    A new name is durable once the `LogStore` of the folder is open.
+
     Parameters
     ----------
     folder : path-like
@@ -69,7 +71,7 @@
     # the initial members to its log store writes them at its next start.
     with refused_on_full_disk(FILE_NAME):
         folder.mkdir(parents=True, exist_ok=True)
-        write_checksummed_file(path, ",".join([name, *initial_addresses]).encode())
+        replace_checksummed_file(path, ",".join([name, *initial_addresses]).encode())
     log.info("data folder has no identity, member name is now %s", name)
     return name, initial_addresses
 
--- a/packages/entry/src/almonddeal/control/storage.py
+++ b/packages/entry/src/almonddeal/control/storage.py
@@ -148,7 +148,8 @@
     def _load_log(self):
         path = self._folder / "log"
         self._close_file()
-        if not path.exists():
+        is_new = not path.exists()
+        if is_new:
             self._replace_log_file([LOG_MAGIC])
         data = path.read_bytes()
         if data[: len(LOG_MAGIC)] != LOG_MAGIC:
@@ -160,6 +161,8 @@
                 "removed %d bytes at the end of the log", len(data) - self._size
             )
             self._has_stale_bytes = True
+        if is_new:
+            return
         with self._handle_write_errors("the log"):
             self._repair_log()
             # The process that wrote the last records may have ended before it synced
@@ -371,7 +374,9 @@
     def _write_snapshot(self, snapshot, entries_after):
         write_checksummed_file(self._folder / "snapshot", encode(snapshot))
         self.snapshot = snapshot
-        self._replace_log(entries_after)
+        is_log_empty = self._size == len(LOG_MAGIC) and not self._has_stale_bytes
+        if entries_after or not is_log_empty:
+            self._replace_log(entries_after)
 
     @property
     def _reserve_path(self):
@@ -379,7 +384,9 @@
 
     def _reserve_room(self):
         """Reserve room for the next snapshot, as without one a full log stays full."""
-        n_bytes = len(self.snapshot.state) + MIN_RESERVE_BYTES
+        # In steps, as the state grows by little from one snapshot to the next.
+        n_steps = len(self.snapshot.state) // MIN_RESERVE_BYTES + 2
+        n_bytes = n_steps * MIN_RESERVE_BYTES
         path = self._reserve_path
         # Without room for it, the next snapshot tries again.
         with suppress(OSError), removed_on_error(path):
