control: remove a member that stops, not one whose disk stalls

What operators saw: in a planned replacement the stopped member stays a voter for over 4 s beside its successor; the loss of another disk then leaves two of four voters.

Cause: a group removes a voter only once it was silent for 2 s, also if its process stops for good. And a voter whose disk stalls for 2 s counts as silent although it replies to heartbeats, so that it was removed in place of the stopped one; after an election it could not reply at all, as it stores the new term first.

Ruled out: replacing the old voter by the new one in one change. An earlier vote of the lost one and the successor then allow two leaders of one term (docs/DECISIONS/0018).

Change: on SIGTERM a control instance asks the leader to remove it if a successor joins or has joined, for at most 2 s (JoinGroup.is_leaving, an optional field); followers of a removed leader elect the next one early. A member whose disk is busy replies to heartbeats of a new leader, and a stalled one is removed after 5 s.

--- a/idl/almonddeal.thrift
+++ b/idl/almonddeal.thrift
@@ -182,7 +182,9 @@
   1: i64 term, 2: string leader, 3: Snapshot snapshot, 4: string recipient
   5: i64 offset, 6: i64 n_bytes
 }
-struct JoinGroup { 1: string name, 2: string address, 3: bool is_addition }
+struct JoinGroup {
+  1: string name, 2: string address, 3: bool is_addition, 4: bool is_leaving
+}
 struct JoinGroupReply { 1: i32 code, 2: string leader_address, 3: bool is_voter }
 struct ChangeDocument {
   1: string change_id, 2: i64 base_version, 3: string author, 4: string origin
--- a/packages/common/src/almonddeal_common/wire/gen/ttypes.py
+++ b/packages/common/src/almonddeal_common/wire/gen/ttypes.py
@@ -4263,6 +4263,7 @@
      - name
      - address
      - is_addition
+     - is_leaving
 
     """
 
@@ -4270,13 +4271,15 @@
         'name',
         'address',
         'is_addition',
+        'is_leaving',
     )
 
 
-    def __init__(self, name=None, address=None, is_addition=None,):
+    def __init__(self, name=None, address=None, is_addition=None, is_leaving=None,):
         self.name = name
         self.address = address
         self.is_addition = is_addition
+        self.is_leaving = is_leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4302,6 +4305,11 @@
                     self.is_addition = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.is_leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4324,6 +4332,10 @@
             oprot.writeFieldBegin('is_addition', TType.BOOL, 3)
             oprot.writeBool(self.is_addition)
             oprot.writeFieldEnd()
+        if self.is_leaving is not None:
+            oprot.writeFieldBegin('is_leaving', TType.BOOL, 4)
+            oprot.writeBool(self.is_leaving)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -8309,6 +8321,7 @@
     (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
     (3, TType.BOOL, 'is_addition', None, None, ),  # 3
+    (4, TType.BOOL, 'is_leaving', None, None, ),  # 4
 )
 all_structs.append(JoinGroupReply)
 JoinGroupReply.thrift_spec = (
--- a/packages/entry/src/almonddeal/control/consensus.py
+++ b/packages/entry/src/almonddeal/control/consensus.py
@@ -100,6 +100,7 @@
         self._disconnect = disconnect
         self._replication_scope_by_name = {}
         self._join_request_by_name = {}
+        self._leaving_ms_by_name = {}
         self._task_group = None
         self._assembler = ChunkAssembler()
         self._write_started_ms = None
@@ -116,6 +117,7 @@
         self._match_index_by_name = {}
         self._next_index_by_name = {}
         self._acknowledged_ms_by_name = {}
+        self._contacted_ms_by_name = {}  # last reply, to heartbeats as well
         self._replied_ms_by_name = {}  # heartbeats beside calls left out
         self._call_started_ms_by_name = {}
         self._transfer_by_name = {}
@@ -134,9 +136,7 @@
         self._n_elections_without_leader = 0
         # The first timeout is short: a process that starts may have been the leader
         # itself. While another leader is alive, its followers refuse the pre-vote.
-        self.election_timeout_ms = random.uniform(
-            FIRST_ELECTION_TIMEOUT_MIN_MS, FIRST_ELECTION_TIMEOUT_MAX_MS
-        )
+        self.election_timeout_ms = self._random_first_election_timeout_ms()
         self._first_index_of_term = 0
         if store.snapshot.state:
             state_machine.restore(store.snapshot.state)
@@ -163,6 +163,11 @@
             and self._n_elections_without_leader > MAX_ELECTIONS_WITHOUT_LEADER
         )
 
+    def _random_first_election_timeout_ms(self):
+        return random.uniform(
+            FIRST_ELECTION_TIMEOUT_MIN_MS, FIRST_ELECTION_TIMEOUT_MAX_MS
+        )
+
     def _random_election_timeout_ms(self):
         return random.uniform(ELECTION_TIMEOUT_MIN_MS, ELECTION_TIMEOUT_MAX_MS)
 
--- a/packages/entry/src/almonddeal/control/constants.py
+++ b/packages/entry/src/almonddeal/control/constants.py
@@ -20,10 +20,13 @@
 STORAGE_FULL_BACKOFF_MS = 5000
 # A member that started more elections asks to join, in case it was removed.
 MAX_ELECTIONS_WITHOUT_LEADER = 2
+# A member that leaves says so until it is removed; one that restarts stays.
+LEAVING_EXPIRY_MS = 1000
 MAX_ENTRIES_PER_APPEND = 512
 MAX_BYTES_PER_APPEND = 64 * 1024  # takes a tenth of a second on a link of 5 Mbit/s
 # A sync takes milliseconds, on a slow disk 100 ms; large writes may take longer.
 DISK_STALL_MS = 1000
+STALL_ALLOWANCE_MS = 3000  # a voter that only replies to heartbeats is removed later
 DISK_STALL_BACKOFF_MS = 5000  # before a member with a stalled disk stands for election
 # The log is compacted after so many entries, or bytes if the snapshot is not larger.
 SNAPSHOT_INTERVAL_ENTRIES = 4096
--- a/packages/entry/src/almonddeal/control/elections.py
+++ b/packages/entry/src/almonddeal/control/elections.py
@@ -220,7 +220,8 @@
 
     def _grant_pre_vote(self, message):
         silence_ms = monotonic_ms() - self._last_leader_contact_ms
-        if self.role == LEADER or silence_ms < ELECTION_TIMEOUT_MIN_MS:
+        is_led = silence_ms < ELECTION_TIMEOUT_MIN_MS and not self._is_leader_removed
+        if self.role == LEADER or is_led:
             return False
         if message.term <= self.term or not self._is_up_to_date(message):
             return False
@@ -272,6 +273,7 @@
         # silent by then were so through the election.
         silent_since_ms = max(self._last_leader_contact_ms, self._last_led_ms)
         self._replied_ms_by_name = dict.fromkeys(self._peer_by_name, silent_since_ms)
+        self._contacted_ms_by_name = dict(self._replied_ms_by_name)
         self._match_index_by_name = dict.fromkeys(self._peer_by_name, 0)
         self._next_index_by_name = dict.fromkeys(
             self._peer_by_name, self._log.last_index + 1
--- a/packages/entry/src/almonddeal/control/following.py
+++ b/packages/entry/src/almonddeal/control/following.py
@@ -31,10 +31,14 @@
     async def handle_append(self, link, message, emit):
         """Append entries of the leader; reply once they are synced."""
         self._check_recipient(message.recipient)
-        if self._is_heartbeat_of_leader(message):
+        if self._is_heartbeat(message):
             # A large write may hold the lock for longer than an election timeout.
-            self._record_leader_contact()
-            return AppendLogReply(self.term, True, 0)
+            if message.term == self.term and message.leader == self.leader:
+                self._record_leader_contact()
+                return AppendLogReply(self.term, True, 0)
+            if self.disk_lock.locked():
+                # Tells a new leader that this member runs, though its disk may stall.
+                return AppendLogReply(self.term, False, 0)
         async with self.disk_lock:
             if message.term < self.term:
                 return AppendLogReply(self.term, False, 0)
@@ -68,10 +72,9 @@
         entries = [] if entry is None else [entry]
         return entries, self._assembler.n_received_bytes
 
-    def _is_heartbeat_of_leader(self, message):
+    def _is_heartbeat(self, message):
         is_empty = not message.entries and message.part is None
-        is_known = message.term == self.term and message.leader == self.leader
-        return is_empty and message.prev_index == 0 and is_known
+        return is_empty and message.prev_index == 0
 
     def _record_leader_contact(self):
         self._election_timer_start_ms = self._last_leader_contact_ms = monotonic_ms()
--- a/packages/entry/src/almonddeal/control/leading.py
+++ b/packages/entry/src/almonddeal/control/leading.py
@@ -165,6 +165,7 @@
         self._acknowledged_ms_by_name[name] = max(
             self._acknowledged_ms_by_name[name], started_ms
         )
+        self._contacted_ms_by_name[name] = monotonic_ms()
         return True
 
     async def _send_heartbeats_periodically(self, name, scope):
@@ -188,9 +189,12 @@
         except AlmonddealError:
             # The call beside it ends as well, or takes longer.
             return
-        if reply.term == term:
+        if reply.ok:
             self._record_acknowledgement(name, term, started_ms)
             self._notify_progress()
+        elif name in self._contacted_ms_by_name:
+            # Its disk may have no room or time for the new term.
+            self._contacted_ms_by_name[name] = monotonic_ms()
 
     def _next_message(self, name):
         """Return the next message to a peer, and the time in ms that it may take."""
--- a/packages/entry/src/almonddeal/control/members.py
+++ b/packages/entry/src/almonddeal/control/members.py
@@ -12,6 +12,7 @@
 from almonddeal_common.wire.gen.ttypes import MemberSet
 
 REMOVE_AFTER_SILENCE_MS = 2000  # longer than an election and a process restart
+RESPONSIVE_SILENCE_MS = 600  # at most, of a voter that runs
 
 
 class Members:
@@ -43,6 +44,11 @@
         """Number of voters in a majority."""
         return len(self.address_by_name) // 2 + 1
 
+    @property
+    def has_surplus(self):
+        """Whether there are more voters than wanted, so that one can be removed."""
+        return len(self.address_by_name) > self.n_wanted
+
     def voters_except(self, name):
         """Return the names of all voters except one, as a list."""
         return [other for other in self.address_by_name if other != name]
@@ -91,7 +97,9 @@
         self.is_addition = is_addition
 
 
-def next_members(members, join_request_by_name, is_caught_up, silence_ms):
+def next_members(
+    members, join_request_by_name, is_caught_up, silence_ms, leaving_names=()
+):
     """Return the members after the next change, or None if there is none to make.
 
     Parameters
@@ -104,6 +112,9 @@
         committed log.
     silence_ms : callable
         Returns the time in ms since the voter of a name last replied to the leader.
+    leaving_names : sequence of str
+        Members whose process stops. One is removed at once while all other voters
+        reply; if one does not, that one may be lost, and this one may only restart.
     """
     for join_request in join_request_by_name.values():
         for name, address in members.address_by_name.items():
@@ -112,9 +123,13 @@
     for join_request in join_request_by_name.values():
         if join_request.name not in members and is_caught_up(join_request.name):
             return members.with_voter(join_request)
-    if len(members.address_by_name) <= members.n_wanted:
+    if not members.has_surplus:
         return None
     most_silent = max(members.address_by_name, key=silence_ms)
-    if silence_ms(most_silent) < REMOVE_AFTER_SILENCE_MS:
-        return None
-    return members.without_voter(most_silent)
+    if silence_ms(most_silent) >= REMOVE_AFTER_SILENCE_MS:
+        return members.without_voter(most_silent)
+    leaving = next((name for name in leaving_names if name in members), None)
+    others = members.voters_except(leaving)
+    if leaving and all(silence_ms(name) < RESPONSIVE_SILENCE_MS for name in others):
+        return members.without_voter(leaving)
+    return None
--- a/packages/entry/src/almonddeal/control/membership.py
+++ b/packages/entry/src/almonddeal/control/membership.py
@@ -3,14 +3,21 @@
 The mixin uses the attributes of `Consensus`.
 """
 
+from contextlib import suppress
+
 import anyio
 
 from almonddeal.control.constants import (
     ELECTION_TIMEOUT_MIN_MS,
     KIND_MEMBERS,
     LEADER,
+    LEAVING_EXPIRY_MS,
+    RPC_TIMEOUT_MS,
+    STALL_ALLOWANCE_MS,
+    TICK_MS,
 )
 from almonddeal.control.members import JoinRequest, Members, next_members
+from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import (
     NOT_LEADER,
     NOT_REACHED,
@@ -42,8 +49,16 @@
         self.members = members
         self.members_index = index
         self.has_been_member |= self.name in members
+        if self._is_leader_removed:
+            # It steps down once a majority has this change.
+            self.election_timeout_ms = self._random_first_election_timeout_ms()
         self._update_peers()
 
+    @property
+    def _is_leader_removed(self):
+        """Whether the leader that this member follows is not a voter any more."""
+        return self.leader is not None and self.leader not in self.members
+
     def _load_members_from_log(self):
         """Switch to the newest members in the log, or to those of its snapshot."""
         for index in range(self._log.last_index, self._log.first_index - 1, -1):
@@ -83,6 +98,7 @@
                 self._next_index_by_name[name] = self._log.last_index + 1
                 self._acknowledged_ms_by_name[name] = 0.0
                 self._replied_ms_by_name[name] = 0.0
+                self._contacted_ms_by_name[name] = 0.0
                 self._task_group.start_soon(self._replicate_in_scope, name, scope)
         for name in [
             n for n in self._replication_scope_by_name if n not in address_by_name
@@ -95,6 +111,7 @@
                 self._acknowledged_ms_by_name,
                 self._call_started_ms_by_name,
                 self._replied_ms_by_name,
+                self._contacted_ms_by_name,
                 self._transfer_by_name,
             ):
                 value_by_name.pop(name, None)
@@ -118,11 +135,21 @@
         def silence_ms(name):
             if name == self.name:
                 return 0.0
-            # A member whose disk stalls still acknowledges heartbeats.
-            return now_ms - self._replied_ms_by_name[name]
-
+            stall_ms = now_ms - self._replied_ms_by_name[name]
+            silence_ms = now_ms - self._contacted_ms_by_name[name]
+            return max(silence_ms, stall_ms - STALL_ALLOWANCE_MS)
+
+        leaving_names = [
+            name
+            for name, asked_ms in self._leaving_ms_by_name.items()
+            if now_ms - asked_ms < LEAVING_EXPIRY_MS
+        ]
         members = next_members(
-            self.members, self._join_request_by_name, is_caught_up, silence_ms
+            self.members,
+            self._join_request_by_name,
+            is_caught_up,
+            silence_ms,
+            leaving_names,
         )
         if members is not None:
             self._append_members(members)
@@ -136,11 +163,41 @@
         is_addition = is_first_start and not self.has_been_member
         return JoinGroup(self.name, address, is_addition)
 
+    async def leave(self):
+        """Ask to be removed in favour of a successor, and wait for it.
+
+        Returns once the removal is committed, or if there is no successor. Without
+        this, a member that is stopped for good stays a voter until its silence shows
+        that it is lost.
+        """
+        address = self.members.address_by_name.get(self.name, "")
+        request = JoinGroup(self.name, address, False, True)
+        while self.leader in (self.name, *self._peer_by_name):
+            with suppress(AlmonddealError):
+                if self.role == LEADER:
+                    reply = await self.handle_join(None, request, None)
+                else:
+                    leader = self._peer_by_name[self.leader]
+                    reply = await leader.call(request, RPC_TIMEOUT_MS)
+                if reply.code == OK.number and not reply.is_voter:
+                    return
+            await anyio.sleep(TICK_MS / 1000)
+
+    def _is_waiting_to_leave(self, name):
+        """Tell whether a member that leaves is to wait until it is removed."""
+        has_successor = self.members.has_surplus or bool(self._join_request_by_name)
+        is_change_committed = self.members_index <= self.commit_index
+        return not is_change_committed or (name in self.members and has_successor)
+
     async def handle_join(self, link, message, emit):
         """Handle the request of a process to become a voter."""
         if self.role != LEADER:
             address = self.members.address_by_name.get(self.leader, "")
             return JoinGroupReply(NOT_LEADER.number, address, False)
+        if message.is_leaving:
+            self._leaving_ms_by_name[message.name] = monotonic_ms()
+            is_waiting = self._is_waiting_to_leave(message.name)
+            return JoinGroupReply(OK.number, "", is_waiting)
         is_voter = message.name in self.members
         if not is_voter and message.name not in self._join_request_by_name:
             log.info(
--- a/packages/entry/src/almonddeal/control/tests/changing_group.py
+++ b/packages/entry/src/almonddeal/control/tests/changing_group.py
@@ -83,6 +83,7 @@
         self.handler_calls = HandlerCalls()
         self.scope = anyio.CancelScope()
         self._group = group
+        self._is_stopping = False
         self._is_first_start = is_bootstrap
 
     async def run(self):
@@ -91,8 +92,13 @@
                 tasks.start_soon(self.consensus.run)
                 tasks.start_soon(self._join)
 
+    async def stop(self):
+        """Leave the group as a process does on SIGTERM."""
+        self._is_stopping = True
+        await self.consensus.leave()
+
     async def _join(self):
-        while True:
+        while not self._is_stopping:
             request = self.consensus.make_join_request(
                 self.address, self._is_first_start
             )
--- a/packages/entry/src/almonddeal/control/tests/slow_group.py
+++ b/packages/entry/src/almonddeal/control/tests/slow_group.py
@@ -19,6 +19,7 @@
 from almonddeal.control.tests.changing_group import SEEDS, ChangingGroup, Process
 from almonddeal.control.tests.faulty_disk import SYNC, SYNC_FOLDER, Disk, Disks
 from almonddeal.publication.state import compress_content
+from almonddeal.roles.control import LEAVE_TIMEOUT_S
 from almonddeal_common.codes import AlmonddealError
 from almonddeal_common.virtual_time import run_in_virtual_time
 from almonddeal_common.wire.gen.ttypes import Command, PublishConfiguration
@@ -31,6 +32,7 @@
 N_CONTENT_BYTES = 3000
 PUBLISH_INTERVAL_S = 0.3
 MAX_WAIT_S = 30.0
+FIRST_SNAPSHOT_ENTRIES = 5  # so that a successor needs a snapshot
 
 LEADER, FOLLOWER = "leader", "follower"
 SAME_ADDRESS, NEW_ADDRESS, PLANNED = "same address", "new address", "planned"
@@ -129,14 +131,18 @@
                     await leader.consensus.propose(Command(publish=publish), 1000)
 
     def has_running_voters(self):
-        """Tell whether the running processes, and no others, are the voters."""
-        leader = self.leader()
-        if leader is None:
-            return False
-        names = {process.name for process in self.process_by_address.values()}
-        member = leader.consensus
-        is_committed = member.commit_index >= member.members_index
-        return set(member.members.address_by_name) == names and is_committed
+        """Tell whether the running processes, and no others, are the voters.
+
+        That is, most of them have these members as the last ones on their disks.
+        """
+        members = [process.consensus for process in self.process_by_address.values()]
+        names = {member.name for member in members}
+        n_aware = sum(
+            set(member.members.address_by_name) == names
+            and member._durable_index >= member.members_index
+            for member in members
+        )
+        return n_aware > len(names) // 2
 
     async def disturb(self, kind, address):
         """Disturb a member in a way that does not lose its disk."""
@@ -160,6 +166,8 @@
             started_s = anyio.current_time()
             await self.start_slowly(address)
             await anyio.sleep(max(0.0, gap_s - START_S))
+            with anyio.move_on_after(LEAVE_TIMEOUT_S):
+                await self.process_by_address[lost].stop()
             await self.kill(lost, wipe=True)
             return started_s
         await self.kill(lost, wipe=True)
@@ -178,7 +186,11 @@
                 start_s = group.random.uniform(0.0, 0.3)
                 starts.start_soon(group.start_slowly, address, True, start_s)
         tasks.start_soon(group.publish_periodically)
-        await anyio.sleep(3.0)
+        with monkeypatch.context() as first_snapshots:
+            first_snapshots.setattr(
+                consensus, "SNAPSHOT_INTERVAL_ENTRIES", FIRST_SNAPSHOT_ENTRIES
+            )
+            await anyio.sleep(3.0)
         group.sync_s = sync_s
         group.link_bytes_per_s = rate
         await anyio.sleep(group.random.uniform(1.0, 3.0))
--- a/packages/entry/src/almonddeal/control/tests/test_time_of_replacement.py
+++ b/packages/entry/src/almonddeal/control/tests/test_time_of_replacement.py
@@ -6,9 +6,12 @@
 
 from almonddeal.control.tests.slow_group import (
     CATCH_UP_S,
+    FOLLOWER,
     LEADER,
     NEW_ADDRESS,
+    PLANNED,
     SAME_ADDRESS,
+    STALLED,
     measure_replacement_s,
 )
 
@@ -28,3 +31,24 @@
     def test_lost_leader_is_replaced_in_time(self, tmp_path, how, seed):
         duration_s = measure_replacement_s(tmp_path, seed, SLOW_SYNC_S, LEADER, how)
         assert duration_s <= CATCH_UP_S
+
+
+class TestPlannedReplacement:
+    # Guards against a member that is stopped once its successor runs, and stays a voter
+    # until its silence shows that it is lost: the next lost disk leaves no majority.
+    @with_seeds
+    @pytest.mark.parametrize("role", [FOLLOWER, LEADER])
+    @pytest.mark.parametrize("sync_s", [0.005, 0.03, SLOW_SYNC_S])
+    def test_stopped_member_is_replaced_in_time(self, tmp_path, sync_s, role, seed):
+        duration_s = measure_replacement_s(tmp_path, seed, sync_s, role, PLANNED)
+        assert duration_s <= CATCH_UP_S
+
+    # Guards against the removal of a member whose disk stalls for some seconds, in
+    # place of the one that is stopped.
+    @with_seeds
+    @pytest.mark.parametrize("role", [FOLLOWER, LEADER])
+    def test_member_with_a_stalled_disk_stays(self, tmp_path, role, seed):
+        duration_s = measure_replacement_s(
+            tmp_path, seed, 0.005, role, PLANNED, STALLED
+        )
+        assert duration_s <= CATCH_UP_S
--- a/packages/entry/src/almonddeal/roles/control.py
+++ b/packages/entry/src/almonddeal/roles/control.py
@@ -49,6 +49,7 @@
 PUBLISH_TIMEOUT_MS = 900  # operators call another control instance after 1 s
 READ_TIMEOUT_MS = 900
 HTTP_STOP_TIMEOUT_S = 0.3
+LEAVE_TIMEOUT_S = 2.0
 ENTRY_ROLE = "entry"  # in the handshake of subscribers
 ORIGINS_WRITE_DELAY_S = 0.25  # streams begin several times a second
 
@@ -226,7 +227,7 @@
                 handlers = self._handlers(consensus)
                 group.start_soon(serve_links, listener, self._hello, handlers)
                 group.start_soon(consensus.run)
-                group.start_soon(self._join_periodically, name, consensus)
+                group.start_soon(self._join_periodically, name, consensus, stop)
                 group.start_soon(self._compact_periodically, consensus)
                 group.start_soon(self._control_client.refresh_periodically)
                 group.start_soon(self._registry.expire_periodically)
@@ -244,6 +245,8 @@
                     n_entries=len(store.entries),
                 )
                 await self._serve(app, stop)
+                with anyio.move_on_after(LEAVE_TIMEOUT_S):
+                    await consensus.leave()
                 decide(log, "control instance stopped", name=name)
                 group.cancel_scope.cancel()
 
@@ -325,10 +328,10 @@
             return await self.feed.handle_read_fresh(link, message, emit)
         return await self._control_client.handle_read_fresh(link, message, emit)
 
-    async def _join_periodically(self, name, consensus):
+    async def _join_periodically(self, name, consensus, stop):
         """Request to join while this process is no member or knows no leader."""
         async with anyio.create_task_group() as requests:
-            while True:
+            while not stop.is_set():
                 if name not in consensus.members or consensus.is_leaderless:
                     self._request_join(consensus, requests)
                 await anyio.sleep(JOIN_INTERVAL_S)
