control: send less at a time to a member on a slow link

Cause: a call may last 500 ms and the time for its bytes at 128 kB/s. A message that takes longer is late each time, also when it has arrived. Chunks of 64 KiB are too large for such a link; retries queue behind each other.

Change: after a call that took its whole time, the leader halves the size of what it sends to that peer, down to 2 KiB, and doubles it after fast calls. Entries above that size go in parts.

Before and after: test_it_becomes_a_voter_over_a_link_of_40_kb_per_s fails, passes. slow_group 5, 20 kB/s with changes of 3 KB: never in 30 s, now 6 to 29 s, still late, as state and changes fill the link.

--- a/packages/entry/src/almonddeal/control/consensus.py
+++ b/packages/entry/src/almonddeal/control/consensus.py
@@ -122,6 +122,7 @@
         self._call_started_ms_by_name = {}
         self._transfer_by_name = {}
         self._names_without_parts = set()
+        self._n_message_bytes_by_name = {}
         self._pending_proposals = PendingProposals()
         self._wake_event_by_name = {}
         self._appended_event = anyio.Event()
--- a/packages/entry/src/almonddeal/control/constants.py
+++ b/packages/entry/src/almonddeal/control/constants.py
@@ -24,6 +24,7 @@
 LEAVING_EXPIRY_MS = 1000
 MAX_ENTRIES_PER_APPEND = 512
 MAX_BYTES_PER_APPEND = 64 * 1024  # takes a tenth of a second on a link of 5 Mbit/s
+MIN_MESSAGE_BYTES = 2048  # to a peer on a slow link; passes 5 kB/s in time
 # A sync takes milliseconds, on a slow disk 100 ms; large writes may take longer.
 DISK_STALL_MS = 1000
 STALL_ALLOWANCE_MS = 3000  # a voter that only replies to heartbeats is removed later
--- a/packages/entry/src/almonddeal/control/leading.py
+++ b/packages/entry/src/almonddeal/control/leading.py
@@ -15,6 +15,7 @@
     MAX_ENTRIES_PER_APPEND,
     MIN_DISK_BYTES_PER_MS,
     MIN_LINK_BYTES_PER_MS,
+    MIN_MESSAGE_BYTES,
     RPC_TIMEOUT_MS,
     TICK_MS,
 )
@@ -140,12 +141,15 @@
     async def _send_to_peer(self, name, peer):
         term = self.term
         started_ms = monotonic_ms()
-        message, timeout_ms = self._next_message(name)
+        message, n_sent_bytes, n_written_bytes = self._next_message(name)
+        timeout_ms = _call_timeout_ms(n_sent_bytes, n_written_bytes)
         self._call_started_ms_by_name[name] = started_ms
         try:
             reply = await peer.call(message, timeout_ms)
         finally:
             self._call_started_ms_by_name.pop(name, None)
+            duration_ms = monotonic_ms() - started_ms
+            self._adapt_message_size(name, n_sent_bytes, duration_ms, timeout_ms)
         if reply.term > self.term:
             async with self.disk_lock:
                 await self._adopt_term(reply.term)
@@ -154,6 +158,23 @@
             self._replied_ms_by_name[name] = monotonic_ms()
             self._process_reply(name, reply)
 
+    def _adapt_message_size(self, name, n_sent_bytes, duration_ms, timeout_ms):
+        """Send less at a time to a peer on a slow link, and more once it is fast.
+
+        A message that takes longer than its call is sent again and again, and each
+        time arrives too late.
+        """
+        n_bytes = self._max_message_bytes(name)
+        if duration_ms >= timeout_ms:
+            n_bytes = max(MIN_MESSAGE_BYTES, min(n_bytes, n_sent_bytes) // 2)
+        elif duration_ms < LEADER_HEARTBEAT_INTERVAL_MS:
+            n_bytes = min(MAX_BYTES_PER_APPEND, 2 * n_bytes)
+        if name in self._next_index_by_name:
+            self._n_message_bytes_by_name[name] = n_bytes
+
+    def _max_message_bytes(self, name):
+        return self._n_message_bytes_by_name.get(name, MAX_BYTES_PER_APPEND)
+
     def _record_acknowledgement(self, name, term, started_ms):
         """Record a reply; return False if this member no longer leads that peer."""
         if (
@@ -197,23 +218,21 @@
             self._contacted_ms_by_name[name] = monotonic_ms()
 
     def _next_message(self, name):
-        """Return the next message to a peer, and the time in ms that it may take."""
+        """Return the next message to a peer, and the bytes that it sends and stores."""
         next_index = self._next_index_by_name[name]
         transfer = self._update_transfer(name, next_index)
         if transfer is None:
-            entries = self._entries_for_append(next_index)
+            entries = self._entries_for_append(name, next_index)
             n_bytes = n_command_bytes(entries)
-            return (
-                self._make_append_message(next_index, entries, name),
-                _call_timeout_ms(n_bytes, n_bytes),
-            )
+            message = self._make_append_message(next_index, entries, name)
+            return message, n_bytes, n_bytes
         if next_index < self._log.first_index:
             message = transfer.message(self.term, self.name, name)
         else:
             message = self._make_append_message(next_index, [], name)
             transfer.add_part(message)
         n_written_bytes = len(transfer.data) if transfer.is_last_chunk else 0
-        return message, _call_timeout_ms(len(transfer.chunk), n_written_bytes)
+        return message, len(transfer.chunk), n_written_bytes
 
     def _update_transfer(self, name, next_index):
         """Return the present transfer to a peer, or None; start one if it is due."""
@@ -226,13 +245,15 @@
                 transfer = EntryTransfer(self._log.entry(next_index))
         else:
             transfer = None
+        if transfer is not None:
+            transfer.n_chunk_bytes = self._max_message_bytes(name)
         self._transfer_by_name[name] = transfer
         return transfer
 
     def _is_sent_in_parts(self, name, index):
         if index > self._log.last_index or name in self._names_without_parts:
             return False
-        return len(self._log.entry(index).command) > MAX_BYTES_PER_APPEND
+        return len(self._log.entry(index).command) > self._max_message_bytes(name)
 
     def _make_append_message(self, next_index, entries, name):
         prev_index = next_index - 1
@@ -246,12 +267,13 @@
             name,
         )
 
-    def _entries_for_append(self, next_index):
+    def _entries_for_append(self, name, next_index):
+        max_bytes = self._max_message_bytes(name)
         entries = self._log.entries_from(next_index, MAX_ENTRIES_PER_APPEND)
         n_bytes = 0
         for position, entry in enumerate(entries):
             n_bytes += len(entry.command)
-            if position and n_bytes > MAX_BYTES_PER_APPEND:
+            if position and n_bytes > max_bytes:
                 return entries[:position]
         return entries
 
--- a/packages/entry/src/almonddeal/control/membership.py
+++ b/packages/entry/src/almonddeal/control/membership.py
@@ -113,6 +113,7 @@
                 self._replied_ms_by_name,
                 self._contacted_ms_by_name,
                 self._transfer_by_name,
+                self._n_message_bytes_by_name,
             ):
                 value_by_name.pop(name, None)
             self._disconnect(self._peer_by_name.pop(name))
--- a/packages/entry/src/almonddeal/control/transfers.py
+++ b/packages/entry/src/almonddeal/control/transfers.py
@@ -23,24 +23,27 @@
     ----------
     offset : int
         Start of the next chunk.
+    n_chunk_bytes : int
+        Size of the chunks, but for a smaller last one.
     """
 
-    __slots__ = ("data", "index", "offset")
+    __slots__ = ("data", "index", "n_chunk_bytes", "offset")
 
     def __init__(self, index, data):
         self.index = index
         self.data = data
         self.offset = 0
+        self.n_chunk_bytes = CHUNK_BYTES
 
     @property
     def chunk(self):
         """The next chunk."""
-        return self.data[self.offset : self.offset + CHUNK_BYTES]
+        return self.data[self.offset : self.offset + self.n_chunk_bytes]
 
     @property
     def is_last_chunk(self):
         """Whether the transfer ends with the next chunk."""
-        return self.offset + CHUNK_BYTES >= len(self.data)
+        return self.offset + self.n_chunk_bytes >= len(self.data)
 
 
 class SnapshotTransfer(OutgoingTransfer):
