control: remove a lost voter while its successor catches up

What operators saw: on slow disks, a lost voter is still one 4 s after its successor started; the next lost disk leaves two of four voters.

Cause: a successor at another address was added first.

Before and after: test_lost_voter_is_removed_while_its_successor_catches_up fails, passes.

--- a/packages/entry/src/almonddeal/control/members.py
+++ b/packages/entry/src/almonddeal/control/members.py
@@ -123,10 +123,19 @@
     for join_request in join_request_by_name.values():
         if join_request.name not in members and is_caught_up(join_request.name):
             return members.with_voter(join_request)
+    most_silent = max(members.address_by_name, key=silence_ms)
+    is_lost = silence_ms(most_silent) >= REMOVE_AFTER_SILENCE_MS
     if not members.has_surplus:
+        # The lost voter is removed while its successor catches up; the majority that
+        # then adds the successor does not wait for its disk.
+        has_successor = any(
+            silence_ms(name) < RESPONSIVE_SILENCE_MS for name in join_request_by_name
+        )
+        is_of_wanted_size = len(members.address_by_name) == members.n_wanted
+        if is_lost and has_successor and is_of_wanted_size:
+            return members.without_voter(most_silent)
         return None
-    most_silent = max(members.address_by_name, key=silence_ms)
-    if silence_ms(most_silent) >= REMOVE_AFTER_SILENCE_MS:
+    if is_lost:
         return members.without_voter(most_silent)
     leaving = next((name for name in leaving_names if name in members), None)
     others = members.voters_except(leaving)
--- a/packages/entry/src/almonddeal/control/tests/test_members.py
+++ b/packages/entry/src/almonddeal/control/tests/test_members.py
@@ -71,6 +71,55 @@
         remaining = next_members(members, {}, lambda n: True, silence_ms_by_name.get)
         assert sorted(remaining.address_by_name) == ["w", "x", "z"]
 
+    # Guards against a lost voter that stays until its successor has stored its own
+    # addition on a slow disk: two of four voters then run, if the next disk is lost.
+    def test_lost_voter_is_removed_while_its_successor_catches_up(self):
+        request_by_name = {"w": JoinRequest("w", "d:1", False)}
+        silence_ms_by_name = {
+            "x": 0.0,
+            "y": REMOVE_AFTER_SILENCE_MS,
+            "z": 5.0,
+            "w": 0.0,
+        }
+        remaining = next_members(
+            three_voters(), request_by_name, lambda n: False, silence_ms_by_name.get
+        )
+        assert sorted(remaining.address_by_name) == ["x", "z"]
+        assert (
+            next_members(
+                remaining, request_by_name, lambda n: False, silence_ms_by_name.get
+            )
+            is None
+        )
+
+    def test_silent_voter_stays_beside_a_silent_successor(self):
+        request_by_name = {"w": JoinRequest("w", "d:1", False)}
+        silence_ms_by_name = {"x": 0.0, "y": 1e9, "z": 0.0, "w": 1e9}
+        assert (
+            next_members(
+                three_voters(), request_by_name, lambda n: False, silence_ms_by_name.get
+            )
+            is None
+        )
+
+    def test_voter_that_leaves_is_removed_beside_its_successor(self):
+        members = three_voters().with_voter(JoinRequest("w", "d:1", False))
+        remaining = next_members(members, {}, lambda n: True, lambda n: 0.0, ["y"])
+        assert sorted(remaining.address_by_name) == ["w", "x", "z"]
+
+    def test_voter_that_leaves_stays_without_a_successor(self):
+        silence_ms = {"x": 0.0, "y": 0.0, "z": 0.0}.get
+        assert (
+            next_members(three_voters(), {}, lambda n: True, silence_ms, ["y"]) is None
+        )
+
+    # Guards against the removal of a member that restarts, in place of one that is
+    # lost and was silent for a short time.
+    def test_voter_that_leaves_stays_while_another_is_silent(self):
+        members = three_voters().with_voter(JoinRequest("w", "d:1", False))
+        silence_ms = {"x": 0.0, "y": 0.0, "z": 900.0, "w": 0.0}.get
+        assert next_members(members, {}, lambda n: True, silence_ms, ["y"]) is None
+
     def test_addition_raises_the_wanted_size(self):
         members = three_voters().with_voter(JoinRequest("w", "d:1", True))
         assert members.n_wanted == 4
