common: race further connection attempts beside a slow one

What operators saw: on links that lose a fifth of the packets, the successor of a lost control instance does not reach the others for 6 s, so that it is no voter when the next disk is lost; from then on nothing acknowledged can be read (LOST, RECOVER).

Cause: a link waits 1 s for one connection. If its opening packet or the reply to it is lost, the system sends it again after a second, when the attempt is abandoned.

Ruled out: the address list (all seeds are tried each 0.3 s) and the disk (5 ms).

Change: while an attempt is open, another one starts every 0.2 s within the same limit; the first that connects is used, a refusal still ends all at once.

Before: test_connects_beside_an_attempt_whose_packet_is_lost fails (NOT_REACHED after 1 s). After: passes, connected in under 1 s.

--- a/packages/common/src/almonddeal_common/wire/connect.py
+++ b/packages/common/src/almonddeal_common/wire/connect.py
@@ -3,7 +3,7 @@
 import random
 
 import anyio
-from anyio import connect_tcp, create_tcp_listener
+from anyio import connect_tcp, create_task_group, create_tcp_listener
 
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import ADDRESS_IN_USE, NOT_REACHED, AlmonddealError
@@ -11,6 +11,8 @@
 from almonddeal_common.wire.link import Link
 
 CONNECT_TIMEOUT_S = 1.0
+# A lost opening packet is sent again by the system after a second only.
+CONNECT_ATTEMPT_INTERVAL_S = 0.2
 RECONNECT_MIN_S = 0.05
 RECONNECT_MAX_S = 1.0
 
@@ -141,6 +143,34 @@
         return link
 
 
+async def _connect(address):
+    """Return the TCP connection of the first attempt that succeeds.
+
+    Attempts start one after another; the first one that fails ends all.
+    """
+    streams = []
+    errors = []
+
+    async def attempt():
+        try:
+            streams.append(await connect_tcp(address.host, address.port))
+        except OSError as error:
+            errors.append(error)
+        attempts.cancel_scope.cancel()
+
+    try:
+        async with create_task_group() as attempts:
+            while True:
+                attempts.start_soon(attempt)
+                await anyio.sleep(CONNECT_ATTEMPT_INTERVAL_S)
+        if not streams:
+            raise errors[0]
+        return streams.pop(0)
+    finally:
+        for stream in streams:
+            await anyio.aclose_forcefully(stream)
+
+
 async def dial(address, hello, handler_by_type, timeout_s=CONNECT_TIMEOUT_S):
     """Connect to an address; returns a `Link` that the caller must run.
 
@@ -161,7 +191,7 @@
     """
     try:
         with anyio.fail_after(timeout_s):
-            stream = await connect_tcp(address.host, address.port)
+            stream = await _connect(address)
     except (OSError, TimeoutError) as error:
         raise AlmonddealError(NOT_REACHED, f"{address}: {error}") from None
     return Link(stream, hello, handler_by_type)
