control: let followers pass join requests on to the leader

Cause: a follower answered a join request with the leader's address, which the process had asked already and did not reach. It stayed out until it reached the leader itself.

Ruled out: the leader's own link to the successor, which it opens once it has the request.

Change: a follower calls the leader on its open link and returns the leader's reply. A request that was passed on once is not passed on again (JoinGroup.is_forwarded, an optional field). A join request may take 1.5 s, as lost packets are sent again.

Before: test_follower_passes_it_on_to_the_leader fails. After: it passes.

--- a/idl/almonddeal.thrift
+++ b/idl/almonddeal.thrift
@@ -184,6 +184,7 @@
 }
 struct JoinGroup {
   1: string name, 2: string address, 3: bool is_addition, 4: bool is_leaving
+  5: bool is_forwarded
 }
 struct JoinGroupReply { 1: i32 code, 2: string leader_address, 3: bool is_voter }
 struct ChangeDocument {
--- a/packages/common/src/almonddeal_common/wire/gen/ttypes.py
+++ b/packages/common/src/almonddeal_common/wire/gen/ttypes.py
@@ -4264,6 +4264,7 @@
      - address
      - is_addition
      - is_leaving
+     - is_forwarded
 
     """
 
@@ -4272,14 +4273,16 @@
         'address',
         'is_addition',
         'is_leaving',
+        'is_forwarded',
     )
 
 
-    def __init__(self, name=None, address=None, is_addition=None, is_leaving=None,):
+    def __init__(self, name=None, address=None, is_addition=None, is_leaving=None, is_forwarded=None,):
         self.name = name
         self.address = address
         self.is_addition = is_addition
         self.is_leaving = is_leaving
+        self.is_forwarded = is_forwarded
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4310,6 +4313,11 @@
                     self.is_leaving = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.is_forwarded = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4336,6 +4344,10 @@
             oprot.writeFieldBegin('is_leaving', TType.BOOL, 4)
             oprot.writeBool(self.is_leaving)
             oprot.writeFieldEnd()
+        if self.is_forwarded is not None:
+            oprot.writeFieldBegin('is_forwarded', TType.BOOL, 5)
+            oprot.writeBool(self.is_forwarded)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -8322,6 +8334,7 @@
     (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
     (3, TType.BOOL, 'is_addition', None, None, ),  # 3
     (4, TType.BOOL, 'is_leaving', None, None, ),  # 4
+    (5, TType.BOOL, 'is_forwarded', None, None, ),  # 5
 )
 all_structs.append(JoinGroupReply)
 JoinGroupReply.thrift_spec = (
--- a/packages/entry/src/almonddeal/control/membership.py
+++ b/packages/entry/src/almonddeal/control/membership.py
@@ -191,10 +191,9 @@
         return not is_change_committed or (name in self.members and has_successor)
 
     async def handle_join(self, link, message, emit):
-        """Handle the request of a process to become a voter."""
+        """Handle the request of a process to become a voter, or not to be one."""
         if self.role != LEADER:
-            address = self.members.address_by_name.get(self.leader, "")
-            return JoinGroupReply(NOT_LEADER.number, address, False)
+            return await self._forward_to_leader(message)
         if message.is_leaving:
             self._leaving_ms_by_name[message.name] = monotonic_ms()
             is_waiting = self._is_waiting_to_leave(message.name)
@@ -217,6 +216,16 @@
         address = self.members.address_by_name.get(self.name, "")
         return JoinGroupReply(OK.number, address, is_voter)
 
+    async def _forward_to_leader(self, message):
+        """Pass a join request on, as its sender may not reach the leader itself."""
+        leader = self._peer_by_name.get(self.leader)
+        if leader is not None and not message.is_forwarded:
+            message.is_forwarded = True
+            with suppress(AlmonddealError):
+                return await leader.call(message, RPC_TIMEOUT_MS)
+        address = self.members.address_by_name.get(self.leader, "")
+        return JoinGroupReply(NOT_LEADER.number, address, False)
+
     def _check_recipient(self, recipient):
         # A process that lost its disk restarts at the same address under a new name.
         if recipient and recipient != self.name:
--- a/packages/entry/src/almonddeal/roles/control.py
+++ b/packages/entry/src/almonddeal/roles/control.py
@@ -45,7 +45,7 @@
 
 COMPACT_INTERVAL_S = 1.0
 JOIN_INTERVAL_S = 0.3
-JOIN_TIMEOUT_MS = 800
+JOIN_TIMEOUT_MS = 1500  # covers packets that are lost and sent again
 PUBLISH_TIMEOUT_MS = 900  # operators call another control instance after 1 s
 READ_TIMEOUT_MS = 900
 HTTP_STOP_TIMEOUT_S = 0.3
