control: keep a silent voter until its successor has caught up

What operators see: a member is frozen, cut off or restarts for over 2 s while a new process joins; then one of the two others loses its disk. No leader is known for good, though one disk is lost.

Ruled out: the removal of a member that is beyond the wanted size, which leaves three.

Change: the silent voter is removed once the joining process has the whole committed log, before it is added, and never for one that enlarges the group.

--- a/packages/entry/src/almonddeal/control/members.py
+++ b/packages/entry/src/almonddeal/control/members.py
@@ -120,20 +120,19 @@
         for name, address in members.address_by_name.items():
             if address == join_request.address and name != join_request.name:
                 return members.without_voter(name)
-    for join_request in join_request_by_name.values():
-        if join_request.name not in members and is_caught_up(join_request.name):
-            return members.with_voter(join_request)
     most_silent = max(members.address_by_name, key=silence_ms)
     is_lost = silence_ms(most_silent) >= REMOVE_AFTER_SILENCE_MS
-    if not members.has_surplus:
-        # The lost voter is removed while its successor catches up; the majority that
-        # then adds the successor does not wait for its disk.
-        has_successor = any(
-            silence_ms(name) < RESPONSIVE_SILENCE_MS for name in join_request_by_name
-        )
-        is_of_wanted_size = len(members.address_by_name) == members.n_wanted
-        if is_lost and has_successor and is_of_wanted_size:
+    is_of_wanted_size = len(members.address_by_name) == members.n_wanted
+    for join_request in join_request_by_name.values():
+        if join_request.name in members or not is_caught_up(join_request.name):
+            continue
+        if is_lost and is_of_wanted_size and not join_request.is_addition:
+            # The majority that then adds the successor does not wait for its disk. Not
+            # before it has caught up: a sound voter may be silent for some seconds, and
+            # the others need it if one of them is lost before then.
             return members.without_voter(most_silent)
+        return members.with_voter(join_request)
+    if not members.has_surplus:
         return None
     if is_lost:
         return members.without_voter(most_silent)
--- a/packages/entry/src/almonddeal/control/tests/test_members.py
+++ b/packages/entry/src/almonddeal/control/tests/test_members.py
@@ -73,7 +73,7 @@
 
     # Guards against a lost voter that stays until its successor has stored its own
     # addition on a slow disk: two of four voters then run, if the next disk is lost.
-    def test_lost_voter_is_removed_while_its_successor_catches_up(self):
+    def test_lost_voter_is_removed_before_its_successor_is_added(self):
         request_by_name = {"w": JoinRequest("w", "d:1", False)}
         silence_ms_by_name = {
             "x": 0.0,
@@ -82,16 +82,35 @@
             "w": 0.0,
         }
         remaining = next_members(
-            three_voters(), request_by_name, lambda n: False, silence_ms_by_name.get
+            three_voters(), request_by_name, lambda n: True, silence_ms_by_name.get
         )
         assert sorted(remaining.address_by_name) == ["x", "z"]
+        members = next_members(
+            remaining, request_by_name, lambda n: True, silence_ms_by_name.get
+        )
+        assert sorted(members.address_by_name) == ["w", "x", "z"]
+        assert members.n_wanted == 3
+
+    # Guards against a group of two while the successor catches up, which may take long.
+    def test_silent_voter_stays_until_its_successor_has_caught_up(self):
+        request_by_name = {"w": JoinRequest("w", "d:1", False)}
+        silence_ms_by_name = {"x": 0.0, "y": 1e9, "z": 5.0, "w": 0.0}
         assert (
             next_members(
-                remaining, request_by_name, lambda n: False, silence_ms_by_name.get
+                three_voters(), request_by_name, lambda n: False, silence_ms_by_name.get
             )
             is None
         )
 
+    def test_silent_voter_stays_beside_an_addition(self):
+        request_by_name = {"w": JoinRequest("w", "d:1", True)}
+        silence_ms_by_name = {"x": 0.0, "y": 1e9, "z": 5.0, "w": 0.0}
+        members = next_members(
+            three_voters(), request_by_name, lambda n: True, silence_ms_by_name.get
+        )
+        assert sorted(members.address_by_name) == ["w", "x", "y", "z"]
+        assert members.n_wanted == 4
+
     def test_silent_voter_stays_beside_a_silent_successor(self):
         request_by_name = {"w": JoinRequest("w", "d:1", False)}
         silence_ms_by_name = {"x": 0.0, "y": 1e9, "z": 0.0, "w": 1e9}
