control: do not stand for election once removed

Cause: a member that won its pre-vote waits for its disk before it stands. If the write before it stores the removal of this member, it still stands, with the quorum of a group to which it does not belong, and counts its own vote: of three other voters, one elects it and the two others may elect another leader of the same term. No run has shown this with several members; the removal must reach it as a joining process in that moment.

Ruled out: a removal after its vote is stored, as it then refuses the lower term.

Change: a member checks that it is a voter when it holds the disk.

Before and after: test_it_does_not_count_its_own_vote fails, passes.

--- a/packages/entry/src/almonddeal/control/elections.py
+++ b/packages/entry/src/almonddeal/control/elections.py
@@ -161,8 +161,9 @@
         """Request the votes of a term; the other members store theirs beside ours."""
         async with create_task_group() as requests:
             async with self.disk_lock:
-                if self.term + 1 != term:
-                    # This member has voted since, or a leader was elected.
+                if self.term + 1 != term or self.name not in self.members:
+                    # This member has voted since, a leader was elected, or this member
+                    # has stored its removal, and its own vote does not count.
                     return
                 count = VoteCount(self.quorum)
                 self._request_votes(requests, count, term, is_pre_vote=False)
