common: raise the limit of heads on open connections, too

Cause: h11 takes the size limit of heads as a connection begins. After a configuration that raised max-header-bytes, and on connections from before the first one, a head between the old and the new limit that came in two parts was refused with 431, which callers do not repeat. Ruled out: the check of the application, which reads the limit in force. Change: the limit of an open connection follows a raise. One that is lowered holds for later connections, as before; the application checks it for all. Before: test_raised_limit_holds_for_open_connections failed, 431 in place of 200. After: 7 passed (.venv/bin/pytest -q packages/common/src/almonddeal_common/tests/test_limits.py).

--- a/packages/common/src/almonddeal_common/connections.py
+++ b/packages/common/src/almonddeal_common/connections.py
@@ -81,6 +81,14 @@
     )
 
 
+def _raise_head_limit(connection, max_bytes):
+    """Raise the size limit of the heads of an open HTTP/1 connection."""
+    # h11 has no other way to change it.
+    connection._max_incomplete_event_size = max(
+        connection._max_incomplete_event_size, max_bytes
+    )
+
+
 class _Connection(TCPServer):
     """A connection that is closed after what it has received.
 
@@ -187,7 +195,8 @@
     def _wrap_next_event(self):
         """Have the events of an HTTP/1 connection end with its last request.
 
-        Each request sets `REQUEST_TARGET` in the state.
+        Each request sets `REQUEST_TARGET` in the state. A limit of heads that is raised
+        holds for the connection, too; one that is lowered only for later ones.
         """
         protocol = self.protocol.protocol
         if not isinstance(protocol, H11Protocol):
@@ -199,6 +208,7 @@
                 # Another event would be an error, and end the response.
                 self.reader.discard()
                 return h11.NEED_DATA
+            _raise_head_limit(protocol.connection, self.config.h11_max_incomplete_size)
             event = next_event()
             if isinstance(event, h11.Request):
                 protocol.connection_state[REQUEST_TARGET] = event.target
--- a/packages/common/src/almonddeal_common/tests/test_limits.py
+++ b/packages/common/src/almonddeal_common/tests/test_limits.py
@@ -55,6 +55,33 @@
 
         anyio.run(main)
 
+    # Guards against a 431 on a kept connection, from before the limit was raised, for
+    # a head that the limit in force allows.
+    def test_raised_limit_holds_for_open_connections(self):
+        async def main():
+            stop = anyio.Event()
+            config = make_config(ADDRESS)
+            config.h11_max_incomplete_size = 1000
+            with anyio.fail_after(20):
+                async with anyio.create_task_group() as group:
+                    serve = partial(serve_http, config=config)
+                    group.start_soon(serve, echo, ADDRESS, stop)
+                    async with await connect() as kept:
+                        await kept.send(HEAD + b"body")
+                        await read_response(kept)
+                        config.h11_max_incomplete_size = 3000
+                        await kept.send(HEAD[:-2] + b"X: " + 2000 * b"a")
+                        await anyio.sleep(0.05)
+                        await kept.send(b"\r\n\r\nbody")
+                        served = await kept.receive()
+                        await kept.send(HEAD[:-2] + b"X: " + 4000 * b"a")
+                        refused = await read_all(kept)
+                    stop.set()
+            assert served.startswith(b"HTTP/1.1 200")
+            assert refused.startswith(b"HTTP/1.1 431")
+
+        anyio.run(main)
+
     # Guards against a refusal that is lost as the connection is reset.
     def test_refusal_of_a_much_longer_head_arrives(self):
         async def main():
