common: keep the target of a request that comes in HTTP/2

Cause: the target of the request line is passed on beside the scope since it may end in "?". The preface of an HTTP/2 connection, "PRI * HTTP/2.0", is such a line for h11, and its "*" stood for the paths of all requests that followed: their targets received "GET * HTTP/1.1". Ruled out: connections in HTTP/1, whose every request sets its own target. Change: the preface sets none; the path is then that of the scope. Before: TestHttp2::test_target_arrives_unchanged failed, "*" in place of "/a?b=c". After: 8 passed (.venv/bin/pytest -q platform/src/almonddeal_platform/tests/test_request_targets.py). Conclusion: only callers in HTTP/2 without an offer before it were concerned; the users' callers speak HTTP/1.1.

--- a/packages/common/src/almonddeal_common/connections.py
+++ b/packages/common/src/almonddeal_common/connections.py
@@ -211,7 +211,9 @@
             _raise_head_limit(protocol.connection, self.config.h11_max_incomplete_size)
             event = next_event()
             if isinstance(event, h11.Request):
-                protocol.connection_state[REQUEST_TARGET] = event.target
+                # The preface of HTTP/2 has none, and the state is that of its requests.
+                if event.http_version != b"2.0":
+                    protocol.connection_state[REQUEST_TARGET] = event.target
                 return _without_upgrade(event)
             return event
 
