relay: serve streams of engines whose cache size is not named

Cause: a configuration may leave out the KV cache size of a service, which then is 0. The choice of an engine and the Retry-After time of a refusal divided by it, so that a stream without token counts got a 500, which is not repeated as a refusal is, in place of the engine's answer or a 503. Ruled out: streams with token counts; they are refused as too large, with 503, before an engine is chosen. Change: both divide by one token at least. Nothing changes for other sizes. Before: both tests of TestUnknownCacheSize failed with ZeroDivisionError. After: 2 passed, 32 with test_admission and test_load (.venv/bin/pytest -q). Conclusion: a configuration without the size no longer fails requests.

--- a/packages/entry/src/almonddeal/relay/admission.py
+++ b/packages/entry/src/almonddeal/relay/admission.py
@@ -239,5 +239,5 @@
         demand.n_prompt_tokens * load_view.typical_prefill_ms_per_token / n_engines
     )
     n_usable_tokens = KV_CACHE_SHARE * traits.n_cache_tokens * n_engines
-    kv_cache_ms = load_view.mean_run_ms * demand.n_tokens / n_usable_tokens
+    kv_cache_ms = load_view.mean_run_ms * demand.n_tokens / max(1.0, n_usable_tokens)
     return max(prefill_ms, kv_cache_ms) * max(1, load_view.n_instances)
--- a/packages/entry/src/almonddeal/relay/choose.py
+++ b/packages/entry/src/almonddeal/relay/choose.py
@@ -106,7 +106,7 @@
             (load.n_unread_tokens + n_tokens)
             * load_view.prefill_ms_per_token(engine.announcement)
             + load.n_runs * RUN_COST_MS
-            + load.n_copy_tokens / traits.n_cache_tokens * RUN_COST_MS
+            + load.n_copy_tokens / max(1, traits.n_cache_tokens) * RUN_COST_MS
             + OTHER_DOMAIN_ENGINE_COST_MS * is_other_domain
             + JITTER_MS * random_value()
         )
