answers: hand over what is created or taken over late in a stop

Cause: a stop ends the generations that run at that moment. A caller that attached to an answer of another instance during the stop, or whose answer was still being created or taken over then, began a generation after it; the process ended 1 s later and cut the connection with neither an answer nor an error. Ruled out: attaching to answers that are owned here; they end in time, or with OWNERSHIP_LOST as before. Change: a stopping instance refuses to take answers over, with STOPPING, and one that begins after the hand-over ends at once with OWNERSHIP_LOST. Each answer handed over has a line in the log. Before: three tests of TestStop failed, without a response within 5 s. After: 94 passed (.venv/bin/pytest -q packages/entry/src/almonddeal/callers packages/entry/src/almonddeal/answers), and the 8 scenarios of features/stops.feature (.venv/bin/behave). Conclusion: a caller at a stopping instance is told to use another one.

--- a/packages/entry/src/almonddeal/answers/service.py
+++ b/packages/entry/src/almonddeal/answers/service.py
@@ -82,6 +82,7 @@
         self._task_by_key = {}
         self._lock_by_key = {}
         self.is_stopping = False
+        self._is_handed_over = False
 
     @property
     def n_generating(self):
@@ -191,15 +192,17 @@
         Raises
         ------
         AlmonddealError
-            `ANSWER_UNKNOWN`, `ANSWER_EVICTED` or `HOLDERS_UNREACHABLE`.
+            `ANSWER_UNKNOWN`, `ANSWER_EVICTED` or `HOLDERS_UNREACHABLE`; `STOPPING` in
+            a stop, unless the answer is owned here.
         """
         key = request_key(customer, request_id)
         async with self._lock_for(key):
             task = self._task_by_key.get(key)
             if task is not None and self._can_reuse(task):
                 return task.answer
-            copies = customer.resume.copies
-            answer = await self._ownership.take_over(key, copies)
+            if self.is_stopping:
+                raise AlmonddealError(STOPPING, "use another entry instance")
+            answer = await self._ownership.take_over(key, customer.resume.copies)
             self._start(key, _AnswerTask(answer, customer))
             return answer
 
@@ -248,7 +251,10 @@
     def _start(self, key, task):
         self._task_by_key[key] = task
         task.callers_changed_ms = monotonic_ms()
-        if not task.answer.finish_reason:
+        if self._is_handed_over and not task.answer.is_ended:
+            # Its holders replied after the stop had ended the generations.
+            self._hand_over(task.answer)
+        elif not task.answer.finish_reason:
             task.generation_scope = anyio.CancelScope()
             self._group.start_soon(self._generate, task, task.generation_scope)
 
@@ -257,7 +263,7 @@
             try:
                 await self._generator.generate(task.answer, task.customer)
             except Exception:
-                # A fault in one answer must not cancel the task group of all of them.
+                # It must not cancel the task group of all answers.
                 log.exception("generation of %r failed", task.answer)
                 task.answer.fail(AlmonddealError(INTERNAL, "see the log"))
         if task.generation_scope is generation_scope:
@@ -307,11 +313,17 @@
 
     def hand_over(self):
         """Stop generating all answers; callers reconnect to another instance."""
+        self._is_handed_over = True
         for task in self._task_by_key.values():
             if task.generation_scope is not None:
-                task.answer.fail(AlmonddealError(OWNERSHIP_LOST, "reconnect"))
+                self._hand_over(task.answer)
                 task.generation_scope.cancel()
 
+    @staticmethod
+    def _hand_over(answer):
+        log.info("handed over answer %s, the instance stops", answer.spec.request)
+        answer.fail(AlmonddealError(OWNERSHIP_LOST, "reconnect"))
+
     def count_caller(self, answer):
         """Return a context manager that counts a caller as waiting for an answer.
 
--- a/packages/entry/src/almonddeal/callers/tests/test_answers.py
+++ b/packages/entry/src/almonddeal/callers/tests/test_answers.py
@@ -6,6 +6,7 @@
 import time
 
 import anyio
+import httpx
 import pytest
 from starlette.requests import ClientDisconnect
 
@@ -122,6 +123,14 @@
     await app(scope, receive, send)
 
 
+async def get(instance, path):
+    """Return the response to a request for an answer."""
+    transport = httpx.ASGITransport(CallerInterface(instance).make_app())
+    async with httpx.AsyncClient(transport=transport) as client:
+        headers = {"authorization": f"Bearer {API_KEY}"}
+        return await client.get(f"http://entry{path}", headers=headers, timeout=5.0)
+
+
 class TestCallerCount:
     """Pattern: callers of a customer without grace, on a busy instance."""
 
@@ -203,6 +212,65 @@
         run_with_instance(test, delay_s=0.2)
 
 
+class TestStop:
+    # Guards against an answer that is taken over late in a stop: its caller is cut as
+    # the process ends.
+    @pytest.mark.parametrize("path", ["/v1/answers/r1", "/v1/answers/r1?stream=false"])
+    def test_attach_to_an_answer_of_another_instance_is_refused(self, path):
+        async def test(instance):
+            customer = instance.document.customer_by_name["kite"]
+            request = AnswerRequest("draft", "x", {}, 2, "r1")
+            await instance.answers.create_or_attach(customer, request)
+            instance.answers.hand_over()
+            instance.answers.is_stopping = True
+            response = await get(instance, path)
+            assert response.status_code == 503
+            assert response.json()["error"]["name"] == "STOPPING"
+
+        run_with_instance(test, delay_s=60.0)
+
+    # Guards against the same cut of an answer whose holders take long to reply.
+    def test_answer_that_is_created_as_the_stop_ends_others_is_handed_over(self):
+        async def test(instance):
+            create = instance.answers._ownership.create
+            sent = []
+
+            async def create_slowly(*args):
+                await anyio.sleep(0.2)
+                return await create(*args)
+
+            async def send(message):
+                sent.append(message)
+
+            instance.answers._ownership.create = create_slowly
+            app = CallerInterface(instance).make_app()
+            with anyio.fail_after(5):
+                async with anyio.create_task_group() as requests:
+                    requests.start_soon(request_stream, app, send)
+                    await anyio.sleep(0.05)
+                    instance.answers.hand_over()
+            assert sent[0]["status"] == 409
+            assert b"OWNERSHIP_LOST" in sent[1]["body"]
+
+        run_with_instance(test, delay_s=60.0)
+
+    def test_ended_answer_of_this_instance_is_served(self):
+        async def test(instance):
+            customer = instance.document.customer_by_name["kite"]
+            request = AnswerRequest("draft", "x", {}, 2, "r1")
+            answer = await instance.answers.create_or_attach(customer, request)
+            with instance.answers.count_caller(answer):
+                while not answer.is_ended:
+                    await anyio.sleep(0.02)
+            instance.answers.is_stopping = True
+            instance.answers.hand_over()
+            response = await get(instance, "/v1/answers/r1?stream=false")
+            assert response.status_code == 200
+            assert response.json()["choices"][0]["text"] == "ab"
+
+        run_with_instance(test, delay_s=0.1)
+
+
 class TestErrorResponses:
     def test_caller_that_disconnects_is_no_failure(self, caplog):
         async def endpoint(request):
--- a/packages/entry/src/almonddeal/relay/tests/test_unknown_cache_sizes.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_unknown_cache_sizes.py
@@ -1,6 +1,5 @@
 """Tests of engines whose cache size the configuration does not name."""
 
-
 from almonddeal.relay.gateway import serve_request
 from almonddeal.relay.tests.fakes import (
     FakeFleet,
