common: log malformed requests that the server itself refuses

Cause: what h11 refuses (400, 431, 501) reached no application, and its close counts as one behind a response, so that it often had no line in any log. Change: one line "malformed request" with the client, the status and the first 200 characters of the reason; it ends the connection, which bounds it. Before: the five cases of TestMalformedRequests failed, without a line. Conclusion: a refusal by the server itself can be found by its client.

--- a/packages/common/src/almonddeal_common/closes.py
+++ b/packages/common/src/almonddeal_common/closes.py
@@ -24,6 +24,8 @@
 RESPONSE_NOT_STARTED = "response not started"
 RESPONSE_INCOMPLETE = "response incomplete"
 
+MAX_DETAIL_CHARS = 200  # of an error, which may quote what the client sent
+
 log = get_logger("http")
 n_closed = Counter(
     "almonddeal_http_connections_closed_total",
@@ -66,8 +68,30 @@
     decide(
         log,
         "connection closed",
-        client=f"{peer[0]}:{peer[1]}" if peer else None,
+        client=_describe(peer),
         cause=cause,
         last_request=progress,
         open_ms=round(1000 * open_s),
     )
+
+
+def record_malformed(peer, error):
+    """Log a request that breaks the protocol or a limit; it ends its connection.
+
+    Parameters
+    ----------
+    peer : tuple or None
+        Address of the client.
+    error : h11.RemoteProtocolError
+    """
+    decide(
+        log,
+        "malformed request",
+        client=_describe(peer),
+        status=error.error_status_hint,
+        detail=str(error)[:MAX_DETAIL_CHARS],
+    )
+
+
+def _describe(peer):
+    return f"{peer[0]}:{peer[1]}" if peer else None
--- a/packages/common/src/almonddeal_common/connections.py
+++ b/packages/common/src/almonddeal_common/connections.py
@@ -33,6 +33,7 @@
     RESPONSE,
     STOP,
     record_close,
+    record_malformed,
     request_progress,
 )
 from almonddeal_common.head_limits import HeadLimitedReader
@@ -209,7 +210,11 @@
                 self.reader.discard()
                 return h11.NEED_DATA
             _raise_head_limit(protocol.connection, self.config.h11_max_incomplete_size)
-            event = next_event()
+            try:
+                event = next_event()
+            except h11.RemoteProtocolError as error:
+                record_malformed(self.writer.get_extra_info("peername"), error)
+                raise
             if isinstance(event, h11.Request):
                 # The preface of HTTP/2 has none, and the state is that of its requests.
                 if event.http_version != b"2.0":
--- a/packages/common/src/almonddeal_common/tests/test_close_records.py
+++ b/packages/common/src/almonddeal_common/tests/test_close_records.py
@@ -3,6 +3,7 @@
 import logging
 
 import anyio
+import pytest
 
 from almonddeal_common.tests.closing import (
     ADDRESS,
@@ -92,3 +93,37 @@
             client.close()
 
         assert self.close(caplog, test) == []
+
+
+class TestMalformedRequests:
+    """Tests of the log line of a request that is refused before any application."""
+
+    # Guards against a refusal without a line in the log.
+    @pytest.mark.parametrize(
+        ("request_bytes", "status"),
+        [
+            (b"GET / HTTP/1.1\r\n\r\n", 400),
+            (b"GET /\xff HTTP/1.1\r\nHost: a\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\nHost: a\r\nX: " + 70_000 * b"a", 431),
+            (REQUEST[:-2] + b"Transfer-Encoding: gzip\r\n\r\n", 501),
+            (REQUEST[:-2] + b"Transfer-Encoding: chunked\r\n\r\nx\r\n", 400),
+        ],
+    )
+    def test_refusal_is_logged_once(self, request_bytes, status, caplog):
+        async def main():
+            stop = anyio.Event()
+            async with serve(RecordingApp(), stop):
+                client = Client()
+                client.send(request_bytes)
+                received = await client.read()
+                client.close()
+            return received
+
+        with caplog.at_level(logging.INFO, "almonddeal.http"):
+            received = anyio.run(main)
+        lines = [r for r in caplog.records if r.getMessage() == "malformed request"]
+        [facts] = [line.facts for line in lines]
+        assert received.startswith(b"HTTP/1.1 %d" % status)
+        assert facts["status"] == status
+        assert facts["client"].startswith(ADDRESS.host)
+        assert len(facts["detail"]) <= 200
