relay: do not call a complete stream truncated at its deadline

Cause: behind the end of a response its KV cache copy is freed, which may take 0.25 s. A deadline in that time ended the wait, and "truncated a stream at its deadline" was logged for a response that was complete. Change: the line is for responses that have not ended. Before: test_deadline_behind_the_end_does_not_truncate failed, with the line. After: 166 passed (.venv/bin/pytest -q packages/entry/src/almonddeal/relay/tests/test_streams.py). Conclusion: the line names truncated responses only; callers got the same.

--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -65,6 +65,9 @@
         with anyio.move_on_after(max(0.0, admitted.left_ms) / 1000):
             await _serve(stream, context)
             return
+        if stream.is_ended:
+            # The deadline met the work behind the response, such as to free a copy.
+            return
         if not stream.is_started:
             raise AlmonddealError(DEADLINE, "no event came in time")
         decide(log, "truncated a stream at its deadline", request=stream.request_id)
--- a/packages/entry/src/almonddeal/relay/tests/test_streams.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_streams.py
@@ -3,9 +3,12 @@
 Most cases lose the engines of a failure domain in the middle of a response.
 """
 
+import logging
+
 import anyio
 import pytest
 
+from almonddeal.relay import attempts
 from almonddeal.relay.streams import relay_stream
 from almonddeal.relay.tests.fakes import (
     FakeFleet,
@@ -132,6 +135,19 @@
         assert not writer.is_complete
         assert writer.event_ids == list(range(1, 8))
 
+    # Guards against a line that says of a complete response that it was truncated.
+    def test_deadline_behind_the_end_does_not_truncate(self, monkeypatch, caplog):
+        async def free_slowly(stream, context, announcement):
+            await anyio.sleep(5.0)
+
+        monkeypatch.setattr(attempts, "free_copy", free_slowly)
+        fleet = FakeFleet({"i-1": streams(1, LAST)})
+        with caplog.at_level(logging.INFO, "almonddeal.relay"):
+            writer = relay(fleet, admit_stream(timeout_ms=300.0))
+        assert is_complete_response(writer)
+        messages = [record.getMessage() for record in caplog.records]
+        assert "truncated a stream at its deadline" not in messages
+
     def test_started_stream_is_truncated_at_its_deadline(self):
         fleet = FakeFleet({"i-1": streams(1, 1000, gap_s=0.02)})
         writer = relay(fleet, admit_stream(timeout_ms=300.0))
