roles: keep an entry instance running when its maintenance fails

Cause: maintenance, once a second, runs in the task group of the instance. A fault in it ended the group: the listener closed at once, outside of a stop, without a line until the process ended. None is known to have happened. Change: a fault is logged with its trace, and the next round follows, as for the parts of an update and for subscriptions. Before: TestMaintenance failed, the error left the loop. After: 29 passed (.venv/bin/pytest -q packages/entry/src/almonddeal/roles/tests/test_entry.py). Conclusion: one way less in which callers lose an instance.

--- a/packages/entry/src/almonddeal/roles/entry.py
+++ b/packages/entry/src/almonddeal/roles/entry.py
@@ -349,15 +349,22 @@
     async def _maintain_periodically(self):
         while True:
             await anyio.sleep(MAINTENANCE_INTERVAL_S)
-            self._relay_context.load_view.evict_stale()
-            self._relay_context.quarantine.evict_stale()
-            self._relay_context.named_limits.refresh()
-            self._relay_context.hold_offs.evict_stale()
-            self._relay_context.targets.leaving_reports.evict_stale()
-            self._relay_context.stream_origins.evict_stale()
-            self._own_state.states.evict_stale()
-            self._own_state.repeat_if_due()
-            self._relay_context.update_metrics()
-            if not self._follower.follows_fresh_instance:
-                # The control addresses in the file may have changed without a SIGHUP.
-                reload_settings(self.settings, self._load_settings)
+            try:
+                self._maintain()
+            except Exception:
+                # The process has requests to serve.
+                log.exception("maintenance failed")
+
+    def _maintain(self):
+        self._relay_context.load_view.evict_stale()
+        self._relay_context.quarantine.evict_stale()
+        self._relay_context.named_limits.refresh()
+        self._relay_context.hold_offs.evict_stale()
+        self._relay_context.targets.leaving_reports.evict_stale()
+        self._relay_context.stream_origins.evict_stale()
+        self._own_state.states.evict_stale()
+        self._own_state.repeat_if_due()
+        self._relay_context.update_metrics()
+        if not self._follower.follows_fresh_instance:
+            # The control addresses in the file may have changed without a SIGHUP.
+            reload_settings(self.settings, self._load_settings)
--- a/packages/entry/src/almonddeal/roles/tests/test_entry.py
+++ b/packages/entry/src/almonddeal/roles/tests/test_entry.py
@@ -1,5 +1,6 @@
 """Tests of the updates that an entry instance applies."""
 
+import anyio
 import pytest
 
 from almonddeal.publication.state import compress_content
@@ -12,6 +13,7 @@
 from almonddeal_common.address import Address
 from almonddeal_common.clock import wall_ms
 from almonddeal_common.codes import DOCUMENT_INVALID, AlmonddealError
+from almonddeal_common.virtual_time import run_in_virtual_time
 from almonddeal_common.wire.gen.ttypes import (
     AnnouncedTarget,
     FollowUpdate,
@@ -180,3 +182,25 @@
         update.content = b"\x00\xff"
         role._apply_update(update)
         assert role.table.version == 7
+
+
+class TestMaintenance:
+    # Guards against a fault in it that ends the process, with its requests.
+    def test_fault_is_logged_and_the_next_round_follows(
+        self, role, monkeypatch, caplog
+    ):
+        rounds = []
+
+        def fail():
+            rounds.append(None)
+            raise OverflowError("x")
+
+        async def main():
+            with anyio.move_on_after(3.5):
+                await role._maintain_periodically()
+
+        monkeypatch.setattr(role._relay_context, "update_metrics", fail)
+        run_in_virtual_time(main)
+        assert len(rounds) == 3
+        lines = [r for r in caplog.records if r.getMessage() == "maintenance failed"]
+        assert len(lines) == 3
