common: ignore empty lines before a request line

Cause: some clients send an empty line behind a body, and RFC 9112 has servers ignore it before a request line. h11 takes it for a malformed request: the server sent a 400 that no request waited for and closed the connection, and the client's next request met that response or the close. Change: they are dropped while a connection waits for a request, also where they come in two parts. The time for a head counts from the first of them. Before: the five tests of TestEmptyLines failed, with 400. Conclusion: a kept connection survives an empty line.

--- a/packages/common/src/almonddeal_common/connections.py
+++ b/packages/common/src/almonddeal_common/connections.py
@@ -45,6 +45,7 @@
 CANCEL_TIMEOUT_S = 0.5  # for cancelled connections to close
 DISCARD_TIMEOUT_S = 1.0  # for clients to read a response before the connection closes
 FIRST_REQUEST_TIMEOUT_S = 0.3  # after a stop, for connections that were just accepted
+EMPTY_LINE = b"\r\n"
 READ_POLL_INTERVAL_S = 0.01
 MAX_READ_POLLS = 100  # for a request to be read of which bytes were received
 
@@ -90,6 +91,22 @@
     )
 
 
+def _skip_empty_lines(connection):
+    """Drop empty lines before a request line, which some clients send behind a body.
+
+    Returns whether a part of one is left, of which the rest may follow.
+    """
+    if connection.their_state is not h11.IDLE:
+        return False
+    data, is_closed = connection.trailing_data
+    n_bytes = 0
+    while data.startswith(EMPTY_LINE, n_bytes):
+        n_bytes += len(EMPTY_LINE)
+    if n_bytes:
+        connection._receive_buffer.maybe_extract_at_most(n_bytes)
+    return data[n_bytes:] == EMPTY_LINE[:1] and not is_closed
+
+
 class _Connection(TCPServer):
     """A connection that is closed after what it has received.
 
@@ -210,6 +227,8 @@
                 self.reader.discard()
                 return h11.NEED_DATA
             _raise_head_limit(protocol.connection, self.config.h11_max_incomplete_size)
+            if _skip_empty_lines(protocol.connection):
+                return h11.NEED_DATA
             try:
                 event = next_event()
             except h11.RemoteProtocolError as error:
--- a/packages/common/src/almonddeal_common/tests/test_further_requests.py
+++ b/packages/common/src/almonddeal_common/tests/test_further_requests.py
@@ -172,3 +172,57 @@
 
         told = anyio.Event()
         anyio.run(main)
+
+
+class TestEmptyLines:
+    """Pattern: empty lines before a request line, as RFC 9112 has servers ignore."""
+
+    @staticmethod
+    def exchange(sends):
+        """Send bytes one after the other; returns what came back, and the app."""
+
+        async def main():
+            stop, app = anyio.Event(), RecordingApp()
+            async with serve(app, stop):
+                client = Client()
+                for data in sends:
+                    client.send(data)
+                    await anyio.sleep(0.02)
+                received = await client.read(len(sends))
+                client.close()
+            return received, app.n_requests
+
+        return anyio.run(main)
+
+    # Guards against a 400 that no request waits for, and the close behind it that ends
+    # the next request without an answer.
+    @pytest.mark.parametrize(
+        "sends",
+        [
+            (REQUEST + b"\r\n", REQUEST),
+            (REQUEST, b"\r\n" + REQUEST),
+            (b"\r\n" + REQUEST, b"\r\n\r\n" + REQUEST),
+            (REQUEST + b"\r", b"\n" + REQUEST),
+        ],
+    )
+    def test_requests_between_them_are_answered(self, sends):
+        received, n_requests = self.exchange(sends)
+        assert received.count(b"HTTP/1.1 200") == 2
+        assert b"HTTP/1.1 400" not in received
+        assert n_requests == 2
+
+    # Guards against a connection that lives by them.
+    def test_they_do_not_extend_the_time_for_a_head(self):
+        async def main():
+            stop = anyio.Event()
+            async with serve(RecordingApp(), stop, head_timeout=0.3):
+                client = Client()
+                for _ in range(8):
+                    client.send(b"\r\n")
+                    await anyio.sleep(0.1)
+                with anyio.fail_after(1):
+                    received = await client.read()
+                client.close()
+            return received
+
+        assert anyio.run(main) == b""
