orders: answer an order that the stop cuts as of unknown outcome

Cause: the end of the process cancels the task of an order while its caller still waits. The wait then ended with no error and no reply, and the caller got 500 INTERNAL, a fault of our own with a trace, although the order may have run. Ruled out: lookups; they run in the task of their caller and end with SERVICE_FAILED as the link to the agent closes (by reading). Change: ORDER_OUTCOME_UNKNOWN, and a line in the log. Before: test_order_that_is_cut_has_an_unknown_outcome failed, no error was raised. After: 7 passed (.venv/bin/pytest -q packages/entry/src/almonddeal/orders). Conclusion: the caller is told to ask the service's own records.

--- a/packages/entry/src/almonddeal/orders/runner.py
+++ b/packages/entry/src/almonddeal/orders/runner.py
@@ -113,6 +113,9 @@
         await execution.done.wait()
         if execution.error is not None:
             raise execution.error
+        if execution.reply is None:
+            log.info("order %s was cut by the stop", order[:8])
+            raise AlmonddealError(ORDER_OUTCOME_UNKNOWN, "the instance stopped first")
         return execution.reply
 
     async def _run_to_completion(self, service, call, execution):
