common: tell faults in a connection from clients that left

Cause: an error in the tasks of a connection, which closes it with no answer, was recorded as a close by the client, and its trace came from asyncio at some later time. The same trace came for a client that the network had lost as its connection was being closed. Change: the first has the cause "fault" and a trace at once; the second is a client that left, without a trace. A third test shows that a client that ends only its sending counts as one that left, as before. Conclusion: each close of a connection by us has a line with its cause.

--- a/packages/common/src/almonddeal_common/closes.py
+++ b/packages/common/src/almonddeal_common/closes.py
@@ -12,6 +12,7 @@
 # Causes of a close.
 CLOSED_BY_CLIENT = "client"
 CUT = "cut"  # the server stops, and does not wait any longer
+FAULT = "fault"  # of our own, in a task of the connection
 HEAD_TIMEOUT = "head timeout"
 IDLE_TIMEOUT = "idle timeout"
 # The last one, one that breaks off, or one to a malformed request.
--- a/packages/common/src/almonddeal_common/connections.py
+++ b/packages/common/src/almonddeal_common/connections.py
@@ -27,6 +27,7 @@
 from almonddeal_common.closes import (
     CLOSED_BY_CLIENT,
     CUT,
+    FAULT,
     HEAD_TIMEOUT,
     IDLE_TIMEOUT,
     NO_REQUEST,
@@ -37,6 +38,7 @@
     request_progress,
 )
 from almonddeal_common.head_limits import HeadLimitedReader
+from almonddeal_common.logs import get_logger
 
 # In the state of an ASGI scope: tells whether the client has sent a further request.
 HAS_FURTHER_REQUEST = "has_further_request"
@@ -49,6 +51,8 @@
 READ_POLL_INTERVAL_S = 0.01
 MAX_READ_POLLS = 100  # for a request to be read of which bytes were received
 
+log = get_logger("http")
+
 
 class _ConnectionStop:
     """The stop of the server for one connection: after the requests it has received."""
@@ -145,6 +149,12 @@
         except asyncio.CancelledError:
             self._close_cause = CUT
             raise
+        except OSError:
+            # The network lost the client while the connection was being closed.
+            self._close_cause = CLOSED_BY_CLIENT
+        except Exception:
+            self._close_cause = FAULT
+            log.exception("fault in a connection")
         finally:
             self._record_close()
 
--- a/packages/common/src/almonddeal_common/tests/test_close_records.py
+++ b/packages/common/src/almonddeal_common/tests/test_close_records.py
@@ -1,9 +1,11 @@
 """Tests of the log lines that tell why connections were closed."""
 
+import asyncio
 import logging
 
 import anyio
 import pytest
+from hypercorn.protocol.h11 import H11Protocol
 
 from almonddeal_common.tests.closing import (
     ADDRESS,
@@ -94,6 +96,36 @@
 
         assert self.close(caplog, test) == []
 
+    # Guards against a fault of our own that is logged as a client that left.
+    def test_fault_in_a_task_of_the_connection(self, caplog, monkeypatch):
+        async def fail(protocol, event):
+            raise ValueError("x")
+
+        async def test(client, stop):
+            client.send(REQUEST)
+            await client.read()
+
+        monkeypatch.setattr(H11Protocol, "_create_stream", fail)
+        [facts] = self.close(caplog, test)
+        assert facts["cause"] == "fault"
+        assert facts["last_request"] == "request incomplete"
+        lines = [r.getMessage() for r in caplog.records if r.levelname == "ERROR"]
+        assert lines == ["fault in a connection"]
+
+    # Guards against an error line for a client that the network lost.
+    def test_client_that_is_lost_at_the_close(self, caplog, monkeypatch):
+        async def fail(writer):
+            raise TimeoutError(110, "Connection timed out")
+
+        async def test(client, stop):
+            client.send(REQUEST)
+            await client.read()
+            await anyio.sleep(3 * IDLE_TIMEOUT_S)
+
+        monkeypatch.setattr(asyncio.StreamWriter, "wait_closed", fail)
+        assert self.close(caplog, test, keep_alive_timeout=IDLE_TIMEOUT_S) == []
+        assert [r for r in caplog.records if r.levelname == "ERROR"] == []
+
 
 class TestMalformedRequests:
     """Tests of the log line of a request that is refused before any application."""
--- a/packages/common/src/almonddeal_common/tests/test_connections.py
+++ b/packages/common/src/almonddeal_common/tests/test_connections.py
@@ -191,6 +191,31 @@
 
         run_with_connection(test)
 
+    # Guards against work for a client that has left: no server can tell that from one
+    # that ends only its sending.
+    def test_end_of_sending_counts_as_a_disconnect(self):
+        told = []
+
+        async def app(scope, receive, send):
+            while (message := await receive())["type"] != "http.disconnect":
+                pass
+            told.append(message["type"])
+
+        async def main():
+            stop = anyio.Event()
+            with anyio.fail_after(20):
+                async with anyio.create_task_group() as group:
+                    group.start_soon(serve_http, app, ADDRESS, stop)
+                    async with await connect() as connection:
+                        await connection.send(HEAD + b"body")
+                        await connection.send_eof()
+                        received = await read_all(connection)
+                    stop.set()
+            assert received == b""
+            assert told == ["http.disconnect"]
+
+        anyio.run(main)
+
 
 class TestOfferedProtocols:
     # Guards against bytes of another protocol, or an error, in place of the answer.
