callers: log the errors that callers of our own interface receive

Cause: a refusal or failure that became a response had no line, except where its cause was logged elsewhere. Change: one line "request failed" with path, code, detail and Retry-After, bounded in length. Two more tests show what had none: a fault of our own, and one in a generation, are answered with 500 INTERNAL; nothing is changed. Conclusion: each error response of the interface has a line.

--- a/packages/entry/src/almonddeal/callers/errors.py
+++ b/packages/entry/src/almonddeal/callers/errors.py
@@ -6,8 +6,10 @@
 from starlette.responses import JSONResponse, Response
 
 from almonddeal_common.codes import INTERNAL, AlmonddealError
-from almonddeal_common.logs import get_logger
+from almonddeal_common.logs import decide, get_logger
 
+MAX_LOGGED_DETAIL_CHARS = 200
+MAX_LOGGED_PATH_CHARS = 200
 CLIENT_CLOSED_REQUEST = 499  # nobody receives this response
 
 log = get_logger("callers")
@@ -37,6 +39,14 @@
         try:
             return await endpoint(request)
         except AlmonddealError as error:
+            decide(
+                log,
+                "request failed",
+                path=request.url.path[:MAX_LOGGED_PATH_CHARS],
+                code=error.code.name,
+                detail=error.detail[:MAX_LOGGED_DETAIL_CHARS],
+                after_ms=error.retry_after_ms,
+            )
             return error_response(error)
         except ClientDisconnect:
             log.info("caller of %s disconnected before the response", request.url.path)
--- a/packages/entry/src/almonddeal/callers/tests/test_answers.py
+++ b/packages/entry/src/almonddeal/callers/tests/test_answers.py
@@ -283,3 +283,49 @@
             response = anyio.run(with_error_responses(endpoint), Request)
         assert response.status_code == 499
         assert [r for r in caplog.records if r.levelno >= logging.WARNING] == []
+
+    # Guards against refusals without a line in the log, or with one as long as what
+    # the caller sent.
+    def test_error_is_logged(self, caplog):
+        async def test(instance):
+            response = await get(instance, "/v1/answers/" + 1000 * "x")
+            assert response.status_code == 400
+
+        with caplog.at_level(logging.INFO, logger="almonddeal.callers"):
+            run_with_instance(test, delay_s=0.1)
+        [facts] = [
+            r.facts for r in caplog.records if r.getMessage() == "request failed"
+        ]
+        assert facts["code"] == "BAD_REQUEST"
+        assert len(facts["path"]) == 200
+
+    # Guards against a fault of our own that closes the connection without an answer.
+    def test_fault_is_answered(self, caplog):
+        async def test(instance):
+            instance.answers.attach = None
+            response = await get(instance, "/v1/answers/r1")
+            assert response.status_code == 500
+            assert response.json()["error"]["name"] == "INTERNAL"
+
+        run_with_instance(test, delay_s=0.1)
+        assert [r for r in caplog.records if r.exc_info]
+
+    # Guards against a caller that waits for a generation that has ended in a fault.
+    def test_fault_of_a_generation_is_answered(self, caplog):
+        async def test(instance):
+            async def fail(answer, customer):
+                raise ValueError("x")
+
+            instance.generator.generate = fail
+            sent = []
+
+            async def send(message):
+                sent.append(message)
+
+            with anyio.fail_after(5):
+                await request_stream(CallerInterface(instance).make_app(), send)
+            assert sent[0]["status"] == 500
+            assert b"INTERNAL" in sent[1]["body"]
+
+        run_with_instance(test, delay_s=0.1)
+        assert [r for r in caplog.records if r.exc_info]
