callers: log streams that end with an error event

Cause: a stream of our own interface that ended with an error event, such as OWNERSHIP_LOST in a stop, had no line with the reason. Change: "stream ended with an error event" with the answer, the code, the detail and the tokens so far. Before: test_stream_that_is_handed_over_ends_with_an_event failed, without the line. After: 17 passed (.venv/bin/pytest -q packages/entry/src/almonddeal/callers). Conclusion: each end of a stream has a line.

--- a/packages/entry/src/almonddeal/callers/streams.py
+++ b/packages/entry/src/almonddeal/callers/streams.py
@@ -6,11 +6,14 @@
 from almonddeal.callers.events import CompletionFormatter
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import CODE_BY_NUMBER, DEADLINE, AlmonddealError
+from almonddeal_common.logs import decide, get_logger
 
 KEEP_ALIVE_INTERVAL_MS = 10_000.0
 KEEP_ALIVE_COMMENT = ": waiting\n\n"
 STREAM_HEADERS = {"cache-control": "no-cache", "x-accel-buffering": "no"}
 
+log = get_logger("callers")
+
 
 def end_error(answer):
     """Return the error with which an ended answer finished, or None."""
@@ -170,19 +173,32 @@
             yield _final_events(answer, formatter)
             return
         elif answer.error is not None:
-            yield error_event(answer.error)
+            yield _end_with_error(answer, answer.error)
             return
         else:
             try:
                 await waiter.wait_progress()
             except AlmonddealError as error:
-                yield error_event(error)
+                yield _end_with_error(answer, error)
                 return
             if monotonic_ms() - sent_ms > KEEP_ALIVE_INTERVAL_MS:
                 sent_ms = monotonic_ms()
                 yield KEEP_ALIVE_COMMENT
 
 
+def _end_with_error(answer, error):
+    """Return the event for an error that ends a stream, and log it."""
+    decide(
+        log,
+        "stream ended with an error event",
+        request=answer.spec.request,
+        code=error.code.name,
+        detail=error.detail,
+        n_tokens=len(answer.tokens),
+    )
+    return error_event(error)
+
+
 def _token_events(answer, formatter, n_seen, n_ready):
     texts = answer.texts[n_seen:n_ready]
     assert len(texts) == n_ready - n_seen, "a committed token is missing"
@@ -195,5 +211,5 @@
 def _final_events(answer, formatter):
     error = end_error(answer)
     if error is not None:
-        return error_event(error)
+        return _end_with_error(answer, error)
     return formatter.end_event(len(answer.tokens), answer.finish_reason)
--- a/packages/entry/src/almonddeal/callers/tests/test_answers.py
+++ b/packages/entry/src/almonddeal/callers/tests/test_answers.py
@@ -254,6 +254,36 @@
 
         run_with_instance(test, delay_s=60.0)
 
+    # Guards against a stream that ends with an error and without a line in the log.
+    def test_stream_that_is_handed_over_ends_with_an_event(self, caplog):
+        async def test(instance):
+            sent = []
+
+            async def send(message):
+                sent.append(message)
+
+            app = CallerInterface(instance).make_app()
+            with anyio.fail_after(5):
+                async with anyio.create_task_group() as requests:
+                    requests.start_soon(request_stream, app, send)
+                    while len(sent) < 2:
+                        await anyio.sleep(0.01)
+                    instance.answers.hand_over()
+            body = b"".join(message.get("body", b"") for message in sent)
+            assert sent[0]["status"] == 200
+            assert b"event: error" in body
+            assert b"[DONE]" not in body
+
+        with caplog.at_level(logging.INFO, logger="almonddeal.callers"):
+            run_with_instance(test, delay_s=60.0)
+        [facts] = [
+            r.facts
+            for r in caplog.records
+            if r.getMessage() == "stream ended with an error event"
+        ]
+        assert facts["code"] == "OWNERSHIP_LOST"
+        assert facts["n_tokens"] == 1
+
     def test_ended_answer_of_this_instance_is_served(self):
         async def test(instance):
             customer = instance.document.customer_by_name["kite"]
