relay: test a fault in a question to a doubtful target

It had no test: the fault is logged, ends nothing, and the next target is asked. Nothing is changed. Conclusion: such a fault ends no instance.

--- a/packages/entry/src/almonddeal/relay/tests/test_changing_targets.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_changing_targets.py
@@ -3,11 +3,16 @@
 Engines and versions are those of `test_software_versions`.
 """
 
+from types import SimpleNamespace
+
 import anyio
 import pytest
 
 from almonddeal.announced.announcement import DEREGISTERED, DRAINING
+from almonddeal.relay.incarnations import check_doubtful_targets
 from almonddeal.relay.tests.fakes import (
+    FakeFleet,
+    hangs,
     make_event,
     make_run,
     refuses,
@@ -22,6 +27,7 @@
     then_lost,
 )
 from almonddeal_common.clock import monotonic_ms
+from almonddeal_common.virtual_time import run_in_virtual_time
 
 
 def make_fleet_without_copy(change_i_4):
@@ -176,3 +182,33 @@
         assert not writer.is_complete
         assert fleet.tried.count("i-3") <= 12
         assert took_ms > 1000
+
+
+class TestFaultyChecks:
+    # Guards against a fault in a question to one target that ends the instance.
+    def test_fault_is_logged_and_the_next_target_is_asked(self, caplog):
+        table = FakeFleet({"i-1": hangs, "i-2": hangs}).target_table
+        first, second = table.target_by_id.values()
+        rounds = [[first, second]]
+
+        async def next_doubtful():
+            if not rounds:
+                await anyio.sleep_forever()
+            return rounds.pop()
+
+        async def responds(announcement):
+            if announcement.target == "i-1":
+                raise RuntimeError("a fault")
+            return True
+
+        async def main():
+            first.unproven_until_ms = second.unproven_until_ms = monotonic_ms() + 5000
+            targets = SimpleNamespace(next_doubtful=next_doubtful)
+            context = SimpleNamespace(targets=targets, responds=responds)
+            with anyio.move_on_after(1.0):
+                await check_doubtful_targets(context)
+
+        run_in_virtual_time(main)
+        assert second.unproven_until_ms == 0.0
+        messages = [record.getMessage() for record in caplog.records]
+        assert messages.count("could not ask target i-1") == 1
