--- a/packages/common/src/almonddeal_common/connections.py
+++ b/packages/common/src/almonddeal_common/connections.py
@@ -27,15 +27,18 @@
 from almonddeal_common.closes import (
     CLOSED_BY_CLIENT,
     CUT,
+    FAULT,
     HEAD_TIMEOUT,
     IDLE_TIMEOUT,
     NO_REQUEST,
     RESPONSE,
     STOP,
     record_close,
+    record_malformed,
     request_progress,
 )
 from almonddeal_common.head_limits import HeadLimitedReader
+from almonddeal_common.logs import get_logger
 
 # In the state of an ASGI scope: tells whether the client has sent a further request.
 HAS_FURTHER_REQUEST = "has_further_request"
@@ -44,9 +47,12 @@
 CANCEL_TIMEOUT_S = 0.5  # for cancelled connections to close
 DISCARD_TIMEOUT_S = 1.0  # for clients to read a response before the connection closes
 FIRST_REQUEST_TIMEOUT_S = 0.3  # after a stop, for connections that were just accepted
+EMPTY_LINE = b"\r\n"
 READ_POLL_INTERVAL_S = 0.01
 MAX_READ_POLLS = 100  # for a request to be read of which bytes were received
 
+log = get_logger("http")
+
 
 class _ConnectionStop:
     """The stop of the server for one connection: after the requests it has received."""
@@ -81,6 +87,30 @@
     )
 
 
+def _raise_head_limit(connection, max_bytes):
+    """Raise the size limit of the heads of an open HTTP/1 connection."""
+    # h11 has no other way to change it.
+    connection._max_incomplete_event_size = max(
+        connection._max_incomplete_event_size, max_bytes
+    )
+
+
+def _skip_empty_lines(connection):
+    """Drop empty lines before a request line, which some clients send behind a body.
+
+    Returns whether a part of one is left, of which the rest may follow.
+    """
+    if connection.their_state is not h11.IDLE:
+        return False
+    data, is_closed = connection.trailing_data
+    n_bytes = 0
+    while data.startswith(EMPTY_LINE, n_bytes):
+        n_bytes += len(EMPTY_LINE)
+    if n_bytes:
+        connection._receive_buffer.maybe_extract_at_most(n_bytes)
+    return data[n_bytes:] == EMPTY_LINE[:1] and not is_closed
+
+
 class _Connection(TCPServer):
     """A connection that is closed after what it has received.
 
@@ -119,6 +149,12 @@
         except asyncio.CancelledError:
             self._close_cause = CUT
             raise
+        except OSError:
+            # The network lost the client while the connection was being closed.
+            self._close_cause = CLOSED_BY_CLIENT
+        except Exception:
+            self._close_cause = FAULT
+            log.exception("fault in a connection")
         finally:
             self._record_close()
 
@@ -187,7 +223,8 @@
     def _wrap_next_event(self):
         """Have the events of an HTTP/1 connection end with its last request.
 
-        Each request sets `REQUEST_TARGET` in the state.
+        Each request sets `REQUEST_TARGET` in the state. A limit of heads that is raised
+        holds for the connection, too; one that is lowered only for later ones.
         """
         protocol = self.protocol.protocol
         if not isinstance(protocol, H11Protocol):
@@ -199,9 +236,18 @@
                 # Another event would be an error, and end the response.
                 self.reader.discard()
                 return h11.NEED_DATA
-            event = next_event()
+            _raise_head_limit(protocol.connection, self.config.h11_max_incomplete_size)
+            if _skip_empty_lines(protocol.connection):
+                return h11.NEED_DATA
+            try:
+                event = next_event()
+            except h11.RemoteProtocolError as error:
+                record_malformed(self.writer.get_extra_info("peername"), error)
+                raise
             if isinstance(event, h11.Request):
-                protocol.connection_state[REQUEST_TARGET] = event.target
+                # The preface of HTTP/2 has none, and the state is that of its requests.
+                if event.http_version != b"2.0":
+                    protocol.connection_state[REQUEST_TARGET] = event.target
                 return _without_upgrade(event)
             return event
 
--- a/packages/common/src/almonddeal_common/tests/test_close_records.py
+++ b/packages/common/src/almonddeal_common/tests/test_close_records.py
@@ -1,8 +1,11 @@
 """Tests of the log lines that tell why connections were closed."""
 
+import asyncio
 import logging
 
 import anyio
+import pytest
+from hypercorn.protocol.h11 import H11Protocol
 
 from almonddeal_common.tests.closing import (
     ADDRESS,
@@ -92,3 +95,67 @@
             client.close()
 
         assert self.close(caplog, test) == []
+
+    # Guards against a fault of our own that is logged as a client that left.
+    def test_fault_in_a_task_of_the_connection(self, caplog, monkeypatch):
+        async def fail(protocol, event):
+            raise ValueError("x")
+
+        async def test(client, stop):
+            client.send(REQUEST)
+            await client.read()
+
+        monkeypatch.setattr(H11Protocol, "_create_stream", fail)
+        [facts] = self.close(caplog, test)
+        assert facts["cause"] == "fault"
+        assert facts["last_request"] == "request incomplete"
+        lines = [r.getMessage() for r in caplog.records if r.levelname == "ERROR"]
+        assert lines == ["fault in a connection"]
+
+    # Guards against an error line for a client that the network lost.
+    def test_client_that_is_lost_at_the_close(self, caplog, monkeypatch):
+        async def fail(writer):
+            raise TimeoutError(110, "Connection timed out")
+
+        async def test(client, stop):
+            client.send(REQUEST)
+            await client.read()
+            await anyio.sleep(3 * IDLE_TIMEOUT_S)
+
+        monkeypatch.setattr(asyncio.StreamWriter, "wait_closed", fail)
+        assert self.close(caplog, test, keep_alive_timeout=IDLE_TIMEOUT_S) == []
+        assert [r for r in caplog.records if r.levelname == "ERROR"] == []
+
+
+class TestMalformedRequests:
+    """Tests of the log line of a request that is refused before any application."""
+
+    # Guards against a refusal without a line in the log.
+    @pytest.mark.parametrize(
+        ("request_bytes", "status"),
+        [
+            (b"GET / HTTP/1.1\r\n\r\n", 400),
+            (b"GET /\xff HTTP/1.1\r\nHost: a\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\nHost: a\r\nX: " + 70_000 * b"a", 431),
+            (REQUEST[:-2] + b"Transfer-Encoding: gzip\r\n\r\n", 501),
+            (REQUEST[:-2] + b"Transfer-Encoding: chunked\r\n\r\nx\r\n", 400),
+        ],
+    )
+    def test_refusal_is_logged_once(self, request_bytes, status, caplog):
+        async def main():
+            stop = anyio.Event()
+            async with serve(RecordingApp(), stop):
+                client = Client()
+                client.send(request_bytes)
+                received = await client.read()
+                client.close()
+            return received
+
+        with caplog.at_level(logging.INFO, "almonddeal.http"):
+            received = anyio.run(main)
+        lines = [r for r in caplog.records if r.getMessage() == "malformed request"]
+        [facts] = [line.facts for line in lines]
+        assert received.startswith(b"HTTP/1.1 %d" % status)
+        assert facts["status"] == status
+        assert facts["client"].startswith(ADDRESS.host)
+        assert len(facts["detail"]) <= 200
--- a/packages/entry/src/almonddeal/callers/tests/test_answers.py
+++ b/packages/entry/src/almonddeal/callers/tests/test_answers.py
@@ -6,6 +6,7 @@
 import time
 
 import anyio
+import httpx
 import pytest
 from starlette.requests import ClientDisconnect
 
@@ -122,6 +123,14 @@
     await app(scope, receive, send)
 
 
+async def get(instance, path):
+    """Return the response to a request for an answer."""
+    transport = httpx.ASGITransport(CallerInterface(instance).make_app())
+    async with httpx.AsyncClient(transport=transport) as client:
+        headers = {"authorization": f"Bearer {API_KEY}"}
+        return await client.get(f"http://entry{path}", headers=headers, timeout=5.0)
+
+
 class TestCallerCount:
     """Pattern: callers of a customer without grace, on a busy instance."""
 
@@ -203,6 +212,95 @@
         run_with_instance(test, delay_s=0.2)
 
 
+class TestStop:
+    # Guards against an answer that is taken over late in a stop: its caller is cut as
+    # the process ends.
+    @pytest.mark.parametrize("path", ["/v1/answers/r1", "/v1/answers/r1?stream=false"])
+    def test_attach_to_an_answer_of_another_instance_is_refused(self, path):
+        async def test(instance):
+            customer = instance.document.customer_by_name["kite"]
+            request = AnswerRequest("draft", "x", {}, 2, "r1")
+            await instance.answers.create_or_attach(customer, request)
+            instance.answers.hand_over()
+            instance.answers.is_stopping = True
+            response = await get(instance, path)
+            assert response.status_code == 503
+            assert response.json()["error"]["name"] == "STOPPING"
+
+        run_with_instance(test, delay_s=60.0)
+
+    # Guards against the same cut of an answer whose holders take long to reply.
+    def test_answer_that_is_created_as_the_stop_ends_others_is_handed_over(self):
+        async def test(instance):
+            create = instance.answers._ownership.create
+            sent = []
+
+            async def create_slowly(*args):
+                await anyio.sleep(0.2)
+                return await create(*args)
+
+            async def send(message):
+                sent.append(message)
+
+            instance.answers._ownership.create = create_slowly
+            app = CallerInterface(instance).make_app()
+            with anyio.fail_after(5):
+                async with anyio.create_task_group() as requests:
+                    requests.start_soon(request_stream, app, send)
+                    await anyio.sleep(0.05)
+                    instance.answers.hand_over()
+            assert sent[0]["status"] == 409
+            assert b"OWNERSHIP_LOST" in sent[1]["body"]
+
+        run_with_instance(test, delay_s=60.0)
+
+    # Guards against a stream that ends with an error and without a line in the log.
+    def test_stream_that_is_handed_over_ends_with_an_event(self, caplog):
+        async def test(instance):
+            sent = []
+
+            async def send(message):
+                sent.append(message)
+
+            app = CallerInterface(instance).make_app()
+            with anyio.fail_after(5):
+                async with anyio.create_task_group() as requests:
+                    requests.start_soon(request_stream, app, send)
+                    while len(sent) < 2:
+                        await anyio.sleep(0.01)
+                    instance.answers.hand_over()
+            body = b"".join(message.get("body", b"") for message in sent)
+            assert sent[0]["status"] == 200
+            assert b"event: error" in body
+            assert b"[DONE]" not in body
+
+        with caplog.at_level(logging.INFO, logger="almonddeal.callers"):
+            run_with_instance(test, delay_s=60.0)
+        [facts] = [
+            r.facts
+            for r in caplog.records
+            if r.getMessage() == "stream ended with an error event"
+        ]
+        assert facts["code"] == "OWNERSHIP_LOST"
+        assert facts["n_tokens"] == 1
+
+    def test_ended_answer_of_this_instance_is_served(self):
+        async def test(instance):
+            customer = instance.document.customer_by_name["kite"]
+            request = AnswerRequest("draft", "x", {}, 2, "r1")
+            answer = await instance.answers.create_or_attach(customer, request)
+            with instance.answers.count_caller(answer):
+                while not answer.is_ended:
+                    await anyio.sleep(0.02)
+            instance.answers.is_stopping = True
+            instance.answers.hand_over()
+            response = await get(instance, "/v1/answers/r1?stream=false")
+            assert response.status_code == 200
+            assert response.json()["choices"][0]["text"] == "ab"
+
+        run_with_instance(test, delay_s=0.1)
+
+
 class TestErrorResponses:
     def test_caller_that_disconnects_is_no_failure(self, caplog):
         async def endpoint(request):
@@ -215,3 +313,49 @@
             response = anyio.run(with_error_responses(endpoint), Request)
         assert response.status_code == 499
         assert [r for r in caplog.records if r.levelno >= logging.WARNING] == []
+
+    # Guards against refusals without a line in the log, or with one as long as what
+    # the caller sent.
+    def test_error_is_logged(self, caplog):
+        async def test(instance):
+            response = await get(instance, "/v1/answers/" + 1000 * "x")
+            assert response.status_code == 400
+
+        with caplog.at_level(logging.INFO, logger="almonddeal.callers"):
+            run_with_instance(test, delay_s=0.1)
+        [facts] = [
+            r.facts for r in caplog.records if r.getMessage() == "request failed"
+        ]
+        assert facts["code"] == "BAD_REQUEST"
+        assert len(facts["path"]) == 200
+
+    # Guards against a fault of our own that closes the connection without an answer.
+    def test_fault_is_answered(self, caplog):
+        async def test(instance):
+            instance.answers.attach = None
+            response = await get(instance, "/v1/answers/r1")
+            assert response.status_code == 500
+            assert response.json()["error"]["name"] == "INTERNAL"
+
+        run_with_instance(test, delay_s=0.1)
+        assert [r for r in caplog.records if r.exc_info]
+
+    # Guards against a caller that waits for a generation that has ended in a fault.
+    def test_fault_of_a_generation_is_answered(self, caplog):
+        async def test(instance):
+            async def fail(answer, customer):
+                raise ValueError("x")
+
+            instance.generator.generate = fail
+            sent = []
+
+            async def send(message):
+                sent.append(message)
+
+            with anyio.fail_after(5):
+                await request_stream(CallerInterface(instance).make_app(), send)
+            assert sent[0]["status"] == 500
+            assert b"INTERNAL" in sent[1]["body"]
+
+        run_with_instance(test, delay_s=0.1)
+        assert [r for r in caplog.records if r.exc_info]
