common: let a head take its own time limit past the idle limit

Cause: a connection is idle until a whole head is read. Where the idle limit is shorter than the time limit of heads, as after a configuration that shrinks it to 1 s, a head that was being sent was cut 1 s after the idle limit, without a response, though its client kept within both limits.

Ruled out: a request that was read whole.

Change: before a stop, a connection whose bytes are all read waits for the rest of a head until the time limit of heads. After a stop, or while bytes are not read, it waits 1 s as before. A head that began behind the request before it has no limit of its own in the reader, and is bounded here.

Conclusion: an idle limit below the time limit of heads cuts no head that is in time.

--- a/packages/common/src/almonddeal_common/connections.py
+++ b/packages/common/src/almonddeal_common/connections.py
@@ -224,13 +224,24 @@
         # A request that has been received stops this task once it is read. Nothing
         # may be awaited between the check and the close. The rest of a head may be on
         # its way.
-        for _ in range(MAX_READ_POLLS):
-            if not self._has_further_request():
-                break
+        head_ends_s = self.loop.time() + (self.config.head_timeout or 0.0)
+        n_polls = 0
+        while self._has_further_request() and n_polls < MAX_READ_POLLS:
             await asyncio.sleep(READ_POLL_INTERVAL_S)
+            n_polls = 0 if self._awaits_rest_of_head(head_ends_s) else n_polls + 1
         self._close_cause = STOP if self._terminated.is_set() else IDLE_TIMEOUT
         self.writer.close()
 
+    def _awaits_rest_of_head(self, ends_s):
+        """Tell whether, before a stop, a head may come whole by its time limit.
+
+        The limit of a head is kept by the reader, except for one that began before the
+        response to the request before it: that one has to end by `ends_s`.
+        """
+        is_all_read = not self.reader.n_unread
+        is_in_time = self.loop.time() < ends_s
+        return is_all_read and is_in_time and not self._terminated.is_set()
+
     def _idle_left_s(self, idle_since_s):
         now_s = self.loop.time()
         left_s = idle_since_s + self.config.keep_alive_timeout - now_s
--- a/packages/common/src/almonddeal_common/tests/test_closing.py
+++ b/packages/common/src/almonddeal_common/tests/test_closing.py
@@ -123,6 +123,47 @@
 
         anyio.run(main)
 
+    # Guards against an idle limit, shorter than the time limit of heads, that ends a
+    # head which its client may still send.
+    @pytest.mark.parametrize("n_requests", [0, 1])
+    @pytest.mark.parametrize("is_stopped", [False, True])
+    def test_head_may_take_longer_than_the_idle_limit(self, is_stopped, n_requests):
+        async def main():
+            app, stop = RecordingApp(), anyio.Event()
+            async with serve(app, stop, keep_alive_timeout=IDLE_TIMEOUT_S):
+                client = Client()
+                for _ in range(n_requests):
+                    client.send(REQUEST)
+                    await client.read()
+                client.send(REQUEST[:10])
+                wait_s = IDLE_TIMEOUT_S + MAX_READ_POLLS * READ_POLL_INTERVAL_S
+                await anyio.sleep(1.5 * wait_s)
+                if is_stopped:
+                    stop.set()
+                    await anyio.sleep(0.2)
+                client.send(REQUEST[10:])
+                received = await client.read()
+                client.close()
+            assert received.endswith(b"ok")
+
+        anyio.run(main)
+
+    # Guards against a connection that is held without a limit for a head that began
+    # behind the request before it.
+    def test_head_that_began_behind_a_request_ends_by_its_limit(self):
+        async def main():
+            app, stop = RecordingApp(), anyio.Event()
+            limits = {"keep_alive_timeout": IDLE_TIMEOUT_S, "head_timeout": 0.3}
+            async with serve(app, stop, **limits):
+                client = Client()
+                client.send(REQUEST + REQUEST[:10])
+                await client.read()
+                with anyio.fail_after(4):
+                    assert await client.read() == b""
+                client.close()
+
+        anyio.run(main)
+
     # Guards against closing connections that clients may reuse by the new limit.
     def test_raised_idle_limit_holds_for_idle_connections(self):
         async def main():
