--- a/tools/almonddeal_tools/scheduling.py
+++ b/tools/almonddeal_tools/scheduling.py
@@ -1,8 +1,8 @@
 """Pytest plugin that distributes tests over the workers of pytest-xdist.
 
-Tests that share addresses run in sequence on one worker: those of a class that
-shares a fleet of processes, and those of modules that share a port. All others are
-distributed one by one.
+Tests that share addresses run in sequence on one worker: those of a class, or of a
+module, that shares a fleet of processes, and those of modules that share a port. All
+others are distributed one by one.
 """
 
 from xdist.scheduler import LoadScopeScheduling
@@ -21,9 +21,10 @@
     "test_software_versions.py",
     "test_stops.py",
 )
-# Modules with the same group use the same port.
+# Modules with the same group use the same port, or one fleet for all their classes.
 PORT_GROUP_BY_MODULE = {
     "test_broken_requests.py": "connections",
+    "test_changes_beside_requests.py": "changes beside requests",
     "test_close_records.py": "closing",
     "test_closing.py": "closing",
     "test_connections.py": "connections",
