control: back off after a vote that could not be stored

Cause: a granted pre-vote restarts the timer of the voter since. A member whose full disk refuses its vote kept the two others from standing by its pre-votes.

Ruled out: a full disk of the leader or of both followers (only one is full), and the check of room before an election, which only follows a refused write of the log.

--- a/packages/entry/src/almonddeal/control/elections.py
+++ b/packages/entry/src/almonddeal/control/elections.py
@@ -92,6 +92,8 @@
                 except* AlmonddealError as group:
                     reasons = ", ".join(map(str, group.exceptions))
                     log.error("cannot stand for election: %s", reasons)
+                    # Its pre-vote has restarted the timers of the others.
+                    self._election_timer_start_ms = now_ms + ELECTION_TIMEOUT_MAX_MS
 
     def _step_down_without_quorum(self, now_ms):
         if now_ms - self._quorum_acknowledged_ms() > ELECTION_TIMEOUT_MAX_MS:
