control: do not wait in a stop for a successor that is gone

Cause: the leader told a stopping member to wait while any process had asked to join, also one that ended since; each stop then took 2 s longer.

Ruled out: a surplus voter, for which the stop has to wait.

Before: test_it_does_not_wait_for_a_process_that_is_gone fails. After: it passes.

--- a/packages/entry/src/almonddeal/control/membership.py
+++ b/packages/entry/src/almonddeal/control/membership.py
@@ -16,7 +16,12 @@
     STALL_ALLOWANCE_MS,
     TICK_MS,
 )
-from almonddeal.control.members import JoinRequest, Members, next_members
+from almonddeal.control.members import (
+    RESPONSIVE_SILENCE_MS,
+    JoinRequest,
+    Members,
+    next_members,
+)
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import (
     NOT_LEADER,
@@ -187,10 +192,18 @@
 
     def _is_waiting_to_leave(self, name):
         """Tell whether a member that leaves is to wait until it is removed."""
-        has_successor = self.members.has_surplus or bool(self._join_request_by_name)
         is_change_committed = self.members_index <= self.commit_index
+        has_successor = self.members.has_surplus or self._has_responsive_joiner()
         return not is_change_committed or (name in self.members and has_successor)
 
+    def _has_responsive_joiner(self):
+        contacted_ms = (
+            self._contacted_ms_by_name.get(name, 0.0)
+            for name in self._join_request_by_name
+        )
+        now_ms = monotonic_ms()
+        return any(now_ms - at_ms < RESPONSIVE_SILENCE_MS for at_ms in contacted_ms)
+
     async def handle_join(self, link, message, emit):
         """Handle the request of a process to become a voter, or not to be one."""
         if self.role != LEADER:
--- a/packages/entry/src/almonddeal/control/tests/test_returning_members.py
+++ b/packages/entry/src/almonddeal/control/tests/test_returning_members.py
@@ -143,3 +143,32 @@
                 tasks.cancel_scope.cancel()
 
         run_in_virtual_time(main)
+
+
+class TestLeavingMember:
+    # Guards against a stop that waits for the successor of another member, which asked
+    # to join and does not run any more.
+    def test_it_does_not_wait_for_a_process_that_is_gone(self, tmp_path, monkeypatch):
+        random.seed(SEED)
+        monkeypatch.setattr(consensus.to_thread, "run_sync", run_without_thread)
+
+        async def main():
+            async with anyio.create_task_group() as tasks:
+                group = ChangingGroup(tmp_path, tasks, SEEDS)
+                for address in SEEDS:
+                    group.start(address, is_bootstrap=True)
+                await group.publish(1)
+                leader = group.leader()
+                request = JoinGroup("w", "d:1", False)
+                await leader.consensus.handle_join(None, request, None)
+                stopping = next(
+                    process
+                    for process in group.process_by_address.values()
+                    if process is not leader
+                )
+                with anyio.fail_after(0.5):
+                    await stopping.stop()
+                assert stopping.name in leader.consensus.members
+                tasks.cancel_scope.cancel()
+
+        run_in_virtual_time(main)
