control: ask a follower again while the leader it named is dialled

Cause: a process that joins did not ask a follower again until its dial to the leader named by it had ended. If that leader is lost, this takes a second and more of the 4 s that a replacement has (found by reading; up to 3.6 s with all time limits).

Change: the follower's address is free once it has replied; the leader's is asked for itself, once at a time.

--- a/packages/entry/src/almonddeal/roles/control.py
+++ b/packages/entry/src/almonddeal/roles/control.py
@@ -351,10 +351,13 @@
         self._addresses_asked_to_join.add(address)
         try:
             leader_address = await self._send_join_request(address, request)
-            if leader_address and leader_address not in addresses:
-                await self._send_join_request(leader_address, request)
         finally:
             self._addresses_asked_to_join.discard(address)
+        asked_addresses = addresses | self._addresses_asked_to_join
+        if leader_address and leader_address not in asked_addresses:
+            await self._ask_to_join(
+                leader_address, addresses | {leader_address}, request
+            )
 
     async def _send_join_request(self, address, request):
         """Send a join request; return the leader's address as known there, or None."""
