--- a/packages/entry/src/almonddeal/control/consensus.py
+++ b/packages/entry/src/almonddeal/control/consensus.py
@@ -103,7 +103,9 @@
         self._replication_scope_by_name = {}
         self._join_request_by_name = {}
         self._leaving_ms_by_name = {}
-        self._recent_commit_indexes = deque(maxlen=ELECTION_TIMEOUT_MIN_MS // TICK_MS)
+        self._recent_commit_indexes = deque(
+            maxlen=int(ELECTION_TIMEOUT_MIN_MS / TICK_MS)
+        )
         self._task_group = None
         self._assembler = ChunkAssembler()
         self._write_started_ms = None
--- a/packages/entry/src/almonddeal/roles/tests/test_control.py
+++ b/packages/entry/src/almonddeal/roles/tests/test_control.py
@@ -4,6 +4,7 @@
 import os
 import signal
 from contextlib import suppress
+from functools import partial
 from types import SimpleNamespace
 
 import anyio
@@ -31,7 +32,12 @@
 from almonddeal_common.virtual_time import run_in_virtual_time
 from almonddeal_common.wire.codec import decode
 from almonddeal_common.wire.connect import CONNECT_TIMEOUT_S
-from almonddeal_common.wire.gen.ttypes import SegmentEvidence, Snapshot, StreamOrigin
+from almonddeal_common.wire.gen.ttypes import (
+    JoinGroup,
+    SegmentEvidence,
+    Snapshot,
+    StreamOrigin,
+)
 
 START_S = 10.0
 STORE_S = 10.0  # for a change or a record, once the disk has room
@@ -225,9 +231,13 @@
             raise AlmonddealError(NOT_REACHED, str(address))
 
         async def main():
-            consensus = SimpleNamespace(members=Members({}, 0), is_leaderless=True)
+            consensus = SimpleNamespace(
+                members=Members({}, 0),
+                is_leaderless=True,
+                make_join_request=partial(JoinGroup, "name"),
+            )
             with anyio.move_on_after(0.9 * CONNECT_TIMEOUT_S):
-                await role._join_periodically("name", consensus)
+                await role._join_periodically("name", consensus, anyio.Event())
 
         monkeypatch.setattr(control, "dial", dial)
         role._hello = None
