--- a/packages/entry/src/almonddeal/control/tests/changing_group.py
+++ b/packages/entry/src/almonddeal/control/tests/changing_group.py
@@ -1,9 +1,11 @@
 """In-process control group whose members join, leave and lose their disks."""
 
+import random
 import shutil
 
 import anyio
 
+from almonddeal.control import consensus
 from almonddeal.control.consensus import Consensus
 from almonddeal.control.identity import load_identity, store_initial_members
 from almonddeal.control.storage import LogStore
@@ -11,6 +13,7 @@
 from almonddeal.publication.state import Publication, compress_content
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import LINK_LOST, NOT_LEADER, NOT_REACHED, AlmonddealError
+from almonddeal_common.virtual_time import run_in_virtual_time
 from almonddeal_common.wire.codec import decode, encode
 from almonddeal_common.wire.gen.ttypes import (
     AppendLog,
@@ -228,15 +231,46 @@
                 await anyio.sleep(0.03)
 
 
+async def run_without_thread(function, *args):
+    """Run a disk operation without a thread, which virtual time does not have."""
+    await anyio.sleep(0.01)
+    return function(*args)
+
+
+async def _run_group(folder, test):
+    async with anyio.create_task_group() as tasks:
+        group = ChangingGroup(folder, tasks, SEEDS)
+        for address in SEEDS:
+            group.start(address, is_bootstrap=True)
+        await test(group)
+        tasks.cancel_scope.cancel()
+
+
 def run_group(folder, test):
     """Run a test with a group of three initial voters."""
+    anyio.run(_run_group, folder, test)
+
+
+def run_group_in_virtual_time(
+    folder, monkeypatch, test, run_disk_io=run_without_thread, seed=1
+):
+    """Run a test with a group of three initial voters that have a first version.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+    monkeypatch : pytest.MonkeyPatch
+    test : callable
+        Async function of the `ChangingGroup`.
+    run_disk_io : callable
+        Async function that runs each disk operation.
+    seed : int
+    """
+    random.seed(seed)
+    monkeypatch.setattr(consensus.to_thread, "run_sync", run_disk_io)
 
-    async def main():
-        async with anyio.create_task_group() as tasks:
-            group = ChangingGroup(folder, tasks, SEEDS)
-            for address in SEEDS:
-                group.start(address, is_bootstrap=True)
-            await test(group)
-            tasks.cancel_scope.cancel()
+    async def test_published(group):
+        await group.publish(1)
+        await test(group)
 
-    anyio.run(main)
+    run_in_virtual_time(_run_group, folder, test_published)
--- a/packages/entry/src/almonddeal/control/tests/test_replaced_leaders.py
+++ b/packages/entry/src/almonddeal/control/tests/test_replaced_leaders.py
@@ -1,20 +1,10 @@
 """Tests of the replacement of a leader that is lost for good."""
 
-import random
-
 import anyio
 
 from almonddeal.control import consensus
 from almonddeal.control.members import REMOVE_AFTER_SILENCE_MS
-from almonddeal.control.tests.changing_group import SEEDS, ChangingGroup
-from almonddeal_common.virtual_time import run_in_virtual_time
-
-SEED = 1
-
-
-async def run_without_thread(function, *args):
-    await anyio.sleep(0.01)
-    return function(*args)
+from almonddeal.control.tests.changing_group import SEEDS, run_group_in_virtual_time
 
 
 class TestLostLeader:
@@ -22,57 +12,40 @@
     # for two more seconds after an election that took long: of these four voters, the
     # group has no majority for good once another one loses its disk.
     def test_it_is_removed_once_it_was_silent_long_enough(self, tmp_path, monkeypatch):
-        random.seed(SEED)
-        monkeypatch.setattr(consensus.to_thread, "run_sync", run_without_thread)
         timeout_ms = REMOVE_AFTER_SILENCE_MS
         monkeypatch.setattr(consensus, "ELECTION_TIMEOUT_MIN_MS", timeout_ms)
         monkeypatch.setattr(consensus, "ELECTION_TIMEOUT_MAX_MS", 2 * timeout_ms)
 
-        async def main():
-            async with anyio.create_task_group() as tasks:
-                group = ChangingGroup(tmp_path, tasks, SEEDS)
-                for address in SEEDS:
-                    group.start(address, is_bootstrap=True)
-                await group.publish(1)
-                await anyio.sleep(1.0)
-                lost = group.leader().address
-                await group.kill(lost, wipe=True)
-                group.start("d:1")
-                with anyio.fail_after(20):
-                    while group.leader() is None:
-                        await anyio.sleep(0.01)
-                with anyio.fail_after(REMOVE_AFTER_SILENCE_MS / 2 / 1000):
-                    await group.wait_voters([*(a for a in SEEDS if a != lost), "d:1"])
-                tasks.cancel_scope.cancel()
+        async def test(group):
+            await anyio.sleep(1.0)
+            lost = group.leader().address
+            await group.kill(lost, wipe=True)
+            group.start("d:1")
+            with anyio.fail_after(20):
+                while group.leader() is None:
+                    await anyio.sleep(0.01)
+            with anyio.fail_after(REMOVE_AFTER_SILENCE_MS / 2 / 1000):
+                await group.wait_voters([*(a for a in SEEDS if a != lost), "d:1"])
 
-        run_in_virtual_time(main)
+        run_group_in_virtual_time(tmp_path, monkeypatch, test)
 
 
 class TestLeaderLostBesideAnother:
     # Guards against a lost member that stays a voter, beside the process in its place,
     # for two more seconds after each election.
     def test_lost_member_is_removed_despite_an_election(self, tmp_path, monkeypatch):
-        random.seed(SEED)
-        monkeypatch.setattr(consensus.to_thread, "run_sync", run_without_thread)
-
-        async def main():
-            async with anyio.create_task_group() as tasks:
-                group = ChangingGroup(tmp_path, tasks, SEEDS)
-                for address in SEEDS:
-                    group.start(address, is_bootstrap=True)
-                await group.publish(1)
-                leader = group.leader().address
-                lost, other = (a for a in SEEDS if a != leader)
-                await group.kill(lost, wipe=True)
-                group.start("d:1")
-                await anyio.sleep(0.9 * REMOVE_AFTER_SILENCE_MS / 1000)
-                await group.kill(leader)
-                group.start(leader)
-                with anyio.fail_after(20):
-                    while group.leader() is None:
-                        await anyio.sleep(0.01)
-                with anyio.fail_after(0.9 * REMOVE_AFTER_SILENCE_MS / 1000):
-                    await group.wait_voters([leader, other, "d:1"])
-                tasks.cancel_scope.cancel()
-
-        run_in_virtual_time(main)
+        async def test(group):
+            leader = group.leader().address
+            lost, other = (a for a in SEEDS if a != leader)
+            await group.kill(lost, wipe=True)
+            group.start("d:1")
+            await anyio.sleep(0.9 * REMOVE_AFTER_SILENCE_MS / 1000)
+            await group.kill(leader)
+            group.start(leader)
+            with anyio.fail_after(20):
+                while group.leader() is None:
+                    await anyio.sleep(0.01)
+            with anyio.fail_after(0.9 * REMOVE_AFTER_SILENCE_MS / 1000):
+                await group.wait_voters([leader, other, "d:1"])
+
+        run_group_in_virtual_time(tmp_path, monkeypatch, test)
--- a/packages/entry/src/almonddeal/control/tests/test_slow_links.py
+++ b/packages/entry/src/almonddeal/control/tests/test_slow_links.py
@@ -6,11 +6,14 @@
 import pytest
 
 from almonddeal.control import consensus
-from almonddeal.control.tests.changing_group import SEEDS, ChangingGroup
+from almonddeal.control.tests.changing_group import (
+    SEEDS,
+    ChangingGroup,
+    run_group_in_virtual_time,
+)
 from almonddeal.control.tests.faulty_disk import Disks
 from almonddeal.control.tests.slow_group import CATCH_UP_S
 from almonddeal.publication.state import compress_content
-from almonddeal_common.virtual_time import run_in_virtual_time
 from almonddeal_common.wire.gen.ttypes import AppendLog, Command, PublishConfiguration
 
 SLOW_LINK_BYTES_PER_S = 640_000  # 5 Mbit/s
@@ -18,11 +21,6 @@
 LARGE_BYTES = 2_000_000
 
 
-async def run_without_thread(function, *args):
-    await anyio.sleep(0.01)
-    return function(*args)
-
-
 def change_of(version, n_bytes):
     """Return a command with a configuration that cannot be compressed."""
     content = compress_content(random.Random(version).randbytes(n_bytes))
@@ -179,25 +177,17 @@
     # Guards against a snapshot that takes longer over the link than its call may last,
     # and is sent again and again: its receiver never becomes a voter.
     def test_it_becomes_a_voter_over_a_link_of_40_kb_per_s(self, tmp_path, monkeypatch):
-        random.seed(1)
-        monkeypatch.setattr(consensus.to_thread, "run_sync", run_without_thread)
         monkeypatch.setattr(consensus, "SNAPSHOT_INTERVAL_ENTRIES", 2)
 
-        async def main():
-            async with anyio.create_task_group() as tasks:
-                group = ChangingGroup(tmp_path, tasks, SEEDS)
-                for address in SEEDS:
-                    group.start(address, is_bootstrap=True)
-                await group.publish(1)
-                await group.submit(change_of(2, 16_000))
-                leader = group.leader()
-                await leader.consensus.compact()
-                group.link_bytes_per_s = 40_000
-                lost = next(a for a in SEEDS if a != leader.address)
-                await group.kill(lost, wipe=True)
-                group.start(lost)
-                with anyio.fail_after(CATCH_UP_S):
-                    await group.wait_voters(SEEDS)
-                tasks.cancel_scope.cancel()
-
-        run_in_virtual_time(main)
+        async def test(group):
+            await group.submit(change_of(2, 16_000))
+            leader = group.leader()
+            await leader.consensus.compact()
+            group.link_bytes_per_s = 40_000
+            lost = next(a for a in SEEDS if a != leader.address)
+            await group.kill(lost, wipe=True)
+            group.start(lost)
+            with anyio.fail_after(CATCH_UP_S):
+                await group.wait_voters(SEEDS)
+
+        run_group_in_virtual_time(tmp_path, monkeypatch, test)
