--- a/tools/almonddeal_tools/scheduling.py
+++ b/tools/almonddeal_tools/scheduling.py
@@ -29,6 +29,7 @@
     "test_closing.py": "closing",
     "test_connections.py": "connections",
     "test_control.py": "control instance",
+    "test_exits.py": "faulty targets",
     "test_faulty_targets.py": "faulty targets",
     "test_follower.py": "follower",
     "test_follower_failures.py": "follower",
