--- a/packages/common/src/almonddeal_common/tests/test_further_requests.py
+++ b/packages/common/src/almonddeal_common/tests/test_further_requests.py
@@ -179,7 +179,7 @@
 
     @staticmethod
     def exchange(sends):
-        """Send bytes one after the other; returns what came back, and the app."""
+        """Send pieces of bytes in turn; return the response bytes and the app."""
 
         async def main():
             stop, app = anyio.Event(), RecordingApp()
