control: repeat a pre-vote that was refused for an older term

Change: it repeats the pre-vote at once, unless it has voted or follows a leader since. Figures: test_refused_pre_votes fails before (no leader after the election), passes now. Conclusion: an older term costs a round trip and a sync, not a timeout.

--- a/packages/entry/src/almonddeal/control/elections.py
+++ b/packages/entry/src/almonddeal/control/elections.py
@@ -157,8 +157,14 @@
 
     async def _win_pre_vote(self):
         """Return the term for which a majority would elect this member, or None."""
-        term = self.term + 1
-        return term if await self._wins_pre_vote(term) else None
+        while True:
+            term = self.term + 1
+            if await self._wins_pre_vote(term):
+                return term
+            has_adopted_term = self.term >= term and not self._voted_for
+            if not has_adopted_term or self.leader or self.name not in self.members:
+                return None
+            # The refusal may be due to the older term alone.
 
     async def _wins_pre_vote(self, term):
         self._promise_pre_vote(self.name)
