control: stand for election soon after the stall of a disk

Cause: after an operation that stalled, a member that does not lead waits for a whole election timeout, 0.6 to 1.2 s, also if it has the newest log, so that no other member can be elected. The backoff of 5 s had no effect, as the timer restarts during the operation. Ruled out: no timeout at all, as a leader that runs needs 150 ms for its next heartbeat. Change: the timeout is that after a start, 0.2 to 0.5 s; the backoff is removed; the end of a stall is logged with its operation and duration. Conclusion: the member that can be elected stands once its disk serves again.

--- a/packages/entry/src/almonddeal/control/consensus.py
+++ b/packages/entry/src/almonddeal/control/consensus.py
@@ -16,6 +16,7 @@
 from anyio import create_task_group, to_thread
 
 from almonddeal.control.constants import (
+    DISK_STALL_MS,
     ELECTION_TIMEOUT_MAX_MS,
     ELECTION_TIMEOUT_MIN_MS,
     FIRST_ELECTION_TIMEOUT_MAX_MS,
@@ -25,6 +26,7 @@
     KIND_MEMBERS,
     LEADER,
     MAX_ELECTIONS_WITHOUT_LEADER,
+    MIN_DISK_BYTES_PER_MS,
     SNAPSHOT_INTERVAL_BYTES,
     SNAPSHOT_INTERVAL_ENTRIES,
     TICK_MS,
@@ -204,7 +206,22 @@
         try:
             return await to_thread.run_sync(function, *args)
         finally:
+            duration_ms = monotonic_ms() - self._write_started_ms
             self._write_started_ms = None
+            if duration_ms > self._disk_limit_ms:
+                self._handle_end_of_stall(function, duration_ms)
+
+    @property
+    def _disk_limit_ms(self):
+        """Time after which the present disk operation counts as stalled."""
+        return DISK_STALL_MS + self._n_bytes_in_write / MIN_DISK_BYTES_PER_MS
+
+    def _handle_end_of_stall(self, function, duration_ms):
+        log.warning("disk operation %s took %.0f ms", function.__name__, duration_ms)
+        if self.role != LEADER:
+            # As after a start: this member may have the newest log of those that run.
+            self._election_timer_start_ms = monotonic_ms()
+            self.election_timeout_ms = self._random_first_election_timeout_ms()
 
     def _quorum_acknowledged_ms(self):
         """Latest time at which a majority is known to have accepted this leader."""
--- a/packages/entry/src/almonddeal/control/constants.py
+++ b/packages/entry/src/almonddeal/control/constants.py
@@ -28,7 +28,6 @@
 # A sync takes milliseconds, on a slow disk 100 ms; large writes may take longer.
 DISK_STALL_MS = 1000
 STALL_ALLOWANCE_MS = 3000  # a voter that only replies to heartbeats is removed later
-DISK_STALL_BACKOFF_MS = 5000  # before a member with a stalled disk stands for election
 # The log is compacted after so many entries, or bytes if the snapshot is not larger.
 SNAPSHOT_INTERVAL_ENTRIES = 4096
 SNAPSHOT_INTERVAL_BYTES = 4 * 1024 * 1024
--- a/packages/entry/src/almonddeal/control/elections.py
+++ b/packages/entry/src/almonddeal/control/elections.py
@@ -8,14 +8,11 @@
 
 from almonddeal.control.constants import (
     CANDIDATE,
-    DISK_STALL_BACKOFF_MS,
-    DISK_STALL_MS,
     ELECTION_TIMEOUT_MAX_MS,
     ELECTION_TIMEOUT_MIN_MS,
     EVENT_LOOP_STALL_MS,
     KIND_NO_OP,
     LEADER,
-    MIN_DISK_BYTES_PER_MS,
     PRE_VOTE_PROMISE_MS,
     RPC_TIMEOUT_MS,
     TICK_MS,
@@ -111,15 +108,13 @@
     def _step_down_if_disk_stalls(self, now_ms):
         """Step down if a disk operation stalls, so that another member can lead."""
         started_ms = self._write_started_ms
-        limit_ms = DISK_STALL_MS + self._n_bytes_in_write / MIN_DISK_BYTES_PER_MS
-        if started_ms is None or now_ms - started_ms <= limit_ms:
+        if started_ms is None or now_ms - started_ms <= self._disk_limit_ms:
             return
         if self._can_be_replaced(now_ms):
             log.warning(
                 "stepped down as leader, a disk operation has taken %.0f ms",
                 now_ms - started_ms,
             )
-            self._election_timer_start_ms = now_ms + DISK_STALL_BACKOFF_MS
             self._become_follower(None)
 
     def _can_be_replaced(self, now_ms):
--- a/packages/entry/src/almonddeal/control/tests/test_stalled_disks.py
+++ b/packages/entry/src/almonddeal/control/tests/test_stalled_disks.py
@@ -5,10 +5,17 @@
 import anyio
 import pytest
 
-from almonddeal.control.tests.changing_group import run_group
+from almonddeal.control.tests.changing_group import (
+    SEEDS,
+    run_group,
+    run_group_in_virtual_time,
+    run_without_thread,
+)
 from almonddeal_common.wire.gen.ttypes import Vote
 
 ACKNOWLEDGE_S = 8.0  # for a change, once the disk stalls
+STALL_S = 2.0
+LEADER_AFTER_STALL_S = 0.6  # the longest timeout after a start, a tick and the votes
 
 
 async def compact(process):
@@ -54,3 +61,42 @@
             await group.wait_version(stalled.address, 2)
 
         run_group(tmp_path, test)
+
+
+class TestEndOfStall:
+    # Guards against a member that waits for a whole election timeout after the stall of
+    # its disk, though none of the others can be elected: it has the newest log.
+    @pytest.mark.parametrize("seed", range(5))
+    def test_member_with_the_newest_log_stands_at_once(
+        self, tmp_path, monkeypatch, seed
+    ):
+        stalled_until_s_by_address = {}
+
+        async def run_disk_io(function, *args):
+            address = function.__self__._folder.name
+            until_s = stalled_until_s_by_address.get(address, 0.0)
+            with anyio.CancelScope(shield=True):
+                await anyio.sleep(max(0.0, until_s - anyio.current_time()))
+            return await run_without_thread(function, *args)
+
+        async def test(group):
+            await anyio.sleep(1.0)
+            leader = group.leader().address
+            newest, other = (address for address in SEEDS if address != leader)
+            group.cut_addresses = {other}
+            await group.publish(2)
+            await group.wait_version(newest, 2)
+            until_s = anyio.current_time() + STALL_S
+            stalled_until_s_by_address[newest] = until_s
+            async with anyio.create_task_group() as writes:
+                writes.start_soon(vote, group.process_by_address[newest])
+                await anyio.sleep(0.01)
+                await group.kill(leader)
+                group.cut_addresses = set()
+                await anyio.sleep(until_s - anyio.current_time())
+                with anyio.fail_after(LEADER_AFTER_STALL_S):
+                    while group.leader() is None:
+                        await anyio.sleep(0.01)
+                assert group.leader().address == newest
+
+        run_group_in_virtual_time(tmp_path, monkeypatch, test, run_disk_io, seed)
