control: do not lead a term that a waiting vote request ends

Cause: a candidate whose own disk stalls stores its vote at the end of the stall and leads, while the other voter has stood in a later term and its request waits for this disk. The leader appends an entry, stores its vote for the later term and steps down; if that candidate has moved on to yet another term, the new entry keeps it from being elected. Change: a candidate does not lead while a vote request for a higher term waits. A voter refuses the pre-vote of a candidate whose vote request waits for its disk, so that this candidate stays in its term. Conclusion: of two candidates, the one of the higher term is elected.

--- a/packages/entry/src/almonddeal/control/consensus.py
+++ b/packages/entry/src/almonddeal/control/consensus.py
@@ -144,6 +144,7 @@
         self._n_elections_without_leader = 0
         self._is_in_pre_vote = False
         self._candidacy_scope = None
+        self._waiting_vote_requests = []  # for the disk
         # The first timeout is short: a process that starts may have been the leader
         # itself. While another leader is alive, its followers refuse the pre-vote.
         self.election_timeout_ms = self._random_first_election_timeout_ms()
--- a/packages/entry/src/almonddeal/control/elections.py
+++ b/packages/entry/src/almonddeal/control/elections.py
@@ -212,10 +212,20 @@
                 count.add_vote()
             await count.decided.wait()
             requests.cancel_scope.cancel()
-        if count.is_won and self.term == term and self.role == CANDIDATE:
+        is_candidate = self.term == term and self.role == CANDIDATE
+        if count.is_won and is_candidate and not self._is_outvoted:
             self._become_leader()
         return True
 
+    @property
+    def _is_outvoted(self):
+        """Whether a vote for a higher term waits for this member's disk.
+
+        A leader of the lower term would end with that vote, and its first entry could
+        keep the candidate of the higher term from being elected.
+        """
+        return any(m.term > self.term for m in self._waiting_vote_requests)
+
     def _withdraw_pre_vote(self):
         if self._pre_vote_candidate == self.name:
             self._pre_vote_candidate = None
@@ -291,6 +301,9 @@
             return False
         if message.term <= self.term or not self._is_up_to_date(message):
             return False
+        if any(m.candidate == message.candidate for m in self._waiting_vote_requests):
+            # It is elected sooner in the term for which it has requested the vote.
+            return False
         if self._is_promised_to_another(message):
             return False
         self._promise_pre_vote(message.candidate)
@@ -302,6 +315,13 @@
         self._check_recipient(message.recipient)
         if message.pre:
             return VoteReply(self.term, self._grant_pre_vote(message))
+        self._waiting_vote_requests.append(message)
+        try:
+            return await self._vote(message)
+        finally:
+            self._waiting_vote_requests.remove(message)
+
+    async def _vote(self, message):
         async with self.disk_lock:
             # Compared only now: an append that held the lock before may have made this
             # log newer than that of the candidate.
--- a/packages/entry/src/almonddeal/control/tests/test_stalled_disks.py
+++ b/packages/entry/src/almonddeal/control/tests/test_stalled_disks.py
@@ -15,6 +15,7 @@
 
 ACKNOWLEDGE_S = 8.0  # for a change, once the disk stalls
 STALL_S = 2.0
+PUBLISH_AFTER_STALL_S = 0.2  # the shortest timeout after a start
 LEADER_AFTER_STALL_S = 0.6  # the longest timeout after a start, a tick and the votes
 
 
@@ -63,6 +64,23 @@
         run_group(tmp_path, test)
 
 
+def make_stalling_disks():
+    """Return the ends of stalls by address, and a function that runs disk operations.
+
+    An operation that begins during a stall ends after it.
+    """
+    stalled_until_s_by_address = {}
+
+    async def run_disk_io(function, *args):
+        address = function.__self__._folder.name
+        until_s = stalled_until_s_by_address.get(address, 0.0)
+        with anyio.CancelScope(shield=True):
+            await anyio.sleep(max(0.0, until_s - anyio.current_time()))
+        return await run_without_thread(function, *args)
+
+    return stalled_until_s_by_address, run_disk_io
+
+
 class TestEndOfStall:
     # Guards against a member that waits for a whole election timeout after the stall of
     # its disk, though none of the others can be elected: it has the newest log.
@@ -70,14 +88,7 @@
     def test_member_with_the_newest_log_stands_at_once(
         self, tmp_path, monkeypatch, seed
     ):
-        stalled_until_s_by_address = {}
-
-        async def run_disk_io(function, *args):
-            address = function.__self__._folder.name
-            until_s = stalled_until_s_by_address.get(address, 0.0)
-            with anyio.CancelScope(shield=True):
-                await anyio.sleep(max(0.0, until_s - anyio.current_time()))
-            return await run_without_thread(function, *args)
+        stalled_until_s_by_address, run_disk_io = make_stalling_disks()
 
         async def test(group):
             await anyio.sleep(1.0)
@@ -100,3 +111,36 @@
                 assert group.leader().address == newest
 
         run_group_in_virtual_time(tmp_path, monkeypatch, test, run_disk_io, seed)
+
+    # Guards against a candidate that wins its term at the end of a stall, though the
+    # other voter stands in the next one: it leads for the time of a vote, and its first
+    # entry keeps the other one from being elected for one more timeout.
+    @pytest.mark.parametrize("seed", range(5))
+    def test_candidate_of_an_older_term_does_not_lead(
+        self, tmp_path, monkeypatch, seed
+    ):
+        stalled_until_s_by_address, run_disk_io = make_stalling_disks()
+
+        async def test(group):
+            await anyio.sleep(1.0)
+            leader = group.leader().address
+            candidates = [address for address in SEEDS if address != leader]
+            await group.kill(leader)
+            async with anyio.create_task_group() as tasks:
+                stalled = group.process_by_address[candidates[0]].consensus
+                stalled._last_leader_contact_ms = float("-inf")
+                other = group.process_by_address[candidates[1]].consensus
+                other._last_leader_contact_ms = float("-inf")
+                until_s = anyio.current_time() + 2 * STALL_S
+                stalled_until_s_by_address[candidates[0]] = until_s
+                tasks.start_soon(stalled._start_election)
+                while other.term <= stalled.term + 1:
+                    await anyio.sleep(0.01)
+                # While the candidate stores its vote, which takes longer.
+                await anyio.sleep(until_s + 0.005 - anyio.current_time())
+                tasks.start_soon(other._start_election)
+                with anyio.fail_after(PUBLISH_AFTER_STALL_S):
+                    await group.publish(2)
+                assert group.leader().address == candidates[1]
+
+        run_group_in_virtual_time(tmp_path, monkeypatch, test, run_disk_io, seed)
