control: stand when a candidate with an older log is refused

Cause: after the loss of a leader, the member whose timer expires first may lack entries, as its disk stalled. Change: a voter that refuses a pre-vote for an older log stands at its next tick, unless it follows a leader or has granted the pre-vote of another candidate. Figures: test_voter_with_a_newer_log_stands, leader wanted within 0.2 s: fails before, passes now. Conclusion: an older log costs a round trip, not a timeout.

--- a/packages/entry/src/almonddeal/control/elections.py
+++ b/packages/entry/src/almonddeal/control/elections.py
@@ -299,7 +299,10 @@
         is_led = silence_ms < ELECTION_TIMEOUT_MIN_MS and not self._is_leader_removed
         if self.role == LEADER or is_led:
             return False
-        if message.term <= self.term or not self._is_up_to_date(message):
+        if not self._is_up_to_date(message):
+            self._stand_next_tick()
+            return False
+        if message.term <= self.term:
             return False
         if any(m.candidate == message.candidate for m in self._waiting_vote_requests):
             # It is elected sooner in the term for which it has requested the vote.
@@ -310,6 +313,12 @@
         self._election_timer_start_ms = monotonic_ms()
         return True
 
+    def _stand_next_tick(self):
+        """Have the election timer expire, as this member can win and another cannot."""
+        promise_age_ms = monotonic_ms() - self._pre_vote_promise_ms
+        if promise_age_ms > PRE_VOTE_PROMISE_MS or self._pre_vote_candidate is None:
+            self._election_timer_start_ms = float("-inf")
+
     async def handle_vote(self, link, message, emit):
         """Handle a vote or pre-vote request of a candidate."""
         self._check_recipient(message.recipient)
--- a/packages/entry/src/almonddeal/control/tests/test_refused_pre_votes.py
+++ b/packages/entry/src/almonddeal/control/tests/test_refused_pre_votes.py
@@ -1,10 +1,13 @@
-"""Tests of elections that begin in an older term."""
+"""Tests of elections in which a voter refuses the first pre-vote."""
 
 import anyio
 
+from almonddeal.control.constants import ELECTION_TIMEOUT_MIN_MS
 from almonddeal.control.tests.changing_group import SEEDS, run_group_in_virtual_time
 from almonddeal_common.wire.gen.ttypes import Vote
 
+LEADER_AFTER_REFUSAL_S = 0.2  # two ticks and the votes
+
 
 class TestRefusedPreVote:
     # Guards against a member that learns from a refused pre-vote that the term is older
@@ -28,3 +31,27 @@
             assert candidate.term == term + 1
 
         run_group_in_virtual_time(tmp_path, monkeypatch, test)
+
+    # Guards against a voter that refuses a candidate as its own log is newer, and waits
+    # for its own timeout, though no other member can be elected.
+    def test_voter_with_a_newer_log_stands(self, tmp_path, monkeypatch):
+        async def test(group):
+            await anyio.sleep(1.0)
+            leader = group.leader().address
+            newest, other = (address for address in SEEDS if address != leader)
+            group.cut_addresses = {other}
+            await group.publish(2)
+            await group.wait_version(newest, 2)
+            await group.kill(leader)
+            group.cut_addresses = set()
+            members = [group.process_by_address[a].consensus for a in (newest, other)]
+            for member in members:
+                member.election_timeout_ms = 1e9
+            await anyio.sleep(ELECTION_TIMEOUT_MIN_MS / 1000)
+            await members[1]._start_election()
+            with anyio.fail_after(LEADER_AFTER_REFUSAL_S):
+                while group.leader() is None:
+                    await anyio.sleep(0.01)
+            assert group.leader().address == newest
+
+        run_group_in_virtual_time(tmp_path, monkeypatch, test)
