control: propose membership changes without a wait for a tick

Cause: the removal of a lost member and the addition of its successor each waited for the next tick of 80 ms after the change before it was committed, or the successor had caught up; in between, the group has two voters. Change: the next change is proposed when an entry is committed, and when a joining process acknowledges entries.

--- a/packages/entry/src/almonddeal/control/elections.py
+++ b/packages/entry/src/almonddeal/control/elections.py
@@ -79,6 +79,7 @@
                 self._last_led_ms = now_ms
                 self._step_down_without_quorum(now_ms)
                 self._step_down_if_disk_stalls(now_ms)
+                self._recent_commit_indexes.append(self.commit_index)
                 self._propose_member_change(now_ms)
             elif self.name not in self.members or self._write_started_ms is not None:
                 self._election_timer_start_ms = now_ms
--- a/packages/entry/src/almonddeal/control/leading.py
+++ b/packages/entry/src/almonddeal/control/leading.py
@@ -289,6 +289,8 @@
             )
             self._next_index_by_name[name] = reply.match_index + 1
             self._advance_commit()
+            if self.role == LEADER and name in self._join_request_by_name:
+                self._propose_member_change(monotonic_ms())
         else:
             # A follower that refuses gives in `match_index` the last index to try.
             self._next_index_by_name[name] = max(1, reply.match_index + 1)
@@ -326,6 +328,8 @@
             self.commit_index = index
             self._apply_committed()
             self._wake_peers()
+            if self._join_request_by_name:
+                self._propose_member_change(monotonic_ms())
             if self.name not in self.members and index >= self.members_index:
                 log.info(
                     "this member was removed from the group, members are now %s",
--- a/packages/entry/src/almonddeal/control/membership.py
+++ b/packages/entry/src/almonddeal/control/membership.py
@@ -125,9 +125,10 @@
 
     def _propose_member_change(self, now_ms):
         """Append the next membership change, once the one before is committed."""
-        self._recent_commit_indexes.append(self.commit_index)
         if self._connect is None or self.members_index > self.commit_index:
             return
+        if not self._recent_commit_indexes:
+            return
         for name in [n for n in self._join_request_by_name if n in self.members]:
             del self._join_request_by_name[name]
 
--- a/packages/entry/src/almonddeal/control/tests/test_replaced_leaders.py
+++ b/packages/entry/src/almonddeal/control/tests/test_replaced_leaders.py
@@ -49,3 +49,28 @@
                 await group.wait_voters([leader, other, "d:1"])
 
         run_group_in_virtual_time(tmp_path, monkeypatch, test)
+
+
+class TestLostFollower:
+    # Guards against a group that stays without its successor, in which each further
+    # loss is for good, until the next tick of a timer.
+    def test_successor_is_added_once_the_removal_is_committed(
+        self, tmp_path, monkeypatch
+    ):
+        async def test(group):
+            await anyio.sleep(1.0)
+            leader = group.leader().consensus
+            lost = next(a for a in SEEDS if a != group.leader().address)
+            await group.kill(lost, wipe=True)
+            await anyio.sleep(REMOVE_AFTER_SILENCE_MS / 1000)
+            group.start("d:1")
+            n_voters = [len(leader.members.address_by_name)]
+            with anyio.fail_after(20):
+                while n_voters != [3, 2, 3]:
+                    await anyio.sleep(0.001)
+                    if len(leader.members.address_by_name) != n_voters[-1]:
+                        n_voters.append(len(leader.members.address_by_name))
+                    is_committed = leader.commit_index >= leader.members_index
+                    assert n_voters[-1] == 3 or not is_committed
+
+        run_group_in_virtual_time(tmp_path, monkeypatch, test)
