control: pause before a vote request is repeated

Where a process that replaced a lost member answers at its address, each request is refused at once, and was repeated once a millisecond. Change: a request that failed before its time limit is repeated after a tick of 80 ms. Conclusion: at most 13 requests a second go to each voter.

--- a/packages/entry/src/almonddeal/control/elections.py
+++ b/packages/entry/src/almonddeal/control/elections.py
@@ -243,18 +243,19 @@
 
         async def request_vote(name, peer):
             request = Vote(term, self.name, last_index, last_term, is_pre_vote, name)
-            n_failures = 0
+            has_failed = False
             while True:
+                started_ms = monotonic_ms()
                 try:
                     reply = await peer.call(request, timeout_ms)
                     break
                 except AlmonddealError as error:
-                    if not n_failures:
+                    if not has_failed:
                         log.info("vote request to %s failed: %s", name, error)
-                    n_failures += 1
+                    has_failed = True
                 if is_pre_vote:
                     return
-                if not peer.is_up:
+                if monotonic_ms() - started_ms < timeout_ms:
                     await anyio.sleep(TICK_MS / 1000)
             if reply.granted:
                 count.add_vote()
--- a/packages/entry/src/almonddeal/control/tests/test_refused_pre_votes.py
+++ b/packages/entry/src/almonddeal/control/tests/test_refused_votes.py
@@ -1,9 +1,10 @@
-"""Tests of elections in which a voter refuses the first pre-vote."""
+"""Tests of elections in which a member refuses a request at first."""
 
 import anyio
 
-from almonddeal.control.constants import ELECTION_TIMEOUT_MIN_MS
+from almonddeal.control.constants import ELECTION_TIMEOUT_MIN_MS, TICK_MS
 from almonddeal.control.tests.changing_group import SEEDS, run_group_in_virtual_time
+from almonddeal_common.codes import NOT_REACHED, AlmonddealError
 from almonddeal_common.wire.gen.ttypes import Vote
 
 LEADER_AFTER_REFUSAL_S = 0.2  # two ticks and the votes
@@ -55,3 +56,40 @@
             assert group.leader().address == newest
 
         run_group_in_virtual_time(tmp_path, monkeypatch, test)
+
+
+class RefusingPeer:
+    """Peer at whose address another member runs; it counts requests for votes."""
+
+    is_up = True
+
+    def __init__(self):
+        self.n_calls = 0
+
+    async def call(self, message, timeout_ms):
+        self.n_calls += not message.pre
+        await anyio.sleep(0.001)
+        raise AlmonddealError(NOT_REACHED, "another member")
+
+
+class TestRefusedVoteRequest:
+    # Guards against a candidate that repeats its requests without a pause where the
+    # process that replaced a lost member refuses them.
+    def test_it_is_repeated_after_a_tick(self, tmp_path, monkeypatch):
+        async def test(group):
+            await anyio.sleep(1.0)
+            leader = group.leader().address
+            candidate, other = (
+                group.process_by_address[address]
+                for address in SEEDS
+                if address != leader
+            )
+            await group.kill(leader)
+            await group.kill(other.address)
+            member = candidate.consensus
+            peer = member._peer_by_name[other.name] = RefusingPeer()
+            with anyio.move_on_after(1.0):
+                await member._stand_in_term(member.term + 1)
+            assert 1 < peer.n_calls <= 1000 / TICK_MS + 1
+
+        run_group_in_virtual_time(tmp_path, monkeypatch, test)
