control: accept join requests of the time of an election

Cause: the process in the place of a lost leader asks to join once in 0.3 s, and is refused until a leader is elected. Elected at the end of a stall, the leader does not know of it before its next request. Change: a member that is asked and does not reach a leader keeps the request for a second; if it is elected, it accepts it. Figures: test_new_leader_knows_of_the_request fails before (no successor in 20 s, as it asks only once), passes now; 468 tests of control passed. Conclusion: the replacement begins with the first entry of the term.

--- a/packages/entry/src/almonddeal/control/consensus.py
+++ b/packages/entry/src/almonddeal/control/consensus.py
@@ -104,6 +104,7 @@
         self._disconnect = disconnect
         self._replication_scope_by_name = {}
         self._join_request_by_name = {}
+        self._refused_join_by_address = {}  # with the time of the request
         self._leaving_ms_by_name = {}
         self._recent_commit_indexes = deque(
             maxlen=int(ELECTION_TIMEOUT_MIN_MS / TICK_MS)
--- a/packages/entry/src/almonddeal/control/constants.py
+++ b/packages/entry/src/almonddeal/control/constants.py
@@ -22,6 +22,8 @@
 MAX_ELECTIONS_WITHOUT_LEADER = 2
 # A member that leaves says so until it is removed; one that restarts stays.
 LEAVING_EXPIRY_MS = 1000
+# A process asks to join several times in this time.
+JOIN_MEMORY_MS = 1000
 MAX_ENTRIES_PER_APPEND = 512
 MAX_BYTES_PER_APPEND = 64 * 1024  # takes a tenth of a second on a link of 5 Mbit/s
 MIN_MESSAGE_BYTES = 2048  # to a peer on a slow link; passes 5 kB/s in time
--- a/packages/entry/src/almonddeal/control/elections.py
+++ b/packages/entry/src/almonddeal/control/elections.py
@@ -379,6 +379,7 @@
         self._names_without_parts = set()
         self._first_index_of_term = self._log.last_index + 1
         self._join_request_by_name = {}
+        self._accept_refused_joins()
         self._recent_commit_indexes.clear()
         # The first entry of the term; once committed, it commits all earlier ones.
         if self._connect is None:
--- a/packages/entry/src/almonddeal/control/membership.py
+++ b/packages/entry/src/almonddeal/control/membership.py
@@ -9,6 +9,7 @@
 
 from almonddeal.control.constants import (
     ELECTION_TIMEOUT_MIN_MS,
+    JOIN_MEMORY_MS,
     KIND_MEMBERS,
     LEADER,
     LEAVING_EXPIRY_MS,
@@ -215,29 +216,43 @@
             return JoinGroupReply(OK.number, "", is_waiting)
         is_voter = message.name in self.members
         if not is_voter and message.name not in self._join_request_by_name:
-            log.info(
-                "received a join request from %s at %s", message.name, message.address
-            )
-            for name in [
-                n
-                for n, join_request in self._join_request_by_name.items()
-                if join_request.address == message.address
-            ]:
-                del self._join_request_by_name[name]
-            self._join_request_by_name[message.name] = JoinRequest(
-                message.name, message.address, message.is_addition
-            )
+            self._add_join_request(message)
             self._update_peers()
         address = self.members.address_by_name.get(self.name, "")
         return JoinGroupReply(OK.number, address, is_voter)
 
+    def _accept_refused_joins(self):
+        """Accept the join requests that came during the election, as the new leader."""
+        now_ms = monotonic_ms()
+        for message, refused_ms in self._refused_join_by_address.values():
+            is_recent = now_ms - refused_ms < JOIN_MEMORY_MS
+            if is_recent and message.name not in self.members:
+                self._add_join_request(message)
+        self._refused_join_by_address.clear()
+
+    def _add_join_request(self, message):
+        log.info("received a join request from %s at %s", message.name, message.address)
+        for name in [
+            n
+            for n, join_request in self._join_request_by_name.items()
+            if join_request.address == message.address
+        ]:
+            del self._join_request_by_name[name]
+        self._join_request_by_name[message.name] = JoinRequest(
+            message.name, message.address, message.is_addition
+        )
+
     async def _forward_to_leader(self, message):
         """Pass a join request on, as its sender may not reach the leader itself."""
         leader = self._peer_by_name.get(self.leader)
         if leader is not None and not message.is_forwarded:
             message.is_forwarded = True
             with suppress(AlmonddealError):
-                return await leader.call(message, RPC_TIMEOUT_MS)
+                reply = await leader.call(message, RPC_TIMEOUT_MS)
+                if reply.code == OK.number:
+                    return reply
+        if not message.is_leaving:
+            self._refused_join_by_address[message.address] = message, monotonic_ms()
         address = self.members.address_by_name.get(self.leader, "")
         return JoinGroupReply(NOT_LEADER.number, address, False)
 
--- a/packages/entry/src/almonddeal/control/tests/test_replaced_leaders.py
+++ b/packages/entry/src/almonddeal/control/tests/test_replaced_leaders.py
@@ -3,8 +3,11 @@
 import anyio
 
 from almonddeal.control import consensus
+from almonddeal.control.constants import ELECTION_TIMEOUT_MIN_MS
 from almonddeal.control.members import REMOVE_AFTER_SILENCE_MS
 from almonddeal.control.tests.changing_group import SEEDS, run_group_in_virtual_time
+from almonddeal_common.codes import NOT_LEADER
+from almonddeal_common.wire.gen.ttypes import JoinGroup
 
 
 class TestLostLeader:
@@ -74,3 +77,25 @@
                     assert n_voters[-1] == 3 or not is_committed
 
         run_group_in_virtual_time(tmp_path, monkeypatch, test)
+
+
+class TestJoinDuringElection:
+    # Guards against a successor that has to repeat its request to join after each
+    # election, while the group lacks the lost member.
+    def test_new_leader_knows_of_the_request(self, tmp_path, monkeypatch):
+        async def test(group):
+            await anyio.sleep(1.0)
+            lost = group.leader().address
+            await group.kill(lost, wipe=True)
+            await anyio.sleep(0.5 * ELECTION_TIMEOUT_MIN_MS / 1000)
+            remaining = [a for a in SEEDS if a != lost]
+            group.refused_joins = set(remaining)
+            name = group.start(lost).name
+            for address in remaining:
+                request = JoinGroup(name, lost, False)
+                member = group.process_by_address[address].consensus
+                reply = await member.handle_join(None, request, None)
+                assert reply.code == NOT_LEADER.number
+            await group.wait_voters(SEEDS)
+
+        run_group_in_virtual_time(tmp_path, monkeypatch, test)
