control: do not stand after the election is decided

Cause: a pre-vote that is won is followed by a stand in its term, whatever happened since. Since a member can be elected while its next pre-vote runs: it led, and then ended its own term. Older: a member that waits for its disk after its pre-vote stood at the end of the stall, though the leader had returned. Found by a review of the repairs. Change: a member stands only if it has not been elected and no leader has reached it since its pre-vote began. Conclusion: a sound leader stays.

--- a/packages/entry/src/almonddeal/control/consensus.py
+++ b/packages/entry/src/almonddeal/control/consensus.py
@@ -144,6 +144,7 @@
         self._last_led_ms = monotonic_ms()  # or the start
         self._n_elections_without_leader = 0
         self._is_in_pre_vote = False
+        self._pre_vote_started_ms = float("inf")
         self._candidacy_scope = None
         self._waiting_vote_requests = []  # for the disk
         # The first timeout is short: a process that starts may have been the leader
--- a/packages/entry/src/almonddeal/control/elections.py
+++ b/packages/entry/src/almonddeal/control/elections.py
@@ -179,6 +179,7 @@
             # The refusal may be due to the older term alone.
 
     async def _wins_pre_vote(self, term):
+        self._pre_vote_started_ms = monotonic_ms()
         self._promise_pre_vote(self.name)
         count = VoteCount(self.quorum)
         async with create_task_group() as requests:
@@ -201,9 +202,7 @@
         """
         async with create_task_group() as requests:
             async with self.disk_lock:
-                if self.term + 1 != term or self.name not in self.members:
-                    # This member has voted since, a leader was elected, or this member
-                    # has stored its removal, and its own vote does not count.
+                if not self._may_stand_in_term(term):
                     return False
                 count = VoteCount(self.quorum)
                 self._request_votes(requests, count, term, is_pre_vote=False)
@@ -218,6 +217,19 @@
             self._become_leader()
         return True
 
+    def _may_stand_in_term(self, term):
+        """Tell whether nothing has happened since the pre-vote that decides otherwise.
+
+        This member may have voted, won its former candidacy, received messages of a
+        leader, or stored its removal, so that its own vote does not count.
+        """
+        is_led = self._last_leader_contact_ms > self._pre_vote_started_ms
+        is_next_term = self.term + 1 == term
+        is_elected = self.role == LEADER
+        return (
+            is_next_term and not is_elected and not is_led and self.name in self.members
+        )
+
     @property
     def _is_outvoted(self):
         """Whether a vote for a higher term waits for this member's disk.
