control: stand after the write that is under way at a tick

Found by a review. Change: a timer that was set to expire is not restarted by a write. Figures: TestBusyDisk, leader wanted within 0.5 s: fails before, passes now. Conclusion: the member stands at the first tick at which its disk is free.

--- a/packages/entry/src/almonddeal/control/elections.py
+++ b/packages/entry/src/almonddeal/control/elections.py
@@ -31,6 +31,8 @@
 
 log = get_logger("control")
 
+EXPIRED_MS = float("-inf")  # start of an election timer that has expired
+
 
 class VoteCount:
     """Votes for a candidate in one term.
@@ -81,8 +83,11 @@
                 self._step_down_if_disk_stalls(now_ms)
                 self._recent_commit_indexes.append(self.commit_index)
                 self._propose_member_change(now_ms)
-            elif self.name not in self.members or self._write_started_ms is not None:
+            elif self.name not in self.members:
                 self._election_timer_start_ms = now_ms
+            elif self._write_started_ms is not None:
+                if not self._is_timer_expired:
+                    self._election_timer_start_ms = now_ms
             elif now_ms - self._election_timer_start_ms > self.election_timeout_ms:
                 self._election_timer_start_ms = now_ms
                 self.election_timeout_ms = self._random_election_timeout_ms()
@@ -331,7 +336,12 @@
         """Have the election timer expire, as this member can win and another cannot."""
         promise_age_ms = monotonic_ms() - self._pre_vote_promise_ms
         if promise_age_ms > PRE_VOTE_PROMISE_MS or self._pre_vote_candidate is None:
-            self._election_timer_start_ms = float("-inf")
+            self._election_timer_start_ms = EXPIRED_MS
+
+    @property
+    def _is_timer_expired(self):
+        """Whether this member stands at the first tick at which its disk serves."""
+        return self._election_timer_start_ms == EXPIRED_MS
 
     async def handle_vote(self, link, message, emit):
         """Handle a vote or pre-vote request of a candidate."""
--- /dev/null
+++ b/packages/entry/src/almonddeal/control/tests/test_rules_beside_disks.py
@@ -0,0 +1,62 @@
+"""Tests of rules of elections and membership beside busy disks."""
+
+import anyio
+
+from almonddeal.control.constants import ELECTION_TIMEOUT_MIN_MS
+from almonddeal.control.tests.changing_group import (
+    SEEDS,
+    run_group_in_virtual_time,
+)
+
+LEADER_AFTER_REFUSAL_S = 0.5  # an operation, two ticks and the votes
+
+
+def make_disks():
+    until_s_by_address = {}
+
+    async def run_disk_io(function, *args):
+        until_s = until_s_by_address.get(function.__self__._folder.name, 0.0)
+        with anyio.CancelScope(shield=True):
+            await anyio.sleep(max(0.0, until_s - anyio.current_time()))
+            await anyio.sleep(0.01)
+        return function(*args)
+
+    return until_s_by_address, run_disk_io
+
+
+class TestBusyDisk:
+    # Guards against a voter with the newest log that is asked to stand at its next
+    # tick, and forgets it, as its disk is busy then, though it does not stall.
+    def test_voter_with_a_newer_log_stands_after_its_write(self, tmp_path, monkeypatch):
+        until_s_by_address, run_disk_io = make_disks()
+
+        async def test(group):
+            await anyio.sleep(1.0)
+            leader = group.leader().address
+            newest, other = (address for address in SEEDS if address != leader)
+            group.cut_addresses = {other}
+            await group.publish(2)
+            await group.wait_version(newest, 2)
+            await group.kill(leader)
+            group.cut_addresses = set()
+            members = [group.process_by_address[a].consensus for a in (newest, other)]
+            for member in members:
+                member.election_timeout_ms = 900.0
+                member._election_timer_start_ms += 1e5
+            await anyio.sleep(ELECTION_TIMEOUT_MIN_MS / 1000)
+            monkeypatch.setattr(
+                "almonddeal.control.consensus.SNAPSHOT_INTERVAL_ENTRIES", 1
+            )
+            members[1]._election_timer_start_ms = float("-inf")
+            while not members[1]._is_in_pre_vote:
+                await anyio.sleep(0.0005)
+            async with anyio.create_task_group() as tasks:
+                until_s_by_address[newest] = anyio.current_time() + 0.15
+                tasks.start_soon(members[0].compact)
+                started_s = anyio.current_time()
+                while group.leader() is None and anyio.current_time() < started_s + 5:
+                    await anyio.sleep(0.01)
+                took_s = anyio.current_time() - started_s
+                assert took_s < LEADER_AFTER_REFUSAL_S, took_s
+
+        run_group_in_virtual_time(tmp_path, monkeypatch, test, run_disk_io)
