control: step down at the commit of the own removal

Found by a review. Change: it steps down first. Figures: TestRemovedLeader fails before, passes now. Conclusion: a removed leader appends nothing more.

--- a/packages/entry/src/almonddeal/control/leading.py
+++ b/packages/entry/src/almonddeal/control/leading.py
@@ -328,11 +328,11 @@
             self.commit_index = index
             self._apply_committed()
             self._wake_peers()
-            if self._join_request_by_name:
-                self._propose_member_change(monotonic_ms())
             if self.name not in self.members and index >= self.members_index:
                 log.info(
                     "this member was removed from the group, members are now %s",
                     sorted(self.members.voters_except("")),
                 )
                 self._become_follower(None)
+            elif self._join_request_by_name:
+                self._propose_member_change(monotonic_ms())
--- a/packages/entry/src/almonddeal/control/tests/test_rules_beside_disks.py
+++ b/packages/entry/src/almonddeal/control/tests/test_rules_beside_disks.py
@@ -7,6 +7,7 @@
     SEEDS,
     run_group_in_virtual_time,
 )
+from almonddeal_common.wire.gen.ttypes import JoinGroup
 
 LEADER_AFTER_REFUSAL_S = 0.5  # an operation, two ticks and the votes
 
@@ -60,3 +61,30 @@
                 assert took_s < LEADER_AFTER_REFUSAL_S, took_s
 
         run_group_in_virtual_time(tmp_path, monkeypatch, test, run_disk_io)
+
+
+class TestRemovedLeader:
+    # Guards against a leader that has committed its own removal and then proposes the
+    # next change instead of stepping down.
+    def test_it_steps_down_once_its_removal_is_committed(self, tmp_path, monkeypatch):
+        async def test(group):
+            await anyio.sleep(1.0)
+            process = group.leader()
+            leader = process.consensus
+            joining = group.start("d:1")
+            group.refused_joins = set(SEEDS)  # asked by this test only
+            request = JoinGroup(joining.name, "d:1", False)
+            # Its removal is in its log, and not committed before the joiner catches up.
+            address = leader.members.address_by_name[leader.name]
+            group.cut_addresses = {a for a in SEEDS if a != address}
+            leader._append_members(leader.members.without_voter(leader.name))
+            removal_index = leader.members_index
+            await leader.handle_join(None, request, None)
+            while leader._match_index_by_name.get(joining.name, 0) < removal_index:
+                await anyio.sleep(0.01)
+            group.cut_addresses = set()
+            while leader.commit_index < removal_index:
+                await anyio.sleep(0.0005)
+            assert (leader.is_leader, leader.members_index) == (False, removal_index)
+
+        run_group_in_virtual_time(tmp_path, monkeypatch, test)
