control: do not repeat a vote request that a full disk refuses

Found by a review. Change: such a voter is asked again in the next election only. Figures: TestRefusedStorage, 10 s, at most 30 writes wanted: fails before, passes now.

--- a/packages/entry/src/almonddeal/control/elections.py
+++ b/packages/entry/src/almonddeal/control/elections.py
@@ -21,6 +21,7 @@
 from almonddeal.control.members import RESPONSIVE_SILENCE_MS
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import (
+    STORAGE_FULL,
     AlmonddealError,
 )
 from almonddeal_common.logs import get_logger
@@ -270,8 +271,8 @@
                     if not has_failed:
                         log.info("vote request to %s failed: %s", name, error)
                     has_failed = True
-                if is_pre_vote:
-                    return
+                    if is_pre_vote or error.code == STORAGE_FULL:
+                        return
                 if monotonic_ms() - started_ms < timeout_ms:
                     await anyio.sleep(TICK_MS / 1000)
             if reply.granted:
--- a/packages/entry/src/almonddeal/control/tests/test_rules_beside_disks.py
+++ b/packages/entry/src/almonddeal/control/tests/test_rules_beside_disks.py
@@ -7,6 +7,7 @@
     SEEDS,
     run_group_in_virtual_time,
 )
+from almonddeal_common.codes import STORAGE_FULL, AlmonddealError
 from almonddeal_common.wire.gen.ttypes import JoinGroup
 
 LEADER_AFTER_REFUSAL_S = 0.5  # an operation, two ticks and the votes
@@ -88,3 +89,30 @@
             assert (leader.is_leader, leader.members_index) == (False, removal_index)
 
         run_group_in_virtual_time(tmp_path, monkeypatch, test)
+
+
+class TestRefusedStorage:
+    # Guards against requests for a vote that a voter with a full disk cannot store,
+    # each of which writes to the disk, several times a second.
+    def test_requests_to_a_full_voter_are_rare(self, tmp_path, monkeypatch):
+        async def test(group):
+            await anyio.sleep(1.0)
+            leader = group.leader().address
+            candidate, other = (
+                group.process_by_address[address]
+                for address in SEEDS
+                if address != leader
+            )
+            await group.kill(leader)
+            n_writes = 0
+
+            def save_meta(*args):
+                nonlocal n_writes
+                n_writes += 1
+                raise AlmonddealError(STORAGE_FULL, "no room")
+
+            other.store.save_meta = save_meta
+            await anyio.sleep(10.0)
+            assert n_writes <= 30
+
+        run_group_in_virtual_time(tmp_path, monkeypatch, test)
