control: refuse changes while the disk of a leader stalls

Found by a review. Figures: TestHangingLeader, 50 changes, fewer than 10 entries wanted: fails before, passes now. Conclusion: what cannot be stored is refused at once, and may be sent again.

--- a/packages/entry/src/almonddeal/control/client.py
+++ b/packages/entry/src/almonddeal/control/client.py
@@ -25,7 +25,9 @@
 PROPOSE_TIMEOUT_MS = 2000
 REFRESH_STEP_TIMEOUT_MS = 800
 REFRESH_INTERVAL_S = 0.5
-NOT_PROPOSED_CODES = frozenset((NOT_LEADER.number, NOT_REACHED.number))
+NOT_PROPOSED_CODES = frozenset(
+    (NOT_LEADER.number, NOT_REACHED.number, NO_QUORUM.number)
+)
 
 log = get_logger("control")
 
--- a/packages/entry/src/almonddeal/control/consensus.py
+++ b/packages/entry/src/almonddeal/control/consensus.py
@@ -214,6 +214,12 @@
             if duration_ms > self._disk_limit_ms:
                 self._handle_end_of_stall(function, duration_ms)
 
+    @property
+    def _is_disk_stalled(self):
+        if self._write_started_ms is None:
+            return False
+        return monotonic_ms() - self._write_started_ms > self._disk_limit_ms
+
     @property
     def _disk_limit_ms(self):
         """Time after which the present disk operation counts as stalled."""
--- a/packages/entry/src/almonddeal/control/elections.py
+++ b/packages/entry/src/almonddeal/control/elections.py
@@ -114,13 +114,10 @@
 
     def _step_down_if_disk_stalls(self, now_ms):
         """Step down if a disk operation stalls, so that another member can lead."""
-        started_ms = self._write_started_ms
-        if started_ms is None or now_ms - started_ms <= self._disk_limit_ms:
-            return
-        if self._can_be_replaced(now_ms):
+        if self._is_disk_stalled and self._can_be_replaced(now_ms):
             log.warning(
                 "stepped down as leader, a disk operation has taken %.0f ms",
-                now_ms - started_ms,
+                now_ms - self._write_started_ms,
             )
             self._become_follower(None)
 
--- a/packages/entry/src/almonddeal/control/leading.py
+++ b/packages/entry/src/almonddeal/control/leading.py
@@ -24,6 +24,7 @@
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import (
     CHANGE_OUTCOME_UNKNOWN,
+    NO_QUORUM,
     NOT_LEADER,
     AlmonddealError,
 )
@@ -66,11 +67,15 @@
         Raises
         ------
         AlmonddealError
-            `NOT_LEADER` (nothing was proposed), or `CHANGE_OUTCOME_UNKNOWN` if the
-            entry was removed or not applied within `timeout_ms`.
+            `NOT_LEADER` or `NO_QUORUM` (nothing was proposed), or
+            `CHANGE_OUTCOME_UNKNOWN` if the entry was removed or not applied within
+            `timeout_ms`.
         """
         if self.role != LEADER:
             raise AlmonddealError(NOT_LEADER, f"leader is {self.leader or 'unknown'}")
+        if self._is_disk_stalled:
+            # A leader that no one can replace stays, however long its disk takes.
+            raise AlmonddealError(NO_QUORUM, "the disk of the leader stalls")
         index = self._append_as_leader(KIND_COMMAND, encode(command))
         result = await self._pending_proposals.wait(index, self.term, timeout_ms)
         if result is None:
--- a/packages/entry/src/almonddeal/control/tests/test_rules_beside_disks.py
+++ b/packages/entry/src/almonddeal/control/tests/test_rules_beside_disks.py
@@ -7,8 +7,9 @@
     SEEDS,
     run_group_in_virtual_time,
 )
+from almonddeal.publication.state import compress_content
 from almonddeal_common.codes import STORAGE_FULL, AlmonddealError
-from almonddeal_common.wire.gen.ttypes import JoinGroup
+from almonddeal_common.wire.gen.ttypes import Command, JoinGroup, PublishConfiguration
 
 LEADER_AFTER_REFUSAL_S = 0.5  # an operation, two ticks and the votes
 
@@ -116,3 +117,29 @@
             assert n_writes <= 30
 
         run_group_in_virtual_time(tmp_path, monkeypatch, test)
+
+
+class TestHangingLeader:
+    # Guards against a leader that stays beside a hanging disk and accepts changes,
+    # which add up in its memory and on the disks of its followers.
+    def test_changes_do_not_add_up(self, tmp_path, monkeypatch):
+        until_s_by_address, run_disk_io = make_disks()
+
+        async def test(group):
+            await anyio.sleep(1.0)
+            leader = group.leader()
+            lost = next(a for a in SEEDS if a != leader.address)
+            await group.kill(lost)
+            until_s_by_address[leader.address] = anyio.current_time() + 60.0
+            last_index = leader.consensus._log.last_index
+            for _ in range(50):
+                content = compress_content(b"x")
+                command = Command(publish=PublishConfiguration(7, content, "t", 0))
+                try:
+                    await leader.consensus.propose(command, 1000)
+                except AlmonddealError:
+                    await anyio.sleep(0.03)
+            n_added = leader.consensus._log.last_index - last_index
+            assert n_added < 10
+
+        run_group_in_virtual_time(tmp_path, monkeypatch, test, run_disk_io)
