control: grow messages only after ones of that size

Cause: the size of messages to a peer on a slow link doubles after any quick call, such as an empty heartbeat or a last chunk of 1 byte, and falls to 2 kB if an empty message ends at its timeout beside a stalled disk.

Ruled out: more time for each call, as heartbeats and votes wait behind these bytes. Change: a quick message allows twice its own bytes; a late one of up to 2 kB changes nothing. Conclusion: the size follows what a link has passed.

--- a/packages/entry/src/almonddeal/control/leading.py
+++ b/packages/entry/src/almonddeal/control/leading.py
@@ -162,13 +162,14 @@
         """Send less at a time to a peer on a slow link, and more once it is fast.
 
         A message that takes longer than its call is sent again and again, and each
-        time arrives too late.
+        time arrives too late. A small message tells nothing about larger ones.
         """
         n_bytes = self._max_message_bytes(name)
         if duration_ms >= timeout_ms:
-            n_bytes = max(MIN_MESSAGE_BYTES, min(n_bytes, n_sent_bytes) // 2)
+            if n_sent_bytes > MIN_MESSAGE_BYTES:
+                n_bytes = max(MIN_MESSAGE_BYTES, min(n_bytes, n_sent_bytes) // 2)
         elif duration_ms < LEADER_HEARTBEAT_INTERVAL_MS:
-            n_bytes = min(MAX_BYTES_PER_APPEND, 2 * n_bytes)
+            n_bytes = max(n_bytes, min(MAX_BYTES_PER_APPEND, 2 * n_sent_bytes))
         if name in self._next_index_by_name:
             self._n_message_bytes_by_name[name] = n_bytes
 
--- a/packages/entry/src/almonddeal/control/tests/test_slow_links.py
+++ b/packages/entry/src/almonddeal/control/tests/test_slow_links.py
@@ -1,6 +1,7 @@
 """Tests of large changes over links and to disks that take a while for them."""
 
 import random
+from collections import Counter
 
 import anyio
 import pytest
@@ -39,6 +40,33 @@
     return handle
 
 
+def count_sent_bytes(group, monkeypatch):
+    """Return the number of bytes sent from now on, by source and address."""
+    n_bytes_by_link = Counter()
+    transmit = group.transmit
+
+    async def count(source, address, n_bytes):
+        n_bytes_by_link[source, address] += n_bytes
+        await transmit(source, address, n_bytes)
+
+    monkeypatch.setattr(group, "transmit", count)
+    return n_bytes_by_link
+
+
+def record_appends(group, address):
+    """Return a list that receives the appends to a process from now on."""
+    messages = []
+    handlers = group.process_by_address[address].handler_by_type
+    handle_append = handlers[AppendLog]
+
+    async def record(link, message, emit):
+        messages.append(message)
+        return await handle_append(link, message, emit)
+
+    handlers[AppendLog] = record
+    return messages
+
+
 def run_slow_group(folder, test):
     """Run a test with a group whose links can be slowed down."""
 
@@ -103,6 +131,44 @@
         run_slow_group(tmp_path, test)
 
 
+class TestSizeOfMessages:
+    # Guards against parts that are too large for a slow link time and again: each short
+    # message, such as a heartbeat, doubled their size.
+    def test_it_stays_small_beside_short_messages(self, tmp_path, monkeypatch):
+        async def test(group):
+            n_bytes_by_link = count_sent_bytes(group, monkeypatch)
+            leader = group.leader()
+            group.link_bytes_per_s = 40_000
+            await leader.consensus.propose(change_of(2, 30_000), 10_000)
+            for address in SEEDS:
+                await group.wait_version(address, 2)
+            await anyio.sleep(2.0)
+            n_bytes_by_link.clear()
+            await leader.consensus.propose(change_of(3, 30_000), 10_000)
+            for address in SEEDS:
+                await group.wait_version(address, 3)
+            assert max(n_bytes_by_link.values()) < 33_000
+
+        run_group_in_virtual_time(tmp_path, monkeypatch, test)
+
+    # Guards against a member that gets changes in small parts after its disk stalled.
+    def test_it_does_not_shrink_by_heartbeats_to_a_stalled_disk(
+        self, tmp_path, monkeypatch
+    ):
+        async def test(group):
+            leader = group.leader()
+            stalled = next(a for a in SEEDS if a != leader.address)
+            member = group.process_by_address[stalled].consensus
+            async with member.disk_lock:
+                await anyio.sleep(1.0)
+            messages = record_appends(group, stalled)
+            await leader.consensus.propose(change_of(2, 30_000), 10_000)
+            await group.wait_version(stalled, 2)
+            assert all(message.part is None for message in messages)
+
+        run_group_in_virtual_time(tmp_path, monkeypatch, test)
+
+
 class TestMemberBehind:
     # Guards against a member that never catches up over a slow link, and so against
     # changes that stay unanswered while no other member can acknowledge them.
