control: recognise a call that ended at its timeout

Cause: a call counts as late if its measured duration is at least its timeout. Change: a call without a reply that took RPC_TIMEOUT_MS or longer is late. Conclusion: whether a call had a reply tells it without a comparison of rounded times.

--- a/packages/entry/src/almonddeal/control/leading.py
+++ b/packages/entry/src/almonddeal/control/leading.py
@@ -144,12 +144,14 @@
         message, n_sent_bytes, n_written_bytes = self._next_message(name)
         timeout_ms = _call_timeout_ms(n_sent_bytes, n_written_bytes)
         self._call_started_ms_by_name[name] = started_ms
+        has_reply = False
         try:
             reply = await peer.call(message, timeout_ms)
+            has_reply = True
         finally:
             self._call_started_ms_by_name.pop(name, None)
             duration_ms = monotonic_ms() - started_ms
-            self._adapt_message_size(name, n_sent_bytes, duration_ms, timeout_ms)
+            self._adapt_message_size(name, n_sent_bytes, duration_ms, has_reply)
         if reply.term > self.term:
             async with self.disk_lock:
                 await self._adopt_term(reply.term)
@@ -158,15 +160,17 @@
             self._replied_ms_by_name[name] = monotonic_ms()
             self._process_reply(name, reply)
 
-    def _adapt_message_size(self, name, n_sent_bytes, duration_ms, timeout_ms):
+    def _adapt_message_size(self, name, n_sent_bytes, duration_ms, has_reply):
         """Send less at a time to a peer on a slow link, and more once it is fast.
 
         A message that takes longer than its call is sent again and again, and each
         time arrives too late. A small message tells nothing about larger ones.
         """
         n_bytes = self._max_message_bytes(name)
-        if duration_ms >= timeout_ms:
-            if n_sent_bytes > MIN_MESSAGE_BYTES:
+        if not has_reply:
+            # The timeout is longer; by this clock, a call may end slightly before it.
+            is_late = duration_ms >= RPC_TIMEOUT_MS
+            if is_late and n_sent_bytes > MIN_MESSAGE_BYTES:
                 n_bytes = max(MIN_MESSAGE_BYTES, min(n_bytes, n_sent_bytes) // 2)
         elif duration_ms < LEADER_HEARTBEAT_INTERVAL_MS:
             n_bytes = max(n_bytes, min(MAX_BYTES_PER_APPEND, 2 * n_sent_bytes))
--- a/packages/entry/src/almonddeal/control/tests/test_slow_links.py
+++ b/packages/entry/src/almonddeal/control/tests/test_slow_links.py
@@ -9,6 +9,7 @@
 from almonddeal.control import consensus
 from almonddeal.control.tests.changing_group import (
     SEEDS,
+    AddressPeer,
     ChangingGroup,
     run_group_in_virtual_time,
 )
@@ -67,6 +68,20 @@
     return messages
 
 
+def record_sent_appends(address, monkeypatch):
+    """Return a list that receives the appends to an address, also those lost."""
+    messages = []
+    call = AddressPeer.call
+
+    async def record(peer, message, timeout_ms):
+        if peer._address == address and isinstance(message, AppendLog):
+            messages.append(message)
+        return await call(peer, message, timeout_ms)
+
+    monkeypatch.setattr(AddressPeer, "call", record)
+    return messages
+
+
 def run_slow_group(folder, test):
     """Run a test with a group whose links can be slowed down."""
 
@@ -257,3 +272,24 @@
                 await group.wait_voters(SEEDS)
 
         run_group_in_virtual_time(tmp_path, monkeypatch, test)
+
+    # Guards against a message that is sent again and again at its full size: its call
+    # ended at the timeout, but by the clock slightly before.
+    @pytest.mark.parametrize("n_bytes", range(12_200, 12_800, 100))
+    def test_it_gets_smaller_messages_after_a_late_one(
+        self, tmp_path, monkeypatch, n_bytes
+    ):
+        async def test(group):
+            await group.submit(change_of(2, n_bytes))
+            leader = group.leader()
+            group.link_bytes_per_s = 20_000
+            lost = next(a for a in SEEDS if a != leader.address)
+            await group.kill(lost, wipe=True)
+            appends = record_sent_appends(lost, monkeypatch)
+            group.start(lost)
+            with anyio.fail_after(CATCH_UP_S):
+                await group.wait_voters(SEEDS)
+            sizes = [sum(len(e.command) for e in m.entries) for m in appends]
+            assert sum(size >= n_bytes for size in sizes) == 1
+
+        run_group_in_virtual_time(tmp_path, monkeypatch, test)
