--- a/packages/entry/src/almonddeal/control/consensus.py
+++ b/packages/entry/src/almonddeal/control/consensus.py
@@ -307,7 +307,7 @@
             except AlmonddealError as error:
                 log.error("could not write a snapshot, log is not compacted: %s", error)
                 return
-            self._log.compact(snapshot)
+            self._log.compact(snapshot, self._first_index_to_keep(snapshot))
             self._n_applied_bytes -= n_bytes
             log.info("compacted the log into a snapshot at entry %d", index)
 
--- a/packages/entry/src/almonddeal/control/entries.py
+++ b/packages/entry/src/almonddeal/control/entries.py
@@ -7,7 +7,7 @@
 
 
 class EntryLog:
-    """Log entries by index; entries covered by the snapshot are not kept.
+    """Log entries by index; some that the snapshot covers may be kept.
 
     Parameters
     ----------
@@ -19,16 +19,23 @@
     def __init__(self, snapshot, entries):
         self.snapshot = snapshot
         self._entries = list(entries)
+        self._base_index = snapshot.index
+        self._base_term = snapshot.term
 
     @property
     def first_index(self):
         """Index of the first entry after the snapshot, present or not."""
         return self.snapshot.index + 1
 
+    @property
+    def first_kept_index(self):
+        """Index of the first entry that `entry` returns, present or not."""
+        return self._base_index + 1
+
     @property
     def last_index(self):
         """Index of the last entry, whether committed or not."""
-        return self.snapshot.index + len(self._entries)
+        return self._base_index + len(self._entries)
 
     @property
     def last_term(self):
@@ -36,20 +43,20 @@
         return self.term_at(self.last_index)
 
     def entry(self, index):
-        """Return the entry at an index, which must lie after the snapshot."""
-        return self._entries[index - self.first_index]
+        """Return the entry at an index from `first_kept_index` on."""
+        return self._entries[index - self.first_kept_index]
 
     def term_at(self, index):
         """Return the term of the entry at an index, or None if it is not in the log."""
-        if index == self.snapshot.index:
-            return self.snapshot.term
-        if index < self.first_index or index > self.last_index:
+        if index == self._base_index:
+            return self._base_term
+        if index < self.first_kept_index or index > self.last_index:
             return None
         return self.entry(index).term
 
     def entries_from(self, index, max_entries=None):
         """Return up to `max_entries` entries, starting at an index."""
-        start = index - self.first_index
+        start = index - self.first_kept_index
         end = None if max_entries is None else start + max_entries
         return self._entries[start:end]
 
@@ -60,9 +67,12 @@
 
     def truncate_from(self, index):
         """Remove the entry at an index and all later ones."""
-        del self._entries[index - self.first_index :]
+        del self._entries[index - self.first_kept_index :]
 
-    def compact(self, snapshot):
-        """Replace the entries up to the index of a snapshot by the snapshot."""
-        self._entries = self._entries[snapshot.index - self.snapshot.index :]
+    def compact(self, snapshot, first_kept_index):
+        """Remove the entries before an index, which a snapshot covers."""
+        base_index = first_kept_index - 1
+        self._base_term = self.term_at(base_index)
+        self._entries = self._entries[base_index - self._base_index :]
+        self._base_index = base_index
         self.snapshot = snapshot
--- a/packages/entry/src/almonddeal/control/leading.py
+++ b/packages/entry/src/almonddeal/control/leading.py
@@ -20,6 +20,7 @@
     TICK_MS,
 )
 from almonddeal.control.entries import n_command_bytes
+from almonddeal.control.members import RESPONSIVE_SILENCE_MS
 from almonddeal.control.transfers import EntryTransfer, SnapshotTransfer
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import (
@@ -231,7 +232,7 @@
             n_bytes = n_command_bytes(entries)
             message = self._make_append_message(next_index, entries, name)
             return message, n_bytes, n_bytes
-        if next_index < self._log.first_index:
+        if next_index < self._log.first_kept_index:
             message = transfer.message(self.term, self.name, name)
         else:
             message = self._make_append_message(next_index, [], name)
@@ -242,7 +243,7 @@
     def _update_transfer(self, name, next_index):
         """Return the present transfer to a peer, or None; start one if it is due."""
         transfer = self._transfer_by_name.get(name)
-        if next_index < self._log.first_index:
+        if next_index < self._log.first_kept_index:
             if not isinstance(transfer, SnapshotTransfer):
                 transfer = SnapshotTransfer(self._log.snapshot)
         elif self._is_sent_in_parts(name, next_index):
@@ -255,6 +256,34 @@
         self._transfer_by_name[name] = transfer
         return transfer
 
+    def _first_index_to_keep(self, snapshot):
+        """Return the index of the first entry to keep beside a new snapshot.
+
+        A member that receives the snapshot before, or the entries after it, needs the
+        later entries next. They reach it before the new snapshot if they are smaller.
+        """
+        first_index = snapshot.index + 1
+        if self.role != LEADER:
+            return first_index
+        for name in self._next_index_by_name:
+            index = self._next_entry_index(name)
+            if index is None or not self._log.first_kept_index <= index < first_index:
+                continue
+            entries = self._log.entries_from(index, snapshot.index + 1 - index)
+            if n_command_bytes(entries) <= len(snapshot.state):
+                first_index = index
+        return first_index
+
+    def _next_entry_index(self, name):
+        """Return the index of the next entry to a peer; None if the peer is silent."""
+        transfer = self._transfer_by_name.get(name)
+        if isinstance(transfer, SnapshotTransfer):
+            return transfer.index + 1
+        silence_ms = monotonic_ms() - self._contacted_ms_by_name[name]
+        if silence_ms > RESPONSIVE_SILENCE_MS:
+            return None
+        return self._next_index_by_name[name]
+
     def _is_sent_in_parts(self, name, index):
         if index > self._log.last_index or name in self._names_without_parts:
             return False
--- a/packages/entry/src/almonddeal/control/tests/test_slow_links.py
+++ b/packages/entry/src/almonddeal/control/tests/test_slow_links.py
@@ -16,7 +16,12 @@
 from almonddeal.control.tests.faulty_disk import Disks
 from almonddeal.control.tests.slow_group import CATCH_UP_S
 from almonddeal.publication.state import compress_content
-from almonddeal_common.wire.gen.ttypes import AppendLog, Command, PublishConfiguration
+from almonddeal_common.wire.gen.ttypes import (
+    AppendLog,
+    Command,
+    InstallSnapshot,
+    PublishConfiguration,
+)
 
 SLOW_LINK_BYTES_PER_S = 640_000  # 5 Mbit/s
 SLOW_DISK_BYTES_PER_S = 1_100_000
@@ -68,13 +73,13 @@
     return messages
 
 
-def record_sent_appends(address, monkeypatch):
-    """Return a list that receives the appends to an address, also those lost."""
+def record_sent(message_type, address, monkeypatch):
+    """Return a list that receives the messages to an address, also those lost."""
     messages = []
     call = AddressPeer.call
 
     async def record(peer, message, timeout_ms):
-        if peer._address == address and isinstance(message, AppendLog):
+        if peer._address == address and isinstance(message, message_type):
             messages.append(message)
         return await call(peer, message, timeout_ms)
 
@@ -285,7 +290,7 @@
             group.link_bytes_per_s = 20_000
             lost = next(a for a in SEEDS if a != leader.address)
             await group.kill(lost, wipe=True)
-            appends = record_sent_appends(lost, monkeypatch)
+            appends = record_sent(AppendLog, lost, monkeypatch)
             group.start(lost)
             with anyio.fail_after(CATCH_UP_S):
                 await group.wait_voters(SEEDS)
@@ -293,3 +298,56 @@
             assert sum(size >= n_bytes for size in sizes) == 1
 
         run_group_in_virtual_time(tmp_path, monkeypatch, test)
+
+    # Guards against a snapshot that is of no use once it has arrived: the log was
+    # compacted while it was sent, and the next snapshot had to follow, and so on.
+    def test_it_gets_one_snapshot_beside_a_compaction(self, tmp_path, monkeypatch):
+        monkeypatch.setattr(consensus, "SNAPSHOT_INTERVAL_ENTRIES", 2)
+
+        async def test(group):
+            await group.submit(change_of(2, 16_000))
+            leader = group.leader()
+            await leader.consensus.compact()
+            group.link_bytes_per_s = 40_000
+            lost = next(a for a in SEEDS if a != leader.address)
+            await group.kill(lost, wipe=True)
+            chunks = record_sent(InstallSnapshot, lost, monkeypatch)
+            group.start(lost)
+            while not chunks:
+                await anyio.sleep(0.01)
+            for version in range(3, 5):
+                await group.submit(change_of(version, 1_000 * (version - 2)))
+            await leader.consensus.compact()
+            assert leader.store.snapshot.index > chunks[0].snapshot.index
+            with anyio.fail_after(CATCH_UP_S):
+                await group.wait_voters(SEEDS)
+            assert len({chunk.snapshot.index for chunk in chunks}) == 1
+
+        run_group_in_virtual_time(tmp_path, monkeypatch, test)
+
+    # Guards against a leader that keeps entries which take longer than its snapshot.
+    def test_it_gets_a_new_snapshot_instead_of_larger_entries(
+        self, tmp_path, monkeypatch
+    ):
+        monkeypatch.setattr(consensus, "SNAPSHOT_INTERVAL_ENTRIES", 2)
+
+        async def test(group):
+            await group.submit(change_of(2, 16_000))
+            leader = group.leader()
+            await leader.consensus.compact()
+            lost = next(a for a in SEEDS if a != leader.address)
+            await group.kill(lost, wipe=True)
+            group.link_bytes_per_s = 40_000
+            chunks = record_sent(InstallSnapshot, lost, monkeypatch)
+            group.start(lost)
+            while not chunks:
+                await anyio.sleep(0.01)
+            group.link_bytes_per_s = 1_000_000
+            for version in range(3, 8):
+                await group.submit(change_of(version, 16_000))
+            await leader.consensus.compact()
+            with anyio.fail_after(CATCH_UP_S):
+                await group.wait_voters(SEEDS)
+            assert len({chunk.snapshot.index for chunk in chunks}) == 2
+
+        run_group_in_virtual_time(tmp_path, monkeypatch, test)
