--- a/packages/entry/src/almonddeal/control/tests/test_slow_links.py
+++ b/packages/entry/src/almonddeal/control/tests/test_slow_links.py
@@ -1,6 +1,7 @@
 """Tests of large changes over links and to disks that take a while for them."""
 
 import random
+from collections import Counter
 
 import anyio
 import pytest
@@ -8,13 +9,19 @@
 from almonddeal.control import consensus
 from almonddeal.control.tests.changing_group import (
     SEEDS,
+    AddressPeer,
     ChangingGroup,
     run_group_in_virtual_time,
 )
 from almonddeal.control.tests.faulty_disk import Disks
 from almonddeal.control.tests.slow_group import CATCH_UP_S
 from almonddeal.publication.state import compress_content
-from almonddeal_common.wire.gen.ttypes import AppendLog, Command, PublishConfiguration
+from almonddeal_common.wire.gen.ttypes import (
+    AppendLog,
+    Command,
+    InstallSnapshot,
+    PublishConfiguration,
+)
 
 SLOW_LINK_BYTES_PER_S = 640_000  # 5 Mbit/s
 SLOW_DISK_BYTES_PER_S = 1_100_000
@@ -39,6 +46,47 @@
     return handle
 
 
+def count_sent_bytes(group, monkeypatch):
+    """Return the number of bytes sent from now on, by source and address."""
+    n_bytes_by_link = Counter()
+    transmit = group.transmit
+
+    async def count(source, address, n_bytes):
+        n_bytes_by_link[source, address] += n_bytes
+        await transmit(source, address, n_bytes)
+
+    monkeypatch.setattr(group, "transmit", count)
+    return n_bytes_by_link
+
+
+def record_appends(group, address):
+    """Return a list that receives the appends to a process from now on."""
+    messages = []
+    handlers = group.process_by_address[address].handler_by_type
+    handle_append = handlers[AppendLog]
+
+    async def record(link, message, emit):
+        messages.append(message)
+        return await handle_append(link, message, emit)
+
+    handlers[AppendLog] = record
+    return messages
+
+
+def record_sent(message_type, address, monkeypatch):
+    """Return a list that receives the messages to an address, also those lost."""
+    messages = []
+    call = AddressPeer.call
+
+    async def record(peer, message, timeout_ms):
+        if peer._address == address and isinstance(message, message_type):
+            messages.append(message)
+        return await call(peer, message, timeout_ms)
+
+    monkeypatch.setattr(AddressPeer, "call", record)
+    return messages
+
+
 def run_slow_group(folder, test):
     """Run a test with a group whose links can be slowed down."""
 
@@ -103,6 +151,44 @@
         run_slow_group(tmp_path, test)
 
 
+class TestSizeOfMessages:
+    # Guards against parts that are too large for a slow link time and again: each short
+    # message, such as a heartbeat, doubled their size.
+    def test_it_stays_small_beside_short_messages(self, tmp_path, monkeypatch):
+        async def test(group):
+            n_bytes_by_link = count_sent_bytes(group, monkeypatch)
+            leader = group.leader()
+            group.link_bytes_per_s = 40_000
+            await leader.consensus.propose(change_of(2, 30_000), 10_000)
+            for address in SEEDS:
+                await group.wait_version(address, 2)
+            await anyio.sleep(2.0)
+            n_bytes_by_link.clear()
+            await leader.consensus.propose(change_of(3, 30_000), 10_000)
+            for address in SEEDS:
+                await group.wait_version(address, 3)
+            assert max(n_bytes_by_link.values()) < 33_000
+
+        run_group_in_virtual_time(tmp_path, monkeypatch, test)
+
+    # Guards against a member that gets changes in small parts after its disk stalled.
+    def test_it_does_not_shrink_by_heartbeats_to_a_stalled_disk(
+        self, tmp_path, monkeypatch
+    ):
+        async def test(group):
+            leader = group.leader()
+            stalled = next(a for a in SEEDS if a != leader.address)
+            member = group.process_by_address[stalled].consensus
+            async with member.disk_lock:
+                await anyio.sleep(1.0)
+            messages = record_appends(group, stalled)
+            await leader.consensus.propose(change_of(2, 30_000), 10_000)
+            await group.wait_version(stalled, 2)
+            assert all(message.part is None for message in messages)
+
+        run_group_in_virtual_time(tmp_path, monkeypatch, test)
+
+
 class TestMemberBehind:
     # Guards against a member that never catches up over a slow link, and so against
     # changes that stay unanswered while no other member can acknowledge them.
@@ -191,3 +277,77 @@
                 await group.wait_voters(SEEDS)
 
         run_group_in_virtual_time(tmp_path, monkeypatch, test)
+
+    # Guards against a message that is sent again and again at its full size: its call
+    # ended at the timeout, but by the clock slightly before.
+    @pytest.mark.parametrize("n_bytes", range(12_200, 12_800, 100))
+    def test_it_gets_smaller_messages_after_a_late_one(
+        self, tmp_path, monkeypatch, n_bytes
+    ):
+        async def test(group):
+            await group.submit(change_of(2, n_bytes))
+            leader = group.leader()
+            group.link_bytes_per_s = 20_000
+            lost = next(a for a in SEEDS if a != leader.address)
+            await group.kill(lost, wipe=True)
+            appends = record_sent(AppendLog, lost, monkeypatch)
+            group.start(lost)
+            with anyio.fail_after(CATCH_UP_S):
+                await group.wait_voters(SEEDS)
+            sizes = [sum(len(e.command) for e in m.entries) for m in appends]
+            assert sum(size >= n_bytes for size in sizes) == 1
+
+        run_group_in_virtual_time(tmp_path, monkeypatch, test)
+
+    # Guards against a snapshot that is of no use once it has arrived: the log was
+    # compacted while it was sent, and the next snapshot had to follow, and so on.
+    def test_it_gets_one_snapshot_beside_a_compaction(self, tmp_path, monkeypatch):
+        monkeypatch.setattr(consensus, "SNAPSHOT_INTERVAL_ENTRIES", 2)
+
+        async def test(group):
+            await group.submit(change_of(2, 16_000))
+            leader = group.leader()
+            await leader.consensus.compact()
+            group.link_bytes_per_s = 40_000
+            lost = next(a for a in SEEDS if a != leader.address)
+            await group.kill(lost, wipe=True)
+            chunks = record_sent(InstallSnapshot, lost, monkeypatch)
+            group.start(lost)
+            while not chunks:
+                await anyio.sleep(0.01)
+            for version in range(3, 5):
+                await group.submit(change_of(version, 1_000 * (version - 2)))
+            await leader.consensus.compact()
+            assert leader.store.snapshot.index > chunks[0].snapshot.index
+            with anyio.fail_after(CATCH_UP_S):
+                await group.wait_voters(SEEDS)
+            assert len({chunk.snapshot.index for chunk in chunks}) == 1
+
+        run_group_in_virtual_time(tmp_path, monkeypatch, test)
+
+    # Guards against a leader that keeps entries which take longer than its snapshot.
+    def test_it_gets_a_new_snapshot_instead_of_larger_entries(
+        self, tmp_path, monkeypatch
+    ):
+        monkeypatch.setattr(consensus, "SNAPSHOT_INTERVAL_ENTRIES", 2)
+
+        async def test(group):
+            await group.submit(change_of(2, 16_000))
+            leader = group.leader()
+            await leader.consensus.compact()
+            lost = next(a for a in SEEDS if a != leader.address)
+            await group.kill(lost, wipe=True)
+            group.link_bytes_per_s = 40_000
+            chunks = record_sent(InstallSnapshot, lost, monkeypatch)
+            group.start(lost)
+            while not chunks:
+                await anyio.sleep(0.01)
+            group.link_bytes_per_s = 1_000_000
+            for version in range(3, 8):
+                await group.submit(change_of(version, 16_000))
+            await leader.consensus.compact()
+            with anyio.fail_after(CATCH_UP_S):
+                await group.wait_voters(SEEDS)
+            assert len({chunk.snapshot.index for chunk in chunks}) == 2
+
+        run_group_in_virtual_time(tmp_path, monkeypatch, test)
