common: announce the close behind an early response

Cause: a response that comes before the end of its request ends the connection, and its head did not say so. A client that sends the rest of the body and then its next request, as after any other response, finds the connection closed: that request gets neither an answer nor a refusal, reaches no target, and the close has no line in the log, as it counted as expected. On the platform these are 413, and 431 by the application, and so requests beside a change that lowers a limit; at our own interface also 401, and so requests beside a revoked key, whose body comes in a later packet than their head.

Ruled out: a key that is revoked on the platform, which reads the body before it looks at the key. Bodies that arrive with their head are read before the response, and keep their connection.

Change: such a head has "Connection: close".

Conclusion: a request can be lost in this way beside a change of the configuration.

--- a/packages/common/src/almonddeal_common/connections.py
+++ b/packages/common/src/almonddeal_common/connections.py
@@ -37,6 +37,12 @@
     record_malformed,
     request_progress,
 )
+from almonddeal_common.h11_connections import (
+    announce_early_closes,
+    raise_head_limit,
+    skip_empty_lines,
+    without_upgrade,
+)
 from almonddeal_common.head_limits import HeadLimitedReader
 from almonddeal_common.logs import get_logger
 
@@ -47,7 +53,6 @@
 CANCEL_TIMEOUT_S = 0.5  # for cancelled connections to close
 DISCARD_TIMEOUT_S = 1.0  # for clients to read a response before the connection closes
 FIRST_REQUEST_TIMEOUT_S = 0.3  # after a stop, for connections that were just accepted
-EMPTY_LINE = b"\r\n"
 READ_POLL_INTERVAL_S = 0.01
 MAX_READ_POLLS = 100  # for a request to be read of which bytes were received
 
@@ -70,47 +75,6 @@
         await self._terminated.wait()
 
 
-def _without_upgrade(request):
-    """Return a request without the offer of another protocol, if it has one.
-
-    A server need not take it. Hypercorn would, and respond in HTTP/2 to a client that
-    does not name all that this needs, or fail a request for a WebSocket.
-    """
-    headers = [(name, value) for name, value in request.headers if name != b"upgrade"]
-    if len(headers) == len(request.headers):
-        return request
-    return h11.Request(
-        method=request.method,
-        target=request.target,
-        headers=headers,
-        http_version=request.http_version,
-    )
-
-
-def _raise_head_limit(connection, max_bytes):
-    """Raise the size limit of the heads of an open HTTP/1 connection."""
-    # h11 has no other way to change it.
-    connection._max_incomplete_event_size = max(
-        connection._max_incomplete_event_size, max_bytes
-    )
-
-
-def _skip_empty_lines(connection):
-    """Drop empty lines before a request line, which some clients send behind a body.
-
-    Returns whether a part of one is left, of which the rest may follow.
-    """
-    if connection.their_state is not h11.IDLE:
-        return False
-    data, is_closed = connection.trailing_data
-    n_bytes = 0
-    while data.startswith(EMPTY_LINE, n_bytes):
-        n_bytes += len(EMPTY_LINE)
-    if n_bytes:
-        connection._receive_buffer.maybe_extract_at_most(n_bytes)
-    return data[n_bytes:] == EMPTY_LINE[:1] and not is_closed
-
-
 class _Connection(TCPServer):
     """A connection that is closed after what it has received.
 
@@ -229,6 +193,7 @@
         protocol = self.protocol.protocol
         if not isinstance(protocol, H11Protocol):
             return
+        announce_early_closes(protocol.connection)
         next_event = protocol.connection.next_event
 
         def wrapped_next_event():
@@ -236,8 +201,8 @@
                 # Another event would be an error, and end the response.
                 self.reader.discard()
                 return h11.NEED_DATA
-            _raise_head_limit(protocol.connection, self.config.h11_max_incomplete_size)
-            if _skip_empty_lines(protocol.connection):
+            raise_head_limit(protocol.connection, self.config.h11_max_incomplete_size)
+            if skip_empty_lines(protocol.connection):
                 return h11.NEED_DATA
             try:
                 event = next_event()
@@ -248,7 +213,7 @@
                 # The preface of HTTP/2 has none, and the state is that of its requests.
                 if event.http_version != b"2.0":
                     protocol.connection_state[REQUEST_TARGET] = event.target
-                return _without_upgrade(event)
+                return without_upgrade(event)
             return event
 
         protocol.connection.next_event = wrapped_next_event
--- a/packages/common/src/almonddeal_common/tests/test_further_requests.py
+++ b/packages/common/src/almonddeal_common/tests/test_further_requests.py
@@ -226,3 +226,38 @@
             return received
 
         assert anyio.run(main) == b""
+
+
+class TestEarlyResponses:
+    BODY = b"0123456789"
+    HEAD = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n"
+
+    def exchange(self, at):
+        """Return what a client reads that sends the body's end behind the response."""
+
+        async def main():
+            stop = anyio.Event()
+            async with serve(RecordingApp(), stop):
+                client = Client()
+                client.send(self.HEAD + self.BODY[:at])
+                received = await client.read()
+                client.send(self.BODY[at:])
+                if b"connection: close" not in received.lower():
+                    client.send(REQUEST)
+                    received += await client.read()
+                client.close()
+            return received
+
+        return anyio.run(main)
+
+    # Guards against a request that gets no answer, as the response before it came
+    # before the end of its request and did not announce that the connection closes.
+    @pytest.mark.parametrize("at", [0, 5])
+    def test_response_before_the_end_of_the_body_announces_the_close(self, at):
+        received = self.exchange(at)
+        assert received.count(b"HTTP/1.1 200") == 1
+        assert b"connection: close\r\n" in received
+
+    def test_connection_is_kept_behind_a_whole_body(self):
+        received = self.exchange(len(self.BODY))
+        assert received.count(b"HTTP/1.1 200") == 2
