platform tests: let changes and signals coincide

Cause: no test had a change of the idle limit, a revoked key and a signal to an instance at once, at each stage of a request.

Change: test_coincidences, with real processes.

--- a/tools/almonddeal_tools/scheduling.py
+++ b/tools/almonddeal_tools/scheduling.py
@@ -27,6 +27,7 @@
     "test_changes_beside_requests.py": "changes beside requests",
     "test_close_records.py": "closing",
     "test_closing.py": "closing",
+    "test_coincidences.py": "coincidences",
     "test_connections.py": "connections",
     "test_control.py": "control instance",
     "test_exits.py": "faulty targets",
