common: let clients see an idle close at once

Cause: the close of an idle connection shut its socket only in the next step of the event loop. If that step is long, as the parse of a configuration may be, a client sees the connection open in that time, and a request that it sends gets no answer.

Ruled out: closes behind a response; hypercorn ends their output first.

Change: the output of the connection ends as the close is decided, so that the client can see it. A request that crosses this is still lost.

Conclusion: a client that looks before it sends is no longer misled.

--- a/packages/common/src/almonddeal_common/connections.py
+++ b/packages/common/src/almonddeal_common/connections.py
@@ -241,6 +241,9 @@
             await asyncio.sleep(READ_POLL_INTERVAL_S)
             n_polls = 0 if self._awaits_rest_of_head(head_ends_s) else n_polls + 1
         self._close_cause = STOP if self._terminated.is_set() else IDLE_TIMEOUT
+        with suppress(NotImplementedError, OSError, RuntimeError):
+            # At once, as the close takes one more step of the loop, which may be long.
+            self.writer.write_eof()
         self.writer.close()
 
     def _awaits_rest_of_head(self, ends_s):
--- a/packages/common/src/almonddeal_common/tests/test_closing.py
+++ b/packages/common/src/almonddeal_common/tests/test_closing.py
@@ -1,18 +1,21 @@
 """Tests of requests that arrive as the server closes connections."""
 
 import asyncio
+import socket
 import time
 from contextlib import suppress
 
 import anyio
 import pytest
 
+from almonddeal_common import connections
 from almonddeal_common.connections import (
     MAX_READ_POLLS,
     READ_POLL_INTERVAL_S,
     _Connection,
 )
 from almonddeal_common.tests.closing import (
+    ADDRESS,
     APP_S,
     IDLE_TIMEOUT_S,
     N_STEPS,
@@ -313,3 +316,34 @@
             assert not received.endswith(b"0\r\n\r\n")
 
         anyio.run(main)
+
+
+class TestLongStep:
+    BLOCKED_S = 0.5
+
+    # Guards against a close that its client sees only after a long step of the event
+    # loop, in which it may send a request that gets no answer.
+    def test_client_sees_the_close_before_it(self, monkeypatch):
+        receive_pending = connections._receive_pending
+
+        async def receive_pending_and_block():
+            await receive_pending()
+            asyncio.get_running_loop().call_soon(time.sleep, self.BLOCKED_S)
+
+        monkeypatch.setattr(connections, "_receive_pending", receive_pending_and_block)
+
+        def read_end():
+            with socket.create_connection((ADDRESS.host, ADDRESS.port)) as connection:
+                connection.sendall(REQUEST)
+                while not connection.recv(4096).endswith(b"ok"):
+                    pass
+                begun_s = time.monotonic()
+                assert connection.recv(4096) == b""
+                return time.monotonic() - begun_s
+
+        async def main():
+            stop = anyio.Event()
+            async with serve(RecordingApp(), stop, keep_alive_timeout=IDLE_TIMEOUT_S):
+                return await anyio.to_thread.run_sync(read_end)
+
+        assert anyio.run(main) < IDLE_TIMEOUT_S + self.BLOCKED_S / 2
