control: bound remembered joins, propose changes as leader only

Cause: join requests that came during an election were dropped at the next election only; a leader that stepped down at a tick could append a membership change at the same tick (older; it was removed by the next leader). Both found by a review, by reading. Conclusion: both are bounded by their purpose.

--- a/packages/entry/src/almonddeal/control/membership.py
+++ b/packages/entry/src/almonddeal/control/membership.py
@@ -128,7 +128,8 @@
         """Append the next membership change, once the one before is committed."""
         if self._connect is None or self.members_index > self.commit_index:
             return
-        if not self._recent_commit_indexes:
+        # It may have stepped down at this tick, or have been elected since the last one.
+        if self.role != LEADER or not self._recent_commit_indexes:
             return
         for name in [n for n in self._join_request_by_name if n in self.members]:
             del self._join_request_by_name[name]
@@ -221,12 +222,23 @@
         address = self.members.address_by_name.get(self.name, "")
         return JoinGroupReply(OK.number, address, is_voter)
 
+    def _remember_refused_join(self, message):
+        self._forget_old_joins()
+        self._refused_join_by_address[message.address] = message, monotonic_ms()
+
+    def _forget_old_joins(self):
+        oldest_ms = monotonic_ms() - JOIN_MEMORY_MS
+        self._refused_join_by_address = {
+            address: (message, refused_ms)
+            for address, (message, refused_ms) in self._refused_join_by_address.items()
+            if refused_ms > oldest_ms
+        }
+
     def _accept_refused_joins(self):
         """Accept the join requests that came during the election, as the new leader."""
-        now_ms = monotonic_ms()
-        for message, refused_ms in self._refused_join_by_address.values():
-            is_recent = now_ms - refused_ms < JOIN_MEMORY_MS
-            if is_recent and message.name not in self.members:
+        self._forget_old_joins()
+        for message, _ in self._refused_join_by_address.values():
+            if message.name not in self.members:
                 self._add_join_request(message)
         self._refused_join_by_address.clear()
 
@@ -252,7 +264,7 @@
                 if reply.code == OK.number:
                     return reply
         if not message.is_leaving:
-            self._refused_join_by_address[message.address] = message, monotonic_ms()
+            self._remember_refused_join(message)
         address = self.members.address_by_name.get(self.leader, "")
         return JoinGroupReply(NOT_LEADER.number, address, False)
 
