--- a/packages/entry/src/almonddeal/control/membership.py
+++ b/packages/entry/src/almonddeal/control/membership.py
@@ -128,7 +128,7 @@
         """Append the next membership change, once the one before is committed."""
         if self._connect is None or self.members_index > self.commit_index:
             return
-        # It may have stepped down at this tick, or have been elected since the last one.
+        # It may have stepped down at this tick, or have been elected just now.
         if self.role != LEADER or not self._recent_commit_indexes:
             return
         for name in [n for n in self._join_request_by_name if n in self.members]:
