--- a/packages/entry/src/almonddeal/control/tests/test_minorities.py
+++ b/packages/entry/src/almonddeal/control/tests/test_minorities.py
@@ -197,9 +197,9 @@
 
 
 class TestMinority:
-    # Guards against two leaders in a term, a second vote, different entries at an index,
-    # overlapping membership changes and a majority that serves no changes, while fewer
-    # than half of the members stall, hang, restart or are cut off, also one way.
+    # Guards against two leaders in a term, a second vote, different entries at an
+    # index, overlapping membership changes and a majority that serves no changes, while
+    # fewer than half of the members stall, hang, restart or are cut off, also one way.
     @pytest.mark.parametrize("n_voters", N_VOTERS)
     @pytest.mark.parametrize("seed", range(FIRST_SEED, FIRST_SEED + N_SEEDS))
     def test_majority_serves(self, tmp_path, monkeypatch, seed, n_voters):
