wire: cancel calls that are read with their cancellation

Cause: the scope of a call was registered by its own task, which starts only after all frames that were read at once have been dispatched. A cancellation among them found no scope and was dropped, so the handler ran to its end for no caller. Ruled out: the sender; call and cancellation are in order in one write. Change: the scope is registered as the call is read and entered by its task, which does not start the handler if the scope is cancelled already. Conclusion: a process that was frozen runs no handlers of calls that have ended.

--- a/packages/common/src/almonddeal_common/wire/link.py
+++ b/packages/common/src/almonddeal_common/wire/link.py
@@ -162,7 +162,9 @@
             if handler is not None and not iscoroutinefunction(handler):
                 self._handle_call_inline(frame, handler)
             else:
-                self._group.start_soon(self._handle_call, frame)
+                # Registered here, as its cancellation may be read together with it.
+                scope = self._scope_by_id[frame.call_id] = anyio.CancelScope()
+                self._group.start_soon(self._handle_call, frame, scope)
         elif frame.phase == Phase.NOTICE:
             if frame.kind != PING_KIND:
                 self._group.start_soon(self._handle_notice, frame)
@@ -206,15 +208,16 @@
         else:
             call.complete(error=error_from_wire(message.code, message.detail))
 
-    async def _handle_call(self, frame):
+    async def _handle_call(self, frame, scope):
         call_id = frame.call_id
 
         def emit(item):
             self._send(Phase.ITEM, call_id, item)
 
-        with anyio.CancelScope() as scope:
-            self._scope_by_id[call_id] = scope
+        with scope:
             try:
+                if scope.cancel_called:
+                    return
                 reply = await self._run_handler(frame, emit)
                 self._send(Phase.REPLY, call_id, reply or Ok())
             except Exception as error:
--- a/packages/common/src/almonddeal_common/wire/tests/test_link.py
+++ b/packages/common/src/almonddeal_common/wire/tests/test_link.py
@@ -239,6 +239,28 @@
         anyio.run(main)
 
 
+class TestCancelledCall:
+    # Guards against a handler that runs for a call that its caller has cancelled, if
+    # both frames are read at once, such as by a process that was frozen.
+    def test_handler_does_not_run(self):
+        ended = []
+
+        async def wait(link, message, emit):
+            await anyio.sleep(0.3)
+            ended.append(message.request)
+            return FenceReply(code=0, promised_epoch=1)
+
+        async def test(link):
+            await link.ready.wait()
+            # Call and cancellation are sent in one write, as no task runs in between.
+            call_id, _ = link._start_call(Fence("r", 1))
+            link.discard_call(call_id, cancel=True)
+            await anyio.sleep(0.6)
+            assert ended == []
+
+        run({Fence: wait}, test)
+
+
 class TestPeer:
     def test_wait_for_first_link_survives_a_failed_connection(self):
         async def main():
