control: end calls to a leader that another member replaced

Cause: a refresh or a submission waited for its reply until the time limit (800 and 2000 ms), also if this member had learned of another leader by then. Ruled out: the link; it ends a silent one after 1.5 s only, as it must. Change: ControlClient._call_leader, used by both, checks every 20 ms whether the consensus knows another leader, and then ends the call with DEADLINE. A submission counts as one that may have been proposed, so its outcome stays unknown. Instances outside the group call as before. Conclusion: the replacement of a lost leader is used once it is known.

--- a/packages/entry/src/almonddeal/control/client.py
+++ b/packages/entry/src/almonddeal/control/client.py
@@ -6,6 +6,7 @@
 from almonddeal_common.codes import (
     CHANGE_OUTCOME_UNKNOWN,
     CODE_BY_NUMBER,
+    DEADLINE,
     NO_QUORUM,
     NOT_LEADER,
     NOT_REACHED,
@@ -22,6 +23,7 @@
 )
 
 RETRY_INTERVAL_S = 0.05
+LEADER_CHECK_INTERVAL_S = 0.02
 PROPOSE_TIMEOUT_MS = 2000
 REFRESH_STEP_TIMEOUT_MS = 800
 REFRESH_INTERVAL_S = 0.5
@@ -112,7 +114,7 @@
         if self._consensus is not None and self._consensus.is_leader:
             return await self._consensus.propose(command, timeout_ms)
         peer = self._leader_peer()
-        reply = await peer.call(Propose(command), timeout_ms)
+        reply = await self._call_leader(peer, Propose(command), timeout_ms)
         if reply.code != OK.number:
             self._leader = reply.leader or None
             raise AlmonddealError(CODE_BY_NUMBER[reply.code], f"from {peer.name}")
@@ -128,6 +130,36 @@
                     return peer
         raise AlmonddealError(NOT_REACHED, "no leader is known")
 
+    async def _call_leader(self, peer, message, timeout_ms):
+        """Call the leader, and stop waiting once another member is known to lead.
+
+        Raises
+        ------
+        AlmonddealError
+            `DEADLINE` if there is no reply by then, or an error of `Peer.call`.
+        """
+        if self._consensus is None:
+            return await peer.call(message, timeout_ms)
+        reply = None
+        error = AlmonddealError(DEADLINE, f"no reply while {peer.name} led")
+
+        async def call():
+            nonlocal reply, error
+            try:
+                reply = await peer.call(message, timeout_ms)
+            except AlmonddealError as call_error:
+                error = call_error
+            tasks.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(call)
+            while self._consensus.leader in (None, peer.name):
+                await anyio.sleep(LEADER_CHECK_INTERVAL_S)
+            tasks.cancel_scope.cancel()
+        if reply is None:
+            raise error
+        return reply
+
     async def handle_propose(self, link, message, emit):
         """Propose the command of another instance; handles `Propose`."""
         consensus = self._consensus
@@ -193,7 +225,7 @@
             self.term = max(self.term, self._consensus.term)
             return index
         peer = self._leader_peer()
-        reply = await peer.call(ReadFresh(), REFRESH_STEP_TIMEOUT_MS)
+        reply = await self._call_leader(peer, ReadFresh(), REFRESH_STEP_TIMEOUT_MS)
         if reply.code != OK.number:
             raise AlmonddealError(CODE_BY_NUMBER[reply.code], f"from {peer.name}")
         self.term = max(self.term, reply.term)
--- a/packages/entry/src/almonddeal/control/tests/test_review_client.py
+++ b/packages/entry/src/almonddeal/control/tests/test_client.py
@@ -1,11 +1,17 @@
-"""Tests of a client whose leader is lost without a sign, while another one is elected."""
+"""Tests of a client whose leader is lost without a sign as another one is elected."""
 
 import anyio
 import pytest
 
 from almonddeal.control.client import ControlClient
 from almonddeal_common.clock import monotonic_ms
-from almonddeal_common.codes import DEADLINE, OK, AlmonddealError
+from almonddeal_common.codes import (
+    CHANGE_OUTCOME_UNKNOWN,
+    DEADLINE,
+    NOT_LEADER,
+    OK,
+    AlmonddealError,
+)
 from almonddeal_common.virtual_time import run_in_virtual_time
 from almonddeal_common.wire.gen.ttypes import (
     Command,
@@ -54,9 +60,20 @@
         return ReadFreshReply(OK.number, 1, "b", 2)
 
 
+class RefusingPeer:
+    """Peer that does not lead any more."""
+
+    name = "b"
+    is_up = True
+
+    async def call(self, message, timeout_ms):
+        await anyio.sleep(0.005)
+        return ProposeReply(NOT_LEADER.number, None, "")
+
+
 class TestLostLeader:
-    # Guards against a call that waits for a lost leader until its time limit, while this
-    # process knows already that another member leads.
+    # Guards against a call that waits for a lost leader until its time limit, while
+    # this process knows already that another member leads.
     @pytest.mark.parametrize("what", ["refresh", "submit"])
     def test_call_goes_to_the_new_leader(self, what):
         async def main():
@@ -79,3 +96,24 @@
                 assert monotonic_ms() - started_ms < ANSWER_S * 1000
 
         run_in_virtual_time(main)
+
+    # Guards against a command that is reported as never proposed, though the lost
+    # leader may have proposed it.
+    def test_outcome_is_unknown_after_a_call_that_ended_early(self):
+        async def main():
+            member = FollowingMember()
+            client = ControlClient(
+                "c", member, {"a": LostPeer(), "b": RefusingPeer()}, None
+            )
+
+            async def elect():
+                await anyio.sleep(ELECTED_AFTER_S)
+                member.leader = "b"
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(elect)
+                with pytest.raises(AlmonddealError) as raised:
+                    await client.submit(Command(), 900)
+            assert raised.value.code == CHANGE_OUTCOME_UNKNOWN
+
+        run_in_virtual_time(main)
