agent: exclude pauses of the agent from the silence of engines

Cause: after a pause of the machine or the agent, the check for stalled streams ran before the tokens were read, and counted the pause as silence of the engine. It ended all streams of a sound engine. Ruled out: a longer timeout, which would delay the detection of engines that do stall. Change: PauseDetector (almonddeal_common.pauses) sleeps for periodic tasks and returns the length of a pause; it takes over the check that Link._send_pings had, which uses it now. AttemptRunner excludes the pause from the time without tokens of each stream. Conclusion: streams outlast a pause of the machine; stalled engines are found as before.

--- a/packages/agent/src/almonddeal_agent/attempts.py
+++ b/packages/agent/src/almonddeal_agent/attempts.py
@@ -15,6 +15,7 @@
     AlmonddealError,
 )
 from almonddeal_common.logs import get_logger
+from almonddeal_common.pauses import PauseDetector
 from almonddeal_common.wire.gen.ttypes import AttemptChunk, AttemptEnd
 
 STALL_CHECK_S = 0.1
@@ -127,10 +128,12 @@
 
     async def cancel_stalled_periodically(self):
         """Cancel stalled streams, until cancelled itself."""
+        pauses = PauseDetector()
         while True:
-            await anyio.sleep(STALL_CHECK_S)
+            pause_ms = await pauses.sleep(STALL_CHECK_S)
             now_ms = monotonic_ms()
             for stall_detector, scope in list(self._scope_by_detector.items()):
+                stall_detector.exclude_pause(pause_ms, now_ms)
                 if stall_detector.is_stalled(now_ms):
                     scope.cancel()
 
--- a/packages/agent/src/almonddeal_agent/stall.py
+++ b/packages/agent/src/almonddeal_agent/stall.py
@@ -41,6 +41,10 @@
         self._n_tokens += n_tokens
         self._last_token_ms = now_ms
 
+    def exclude_pause(self, pause_ms, now_ms):
+        """Exclude a pause of this process from the time without tokens."""
+        self._last_token_ms = min(self._last_token_ms + pause_ms, now_ms)
+
     def is_stalled(self, now_ms):
         """Whether no token has arrived for longer than the stall timeout."""
         return now_ms - self._last_token_ms > self.timeout_ms
--- a/packages/agent/src/almonddeal_agent/tests/test_review_frozen.py
+++ b/packages/agent/src/almonddeal_agent/tests/test_attempts.py
@@ -22,7 +22,7 @@
 class TestFrozenMachine:
     # Guards against an agent that counts the time for which it did not run itself as
     # silence of the engine, and ends all streams of a sound engine.
-    def test_stream_goes_on(self):
+    def test_stream_continues(self):
         async def generate(start):
             for index in range(3):
                 yield [Token(index, index, "a", "")]
--- a/packages/agent/src/almonddeal_agent/tests/test_fencing.py
+++ b/packages/agent/src/almonddeal_agent/tests/test_fencing.py
@@ -100,3 +100,16 @@
     def test_first_token_timeout_allows_for_the_queue(self):
         load = Load(64, 20, 64, 0, 50.0, 0)
         assert StallDetector(lambda: load).timeout_ms > 2000.0
+
+    # Guards against a stalled stream that is kept as the agent itself paused, and
+    # against a token after the pause that counts as received in the future.
+    def test_only_the_pause_is_excluded(self):
+        stall_detector = StallDetector(lambda: Load(1, 0, 64, 0, 5.0, 0))
+        now_ms = monotonic_ms()
+        stall_detector.record_tokens(1, now_ms)
+        stall_detector.exclude_pause(3000.0, now_ms + 3100.0)
+        timeout_ms = stall_detector.timeout_ms
+        assert not stall_detector.is_stalled(now_ms + 3000.0 + timeout_ms - 1.0)
+        assert stall_detector.is_stalled(now_ms + 3000.0 + timeout_ms + 1.0)
+        stall_detector.exclude_pause(3000.0, now_ms + 3200.0)
+        assert stall_detector.is_stalled(now_ms + 3200.0 + timeout_ms + 1.0)
--- a/packages/common/src/almonddeal_common/wire/link.py
+++ b/packages/common/src/almonddeal_common/wire/link.py
@@ -19,6 +19,7 @@
     error_from_wire,
 )
 from almonddeal_common.logs import get_logger
+from almonddeal_common.pauses import PauseDetector
 from almonddeal_common.wire.calls import IncomingStream, OutgoingCall
 from almonddeal_common.wire.codec import KIND_BY_TYPE, FrameReader, encode_frame
 from almonddeal_common.wire.gen.constants import PROTOCOL_VERSION
@@ -26,7 +27,6 @@
 
 PING_INTERVAL_MS = 400
 SILENCE_LIMIT_MS = 1500
-EVENT_LOOP_STALL_MS = 250  # a timer later than this shows a stall of this process
 HANDSHAKE_TIMEOUT_S = 2.0
 RECEIVE_BYTES = 65536
 MAX_OUTGOING_BYTES = 32 * 1024 * 1024  # beyond it, the link is closed
@@ -250,17 +250,16 @@
 
     async def _send_pings(self):
         """Send pings when nothing else is sent; ends the link if the peer is silent."""
-        last_ms = monotonic_ms()
+        pauses = PauseDetector()
         while True:
-            await anyio.sleep(PING_INTERVAL_MS / 1000)
+            pause_ms = await pauses.sleep(PING_INTERVAL_MS / 1000)
             now_ms = monotonic_ms()
             # While this process was stalled it could not receive, so the silence does
             # not show that the peer failed. Allow half of the limit for its next frame.
-            if now_ms - last_ms > PING_INTERVAL_MS + EVENT_LOOP_STALL_MS:
+            if pause_ms:
                 self._last_received_ms = max(
                     self._last_received_ms, now_ms - SILENCE_LIMIT_MS / 2
                 )
-            last_ms = now_ms
             if now_ms - self._last_received_ms > SILENCE_LIMIT_MS:
                 raise AlmonddealError(LINK_LOST, "peer silent")
             if now_ms - self._last_sent_ms > PING_INTERVAL_MS / 2:
