feed: read waiting heartbeats before targets are overdue

Cause: an instance that had not run for some seconds compared the times of heartbeats with the present before it had read those that waited in its sockets, and told all others that the targets were overdue. Past 8 s, they expired in the same way. Ruled out: excluding the length of the pause alone, which leaves a target whose heartbeat was almost due too little time to connect again. Change: feed and registry use PauseDetector; after a pause, no target is overdue or expires for 1.2 s, the interval of announcements. Conclusion: a pause of one instance no longer marks sound targets.

--- a/packages/entry/src/almonddeal/announced/registry.py
+++ b/packages/entry/src/almonddeal/announced/registry.py
@@ -1,7 +1,5 @@
 """Registry of announced targets on a control instance, with heartbeat expiry."""
 
-import anyio
-
 from almonddeal.announced.announcement import (
     DEREGISTERED,
     DRAINING,
@@ -17,6 +15,7 @@
 from almonddeal.announced.versioned_map import VersionedMap
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.logs import decide, get_logger
+from almonddeal_common.pauses import PauseDetector
 
 HEARTBEAT_TIMEOUT_MS = 8000  # over six announcements at the usual interval of 1.2 s
 # An unchanged announcement is replicated to other control instances at most this often.
@@ -24,6 +23,7 @@
 # At the control instance that the target sends its heartbeats to. The others hear of it
 # once in `REPLICATION_INTERVAL_MS`.
 OVERDUE_MS = 2000  # over one and a half announcements
+ANNOUNCEMENT_INTERVAL_MS = 1200  # the usual one of a target
 INACTIVE_RETENTION_MS = 120_000  # longer than an announcement can be delayed
 EXPIRY_CHECK_INTERVAL_S = 1.0
 
@@ -45,6 +45,7 @@
         self._replicated_ms_by_target = {}
         self._acknowledged_by_target = {}
         self._heard_directly = set()
+        self._overdue_from_ms = float("-inf")
 
     def merge(self, announcement, origin, is_direct=False):
         """Merge an announcement if it supersedes the known one.
@@ -106,6 +107,16 @@
         ):
             self.announcements.put(announcement.target, announcement)
 
+    def record_pause(self, now_ms):
+        """Record that this instance did not run for some time before `now_ms`.
+
+        No target is overdue until the heartbeats that wait can have been read and those
+        of targets that paused as well can have arrived. Further pauses in that time do
+        not extend it.
+        """
+        if now_ms >= self._overdue_from_ms:
+            self._overdue_from_ms = now_ms + ANNOUNCEMENT_INTERVAL_MS
+
     def mark_unheard(self, now_ms):
         """Mark the ready targets whose next heartbeat is overdue.
 
@@ -119,6 +130,8 @@
             Those that were marked now.
         """
         marked = []
+        if now_ms < self._overdue_from_ms:
+            return marked
         for announcement in self.announcements.values():
             if announcement.state != READY or is_unheard(announcement):
                 continue
@@ -177,8 +190,10 @@
 
     async def expire_periodically(self):
         """Expire targets without heartbeats periodically, until cancelled."""
+        pauses = PauseDetector()
         while True:
-            await anyio.sleep(EXPIRY_CHECK_INTERVAL_S)
+            if await pauses.sleep(EXPIRY_CHECK_INTERVAL_S):
+                self.record_pause(monotonic_ms())
             self.expire_targets(monotonic_ms())
 
     def expire_targets(self, now_ms):
@@ -186,6 +201,8 @@
 
         A draining target stays so: subscribers use an expired one as a last resort.
         """
+        if now_ms < self._overdue_from_ms:
+            return
         for announcement in self.announcements.values():
             silence_ms = now_ms - self._heartbeat_ms_by_target.get(
                 announcement.target, now_ms
--- a/packages/entry/src/almonddeal/publication/feed.py
+++ b/packages/entry/src/almonddeal/publication/feed.py
@@ -1,17 +1,17 @@
 """Sends each subscriber, an entry instance, what changed since its last update."""
 
-from typing import NamedTuple
-
 import anyio
 
 from almonddeal.announced.expiring_map import ExpiringMap
 from almonddeal.announced.versioned_map import VersionedMap
 from almonddeal.publication.follower import MAX_SILENCE_MS
 from almonddeal.publication.record_stores import RecordStores
+from almonddeal.publication.revisions import Revisions
 from almonddeal.publication.subscriber_states import SubscriberStates
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import NO_QUORUM, OK, AlmonddealError
 from almonddeal_common.logs import decide, get_logger
+from almonddeal_common.pauses import PauseDetector
 from almonddeal_common.wire.gen.ttypes import (
     FollowUpdate,
     Ok,
@@ -37,27 +37,6 @@
 log = get_logger("feed")
 
 
-class _Revisions(NamedTuple):
-    """Revisions of the maps that a subscriber has."""
-
-    announcements: int
-    runs: int
-    limits: int
-    entries: int
-    records: tuple
-
-    def include(self, others):
-        """Tell whether no revision is before the one of some others."""
-        return all(
-            revision >= other
-            for revision, other in zip(
-                [*self[:-1], *self.records],
-                [*others[:-1], *others.records],
-                strict=True,
-            )
-        )
-
-
 def _of_others(instance, records):
     return [record for record in records if record.instance != instance]
 
@@ -144,7 +123,7 @@
 
     async def _send_updates(self, link, message, emit):
         sent_version, own = message.have_version, message.instance
-        sent = _Revisions(0, 0, 0, 0, (0,) * len(self._records.revisions))
+        sent = Revisions(0, 0, 0, 0, (0,) * len(self._records.revisions))
         sent_addresses = sent_is_fresh = None
         is_due = False
         while True:
@@ -220,7 +199,7 @@
         return sent is not None and sent.include(due)
 
     def _revisions(self):
-        return _Revisions(
+        return Revisions(
             self._registry.announcements.revision,
             self._runs.revision,
             self._limits.revision,
@@ -241,12 +220,14 @@
 
         Runs until cancelled.
         """
+        pauses = PauseDetector()
         while True:
-            await anyio.sleep(
+            if await pauses.sleep(
                 CHECK_INTERVAL_WHILE_FRESH_S
                 if self._was_fresh
                 else CHECK_INTERVAL_WHILE_STALE_S
-            )
+            ):
+                self._registry.record_pause(monotonic_ms())
             if self.is_fresh != self._was_fresh:
                 self._was_fresh = self.is_fresh
                 decide(
