feed: store the last records when an instance stops

Cause: records are written together after a delay of up to 0.25 s. A stop within it cancelled the wait, and stream origins that had arrived were not stored. Ruled out: no delay at all, which would cost a write for each record. Change: when cancelled, RecordFile.store_changes writes what is not stored yet in a daemon thread, and waits for it for 0.3 s at most, so that a hanging disk delays neither the stop nor the exit by more. A usual write under way at the stop is waited for as before.

--- a/packages/entry/src/almonddeal/publication/record_file.py
+++ b/packages/entry/src/almonddeal/publication/record_file.py
@@ -5,6 +5,7 @@
 """
 
 from pathlib import Path
+from threading import Thread
 
 import anyio
 from anyio import to_thread
@@ -16,6 +17,8 @@
 from almonddeal_common.wire.gen.ttypes import ShareRuns
 
 RETRY_INTERVAL_S = 1.0  # after a failed write, such as on a full disk
+LAST_WRITE_TIMEOUT_S = 0.3
+LAST_WRITE_CHECK_INTERVAL_S = 0.002
 
 log = get_logger("feed")
 
@@ -53,20 +56,47 @@
     async def store_changes(self, store):
         """Store the records of a store whenever there are new ones, until cancelled.
 
+        When cancelled, stores those that are not stored yet, if the disk permits that
+        within `LAST_WRITE_TIMEOUT_S`.
+
         Parameters
         ----------
         store : VersionedMap
         """
         stored_revision = store.revision
-        while True:
-            while store.revision == stored_revision:
-                await store.wait()
-            await anyio.sleep(self._write_delay_s)
-            revision = store.revision
-            payload = encode(ShareRuns([], True, **{self._name: store.values()}))
-            try:
-                await to_thread.run_sync(write_checksummed_file, self._path, payload)
-                stored_revision = revision
-            except OSError as error:
-                log.warning("could not store %s: %s", self._name, error)
-                await anyio.sleep(RETRY_INTERVAL_S)
+        try:
+            while True:
+                while store.revision == stored_revision:
+                    await store.wait()
+                await anyio.sleep(self._write_delay_s)
+                revision = store.revision
+                if await to_thread.run_sync(self._write, self._encode(store)):
+                    stored_revision = revision
+                else:
+                    await anyio.sleep(RETRY_INTERVAL_S)
+        except anyio.get_cancelled_exc_class():
+            if store.revision != stored_revision:
+                await self._write_last(self._encode(store))
+            raise
+
+    def _encode(self, store):
+        return encode(ShareRuns([], True, **{self._name: store.values()}))
+
+    def _write(self, payload):
+        """Replace the file; return whether that succeeded."""
+        try:
+            write_checksummed_file(self._path, payload)
+        except OSError as error:
+            log.warning("could not store %s: %s", self._name, error)
+            return False
+        return True
+
+    async def _write_last(self, payload):
+        # The exit of the process does not wait for a daemon thread.
+        thread = Thread(target=self._write, args=(payload,), daemon=True)
+        thread.start()
+        with anyio.move_on_after(LAST_WRITE_TIMEOUT_S, shield=True):
+            while thread.is_alive():
+                await anyio.sleep(LAST_WRITE_CHECK_INTERVAL_S)
+        if thread.is_alive():
+            log.warning("could not store %s in time", self._name)
