control: name the repeated pre-votes apart from one of them

Cause: _win_pre_vote and _wins_pre_vote differ by a letter. Change: the former is _run_pre_votes. Conclusion: no behaviour changes.

--- a/packages/entry/src/almonddeal/control/elections.py
+++ b/packages/entry/src/almonddeal/control/elections.py
@@ -164,13 +164,13 @@
                 await self._run_disk_io(self._store.check_room)
         self._is_in_pre_vote = True
         try:
-            term = await self._win_pre_vote()
+            term = await self._run_pre_votes()
         finally:
             self._is_in_pre_vote = False
         if term is None or not await self._stand_in_term(term):
             self._withdraw_pre_vote()
 
-    async def _win_pre_vote(self):
+    async def _run_pre_votes(self):
         """Return the term for which a majority would elect this member, or None."""
         while True:
             term = self.term + 1
