--- a/packages/entry/src/almonddeal/control/elections.py
+++ b/packages/entry/src/almonddeal/control/elections.py
@@ -19,6 +19,7 @@
     VOTE_TIMEOUT_MS,
 )
 from almonddeal.control.members import RESPONSIVE_SILENCE_MS
+from almonddeal.control.vote_count import VoteCount
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import (
     STORAGE_FULL,
@@ -35,38 +36,6 @@
 EXPIRED_MS = float("-inf")  # start of an election timer that has expired
 
 
-class VoteCount:
-    """Votes for a candidate in one term.
-
-    Parameters
-    ----------
-    quorum : int
-
-    Attributes
-    ----------
-    decided : anyio.Event
-        Set once there is a majority; the caller sets it once no vote is to come.
-    """
-
-    __slots__ = ("_n_granted", "_quorum", "decided")
-
-    def __init__(self, quorum):
-        self._quorum = quorum
-        self._n_granted = 0
-        self.decided = anyio.Event()
-
-    @property
-    def is_won(self):
-        """Whether there is a majority."""
-        return self._n_granted >= self._quorum
-
-    def add_vote(self):
-        """Count a vote that was granted."""
-        self._n_granted += 1
-        if self.is_won:
-            self.decided.set()
-
-
 class ElectionMixin:
     """Election timer, votes and change of role of `Consensus`."""
 
--- a/packages/entry/src/almonddeal/control/tests/test_late_candidates.py
+++ b/packages/entry/src/almonddeal/control/tests/test_late_candidates.py
@@ -1,4 +1,4 @@
-"""Tests of a member that stands again while its former candidacy may still win."""
+"""Tests of a member whose next pre-vote runs while its candidacy may still win."""
 
 import anyio
 
--- a/packages/entry/src/almonddeal/control/tests/test_refused_votes.py
+++ b/packages/entry/src/almonddeal/control/tests/test_refused_votes.py
@@ -12,7 +12,7 @@
 
 class TestRefusedPreVote:
     # Guards against a member that learns from a refused pre-vote that the term is older
-    # than that of a voter, and waits for another timeout before it stands again.
+    # than that of a voter, and waits for another timeout before its next pre-vote.
     def test_it_is_repeated_in_a_later_term(self, tmp_path, monkeypatch):
         async def test(group):
             await anyio.sleep(1.0)
