--- a/packages/entry/src/almonddeal/relay/tests/test_streams_behind_a_silence.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_streams_behind_a_silence.py
@@ -8,13 +8,13 @@
 import pytest
 
 from almonddeal.relay.admission_queue import REFUSAL_BACKOFF_MS
+from almonddeal.relay.choose import SelectionPolicy
 from almonddeal.relay.moves import MAX_ATTEMPTS
 from almonddeal.relay.streams import relay_stream
 from almonddeal.relay.tests.fakes import (
     ResponseHead,
     admit_stream,
     make_route,
-    make_run,
 )
 from almonddeal.relay.tests.silent_targets import DARK_S, SilentFleet, TimedWriter
 from almonddeal.routing.model import STREAM
@@ -30,14 +30,23 @@
     return True
 
 
+def prefer_first(engines, *args):
+    """Return the engine that was announced first, or None."""
+    return engines[0] if engines else None
+
+
+def choose_no_backup(*args):
+    """Return None, so that a stream resumes at the engine that is preferred."""
+
+
 def relay(make_fleet, **route_changes):
     """Relay one stream that begins at i-1; returns the fleet and the writer."""
 
     async def main():
         fleet = make_fleet()
-        for target in fleet.behaviour_by_target:
-            if target != "i-1":
-                fleet.context.load_view.merge(make_run(f"other-{target}", target))
+        fleet.context.selection_policy = SelectionPolicy(
+            engine=prefer_first, backup=choose_no_backup
+        )
         writer = TimedWriter()
         route = make_route(STREAM, timeout_ms=TIMEOUT_MS, **route_changes)
         admitted = admit_stream(route, TIMEOUT_MS, n_prompt=100)
