relay: keep a stream at its second silent engine for good

Cause: the silence of an engine under a new stream counts as a crash, and a request moves on from one crash only. Whether a silence is the last one was judged by the ejection of the engine, which ends after 0.4 s and more; the stream then left the engine and was ended by the count of crashes. Leaving and going on followed two decisions.

Change: has_met_last_crash() is the one condition for both.

Test: test_stream_stays_at_the_second_silent_engine, four of five cases failed before.

--- a/packages/entry/src/almonddeal/relay/moves.py
+++ b/packages/entry/src/almonddeal/relay/moves.py
@@ -40,7 +40,7 @@
         return False
     if not has_attempts_left(stream, stream.n_sends + 1):
         return False
-    if is_last_crash(stream, context, engine, progress):
+    if has_met_last_crash(stream) or is_last_crash(stream, context, engine, progress):
         return False
     if not has_alternative(stream, context, engine, silent_since_ms):
         return False
@@ -67,6 +67,11 @@
     return stream.admitted.left_ms >= MIN_LEFT_MS
 
 
+def has_met_last_crash(stream):
+    """Tell whether no other engine gets the request of a stream, as engines crashed."""
+    return count_successive(stream.crashes) >= MAX_CRASHES
+
+
 def fell_silent(context, engine, progress):
     """Tell whether an engine, and not the network here, failed as it responded."""
     if not progress.has_response or engine.ejected_until_ms <= monotonic_ms():
--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -15,11 +15,13 @@
     wait_for_room,
 )
 from almonddeal.relay.attempts import run_attempt
-from almonddeal.relay.culprits import count_successive
-from almonddeal.relay.moves import MIN_LEFT_MS, has_attempts_left
+from almonddeal.relay.moves import (
+    MIN_LEFT_MS,
+    has_attempts_left,
+    has_met_last_crash,
+)
 from almonddeal.relay.plain import no_target_error
 from almonddeal.relay.prefix_cache import find_cached_prefix
-from almonddeal.relay.quarantine import MAX_CRASHES
 from almonddeal.relay.resumption import require_compatible_targets
 from almonddeal.relay.run_reports import report_run_end
 from almonddeal.relay.stream_state import KvCopy, Stream
@@ -272,7 +274,7 @@
         return False
     if error.code == NOT_REACHED:
         return True
-    if count_successive(stream.crashes) >= MAX_CRASHES:
+    if has_met_last_crash(stream):
         decide(
             log,
             "no further engine for a request under which engines crashed",
