relay: forget crashes from before an engine survived a stream

Cause: crashes of engines count against a request until its end, also those from before an engine survived it, which shows that the request was not their cause.

Change: they are forgotten once an engine has survived the stream, as the quarantine does.

Test: test_stream_that_an_engine_survived_leaves_the_next_silent_one failed before; the stream now leaves the third engine and is complete.

--- a/packages/entry/src/almonddeal/relay/forwarding.py
+++ b/packages/entry/src/almonddeal/relay/forwarding.py
@@ -70,6 +70,7 @@
             progress.record_events(len(events), monotonic_ms())
             if progress.has_survived and not had_survived:
                 context.quarantine.record_sound(list_suspects(stream.admitted))
+                stream.crashes.clear()
         else:
             timer.deadline = deadline
     if reader.has_partial_event:
--- a/packages/entry/src/almonddeal/relay/stream_state.py
+++ b/packages/entry/src/almonddeal/relay/stream_state.py
@@ -167,7 +167,7 @@
         All attempts.
     crashes : list of SegmentEvidence
         Crashes of engines that had started to respond, of which this request may be the
-        cause.
+        cause: none from before an engine survived it.
     has_retry : bool
         Whether the retry for the next attempt was taken from the budget already.
     run : Run or None
