relay: carry on streams that left a sound engine until their deadline

Cause: a stream may make 12 attempts, refused ones included, and waits for 1 s for the retry budget. Both bounds are for engines that failed. Here the engine is sound, and nothing but our leaving it ends the response.

Change: a started stream that left an engine for its silence, and that no other engine has executed since, waits for the budget, and makes further attempts at intervals of 300 ms, until its deadline. Executions stay bounded by the route.

Ruled out: going back to the silent engine first (its connection is closed, and it is among the candidates as soon as it responds); no end of attempts for all streams (after a real loss the caller may resume elsewhere at once).

Test: TestRefusalsBehindASilence, 7 of 16 cases failed before, with at most one attempt in 300 ms beyond the first 12. Relay tests: all others pass.

--- a/packages/entry/src/almonddeal/relay/moves.py
+++ b/packages/entry/src/almonddeal/relay/moves.py
@@ -52,7 +52,19 @@
 
 
 def has_attempts_left(stream, n_sends):
-    """Tell whether the route and the time left allow one more attempt of a stream.
+    """Tell whether a stream may make one more attempt.
+
+    Parameters
+    ----------
+    stream : Stream
+    n_sends : int
+        Attempts that an engine may have executed.
+    """
+    return stream.n_attempts < MAX_ATTEMPTS and may_be_sent(stream, n_sends)
+
+
+def may_be_sent(stream, n_sends):
+    """Tell whether the route and the time left allow one more execution of a stream.
 
     Parameters
     ----------
@@ -60,8 +72,6 @@
     n_sends : int
         Attempts that an engine may have executed.
     """
-    if stream.n_attempts >= MAX_ATTEMPTS:
-        return False
     if n_sends >= stream.admitted.route.max_attempts:
         return False
     return stream.admitted.left_ms >= MIN_LEFT_MS
--- a/packages/entry/src/almonddeal/relay/stream_state.py
+++ b/packages/entry/src/almonddeal/relay/stream_state.py
@@ -168,6 +168,9 @@
     crashes : list of SegmentEvidence
         Crashes of engines that had started to respond, of which this request may be the
         cause: none from before an engine survived it.
+    has_left_silent_engine : bool
+        Whether the last engine that may have executed the request was left as it was
+        silent; it may be sound.
     has_retry : bool
         Whether the retry for the next attempt was taken from the budget already.
     run : Run or None
@@ -180,6 +183,7 @@
         "crashes",
         "error_response",
         "failed_targets",
+        "has_left_silent_engine",
         "has_retry",
         "is_ended",
         "is_started",
@@ -215,6 +219,7 @@
         self.n_sends = 0
         self.n_attempts = 0
         self.crashes = []
+        self.has_left_silent_engine = False
         self.has_retry = False
 
     @property
--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -16,9 +16,11 @@
 )
 from almonddeal.relay.attempts import run_attempt
 from almonddeal.relay.moves import (
+    MAX_ATTEMPTS,
     MIN_LEFT_MS,
     has_attempts_left,
     has_met_last_crash,
+    may_be_sent,
 )
 from almonddeal.relay.plain import no_target_error
 from almonddeal.relay.prefix_cache import find_cached_prefix
@@ -33,6 +35,7 @@
     NOT_RESUMABLE,
     OVERLOADED,
     TARGET_REFUSED,
+    TARGET_STALLED,
     AlmonddealError,
 )
 from almonddeal_common.logs import decide, get_logger
@@ -262,15 +265,18 @@
 
     Takes a retry from the budget if the failed attempt reached an engine and another
     one may serve the stream in time. While the budget is used up, waits for a short
-    time, as it is a sliding window.
+    time, as it is a sliding window. A stream that left a sound engine waits until its
+    deadline.
     """
     is_not_run = error.code in (NOT_REACHED, TARGET_REFUSED)
-    route = stream.admitted.route
-    if not is_not_run and not route.may_run_again:
-        return False
+    if not is_not_run:
+        stream.has_left_silent_engine = error.code == TARGET_STALLED
+        if not stream.admitted.route.may_run_again:
+            return False
     if not stream.sequence.can_resume:
         return False
-    if not has_attempts_left(stream, stream.n_sends):
+    is_patient = is_not_run and stream.is_started and stream.has_left_silent_engine
+    if not await _await_attempt(stream, is_patient):
         return False
     if error.code == NOT_REACHED:
         return True
@@ -285,7 +291,24 @@
     if stream.has_retry:
         stream.has_retry = False
         return True
-    wait_deadline_ms = monotonic_ms() + MAX_BUDGET_WAIT_MS
+    return await _take_retry(stream, context, is_patient)
+
+
+async def _await_attempt(stream, is_patient):
+    """Return whether a stream may make one more attempt, once it may.
+
+    The attempts of one that is patient are not limited, but made at intervals.
+    """
+    if not is_patient or stream.n_attempts < MAX_ATTEMPTS:
+        return has_attempts_left(stream, stream.n_sends)
+    await anyio.sleep(REFUSAL_BACKOFF_MS / 1000)
+    return may_be_sent(stream, stream.n_sends)
+
+
+async def _take_retry(stream, context, is_patient):
+    """Return whether a retry was taken from the budget, for which a stream may wait."""
+    max_wait_ms = stream.admitted.left_ms if is_patient else MAX_BUDGET_WAIT_MS
+    wait_deadline_ms = monotonic_ms() + max_wait_ms
     while not _is_paused_too_long(stream, context):
         if context.take_retry(stream.admitted.service.name):
             return True
