relay: wait for an engine that falls silent behind its first event

Cause: before the first event of a resumed stream is passed on, the engine is asked for its start time, for at most 1.5 s. A silent engine tells nothing, and counted as lost.

Change: the time is for engines that respond to probes and yet do not report it. One that is silent is asked until the attempt ends: the stream leaves it if it can go on elsewhere.

Test: TestSilenceAfterTheFirstEvent, silences of 1.9 and 3 s failed before.

--- a/packages/entry/src/almonddeal/relay/forwarding.py
+++ b/packages/entry/src/almonddeal/relay/forwarding.py
@@ -13,7 +13,7 @@
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import LINK_LOST, AlmonddealError
 
-MAX_START_WAIT_S = 1.5  # a sound engine may fall silent for about a second
+MAX_START_WAIT_MS = 1500.0  # for an engine that responds to probes all the while
 START_RETRY_INTERVAL_S = 0.1
 
 
@@ -117,24 +117,37 @@
 async def _read_start_ms(stream, context, engine, announcement):
     """Return the start time that an engine reports, or None if it is not needed.
 
-    An engine that holds off is not asked until the end. Control may be heard before.
+    An engine that holds off is not asked until the end, and one that is silent is asked
+    until the attempt ends. Control may be heard before.
+
+    Raises
+    ------
+    AlmonddealError
+        `LINK_LOST` if the engine responds, but does not report its start time.
     """
     hold_offs = context.hold_offs
-    with anyio.move_on_after(MAX_START_WAIT_S):
-        while _needs_start_time(stream, context, engine):
-            if hold_offs.allows(announcement):
-                with suppress(AlmonddealError):
-                    return await read_start_ms(
-                        context, engine, announcement, stream.request_id
-                    )
-            elif (
-                stream.software_version is not None
-                and hold_offs.pause_left_ms(announcement) > 1000 * MAX_START_WAIT_S
-            ):
-                raise AlmonddealError(LINK_LOST, "the engine holds off too long")
-            await anyio.sleep(START_RETRY_INTERVAL_S)
-        return None
-    raise AlmonddealError(LINK_LOST, "the engine does not report its start time")
+    wait_ends_ms = monotonic_ms() + MAX_START_WAIT_MS
+    has_responded = False
+    while _needs_start_time(stream, context, engine):
+        if hold_offs.allows(announcement):
+            with suppress(AlmonddealError):
+                return await read_start_ms(
+                    context, engine, announcement, stream.request_id
+                )
+        elif (
+            stream.software_version is not None
+            and hold_offs.pause_left_ms(announcement) > MAX_START_WAIT_MS
+        ):
+            raise AlmonddealError(LINK_LOST, "the engine holds off too long")
+        if has_responded:
+            raise AlmonddealError(
+                LINK_LOST, "the engine does not report its start time"
+            )
+        if monotonic_ms() >= wait_ends_ms:
+            # It is asked once more before it counts as lost.
+            has_responded = await context.responds(announcement)
+        await anyio.sleep(START_RETRY_INTERVAL_S)
+    return None
 
 
 async def _start_response(stream, response):
