agent: take no status above 599 for a reply

The same as in the platform's client: a service's reply with a status of 600 to 999 was passed on. Its outcome is unknown now. Tests: the four cases of 600 and 999 failed before; 000, 099 and a reply that is reset within the upload passed.

--- a/packages/agent/src/almonddeal_agent/calls.py
+++ b/packages/agent/src/almonddeal_agent/calls.py
@@ -23,6 +23,7 @@
 
 MAX_KEPT_ORDERS = 10_000
 MAX_REPLY_BYTES = 8 * 1024 * 1024
+MAX_HTTP_STATUS = 599  # RFC 9110, section 15; h11 accepts three digits
 CONNECT_TIMEOUT_S = 1.0
 HOP_BY_HOP_HEADERS = frozenset(
     ("connection", "content-length", "host", "keep-alive", "transfer-encoding")
@@ -135,6 +136,10 @@
             content=call.body,
             timeout=httpx.Timeout(None, connect=CONNECT_TIMEOUT_S),
         ) as response:
+            if response.status_code > MAX_HTTP_STATUS:
+                raise httpx.RemoteProtocolError(
+                    f"invalid status {response.status_code}"
+                )
             body = await read_limited(response.aiter_bytes(), MAX_REPLY_BYTES)
             return _make_reply(response, body)
 
--- a/packages/agent/src/almonddeal_agent/tests/test_calls.py
+++ b/packages/agent/src/almonddeal_agent/tests/test_calls.py
@@ -1,9 +1,12 @@
 """Tests of calls to a service that answers too much, too slowly or not at all."""
 
+import struct
 import time
+from socket import SO_LINGER, SOL_SOCKET
 
 import anyio
 import pytest
+from anyio.abc import SocketAttribute
 from anyio.streams.buffered import BufferedByteReceiveStream
 
 from almonddeal_agent.admission import Admission
@@ -68,6 +71,19 @@
 ]
 
 
+class ResettingTarget(RawTarget):
+    """Sends bytes before it has read the body of a request, and resets."""
+
+    async def handle(self, connection):
+        reader = BufferedByteReceiveStream(connection)
+        await reader.receive_until(b"\r\n\r\n", 65_536)
+        await connection.send(self._start)
+        # With a linger time of 0 s, close() sends a reset.
+        raw_socket = connection.extra(SocketAttribute.raw_socket)
+        raw_socket.setsockopt(SOL_SOCKET, SO_LINGER, struct.pack("ii", 1, 0))
+        await anyio.aclose_forcefully(connection)
+
+
 class TestReplies:
     @pytest.mark.parametrize(("start", "piece"), ENDLESS)
     def test_order_with_an_unusable_reply_has_an_unknown_outcome(self, start, piece):
@@ -100,6 +116,23 @@
         assert time.monotonic() - started_s < 3.0
         assert replies[0].code == ORDER_OUTCOME_UNKNOWN.number
 
+    # Guards against a reply with a status that HTTP does not have.
+    @pytest.mark.parametrize("is_order", [True, False])
+    @pytest.mark.parametrize("status", [b"000", b"099", b"600", b"999"])
+    def test_reply_with_an_invalid_status_is_no_reply(self, status, is_order):
+        head = b"HTTP/1.1 " + status + b" Odd\r\n"
+        target = RawTarget(head + b"Content-Length: 2\r\n\r\nok")
+        reply = forward(target, make_call(is_order))[0]
+        assert (reply.code, reply.was_run) == (ORDER_OUTCOME_UNKNOWN.number, "unknown")
+
+    # Guards against a part of a reply that counts as all of it.
+    def test_reply_that_is_reset_within_the_upload_is_no_reply(self):
+        target = ResettingTarget(OK_HEAD + b"\r\npart")
+        call = make_call()
+        call.body = b"x" * 3_000_000
+        reply = forward(target, call)[0]
+        assert (reply.code, reply.was_run) == (ORDER_OUTCOME_UNKNOWN.number, "unknown")
+
     def test_complete_reply_is_returned(self):
         target = RawTarget(OK_HEAD + b"Content-Length: 2\r\n\r\nok")
         reply, queried = forward(target, make_call())
