--- a/packages/entry/src/almonddeal/relay/moves.py
+++ b/packages/entry/src/almonddeal/relay/moves.py
@@ -36,7 +36,7 @@
     -------
     is_claimed : bool
     """
-    if not stream.admitted.route.may_run_again:
+    if not (stream.admitted.route.may_run_again and stream.sequence.can_resume):
         return False
     if not has_attempts_left(stream, stream.n_sends + 1):
         return False
--- a/packages/entry/src/almonddeal/relay/tests/test_streams_behind_a_silence.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_streams_behind_a_silence.py
@@ -88,6 +88,25 @@
         assert fleet.tried == ["i-1", "i-2", "i-3"]
 
 
+class UnnumberedFleet(SilentFleet):
+    """Engines whose events have no ids, so that no stream can resume."""
+
+    async def _behave(self, attempt):
+        async for step in super()._behave(attempt):
+            yield step if step == 200 else b"data: x\n\n"
+
+
+class TestEventsWithoutIds:
+    # Guards against a stream that leaves a silent engine, though no other one can tell
+    # where it is to go on, and is cut.
+    def test_stream_stays_at_its_silent_engine(self):
+        pauses = {"i-1": [(0.9, 2.4)], "i-2": []}
+        fleet, writer = relay(lambda: UnnumberedFleet(pauses, DOMAINS))
+        assert writer.is_complete
+        assert writer.body == b"data: x\n\n" * fleet.n_events
+        assert fleet.tried == ["i-1"]
+
+
 class FullFleet(SilentFleet):
     """Engines of which all but the first take no requests for a time.
 
