relay: judge a silence once, as a stream leaves its engine

Change: the judgement is kept with the attempt; a stream that claim_move has let go makes its next attempt without a further condition.

Test: test_stream_that_leaves_goes_on failed before. Relay tests: all pass.

--- a/packages/entry/src/almonddeal/relay/attempts.py
+++ b/packages/entry/src/almonddeal/relay/attempts.py
@@ -182,6 +182,8 @@
         if scope.cancel_called:
             return True
         silent_since_ms = max(started_ms, progress.last_received_ms)
+        # Judged once: a stream that leaves on one judgement is not ended by another.
+        progress.has_fallen_silent = fell_silent(context, engine, progress)
         if claim_move(stream, context, engine, progress, silent_since_ms):
             scope.cancel()
             return True
@@ -362,7 +364,7 @@
         if await context.responds(engine.announcement):
             return
         context.targets.eject(engine, "liveness probe failed", stream.request_id)
-    elif error.code != TARGET_STALLED or not fell_silent(context, engine, progress):
+    elif error.code != TARGET_STALLED or not progress.has_fallen_silent:
         return
     _record_crash(stream, context, engine, progress)
 
--- a/packages/entry/src/almonddeal/relay/moves.py
+++ b/packages/entry/src/almonddeal/relay/moves.py
@@ -95,7 +95,7 @@
 
     No other engine gets its request then.
     """
-    if progress.has_survived or not fell_silent(context, engine, progress):
+    if progress.has_survived or not progress.has_fallen_silent:
         return False
     crash = context.quarantine.make_crash(stream.admitted, engine.announcement, True)
     if crash is None:
--- a/packages/entry/src/almonddeal/relay/stream_state.py
+++ b/packages/entry/src/almonddeal/relay/stream_state.py
@@ -59,6 +59,8 @@
         Pause for which the engine asked there.
     has_event : bool
         Whether the attempt has received an event.
+    has_fallen_silent : bool
+        Whether the engine, and not the network, seemed to have failed as it was left.
     """
 
     __slots__ = (
@@ -68,6 +70,7 @@
         "_n_events",
         "_silent_since_ms",
         "has_event",
+        "has_fallen_silent",
         "has_response",
         "request_limit_per_s",
         "retry_after_ms",
@@ -83,6 +86,7 @@
         self._last_event_ms = 0.0
         self._silent_since_ms = 0.0
         self.has_event = False
+        self.has_fallen_silent = False
 
     @contextmanager
     def sending(self):
--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -268,6 +268,11 @@
     time, as it is a sliding window. A stream that left a sound engine waits until its
     deadline.
     """
+    if error.code == TARGET_STALLED and stream.has_retry:
+        # Judged by `claim_move` before the stream left its engine.
+        stream.has_left_silent_engine = True
+        stream.has_retry = False
+        return True
     is_not_run = error.code in (NOT_REACHED, TARGET_REFUSED)
     if not is_not_run:
         stream.has_left_silent_engine = error.code == TARGET_STALLED
--- a/packages/entry/src/almonddeal/relay/tests/test_streams_behind_a_silence.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_streams_behind_a_silence.py
@@ -87,6 +87,27 @@
         assert fleet.is_complete(writer)
         assert fleet.tried == ["i-1", "i-2", "i-3"]
 
+    # Guards against a silence that counts as no crash as the stream leaves, and as one
+    # just after, when other engines have been heard: the stream is cut.
+    def test_stream_that_leaves_goes_on(self):
+        def make_fleet():
+            pauses = {"i-1": [(0.1, 1.4)], "i-2": [(0.6, 2.6)]}
+            fleet = SilentFleet({**pauses, "i-3": []}, DOMAINS)
+            heard_beside_second = []
+
+            def has_activity_later(announcement, since_ms):
+                if announcement.target != "i-2":
+                    return True
+                heard_beside_second.append(announcement)
+                return len(heard_beside_second) > 1
+
+            fleet.context.targets.has_activity = has_activity_later
+            return fleet
+
+        fleet, writer = relay(make_fleet)
+        assert fleet.is_complete(writer)
+        assert fleet.tried == ["i-1", "i-2", "i-3"]
+
 
 class UnnumberedFleet(SilentFleet):
     """Engines whose events have no ids, so that no stream can resume."""
