--- a/tools/almonddeal_tools/lab/callers.py
+++ b/tools/almonddeal_tools/lab/callers.py
@@ -10,6 +10,7 @@
 from almonddeal_tools.lab.fleet import SERVICE_NAME
 
 TIMEOUT_MS = 25_000.0
+TIMER_TOLERANCE_MS = 1.0
 FIRST_EVENT_OBJECTIVE_MS = 4500.0
 MAX_GAP_MS = 700.0
 MAX_ATTEMPTS = 5
@@ -109,6 +110,12 @@
             and self.max_gap_ms <= MAX_GAP_MS
         )
 
+    @property
+    def is_cut(self):
+        """Whether the response ended within its stream, and before its time limit."""
+        is_truncated = self.first_event_ms is not None and not self.is_complete
+        return is_truncated and self.took_ms < TIMEOUT_MS - TIMER_TOLERANCE_MS
+
     @property
     def is_refused(self):
         """Whether the request was refused at least once and received no event."""
--- a/tools/almonddeal_tools/lab/engine.py
+++ b/tools/almonddeal_tools/lab/engine.py
@@ -70,6 +70,7 @@
         self._n_tokens_by_copy_id = {}
         self._n_tokens_by_prefix_hash = OrderedDict()
         self._work_available = anyio.Event()
+        self._silent_until_s = 0.0
 
     def start(self, target, born_ms):
         """Start a process."""
@@ -97,6 +98,15 @@
         self._n_tokens_by_copy_id.clear()
         self._n_tokens_by_prefix_hash.clear()
 
+    def fall_silent(self, duration_s):
+        """Stop all work for a time; the process, its runs and connections stay."""
+        self._silent_until_s = anyio.current_time() + duration_s
+
+    async def wait_until_heard(self):
+        """Wait for as long as the engine is silent."""
+        while anyio.current_time() < self._silent_until_s:
+            await anyio.sleep_until(self._silent_until_s)
+
     @property
     def n_used_tokens(self):
         """KV cache tokens of runs and copies, without evictable cached prefixes."""
@@ -242,6 +252,7 @@
 
     async def _process_steps(self):
         while True:
+            await self.wait_until_heard()
             self._admit_waiting()
             if not self._runs:
                 self._work_available = anyio.Event()
@@ -260,6 +271,7 @@
             )
             step_ms += n_prefilled / self.profile.prefill_tokens_per_ms
             await anyio.sleep(step_ms * self.slowdown / 1000)
+            await self.wait_until_heard()
             if self.target == target and self.is_up:
                 self._finish_step(prefilling, n_prefilled, decoding)
 
--- a/tools/almonddeal_tools/lab/fleet.py
+++ b/tools/almonddeal_tools/lab/fleet.py
@@ -265,6 +265,7 @@
         if engine.target != attempt.target.target:
             yield _make_response(421, _empty_body(), is_misdirected=True)
             return
+        await engine.wait_until_heard()
         generation = attempt.admitted.request.generation
         self.sends.append((monotonic_ms(), generation.shared_prefix_hashes))
         run = engine.submit(
@@ -290,7 +291,14 @@
             engine = await self._connect(target.address, PROBE_TIMEOUT_S)
         except AlmonddealError:
             return False
-        return engine.target == target.target
+        return engine.target == target.target and await self._is_heard(engine)
+
+    async def _is_heard(self, engine):
+        """Return whether an engine that was connected to responds to a probe."""
+        with anyio.move_on_after(PROBE_TIMEOUT_S):
+            await engine.wait_until_heard()
+            return True
+        return False
 
     async def _send_kv_copy(self, target, request_id, address):
         try:
@@ -311,6 +319,8 @@
         return _CachedPrefixes(engine)
 
     async def _read_start_ms(self, target):
+        if not await self._is_heard(self.engine_by_address[target.address]):
+            raise AlmonddealError(NOT_REACHED, "no report in time")
         return target.born_ms if await self._is_alive(target) else None
 
 
--- a/tools/almonddeal_tools/lab/patterns.py
+++ b/tools/almonddeal_tools/lab/patterns.py
@@ -119,6 +119,23 @@
     return inject
 
 
+def silence_random_engines(n_engines, min_s, max_s):
+    """Return a fault: some engines, chosen at random, fall silent and then go on.
+
+    Parameters
+    ----------
+    n_engines : int
+    min_s, max_s : float
+        Bounds of the time for which each of them is silent.
+    """
+
+    async def inject(fleet, rng):
+        for engine in rng.sample(list(fleet.engine_by_address.values()), n_engines):
+            engine.fall_silent(rng.uniform(min_s, max_s))
+
+    return inject
+
+
 def slow_random_engines(n_engines, slowdown, duration_s):
     """Return a fault: some engines, chosen at random, slow down for a time."""
 
@@ -142,6 +159,7 @@
 
 
 FAULT_TIMES_S = (6.0, 13.0, 20.0, 27.0, 34.0)
+SILENCE_TIMES_S = [5.0 + 1.5 * n for n in range(23)]
 
 PATTERNS = [
     Pattern("steady", "the usual load without faults"),
@@ -160,6 +178,11 @@
         "three engines of any failure domain stop responding, five times in a row",
         faults=[(at, fail_random_engines(3, True)) for at in FAULT_TIMES_S],
     ),
+    Pattern(
+        "engines-silent",
+        "six sound engines at a time fall silent for 0.8 to 2.2 s, and go on",
+        faults=[(at, silence_random_engines(6, 0.8, 2.2)) for at in SILENCE_TIMES_S],
+    ),
     Pattern(
         "burst",
         "five seconds of three times the usual load, twice",
