--- a/packages/entry/src/almonddeal/relay/tests/test_version_mix.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_version_mix.py
@@ -15,7 +15,7 @@
     """Return a `VersionedDay` after its end."""
 
     async def main():
-        return await VersionedDay(request.param).play()
+        return await VersionedDay(request.param, MIN_RESUMED).play()
 
     return run_in_virtual_time(main)
 
--- a/packages/entry/src/almonddeal/relay/tests/versioned_service.py
+++ b/packages/entry/src/almonddeal/relay/tests/versioned_service.py
@@ -33,6 +33,7 @@
 EVENT_INTERVAL_S = 0.015
 PREFILL_S = 0.08
 DURATION_S = 20.0
+MAX_DURATION_S = 60.0
 STREAM_RATE_PER_S = 8.0
 MEAN_FAULT_INTERVAL_S = 0.7
 KILL_INTERVAL_S = 6.0  # between kills of all instances
@@ -127,6 +128,12 @@
 class VersionedDay:
     """Simulation of a service with engines of several software versions.
 
+    Parameters
+    ----------
+    seed : int
+    min_resumed : int
+        Streams that are resumed before the day ends; it lasts up to `MAX_DURATION_S`.
+
     Attributes
     ----------
     callers : list of Caller
@@ -141,8 +148,9 @@
 
     _make_caller = Caller
 
-    def __init__(self, seed):
+    def __init__(self, seed, min_resumed=0):
         self._rng = random.Random(seed)
+        self._min_resumed = min_resumed
         self._fleet = FakeFleet({})
         self._fleet.is_alive = self._fleet.is_reachable = self._is_alive
         self._fleet.send_kv_copy = self._send_kv_copy
@@ -357,10 +365,14 @@
 
     # Callers
 
+    def _is_day(self, elapsed_ms):
+        has_too_few = len(self.resumed) < self._min_resumed
+        return elapsed_ms < 1000 * (MAX_DURATION_S if has_too_few else DURATION_S)
+
     async def _send_streams(self):
         async with anyio.create_task_group() as group:
-            end_ms = monotonic_ms() + DURATION_S * 1000
-            while monotonic_ms() < end_ms:
+            started_ms = monotonic_ms()
+            while self._is_day(monotonic_ms() - started_ms):
                 await anyio.sleep(self._rng.expovariate(STREAM_RATE_PER_S))
                 caller = self._make_caller(f"c{len(self.callers)}")
                 self.callers.append(caller)
