--- a/packages/entry/src/almonddeal/relay/tests/test_streams_behind_a_silence.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_streams_behind_a_silence.py
@@ -57,6 +57,13 @@
     return run_in_virtual_time(main)
 
 
+def make_active_fleet(pauses_by_target, **options):
+    """Return a `SilentFleet` whose instance hears other engines all the while."""
+    fleet = SilentFleet(pauses_by_target, DOMAINS, **options)
+    fleet.context.targets.has_activity = has_activity
+    return fleet
+
+
 class TestCrashesOfSilentEngines:
     """The silence of an engine under a new stream counts as a crash."""
 
@@ -64,26 +71,20 @@
     # two, leaves it as the ejection of the engine ends, and is cut.
     @pytest.mark.parametrize("silence_s", [0.9, 1.4, 1.9, 2.6, 4.0])
     def test_stream_stays_at_the_second_silent_engine(self, silence_s):
-        def make_fleet():
-            pauses = {"i-1": [(0.1, 1.4)], "i-2": [(0.6, 0.6 + silence_s)]}
-            fleet = SilentFleet({**pauses, "i-3": [], "i-4": []}, DOMAINS)
-            fleet.context.targets.has_activity = has_activity
-            return fleet
-
-        fleet, writer = relay(make_fleet)
+        pauses = {"i-1": [(0.1, 1.4)], "i-2": [(0.6, 0.6 + silence_s)]}
+        fleet, writer = relay(
+            lambda: make_active_fleet({**pauses, "i-3": [], "i-4": []})
+        )
         assert fleet.is_complete(writer)
         assert fleet.tried == ["i-1", "i-2"]
 
     # Guards against crashes that count against a request though an engine has survived
     # it since: the stream is cut as the third engine falls silent.
     def test_stream_that_an_engine_survived_leaves_the_next_silent_one(self):
-        def make_fleet():
-            pauses = {"i-1": [(0.1, 1.4)], "i-2": [(0.6, 1.6), (2.8, 4.0)]}
-            fleet = SilentFleet({**pauses, "i-3": []}, DOMAINS, n_events=120)
-            fleet.context.targets.has_activity = has_activity
-            return fleet
-
-        fleet, writer = relay(make_fleet)
+        pauses = {"i-1": [(0.1, 1.4)], "i-2": [(0.6, 1.6), (2.8, 4.0)]}
+        fleet, writer = relay(
+            lambda: make_active_fleet({**pauses, "i-3": []}, n_events=120)
+        )
         assert fleet.is_complete(writer)
         assert fleet.tried == ["i-1", "i-2", "i-3"]
 
