--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -280,8 +280,10 @@
             return False
     if not stream.sequence.can_resume:
         return False
-    is_patient = is_not_run and stream.is_started and stream.has_left_silent_engine
-    if not await _await_attempt(stream, is_patient):
+    tries_until_deadline = (
+        is_not_run and stream.is_started and stream.has_left_silent_engine
+    )
+    if not await _await_attempt(stream, tries_until_deadline):
         return False
     if error.code == NOT_REACHED:
         return True
@@ -296,23 +298,26 @@
     if stream.has_retry:
         stream.has_retry = False
         return True
-    return await _take_retry(stream, context, is_patient)
+    return await _take_retry(stream, context, tries_until_deadline)
 
 
-async def _await_attempt(stream, is_patient):
-    """Return whether a stream may make one more attempt, once it may.
+async def _await_attempt(stream, tries_until_deadline):
+    """Return whether a stream may make one more attempt; waits until it may.
 
-    The attempts of one that is patient are not limited, but made at intervals.
+    One that tries until its deadline has no limit of attempts but makes them at
+    intervals.
     """
-    if not is_patient or stream.n_attempts < MAX_ATTEMPTS:
+    if not tries_until_deadline or stream.n_attempts < MAX_ATTEMPTS:
         return has_attempts_left(stream, stream.n_sends)
     await anyio.sleep(REFUSAL_BACKOFF_MS / 1000)
     return may_be_sent(stream, stream.n_sends)
 
 
-async def _take_retry(stream, context, is_patient):
+async def _take_retry(stream, context, tries_until_deadline):
     """Return whether a retry was taken from the budget, for which a stream may wait."""
-    max_wait_ms = stream.admitted.left_ms if is_patient else MAX_BUDGET_WAIT_MS
+    max_wait_ms = (
+        stream.admitted.left_ms if tries_until_deadline else MAX_BUDGET_WAIT_MS
+    )
     wait_deadline_ms = monotonic_ms() + max_wait_ms
     while not _is_paused_too_long(stream, context):
         if context.take_retry(stream.admitted.service.name):
