--- a/packages/entry/src/almonddeal/relay/tests/test_streams_behind_a_silence.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_streams_behind_a_silence.py
@@ -58,7 +58,7 @@
 
 
 def make_active_fleet(pauses_by_target, **options):
-    """Return a `SilentFleet` whose instance hears other engines all the while."""
+    """Return a `SilentFleet` whose instance receives events of other engines, too."""
     fleet = SilentFleet(pauses_by_target, DOMAINS, **options)
     fleet.context.targets.has_activity = has_activity
     return fleet
