--- a/packages/entry/src/almonddeal/relay/tests/out_of_step_service.py
+++ b/packages/entry/src/almonddeal/relay/tests/out_of_step_service.py
@@ -9,11 +9,11 @@
 from almonddeal.announced.announcement import READY
 from almonddeal.publication.follower import MAX_SILENCE_MS
 from almonddeal.relay.tests.announcements import make_announcement
+from almonddeal.relay.tests.resuming_callers import Caller
 from almonddeal.relay.tests.versioned_service import (
     DURATION_S,
     N_ENGINES,
     SHARE_DELAY_S,
-    Caller,
     VersionedDay,
 )
 from almonddeal_common.clock import monotonic_ms
--- a/packages/entry/src/almonddeal/relay/tests/versioned_service.py
+++ b/packages/entry/src/almonddeal/relay/tests/versioned_service.py
@@ -10,7 +10,6 @@
 
 from almonddeal.announced.announcement import DEREGISTERED, DRAINING, READY
 from almonddeal.relay.gateway import serve_request
-from almonddeal.relay.requests import Generation
 from almonddeal.relay.tests.fakes import (
     TRAITS,
     FakeFleet,
@@ -18,17 +17,16 @@
     ResponseHead,
     make_announcement,
     make_event,
-    make_request,
     make_route,
     make_table,
 )
+from almonddeal.relay.tests.resuming_callers import N_EVENTS, Caller
 from almonddeal.routing.model import STREAM
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import LINK_LOST, NOT_REACHED, AlmonddealError
 
 N_INSTANCES = 3
 N_ENGINES = 8
-N_EVENTS = 110
 MAX_RUNS = 16  # of an engine; it refuses more
 EVENT_INTERVAL_S = 0.015
 PREFILL_S = 0.08
@@ -90,41 +88,6 @@
         self.scopes = set()
 
 
-class Caller:
-    """What one caller received, and from which versions, over all its tries."""
-
-    __slots__ = ("event_ids", "first_request_id", "is_complete", "name", "versions")
-
-    def __init__(self, name):
-        self.name = name
-        self.versions = set()
-        self.event_ids = []
-        self.first_request_id = None
-        self.is_complete = False
-
-    def request(self, n_tries):
-        """Return the request of the next try."""
-        changes = {}
-        if self.event_ids:
-            changes["last_event_id"] = self.event_ids[-1]
-            changes["resumed_request_id"] = self.first_request_id
-        return make_request(
-            10_000.0,
-            Generation(800, N_EVENTS, f"print-{self.name}", f"part-{self.name}"),
-            request_id=f"{self.name}-{n_tries}",
-            **changes,
-        )
-
-    def add(self, request, writer):
-        """Add what a try brought; return whether it brought anything."""
-        if writer.event_ids and not self.event_ids:
-            self.first_request_id = request.request_id
-        self.event_ids += writer.event_ids
-        self.versions |= writer.versions
-        self.is_complete = writer.is_complete
-        return writer.is_complete or bool(writer.event_ids)
-
-
 class VersionedDay:
     """Simulation of a service with engines of several software versions.
 
