relay: log how much time a failed request had left

A request that fails long before its deadline could only be told from one at the deadline by the line of its last attempt, and not at all if it made none. 'request failed' has left_ms now. The test fails before (no such field).

--- a/packages/entry/src/almonddeal/relay/gateway.py
+++ b/packages/entry/src/almonddeal/relay/gateway.py
@@ -169,6 +169,7 @@
         ``send_error(error)``.
     """
     kind = "none"
+    admitted = None
     table = await wait_for_targets(request, context, current_table)
     try:
         admitted = admit(request, table)
@@ -190,6 +191,7 @@
             detail=error.detail,
             version=table.version if table is not None else 0,
             after_ms=error.retry_after_ms,
+            left_ms=None if admitted is None else round(admitted.left_ms),
         )
         await writer.send_error(error)
     context.metrics.record_request(kind, outcome, monotonic_ms() - request.arrived_ms)
--- a/packages/entry/src/almonddeal/relay/tests/test_plain.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_plain.py
@@ -1,7 +1,10 @@
 """Tests of lookups and orders with targets that fail, hang or refuse."""
 
+import logging
+
 import pytest
 
+from almonddeal.relay.gateway import serve_request
 from almonddeal.relay.plain import relay_plain
 from almonddeal.relay.tests.fakes import (
     FakeFleet,
@@ -10,7 +13,9 @@
     admit_plain,
     hangs,
     loses_connection,
+    make_request,
     make_route,
+    make_table,
     refuses,
     responds,
     responds_with_head,
@@ -174,3 +179,23 @@
             except AlmonddealError:
                 n_refused += 1
         assert n_refused <= 60 * 0.2
+
+
+class TestFailureRecords:
+    # Guards against failures long before the deadline that look like those at it.
+    @pytest.mark.parametrize(
+        ("behaviour", "is_due"), [(hangs, True), (loses_connection, False)]
+    )
+    def test_time_left_is_logged(self, behaviour, is_due, caplog):
+        caplog.set_level(logging.INFO)
+        table = make_table(make_route(ORDER, max_attempts=1))
+
+        async def main():
+            fleet = FakeFleet({"i-1": behaviour})
+            await serve_request(
+                make_request(), lambda: table, fleet.context, FakeResponseWriter()
+            )
+
+        run_in_virtual_time(main)
+        (facts,) = [r.facts for r in caplog.records if r.msg == "request failed"]
+        assert (facts["left_ms"] <= 0) == is_due
