--- a/packages/entry/src/almonddeal/relay/tests/test_silent_services.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_silent_services.py
@@ -6,15 +6,22 @@
 import anyio
 import pytest
 
+from almonddeal.relay.choose import SelectionPolicy
 from almonddeal.relay.plain import relay_plain
 from almonddeal.relay.tests.fakes import (
     FakeResponseWriter,
+    ResponseHead,
     admit_plain,
+    hangs,
+    loses_connection,
     make_route,
+    refuses,
+    responds,
+    unreachable,
 )
 from almonddeal.relay.tests.silent_targets import DARK_S, SilentFleet
 from almonddeal.routing.model import LOOKUP, ORDER
-from almonddeal_common.codes import DEADLINE, AlmonddealError
+from almonddeal_common.codes import DEADLINE, OVERLOADED, AlmonddealError
 from almonddeal_common.virtual_time import run_in_virtual_time
 
 TIMEOUT_MS = 2500.0
@@ -136,6 +143,92 @@
         assert n_taken == len(fleet.attempts) - 6
 
 
+def make_fleet_without_help(behaviour, n_others, silence=SILENCE):
+    """Return a fleet whose first target is silent, and whose others behave alike."""
+    others = [f"i-{number}" for number in range(2, n_others + 2)]
+    fleet = make_services({"i-1": silence, **{other: [] for other in others}})
+    fleet.behaviour_by_target.update(dict.fromkeys(others, behaviour))
+    fleet.context.selection_policy = SelectionPolicy(plain=prefer_first)
+    return fleet
+
+
+def prefer_first(targets, *args):
+    """Return the target that was announced first, or None."""
+    return targets[0] if targets else None
+
+
+class TestLookupBehindASilence:
+    """A lookup is late at a silent target, and no other one completes it."""
+
+    # Guards against a lookup that fails long before its deadline, as it left a sound
+    # target for one that does not take it.
+    @pytest.mark.parametrize("n_others", [1, 3])
+    @pytest.mark.parametrize("max_attempts", [2, 3])
+    @pytest.mark.parametrize(
+        "behaviour", [refuses(), unreachable, loses_connection, hangs]
+    )
+    def test_silent_target_responds_at_last(self, behaviour, max_attempts, n_others):
+        fleet, results, (took_s,) = relay(
+            lambda: make_fleet_without_help(behaviour, n_others),
+            max_attempts=max_attempts,
+        )
+        assert results == [200]
+        assert took_s < SILENCE[0][1] + 0.1
+        assert fleet.tried.count("i-1") == 1
+
+    # Guards against an error response, the answer of a target, that is held back.
+    def test_error_response_ends_it(self):
+        _, results, (took_s,) = relay(
+            lambda: make_fleet_without_help(responds(500), 1), max_attempts=2
+        )
+        assert results == [500]
+        assert took_s < SILENCE[0][1]
+
+    # Guards against a response 502 or 504, which promises nothing, where all refused.
+    def test_refused_by_all(self):
+        async def refuses_late(attempt):
+            await anyio.sleep(SILENCE[0][1])
+            yield ResponseHead(503, is_not_run=True)
+
+        def make_fleet():
+            fleet = make_fleet_without_help(refuses(), 1)
+            fleet.behaviour_by_target["i-1"] = refuses_late
+            return fleet
+
+        _, results, _ = relay(make_fleet, max_attempts=2)
+        assert results == [OVERLOADED]
+
+    # Guards against an attempt that stays open after another one was answered.
+    def test_late_attempt_ends_with_the_response_from_elsewhere(self):
+        fleet, results, (took_s,) = relay(
+            lambda: make_fleet_without_help(responds(), 1), max_attempts=2
+        )
+        assert results == [200]
+        assert took_s < SILENCE[0][1]
+        assert fleet.n_open == 0
+        assert [target.n_in_flight for target in known_targets(fleet)] == [0, 0]
+
+    # Guards against attempts that stay open after their caller left.
+    @pytest.mark.parametrize("left_after_s", [0.5, 1.2])
+    def test_caller_leaves(self, left_after_s):
+        async def main():
+            fleet = make_fleet_without_help(hangs, 1)
+            route = make_route(LOOKUP, timeout_ms=TIMEOUT_MS)
+            admitted = admit_plain(route, TIMEOUT_MS)
+            with anyio.move_on_after(left_after_s):
+                await relay_plain(admitted, fleet.context, FakeResponseWriter())
+            return fleet
+
+        fleet = run_in_virtual_time(main)
+        assert fleet.n_open == 0
+        assert [target.n_in_flight for target in known_targets(fleet)] == [0, 0]
+
+
+def known_targets(fleet):
+    """Return the targets of a fleet as its instance knows them, as a list."""
+    return list(fleet.target_table.target_by_id.values())
+
+
 class TestOrders:
     @pytest.mark.parametrize("targets", [["i-1"], ["i-1", "i-2"]])
     def test_order_waits_for_its_target_and_runs_once(self, targets):
--- a/packages/entry/src/almonddeal/relay/tests/test_streams_behind_a_silence.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_streams_behind_a_silence.py
@@ -18,11 +18,12 @@
 )
 from almonddeal.relay.tests.silent_targets import DARK_S, SilentFleet, TimedWriter
 from almonddeal.routing.model import STREAM
-from almonddeal_common.codes import NOT_REACHED, AlmonddealError
+from almonddeal_common.codes import DEADLINE, NOT_REACHED, AlmonddealError
 from almonddeal_common.virtual_time import run_in_virtual_time
 
 DOMAINS = {"i-1": "fd1", "i-2": "fd2", "i-3": "fd3", "i-4": "fd1"}
 TIMEOUT_MS = 20_000.0
+BEFORE_THE_FIRST_EVENT = (0.0, 2.4)
 
 
 def has_activity(announcement, since_ms):
@@ -139,12 +140,14 @@
         Time until which they take none, in seconds from the creation.
     is_reached : bool
         Whether they respond that they are full, or cannot be reached.
+    silence : tuple of (float, float)
+        Start and end of the silence of the first engine.
     """
 
-    def __init__(self, n_others, full_s, is_reached):
+    def __init__(self, n_others, full_s, is_reached, silence=(0.9, 2.4)):
         others = [f"i-{number}" for number in range(2, n_others + 2)]
         super().__init__(
-            {"i-1": [(0.9, 2.4)], **{other: [] for other in others}},
+            {"i-1": [silence], **{other: [] for other in others}},
             dict.fromkeys(others, "fd2"),
         )
         self._full_until_s = anyio.current_time() + full_s
@@ -161,6 +164,20 @@
             yield step
 
 
+def without_retries_for(fleet, duration_s):
+    """Have the retry budget used up after the first retry, for a time."""
+    retries_from_s = anyio.current_time() + duration_s
+    n_taken = 0
+
+    def take_retry(service_name):
+        nonlocal n_taken
+        n_taken += 1
+        return n_taken == 1 or anyio.current_time() >= retries_from_s
+
+    fleet.context.take_retry = take_retry
+    return fleet
+
+
 class TestRefusalsBehindASilence:
     """A stream leaves a silent engine for others that turn out to be full."""
 
@@ -177,20 +194,11 @@
     # Guards against the same as the retries are used up for a time.
     @pytest.mark.parametrize("no_retries_s", [2.0, 6.0])
     def test_stream_waits_for_the_retry_budget(self, no_retries_s):
-        def make_fleet():
-            fleet = FullFleet(2, 1.5, is_reached=True)
-            retries_from_s = anyio.current_time() + no_retries_s
-            n_taken = 0
-
-            def take_retry(service_name):
-                nonlocal n_taken
-                n_taken += 1
-                return n_taken == 1 or anyio.current_time() >= retries_from_s
-
-            fleet.context.take_retry = take_retry
-            return fleet
-
-        fleet, writer = relay(make_fleet)
+        fleet, writer = relay(
+            lambda: without_retries_for(
+                FullFleet(2, 1.5, is_reached=True), no_retries_s
+            )
+        )
         assert fleet.is_complete(writer)
 
     # Guards against a stream that asks engines over and over while they are full.
@@ -203,6 +211,62 @@
         assert len(fleet.tried) <= MAX_ATTEMPTS + max_at_intervals
 
 
+class TestRefusalsBeforeTheFirstEvent:
+    """A stream without an event leaves a silent engine for others that are full."""
+
+    # Guards against a stream that gets 502 long before its deadline, after it left a
+    # sound engine.
+    @pytest.mark.parametrize("is_reached", [True, False])
+    @pytest.mark.parametrize("n_others", [1, 3, 14])
+    @pytest.mark.parametrize("full_s", [2.0, 6.0])
+    def test_stream_begins_at_last(self, n_others, full_s, is_reached):
+        fleet, writer = relay(
+            lambda: FullFleet(n_others, full_s, is_reached, BEFORE_THE_FIRST_EVENT)
+        )
+        assert fleet.is_complete(writer)
+        assert fleet.tried[:2] == ["i-1", "i-2"]
+
+    # Guards against the same as no engine has room, by what this instance knows.
+    @pytest.mark.parametrize("room_from_s", [2.0, 6.0, 15.0])
+    def test_stream_waits_for_room(self, room_from_s):
+        def choose_if_room(engines, *args):
+            has_room = anyio.current_time() - started_s >= room_from_s
+            return prefer_first(engines) if has_room else None
+
+        def make_fleet():
+            nonlocal started_s
+            started_s = anyio.current_time()
+            fleet = FullFleet(1, 6.0, True, BEFORE_THE_FIRST_EVENT)
+
+            async def refuse_and_be_full(attempt):
+                fleet.context.selection_policy.engine = choose_if_room
+                fleet.behaviour_by_target["i-2"] = fleet.behaviour_by_target["i-1"]
+                yield ResponseHead(503, is_not_run=True)
+
+            fleet.behaviour_by_target["i-2"] = refuse_and_be_full
+            return fleet
+
+        started_s = 0.0
+        fleet, writer = relay(make_fleet)
+        assert fleet.is_complete(writer)
+
+    # Guards against a deadline that is not kept where no engine takes the stream.
+    def test_deadline_ends_the_wait(self):
+        with pytest.raises(AlmonddealError) as caught:
+            relay(lambda: FullFleet(2, DARK_S, True, (0.0, DARK_S)))
+        assert caught.value.code == DEADLINE
+
+    # Guards against the same as the retries are used up for a time.
+    @pytest.mark.parametrize("no_retries_s", [2.0, 6.0])
+    def test_stream_waits_for_the_retry_budget(self, no_retries_s):
+        fleet, writer = relay(
+            lambda: without_retries_for(
+                FullFleet(2, 1.5, True, BEFORE_THE_FIRST_EVENT), no_retries_s
+            )
+        )
+        assert fleet.is_complete(writer)
+
+
 class QuietStartFleet(SilentFleet):
     """Engine 1 falls silent for good, and engine 2 as it sends its first event.
 
