--- a/packages/entry/src/almonddeal/relay/plain.py
+++ b/packages/entry/src/almonddeal/relay/plain.py
@@ -1,16 +1,12 @@
 """Requests to plain services: lookups are retried, orders only if not executed."""
 
-import asyncio
-from contextlib import contextmanager, nullcontext
-
 import anyio
 
 from almonddeal.relay.culprits import count_successive
+from almonddeal.relay.plain_attempts import run_attempt
 from almonddeal.relay.quarantine import MAX_CRASHES
-from almonddeal.relay.requests import Attempt
 from almonddeal.relay.suspects import list_suspects
 from almonddeal.routing.model import ORDER
-from almonddeal_common.bodies import BodyTooLargeError, read_limited
 from almonddeal_common.clock import monotonic_ms
 from almonddeal_common.codes import (
     DEADLINE,
@@ -23,51 +19,16 @@
     AlmonddealError,
 )
 from almonddeal_common.logs import decide, get_logger
-from almonddeal_common.step_timer import move_on_after_steps
 
 RETRY_AFTER_MS = 100  # targets free a slot within tens of milliseconds
-LOOKUP_TIMEOUT_SHARE = 0.4  # of the time left; then a lookup is sent elsewhere
-RECHECK_INTERVAL_S = 0.05  # at which a late lookup looks for another target
 MAX_PAUSE_WAIT_MS = 100.0  # for targets that hold off; well within most objectives
 PAUSE_MARGIN_MS = 1.0  # after the end of a pause; timers are not exact
 MAX_UNREACHED = 4  # retries after reaching no target, not counted in max_attempts
 MIN_LEFT_MS = 15.0  # no target responds within less
-MAX_BODY_BYTES = 4 * 1024 * 1024  # of a response, which is kept whole until its end
 
 log = get_logger("relay")
 
 
-class _Outcome:
-    """Outcome of one attempt: a response with its body, or an error."""
-
-    __slots__ = ("body", "error", "response")
-
-    def __init__(self, response=None, body=b"", error=None):
-        self.response = response
-        self.body = body
-        self.error = error
-
-    @property
-    def is_not_run(self):
-        if self.error is not None:
-            return self.error.code == NOT_REACHED
-        return self.response.is_not_run
-
-    @property
-    def request_limit_per_s(self):
-        return None if self.response is None else self.response.request_limit_per_s
-
-    @property
-    def retry_after_ms(self):
-        return None if self.response is None else self.response.retry_after_ms
-
-    @property
-    def label(self):
-        if self.error is not None:
-            return self.error.code.name
-        return str(self.response.status)
-
-
 async def relay_plain(admitted, context, writer):
     """Relay one request to a plain service.
 
@@ -111,7 +72,7 @@
             break
         tried.add(target.announcement.target)
         is_last = is_order or n_sends + 1 >= admitted.route.max_attempts
-        outcome = await _run_attempt(
+        outcome = await run_attempt(
             admitted, context, target, None if is_last else claim_retry
         )
         is_unreached = _is_unreached(outcome)
@@ -272,128 +233,3 @@
             ),
         ),
     )
-
-
-@contextmanager
-def _cancelled_if_late(scope, admitted, claim_retry):
-    """Have a scope cancelled once a lookup in it is late and can be sent elsewhere.
-
-    A sound target may be silent for about a second, so the lookup waits for it unless
-    another one can take it.
-    """
-    # A task for this would cost as much as the rest of the relay of a lookup.
-    loop = asyncio.get_running_loop()
-    timeout_ms = max(
-        admitted.route.objective_ms, admitted.left_ms * LOOKUP_TIMEOUT_SHARE
-    )
-
-    def check():
-        nonlocal timer
-        if claim_retry():
-            scope.cancel()
-        else:
-            timer = loop.call_later(RECHECK_INTERVAL_S, check)
-
-    timer = loop.call_later(timeout_ms / 1000, check)
-    try:
-        yield
-    finally:
-        timer.cancel()
-
-
-async def _run_attempt(admitted, context, target, claim_retry):
-    """Send the request to one target and read the response; returns an `_Outcome`.
-
-    Parameters
-    ----------
-    admitted : AdmittedRequest
-    context : RelayContext
-    target : TrackedTarget
-    claim_retry : callable or None
-        Returns whether the request is sent elsewhere if this target is late; None if it
-        waits for this one until its deadline.
-    """
-    started_ms = monotonic_ms()
-    context.named_limits.take(target)
-    target.n_in_flight += 1
-    outcome = None
-    try:
-        # A response that came in time is read behind a stall at the deadline.
-        with move_on_after_steps(max(0.0, admitted.left_ms) / 1000, 1) as scope:
-            late = nullcontext()
-            if claim_retry is not None:
-                late = _cancelled_if_late(scope, admitted, claim_retry)
-            with late:
-                outcome = await _receive(admitted, context, target)
-    finally:
-        target.n_in_flight -= 1
-    if outcome is None:
-        detail = f"{monotonic_ms() - started_ms:.0f} ms passed"
-        outcome = _Outcome(error=AlmonddealError(DEADLINE, detail))
-    _record_outcome(admitted, context, target, outcome, monotonic_ms() - started_ms)
-    decide(
-        log,
-        "finished an attempt",
-        request=admitted.request.request_id,
-        fingerprint=admitted.fingerprint,
-        target=target.announcement.target,
-        born_ms=target.announcement.born_ms,
-        version=context.version,
-        outcome=outcome.label,
-        not_run=outcome.is_not_run,
-        limit_per_s=outcome.request_limit_per_s,
-        retry_after_ms=outcome.retry_after_ms,
-        took_ms=round(monotonic_ms() - started_ms),
-        left_ms=round(admitted.left_ms),
-    )
-    return outcome
-
-
-async def _receive(admitted, context, target):
-    request = admitted.request
-    attempt = Attempt(
-        admitted,
-        target.announcement,
-        last_event_id=request.last_event_id,
-        may_send=lambda: context.may_send(target),
-    )
-    try:
-        async with context.open_attempt(attempt) as response:
-            # Before the body, which may be slow.
-            request_id = request.request_id
-            context.targets.record_response(attempt.target, response, request_id)
-            context.hold_offs.record(attempt.target, response, request_id)
-            body = await read_limited(response.chunks, MAX_BODY_BYTES)
-    except AlmonddealError as error:
-        return _Outcome(error=error)
-    except BodyTooLargeError as error:
-        return _Outcome(error=AlmonddealError(LINK_LOST, f"response body: {error}"))
-    if response.is_of_other_request:
-        return _Outcome(error=AlmonddealError(LINK_LOST, "answer to another request"))
-    if response.is_success and not response.is_authentic:
-        return _Outcome(error=AlmonddealError(LINK_LOST, "not the target's answer"))
-    return _Outcome(response, body)
-
-
-def _record_outcome(admitted, context, target, outcome, took_ms):
-    request_id = admitted.request.request_id
-    if outcome.error is not None:
-        target.record_outcome(True, took_ms)
-        if outcome.error.code == NOT_REACHED:
-            if context.may_send(target):
-                context.targets.eject(target, "connection failed", request_id)
-        elif outcome.error.code == LINK_LOST:
-            context.targets.record_connection_loss(target, request_id)
-        return
-    response = outcome.response
-    if not response.is_not_run:
-        context.quarantine.record_sound(list_suspects(admitted))
-    context.named_limits.record(target.announcement, response, request_id)
-    if response.reported_counts is not None:
-        target.reported_counts = response.reported_counts
-        target.counts_reported_ms = monotonic_ms()
-    if response.is_misdirected:
-        context.targets.eject(target, "address belongs to another target", request_id)
-    else:
-        # A refusal counts as a failure, so that other targets are preferred.
-        target.record_outcome(response.is_not_run or response.status >= 500, took_ms)
