relay: keep a late lookup at its target while others are tried

Callers saw 504, or 502, long before the deadline of a lookup whose target was only silent. Cause: a late lookup left its target, which can't be taken back, for one that then refused it, could not be reached, lost the connection or was silent as well; attempts or targets were used up.

The late attempt now stays open beside the others, and ends with the first response from any of them. It counts as sent, and takes its retry from the budget, as before. Where all refuse, also late, the lookup is refused (503) instead of failed. An error response of a target still ends it at once.

--- a/packages/entry/src/almonddeal/relay/plain.py
+++ b/packages/entry/src/almonddeal/relay/plain.py
@@ -1,5 +1,8 @@
 """Requests to plain services: lookups are retried, orders only if not executed."""
 
+import asyncio
+from contextlib import contextmanager
+
 import anyio
 
 from almonddeal.relay.culprits import count_successive
@@ -12,7 +15,6 @@
     DEADLINE,
     LINK_LOST,
     NO_TARGET,
-    NOT_REACHED,
     ORDER_OUTCOME_UNKNOWN,
     OVERLOADED,
     SERVICE_FAILED,
@@ -20,6 +22,8 @@
 )
 from almonddeal_common.logs import decide, get_logger
 
+LOOKUP_TIMEOUT_SHARE = 0.4  # of the time left; then a lookup is also sent elsewhere
+RECHECK_INTERVAL_S = 0.05  # at which a late lookup looks for another target
 RETRY_AFTER_MS = 100  # targets free a slot within tens of milliseconds
 MAX_PAUSE_WAIT_MS = 100.0  # for targets that hold off; well within most objectives
 PAUSE_MARGIN_MS = 1.0  # after the end of a pause; timers are not exact
@@ -29,6 +33,45 @@
 log = get_logger("relay")
 
 
+class _Progress:
+    """How far a request has come over its attempts.
+
+    Attributes
+    ----------
+    tried : set of str
+        Targets of its attempts.
+    n_sends : int
+        Attempts that count against the limit of the route: all but those that reached
+        no target.
+    n_unreached : int
+    crashes : list of SegmentEvidence
+    preferred : Outcome or None
+        Of the attempts that failed, the one that says most of the request.
+    """
+
+    __slots__ = ("crashes", "n_sends", "n_unreached", "preferred", "tried")
+
+    def __init__(self):
+        self.tried = set()
+        self.n_sends = 0
+        self.n_unreached = 0
+        self.crashes = []
+        self.preferred = None
+
+    def count(self, outcome):
+        """Count an attempt that ended before it was late."""
+        self.n_unreached += int(outcome.is_unreached)
+        self.n_sends += int(not outcome.is_unreached)
+
+    @property
+    def response(self):
+        """The preferred outcome if a target executed the request, else None."""
+        preferred = self.preferred
+        if preferred is None or preferred.error is not None or preferred.is_not_run:
+            return None
+        return preferred
+
+
 async def relay_plain(admitted, context, writer):
     """Relay one request to a plain service.
 
@@ -44,76 +87,140 @@
     AlmonddealError
         If no target responded; nothing has been written to the caller then.
     """
-    is_order = admitted.route.kind == ORDER
-    tried = set()
-    # Refused requests count as sent; only those that reached no target do not.
-    n_sends = n_unreached = 0
-    crashes = []
-    preferred = None
-    has_retry = False
-
-    def claim_retry():
-        """Take a retry from the budget if the lookup can be sent elsewhere now."""
-        nonlocal has_retry
-        if not has_retry and _has_alternative(admitted, context, tried):
-            has_retry = context.take_retry(admitted.service.name)
-        return has_retry
-
     context.record_request(admitted.service.name)
-    while True:
-        if preferred is None or preferred.is_not_run:
-            context.quarantine.check(admitted)
-        elif context.quarantine.blocks(list_suspects(admitted)):
-            break
-        target = _select_target(admitted, context, tried)
+    progress = _Progress()
+    outcome = await _attempt_in_turn(admitted, context, progress)
+    if outcome is None:
+        raise _failure(progress.preferred, admitted, context)
+    await writer.send_response(
+        outcome.response.status, outcome.response.headers, outcome.body
+    )
+
+
+async def _attempt_in_turn(admitted, context, progress):
+    """Send a request to one target after the other, until one responds.
+
+    Parameters
+    ----------
+    admitted : AdmittedRequest
+    context : RelayContext
+    progress : _Progress
+
+    Returns
+    -------
+    outcome : Outcome or None
+        The response for the caller; None if there is none.
+    """
+    is_order = admitted.route.kind == ORDER
+    while not _is_quarantined(admitted, context):
+        target = _select_target(admitted, context, progress.tried)
         if target is None:
-            if await _wait_out_pause(admitted, context, tried):
+            if await _wait_out_pause(admitted, context, progress.tried):
                 continue
             break
-        tried.add(target.announcement.target)
-        is_last = is_order or n_sends + 1 >= admitted.route.max_attempts
-        outcome = await run_attempt(
-            admitted, context, target, None if is_last else claim_retry
-        )
-        is_unreached = _is_unreached(outcome)
-        n_unreached += int(is_unreached)
-        n_sends += int(not is_unreached)
-        if outcome.error is None and not _needs_retry(outcome, is_order):
-            await writer.send_response(
-                outcome.response.status, outcome.response.headers, outcome.body
-            )
-            return
-        preferred = _preferred_outcome(preferred, outcome)
+        progress.tried.add(target.announcement.target)
+        if is_order or progress.n_sends + 1 >= admitted.route.max_attempts:
+            outcome = await run_attempt(admitted, context, target)
+            progress.count(outcome)
+        else:
+            outcome = await _attempt_beside_others(admitted, context, progress, target)
+        if not _needs_retry(outcome, is_order):
+            return outcome
+        progress.preferred = _preferred_outcome(progress.preferred, outcome)
         crash = await _record_crash(admitted, context, target, outcome)
         if crash is not None:
-            crashes.append(crash)
-        if is_order and not outcome.is_not_run:
+            progress.crashes.append(crash)
+        if not _may_be_sent(admitted, progress, outcome):
             break
-        if n_sends >= admitted.route.max_attempts or n_unreached > MAX_UNREACHED:
+        if not outcome.is_unreached and not context.take_retry(admitted.service.name):
+            decide(log, "retry budget exhausted", request=admitted.request.request_id)
             break
-        if count_successive(crashes) >= MAX_CRASHES:
-            decide(
-                log,
-                "no further target for a request under which targets crashed",
-                request=admitted.request.request_id,
-                n_crashes=len(crashes),
-            )
-            break
-        if admitted.left_ms < MIN_LEFT_MS:
-            break
-        has_claimed, has_retry = has_retry, False
-        if (
-            not is_unreached
-            and not has_claimed
-            and not context.take_retry(admitted.service.name)
-        ):
-            decide(
-                log,
-                "retry budget exhausted",
-                request=admitted.request.request_id,
-            )
-            break
-    await _finish(preferred, is_order, admitted, context, writer)
+    return progress.response
+
+
+async def _attempt_beside_others(admitted, context, progress, target):
+    """Run an attempt of a lookup; once it is late, others run beside it.
+
+    A sound target may be silent for about a second, and another one may not take the
+    lookup. The late attempt is therefore ended only by a response from elsewhere.
+
+    Parameters
+    ----------
+    admitted : AdmittedRequest
+    context : RelayContext
+    progress : _Progress
+    target : TrackedTarget
+
+    Returns
+    -------
+    outcome : Outcome
+        Of this attempt, or the response from elsewhere.
+    """
+    started_ms = monotonic_ms()
+    outcome = elsewhere = None
+    is_late = False
+
+    def leave_if_possible():
+        nonlocal is_late
+        if not _has_alternative(admitted, context, progress.tried):
+            return False
+        if not context.take_retry(admitted.service.name):
+            return False
+        is_late = True
+        progress.n_sends += 1
+        took_ms = monotonic_ms() - started_ms
+        target.record_outcome(True, took_ms)
+        decide(
+            log,
+            "sent a late lookup to another target as well",
+            request=admitted.request.request_id,
+            target=target.announcement.target,
+            took_ms=round(took_ms),
+            left_ms=round(admitted.left_ms),
+        )
+        group.start_soon(attempt_elsewhere)
+        return True
+
+    async def attempt_elsewhere():
+        nonlocal elsewhere
+        elsewhere = await _attempt_in_turn(admitted, context, progress)
+        if elsewhere is not None:
+            group.cancel_scope.cancel()
+
+    async with anyio.create_task_group() as group:
+        with _called_when_late(admitted, leave_if_possible):
+            outcome = await run_attempt(admitted, context, target)
+        if not _needs_retry(outcome, is_order=False):
+            group.cancel_scope.cancel()
+    if not is_late:
+        progress.count(outcome)
+    if elsewhere is not None and (outcome is None or _needs_retry(outcome, False)):
+        return elsewhere
+    return outcome
+
+
+def _is_quarantined(admitted, context):
+    quarantine = context.quarantine
+    return bool(quarantine.culprits) and quarantine.blocks(list_suspects(admitted))
+
+
+def _may_be_sent(admitted, progress, outcome):
+    """Tell whether a request may be sent once more after an attempt failed."""
+    if admitted.route.kind == ORDER and not outcome.is_not_run:
+        return False
+    if progress.n_sends >= admitted.route.max_attempts:
+        return False
+    if progress.n_unreached > MAX_UNREACHED:
+        return False
+    if count_successive(progress.crashes) >= MAX_CRASHES:
+        decide(
+            log,
+            "no further target for a request under which targets crashed",
+            request=admitted.request.request_id,
+            n_crashes=len(progress.crashes),
+        )
+        return False
+    return admitted.left_ms >= MIN_LEFT_MS
 
 
 async def _record_crash(admitted, context, target, outcome):
@@ -161,18 +268,10 @@
     return target is not None and target.ejected_until_ms <= monotonic_ms()
 
 
-def _is_unreached(outcome):
-    """Tell whether no part of the request reached the intended target."""
-    if outcome.error is not None:
-        return outcome.error.code == NOT_REACHED
-    return outcome.response.is_misdirected
-
-
 def _needs_retry(outcome, is_order):
-    response = outcome.response
-    if response.is_not_run:
+    if outcome.error is not None or outcome.is_not_run:
         return True
-    return not is_order and response.status >= 500
+    return not is_order and outcome.response.status >= 500
 
 
 def _preferred_outcome(preferred, outcome):
@@ -192,26 +291,55 @@
     return preferred
 
 
-async def _finish(preferred, is_order, admitted, context, writer):
-    """Send the preferred outcome to the caller, or raise the error for it."""
+def _failure(preferred, admitted, context):
+    """Return the error of a request to which no target responded."""
+    if preferred is None or preferred.is_not_run:
+        try:
+            context.quarantine.check(admitted)
+        except AlmonddealError as error:
+            return error
     if preferred is None:
-        raise no_target_error(admitted.service.name, context)
-    if preferred.response is not None and not preferred.response.is_not_run:
-        await writer.send_response(
-            preferred.response.status, preferred.response.headers, preferred.body
-        )
-        return
+        return no_target_error(admitted.service.name, context)
     if preferred.is_not_run:
         targets = context.targets.candidates(admitted.service.name)
-        raise AlmonddealError(
+        return AlmonddealError(
             OVERLOADED,
             "no target took the request",
             retry_after_ms=context.retry_after_ms(targets, lambda: RETRY_AFTER_MS),
         )
     if preferred.error.code == DEADLINE:
-        raise AlmonddealError(DEADLINE, "the target did not answer in time")
+        return AlmonddealError(DEADLINE, "the target did not answer in time")
+    is_order = admitted.route.kind == ORDER
     code = ORDER_OUTCOME_UNKNOWN if is_order else SERVICE_FAILED
-    raise AlmonddealError(code, "the target's answer was lost")
+    return AlmonddealError(code, "the target's answer was lost")
+
+
+@contextmanager
+def _called_when_late(admitted, leave_if_possible):
+    """Have a function called once a lookup is late, until it returns True.
+
+    Parameters
+    ----------
+    admitted : AdmittedRequest
+    leave_if_possible : callable
+        Sends the lookup to another target as well; returns whether it did.
+    """
+    # A task for this would cost as much as the rest of the relay of a lookup.
+    loop = asyncio.get_running_loop()
+    timeout_ms = max(
+        admitted.route.objective_ms, admitted.left_ms * LOOKUP_TIMEOUT_SHARE
+    )
+
+    def check():
+        nonlocal timer
+        if not leave_if_possible():
+            timer = loop.call_later(RECHECK_INTERVAL_S, check)
+
+    timer = loop.call_later(timeout_ms / 1000, check)
+    try:
+        yield
+    finally:
+        timer.cancel()
 
 
 def no_target_error(service_name, context):
--- a/packages/entry/src/almonddeal/relay/plain_attempts.py
+++ b/packages/entry/src/almonddeal/relay/plain_attempts.py
@@ -1,8 +1,5 @@
 """One attempt of a request to a plain service."""
 
-import asyncio
-from contextlib import contextmanager, nullcontext
-
 from almonddeal.relay.requests import Attempt
 from almonddeal.relay.suspects import list_suspects
 from almonddeal_common.bodies import BodyTooLargeError, read_limited
@@ -16,8 +13,6 @@
 from almonddeal_common.logs import decide, get_logger
 from almonddeal_common.step_timer import move_on_after_steps
 
-LOOKUP_TIMEOUT_SHARE = 0.4  # of the time left; then a lookup is sent elsewhere
-RECHECK_INTERVAL_S = 0.05  # at which a late lookup looks for another target
 MAX_BODY_BYTES = 4 * 1024 * 1024  # of a response, which is kept whole until its end
 
 log = get_logger("relay")
@@ -40,6 +35,13 @@
             return self.error.code == NOT_REACHED
         return self.response.is_not_run
 
+    @property
+    def is_unreached(self):
+        """Whether no part of the request reached the intended target."""
+        if self.error is not None:
+            return self.error.code == NOT_REACHED
+        return self.response.is_misdirected
+
     @property
     def request_limit_per_s(self):
         """Limit that the target named in its response, or None."""
@@ -58,44 +60,14 @@
         return str(self.response.status)
 
 
-@contextmanager
-def _cancelled_if_late(scope, admitted, claim_retry):
-    """Have a scope cancelled once a lookup in it is late and can be sent elsewhere.
-
-    A sound target may be silent for about a second, so the lookup waits for it unless
-    another one can take it.
-    """
-    # A task for this would cost as much as the rest of the relay of a lookup.
-    loop = asyncio.get_running_loop()
-    timeout_ms = max(
-        admitted.route.objective_ms, admitted.left_ms * LOOKUP_TIMEOUT_SHARE
-    )
-
-    def check():
-        nonlocal timer
-        if claim_retry():
-            scope.cancel()
-        else:
-            timer = loop.call_later(RECHECK_INTERVAL_S, check)
-
-    timer = loop.call_later(timeout_ms / 1000, check)
-    try:
-        yield
-    finally:
-        timer.cancel()
-
-
-async def run_attempt(admitted, context, target, claim_retry):
-    """Send the request to one target and read the response; returns an `Outcome`.
+async def run_attempt(admitted, context, target):
+    """Send a request to one target, until its deadline; returns an `Outcome`.
 
     Parameters
     ----------
     admitted : AdmittedRequest
     context : RelayContext
     target : TrackedTarget
-    claim_retry : callable or None
-        Returns whether the request is sent elsewhere if this target is late; None if it
-        waits for this one until its deadline.
     """
     started_ms = monotonic_ms()
     context.named_limits.take(target)
@@ -103,12 +75,8 @@
     outcome = None
     try:
         # A response that came in time is read behind a stall at the deadline.
-        with move_on_after_steps(max(0.0, admitted.left_ms) / 1000, 1) as scope:
-            late = nullcontext()
-            if claim_retry is not None:
-                late = _cancelled_if_late(scope, admitted, claim_retry)
-            with late:
-                outcome = await _receive(admitted, context, target)
+        with move_on_after_steps(max(0.0, admitted.left_ms) / 1000, 1):
+            outcome = await _receive(admitted, context, target)
     finally:
         target.n_in_flight -= 1
     if outcome is None:
