relay: try streams that left a silent engine until their deadline

Such a stream is now treated as one that has started: it waits for room and for retries, and asks refusing engines again at intervals. At the deadline it gets 504.

--- a/packages/entry/src/almonddeal/relay/admission_queue.py
+++ b/packages/entry/src/almonddeal/relay/admission_queue.py
@@ -172,7 +172,7 @@
 
 
 async def wait_for_room(stream, context, list_engines):
-    """Wait until an engine has room for a stream whose response has started.
+    """Wait until an engine has room for a stream that tries until its deadline.
 
     Parameters
     ----------
--- a/packages/entry/src/almonddeal/relay/stream_state.py
+++ b/packages/entry/src/almonddeal/relay/stream_state.py
@@ -226,6 +226,15 @@
         self.has_left_silent_engine = False
         self.has_retry = False
 
+    @property
+    def tries_until_deadline(self):
+        """Whether the stream looks for an engine until its deadline.
+
+        That is so once its response has started, or it left an engine that may be
+        sound, which would have completed it.
+        """
+        return self.is_started or self.has_left_silent_engine
+
     @property
     def request_id(self):
         """Id of the request."""
--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -41,7 +41,7 @@
 from almonddeal_common.logs import decide, get_logger
 
 RETRY_AFTER_MS = 1000  # about the prefill time of one prompt
-NO_TARGET_BACKOFF_S = 0.1  # before a started response looks for a target again
+NO_TARGET_BACKOFF_S = 0.1  # before a stream looks for a target again
 PAUSE_MARGIN_MS = 1.0  # after the end of a pause; timers are not exact
 MAX_BUDGET_WAIT_MS = 1000.0  # a caller that resumes its stream itself takes as long
 BUDGET_POLL_INTERVAL_S = 0.05
@@ -143,8 +143,8 @@
     Raises
     ------
     AlmonddealError
-        If the response has not started and no engine is available in time, or if no
-        target has the software version that began the stream.
+        If no engine is available in time and the stream does not try until its
+        deadline, or if no target has the software version that began it.
     """
     version = stream.software_version
     if version is not None and not stream.candidates(context.targets):
@@ -156,7 +156,7 @@
         raise AlmonddealError(
             NOT_RESUMABLE, f"no target has software version {version}"
         )
-    if stream.is_started and not _can_go_on(stream, context):
+    if stream.tries_until_deadline and not _can_go_on(stream, context):
         await _wait_for_candidates(stream, context)
         if not _can_go_on(stream, context):
             return None, None
@@ -175,7 +175,7 @@
         # Targets may have left or restarted during the query.
         if engine in _allowed_candidates(stream, context):
             return engine, None
-    if not stream.is_started:
+    if not stream.tries_until_deadline:
         return await wait_for_engine(stream, context), None
     engine = await wait_for_room(
         stream, context, lambda: _preferred_candidates(stream, context)
@@ -218,7 +218,7 @@
 
 
 async def _wait_for_candidates(stream, context):
-    """Wait before the targets that a started stream cannot use are asked again.
+    """Wait before the targets that a stream cannot use are asked again.
 
     Raises
     ------
@@ -236,7 +236,7 @@
 
 def _select_plain_target(stream, context):
     targets = _preferred_candidates(stream, context)
-    if not targets and not stream.is_started:
+    if not targets and not stream.tries_until_deadline:
         raise no_target_error(stream.admitted.service.name, context)
     return context.hold_offs.choose(
         lambda targets: min(targets, key=lambda t: t.n_in_flight, default=None), targets
@@ -250,7 +250,7 @@
 
 
 def _max_pause_ms(stream, context):
-    if stream.is_started:
+    if stream.tries_until_deadline:
         return stream.admitted.left_ms - MIN_LEFT_MS
     if stream.admitted.service.engine is None:
         return 0.0
@@ -280,10 +280,8 @@
             return False
     if not stream.sequence.can_resume:
         return False
-    tries_until_deadline = (
-        is_not_run and stream.is_started and stream.has_left_silent_engine
-    )
-    if not await _await_attempt(stream, tries_until_deadline):
+    is_behind_silence = is_not_run and stream.has_left_silent_engine
+    if not await _await_attempt(stream, is_behind_silence):
         return False
     if error.code == NOT_REACHED:
         return True
@@ -298,26 +296,24 @@
     if stream.has_retry:
         stream.has_retry = False
         return True
-    return await _take_retry(stream, context, tries_until_deadline)
+    return await _take_retry(stream, context, is_behind_silence)
 
 
-async def _await_attempt(stream, tries_until_deadline):
+async def _await_attempt(stream, is_behind_silence):
     """Return whether a stream may make one more attempt; waits until it may.
 
-    One that tries until its deadline has no limit of attempts but makes them at
-    intervals.
+    One that left a silent engine and was refused elsewhere has no limit of attempts but
+    makes them at intervals.
     """
-    if not tries_until_deadline or stream.n_attempts < MAX_ATTEMPTS:
+    if not is_behind_silence or stream.n_attempts < MAX_ATTEMPTS:
         return has_attempts_left(stream, stream.n_sends)
     await anyio.sleep(REFUSAL_BACKOFF_MS / 1000)
     return may_be_sent(stream, stream.n_sends)
 
 
-async def _take_retry(stream, context, tries_until_deadline):
+async def _take_retry(stream, context, is_behind_silence):
     """Return whether a retry was taken from the budget, for which a stream may wait."""
-    max_wait_ms = (
-        stream.admitted.left_ms if tries_until_deadline else MAX_BUDGET_WAIT_MS
-    )
+    max_wait_ms = stream.admitted.left_ms if is_behind_silence else MAX_BUDGET_WAIT_MS
     wait_deadline_ms = monotonic_ms() + max_wait_ms
     while not _is_paused_too_long(stream, context):
         if context.take_retry(stream.admitted.service.name):
