relay: name what happens as a lookup is late

The lookup does not leave its target any more. No behaviour: a function and a context manager have other names; tests of plain services pass.

--- a/packages/entry/src/almonddeal/relay/plain.py
+++ b/packages/entry/src/almonddeal/relay/plain.py
@@ -160,7 +160,7 @@
     outcome = elsewhere = None
     is_late = False
 
-    def leave_if_possible():
+    def start_elsewhere():
         nonlocal is_late
         if not _has_alternative(admitted, context, progress.tried):
             return False
@@ -188,7 +188,7 @@
             group.cancel_scope.cancel()
 
     async with anyio.create_task_group() as group:
-        with _called_when_late(admitted, leave_if_possible):
+        with _calling_when_late(admitted, start_elsewhere):
             outcome = await run_attempt(admitted, context, target)
         if not _needs_retry(outcome, is_order=False):
             group.cancel_scope.cancel()
@@ -315,13 +315,13 @@
 
 
 @contextmanager
-def _called_when_late(admitted, leave_if_possible):
-    """Have a function called once a lookup is late, until it returns True.
+def _calling_when_late(admitted, start_elsewhere):
+    """Call a function once a lookup is late, at intervals until it returns True.
 
     Parameters
     ----------
     admitted : AdmittedRequest
-    leave_if_possible : callable
+    start_elsewhere : callable
         Sends the lookup to another target as well; returns whether it did.
     """
     # A task for this would cost as much as the rest of the relay of a lookup.
@@ -332,7 +332,7 @@
 
     def check():
         nonlocal timer
-        if not leave_if_possible():
+        if not start_elsewhere():
             timer = loop.call_later(RECHECK_INTERVAL_S, check)
 
     timer = loop.call_later(timeout_ms / 1000, check)
