relay: let streams return to the silent engine they left as others hold off

Callers whose stream left a silent engine were cut, or got 502, at once where all other engines asked for a pause beyond the deadline: 'all targets hold off' did not count the engine that was left, as it is ejected, although it is chosen if all others hold off.

The time until a target does not hold off is now taken from the targets that may be chosen. TestPausesBehindASilence: 4 of 4 cases failed before, none now; the other relay tests pass.

--- a/packages/entry/src/almonddeal/relay/streams.py
+++ b/packages/entry/src/almonddeal/relay/streams.py
@@ -225,7 +225,7 @@
     AlmonddealError
         If all of them hold off for longer than the stream has time left.
     """
-    pause_ms = context.hold_offs.left_ms(stream.candidates(context.targets))
+    pause_ms = _pause_left_ms(stream, context)
     if pause_ms > stream.admitted.left_ms - MIN_LEFT_MS:
         raise AlmonddealError(ATTEMPT_LOST, "all engines hold off until the deadline")
     wait_ms = pause_ms + PAUSE_MARGIN_MS if pause_ms else REFUSAL_BACKOFF_MS
@@ -245,10 +245,22 @@
 
 def _is_paused_too_long(stream, context):
     """Tell whether all targets hold off for longer than a stream would wait for one."""
-    pause_ms = context.hold_offs.left_ms(stream.candidates(context.targets))
+    pause_ms = _pause_left_ms(stream, context)
     return pause_ms > 0 and pause_ms > _max_pause_ms(stream, context)
 
 
+def _pause_left_ms(stream, context):
+    """Return the time until a target of a stream does not hold off, in ms.
+
+    An ejected one, such as the silent engine that the stream left, may be the last that
+    does not.
+    """
+    service_name = stream.admitted.service.name
+    if context.candidates(service_name, (), stream.software_version):
+        return 0.0
+    return context.hold_offs.left_ms(stream.candidates(context.targets))
+
+
 def _max_pause_ms(stream, context):
     if stream.tries_until_deadline:
         return stream.admitted.left_ms - MIN_LEFT_MS
--- a/packages/entry/src/almonddeal/relay/tests/test_streams_behind_a_silence.py
+++ b/packages/entry/src/almonddeal/relay/tests/test_streams_behind_a_silence.py
@@ -267,6 +267,28 @@
         assert fleet.is_complete(writer)
 
 
+class TestPausesBehindASilence:
+    """A stream leaves a silent engine for others that ask for a long pause."""
+
+    # Guards against a stream that is ended as all others hold off until its deadline,
+    # though the engine that it left does not.
+    @pytest.mark.parametrize("n_others", [1, 3])
+    @pytest.mark.parametrize("silence", [BEFORE_THE_FIRST_EVENT, (0.9, 2.4)])
+    def test_stream_returns_to_its_engine(self, silence, n_others):
+        async def asks_for_a_pause(attempt):
+            yield ResponseHead(503, is_not_run=True, retry_after_ms=2 * TIMEOUT_MS)
+
+        def make_fleet():
+            fleet = FullFleet(n_others, 0.0, True, silence)
+            others = [t for t in fleet.behaviour_by_target if t != "i-1"]
+            fleet.behaviour_by_target.update(dict.fromkeys(others, asks_for_a_pause))
+            return fleet
+
+        fleet, writer = relay(make_fleet)
+        assert fleet.is_complete(writer)
+        assert fleet.tried[0] == fleet.tried[-1] == "i-1"
+
+
 class QuietStartFleet(SilentFleet):
     """Engine 1 falls silent for good, and engine 2 as it sends its first event.
 
